Whole path, thin: node, catalogue, engines, first streamed answer

Kernel with self-registering plug-ins, checked settings and catalogue, object API and VM list clients, peers over TCP, rendezvous ownership, slots with priority queues, OpenAI and service protocols, stand-ins, and a test that starts two node processes and streams through each.

--- /dev/null
+++ b/packages/mothctl/src/mothctl/__init__.py
@@ -0,0 +1,1 @@
+"""Mothctl: operators query and command mothworks from the command line."""
--- /dev/null
+++ b/packages/mothctl/src/mothctl/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the operators' command line: ``python -m mothctl``."""
+
+from mothctl import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/packages/mothworks/src/mothworks/application.py
@@ -0,0 +1,54 @@
+"""Endpoint plug-in ``application``: instances of plain services.
+
+Calls pass through unchanged; ``GET /health`` says whether an instance is
+ready, and a 503 there that it is leaving.
+"""
+
+import result
+
+from mothworks import catalogue, endpoints, plugins, requests, transport
+
+
+@plugins.register(plugins.ENDPOINT, "application")
+class Application(endpoints.Adapter):
+    """Speaks to plain services."""
+
+    def __init__(self):
+        self.transport = transport.Transport()
+
+    def send(
+        self, endpoint: catalogue.Endpoint, request: requests.Request
+    ) -> result.Result[endpoints.Answer, endpoints.SendFailure]:
+        """Send a call; see :meth:`endpoints.Adapter.send`.
+
+        A service's own errors are its answer and are passed on.
+        """
+        return self.transport.exchange(
+            (endpoint.address, endpoint.port),
+            request.method,
+            request.path,
+            (*request.headers, ("X-Request-Id", request.id)),
+            request.body,
+        )
+
+    def report(
+        self, endpoint: catalogue.Endpoint
+    ) -> result.Result[endpoints.Report, str]:
+        """Ask for health; see :meth:`endpoints.Adapter.report`."""
+        asked = self.transport.exchange(
+            (endpoint.address, endpoint.port), "GET", "/health", (), b""
+        )
+        return asked.map_err(lambda failure: failure.reason).and_then(_report)
+
+
+def _report(answer: transport.HttpAnswer) -> result.Result[endpoints.Report, str]:
+    try:
+        for _ in answer.chunks():
+            pass
+    except transport.FAILURES as error:
+        return result.Err(str(error))
+    if answer.status == 503:
+        return result.Ok(endpoints.Report(draining=True))
+    if answer.status != 200:
+        return result.Err(f"status {answer.status}")
+    return result.Ok(endpoints.Report())
--- /dev/null
+++ b/packages/mothworks/src/mothworks/calls.py
@@ -0,0 +1,170 @@
+"""Calls: the HTTP side of one caller's request, shared by all protocols."""
+
+import collections.abc
+import hashlib
+import hmac
+import time
+import typing
+import uuid
+
+import attrs
+import gevent
+import orjson
+import result
+
+from mothworks import catalogue, outcomes, settings
+
+StartResponse = collections.abc.Callable[[str, list[tuple[str, str]]], typing.Any]
+
+#: Reason phrases of the statuses that nodes send themselves.
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+JSON = ("Content-Type", "application/json")
+
+
+@attrs.frozen
+class Reply:
+    """What a handler answers.
+
+    :param status: the HTTP status.
+    :param headers: its headers.
+    :param body: the body's pieces, which may be produced as they are sent.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: collections.abc.Iterable[bytes]
+
+
+@attrs.define
+class Call:
+    """One HTTP request to this VM.
+
+    :param environ: the WSGI environment.
+    :param limits: bounds of this VM.
+    :param id: the request's id.
+    :param arrived: monotonic time of arrival, seconds.
+    """
+
+    environ: dict[str, typing.Any]
+    limits: settings.Limits
+    id: str = attrs.field(factory=lambda: uuid.uuid4().hex)
+    arrived: float = attrs.field(factory=time.monotonic)
+
+    @property
+    def method(self) -> str:
+        """Return the HTTP method."""
+        return self.environ["REQUEST_METHOD"]
+
+    @property
+    def path(self) -> str:
+        """Return the path, percent-decoded."""
+        return self.environ["PATH_INFO"]
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty text.
+
+        :param name: the header's name.
+        """
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+
+    def bearer_hash(self) -> str | None:
+        """Return the SHA-256 hash of the bearer key, or None without one."""
+        scheme, _, key = self.header("authorization").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            return None
+        return hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
+
+    def body(self) -> result.Result[bytes, outcomes.Refusal]:
+        """Read the whole body, bounded in bytes and time."""
+        most = self.limits.body_bytes
+        declared = self.environ.get("CONTENT_LENGTH") or "0"
+        if not declared.isdecimal():
+            return result.Err(outcomes.invalid("Content-Length is not a number"))
+        if int(declared) > most:
+            return result.Err(_too_long(most))
+        try:
+            with gevent.Timeout(self.limits.upload_s):
+                body = self.environ["wsgi.input"].read(most + 1)
+        except gevent.Timeout:
+            message = f"the body did not arrive within {self.limits.upload_s:g} s"
+            return result.Err(outcomes.invalid(message, "upload_timeout", 408))
+        except OSError:
+            return result.Err(outcomes.invalid("the body broke off", "truncated_body"))
+        if len(body) > most:
+            return result.Err(_too_long(most))
+        if len(body) < int(declared):
+            return result.Err(outcomes.invalid("the body broke off", "truncated_body"))
+        return result.Ok(body)
+
+
+def authenticate(
+    call: Call, index: catalogue.Index
+) -> result.Result[catalogue.Caller, outcomes.Refusal]:
+    """Return the caller whose key a call carries.
+
+    :param call: the call.
+    :param index: the catalogue in force.
+    """
+    key_hash = call.bearer_hash()
+    caller = index.caller_by_key_hash.get(key_hash) if key_hash else None
+    # The lookup is by the key's hash, so its timing says nothing of a key;
+    # the comparison is in constant time all the same.
+    if caller is None or not hmac.compare_digest(caller.key_sha256, key_hash):
+        return result.Err(
+            outcomes.invalid("a valid API key is needed", "invalid_api_key", 401)
+        )
+    return result.Ok(caller)
+
+
+def refuse(refusal: outcomes.Refusal) -> Reply:
+    """Return the reply that carries a refusal.
+
+    :param refusal: why there is no answer.
+    """
+    headers = [JSON, ("Mothworks-Ran", refusal.ran)]
+    if refusal.retry_after is not None:
+        headers.append(("Retry-After", str(max(1, round(refusal.retry_after)))))
+    return Reply(refusal.status, headers, [refusal.body()])
+
+
+def json_reply(value: typing.Any, status: int = 200) -> Reply:
+    """Return a reply of plain values as JSON.
+
+    :param value: maps, lists, texts and numbers.
+    :param status: the HTTP status.
+    """
+    return Reply(status, [JSON], [orjson.dumps(value)])
+
+
+def status_line(status: int) -> str:
+    """Return a status with its reason phrase.
+
+    :param status: the HTTP status.
+    """
+    return f"{status} {REASONS.get(status, 'Status')}"
+
+
+def _too_long(most: int) -> outcomes.Refusal:
+    return outcomes.invalid(
+        f"the body is longer than {most} bytes", "body_too_long", 413
+    )
--- /dev/null
+++ b/packages/mothworks/src/mothworks/cli.py
@@ -0,0 +1,61 @@
+"""The command line of the binary ``mothworks``."""
+
+import pathlib
+import sys
+
+import defopt
+import orjson
+import result
+
+from mothworks import logs, node, settings
+
+#: Exit code for wrong settings or a wrong command line.
+EXIT_USAGE = 2
+
+
+def run(*, settings_file: pathlib.Path, announce: bool = False) -> int:
+    """Run a node until it is told to stop.
+
+    :param settings_file: the VM's settings, JSON with comments.
+    :param announce: write one JSON line with the ports in use to standard
+        output once the node serves, for tools that let the kernel choose.
+    """
+    match settings.load(settings_file):
+        case result.Ok(checked):
+            pass
+        case result.Err(problem):
+            print(problem, file=sys.stderr)
+            return EXIT_USAGE
+    logs.install(checked.logs, checked.name)
+    running = node.Node(checked)
+    if announce:
+        chosen = running.kernel.settings
+        ports = {"port": chosen.port, "peer_port": chosen.peer_port}
+        print(orjson.dumps({"name": chosen.name, **ports}).decode(), flush=True)
+    return running.run()
+
+
+def check(settings_file: pathlib.Path) -> int:
+    """Check a settings file and say every problem in it.
+
+    :param settings_file: the VM's settings, JSON with comments.
+    """
+    match settings.load(settings_file):
+        case result.Ok(_):
+            print(f"{settings_file}: correct")
+            return 0
+        case result.Err(problem):
+            print(problem, file=sys.stderr)
+            return EXIT_USAGE
+
+
+def main() -> None:
+    """Run the command line: ``mothworks --settings FILE`` or ``check FILE``."""
+    arguments = sys.argv[1:]
+    # "mothworks --settings FILE" is the usual call and needs no subcommand.
+    if arguments and arguments[0].startswith("--settings"):
+        arguments = ["run", *arguments]
+    arguments = [
+        "--settings-file" if item == "--settings" else item for item in arguments
+    ]
+    sys.exit(defopt.run([run, check], argv=arguments))
--- /dev/null
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -0,0 +1,172 @@
+"""Caller protocol ``/v1/``: OpenAI's chat, completions and model list."""
+
+import collections.abc
+
+import attrs
+import orjson
+import result
+
+from mothworks import (
+    calls,
+    catalogue,
+    configuration,
+    dispatch,
+    kernel,
+    outcomes,
+    plugins,
+    requests,
+)
+
+#: Paths that generate, the same towards callers and engines.
+GENERATING_PATHS = frozenset(("/v1/chat/completions", "/v1/completions"))
+#: Tokens assumed where the caller names no maximum.
+DEFAULT_TOKENS = 256
+
+
+@attrs.frozen
+class Fields:
+    """The fields of a request's body that decide its way.
+
+    :param model: the model or adapter that is asked for.
+    :param stream: whether the answer is streamed.
+    :param tokens: most tokens to generate.
+    """
+
+    model: str
+    stream: bool
+    tokens: int
+
+
+@plugins.register(plugins.CALLER_PROTOCOL, "/v1/")
+class OpenAi:
+    """Serves the paths below ``/v1/``.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        self.configuration = node_kernel.get(configuration.Configuration)
+        self.dispatch = node_kernel.get(dispatch.Dispatch)
+
+    def serve(self, call: calls.Call) -> calls.Reply:
+        """Answer one call.
+
+        :param call: the call.
+        """
+        match calls.authenticate(call, self.configuration.index):
+            case result.Ok(caller):
+                pass
+            case result.Err(refusal):
+                return calls.refuse(refusal)
+        match (call.method, call.path):
+            case ("GET", "/v1/models"):
+                return self._models(caller)
+            case ("POST", path) if path in GENERATING_PATHS:
+                return self._generate(call, caller)
+            case (_, path) if path in GENERATING_PATHS or path == "/v1/models":
+                return calls.refuse(
+                    outcomes.invalid("method not allowed", "method_not_allowed", 405)
+                )
+            case (_, path):
+                return calls.refuse(
+                    outcomes.invalid(f"nothing is at {path}", "not_found", 404)
+                )
+
+    def _models(self, caller: catalogue.Caller) -> calls.Reply:
+        index = self.configuration.index
+        names = [*index.model_by_name, *index.adapter_by_name]
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "mothworks"}
+            for name in names
+            if _allowed(caller, name)
+        ]
+        return calls.json_reply({"object": "list", "data": data})
+
+    def _generate(self, call: calls.Call, caller: catalogue.Caller) -> calls.Reply:
+        outcome = call.body().and_then(
+            lambda body: self._request(call, caller, body).and_then(self.dispatch.begin)
+        )
+        match outcome:
+            case result.Ok(running):
+                answer = running.answer
+                headers = [*answer.headers, ("X-Request-Id", call.id)]
+                body = self.dispatch.chunks(running)
+                return calls.Reply(answer.status, headers, _finished(body, answer))
+            case result.Err(refusal):
+                return calls.refuse(refusal)
+
+    def _request(
+        self, call: calls.Call, caller: catalogue.Caller, body: bytes
+    ) -> result.Result[requests.Request, outcomes.Refusal]:
+        match _fields(body):
+            case result.Ok(fields):
+                pass
+            case error:
+                return error
+        index = self.configuration.index
+        adapter = index.adapter_by_name.get(fields.model)
+        model = adapter.model if adapter else fields.model
+        if model not in index.model_by_name or not _allowed(caller, fields.model):
+            message = f"no model is named {fields.model!r:.80}"
+            return result.Err(outcomes.invalid(message, "model_not_found", 404))
+        return result.Ok(
+            requests.Request(
+                id=call.id,
+                caller=caller,
+                target=fields.model,
+                model=model,
+                method="POST",
+                path=call.path,
+                headers=(calls.JSON,),
+                body=body,
+                stream=fields.stream,
+                repeatable=True,
+                arrived=call.arrived,
+                first_token_deadline=call.arrived + caller.first_token_ms / 1000,
+                tokens=fields.tokens,
+                idempotency_key=call.header("idempotency-key"),
+            )
+        )
+
+
+def _fields(body: bytes) -> result.Result[Fields, outcomes.Refusal]:
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        message = f"the body is not valid JSON: {error}"
+        return result.Err(outcomes.invalid(message, "invalid_json"))
+    if not isinstance(value, dict):
+        return result.Err(outcomes.invalid("the body is not a JSON object"))
+    model = value.get("model")
+    if not isinstance(model, str):
+        return result.Err(outcomes.invalid("'model' must be a string"))
+    stream = value.get("stream")
+    if stream not in (None, True, False):
+        return result.Err(outcomes.invalid("'stream' must be true or false"))
+    tokens = value.get("max_completion_tokens", value.get("max_tokens"))
+    if tokens is None:
+        tokens = DEFAULT_TOKENS
+    if type(tokens) is not int or tokens < 1:
+        return result.Err(
+            outcomes.invalid("'max_tokens' must be a whole number above 0")
+        )
+    return result.Ok(Fields(model, bool(stream), tokens))
+
+
+def _allowed(caller: catalogue.Caller, name: str) -> bool:
+    return not caller.models or name in caller.models
+
+
+def _finished(
+    body: collections.abc.Iterator[bytes], answer
+) -> collections.abc.Iterator[bytes]:
+    """Pass a body on; where it breaks off, end it with an error event.
+
+    An answer that ends without ``[DONE]`` and without an error would look
+    complete to a caller that does not check.
+    """
+    try:
+        yield from body
+    except OSError as error:
+        refusal = outcomes.unknown(f"the answer broke off: {error}", "broken_stream")
+        yield b"data: " + refusal.body() + b"\n\n"
--- /dev/null
+++ b/packages/mothworks/src/mothworks/server.py
@@ -0,0 +1,115 @@
+"""The HTTP server for callers and operators, on gevent's WSGI server."""
+
+import collections.abc
+import time
+import typing
+
+import gevent.pool
+import gevent.pywsgi
+import logbook
+
+from mothworks import (
+    calls,
+    configuration,
+    kernel,
+    logs,
+    outcomes,
+    plugins,
+)
+
+log = logbook.Logger("server")
+
+
+@plugins.register(plugins.PART, "server")
+class Server(kernel.Part):
+    """Accepts callers' connections and hands each call to its protocol.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.configuration = node_kernel.get(configuration.Configuration)
+        self.protocol_by_prefix = {
+            prefix: plugins.find(plugins.CALLER_PROTOCOL, prefix)(node_kernel)
+            for prefix in plugins.keys(plugins.CALLER_PROTOCOL)
+        }
+        chosen = node_kernel.settings
+        self.pool = gevent.pool.Pool(chosen.limits.connections)
+        self.listener = gevent.pywsgi.WSGIServer(
+            (chosen.address, chosen.port),
+            self._application,
+            spawn=self.pool,
+            log=None,
+            error_log=None,
+        )
+        self.listener.init_socket()
+        #: The port that the kernel chose where the setting is 0.
+        self.port = self.listener.socket.getsockname()[1]
+        self.open_calls = 0
+
+    def start(self) -> None:
+        """Accept connections."""
+        self.listener.start()
+
+    def drain(self, deadline: float) -> None:
+        """Finish every call in flight; see :meth:`kernel.Part.drain`."""
+        while self.open_calls and time.monotonic() < deadline:
+            gevent.sleep(0.02)
+
+    def stop(self) -> None:
+        """Close the listener and what is still open."""
+        self.listener.stop(timeout=0)
+        super().stop()
+
+    def _application(
+        self, environ: dict[str, typing.Any], start_response: calls.StartResponse
+    ) -> collections.abc.Iterator[bytes]:
+        self.open_calls += 1
+        try:
+            call = calls.Call(environ, self.kernel.settings.limits)
+            logs.set_request_id(call.id)
+            reply = self._guarded(call)
+            start_response(calls.status_line(reply.status), reply.headers)
+            yield from reply.body
+        finally:
+            self.open_calls -= 1
+
+    def _guarded(self, call: calls.Call) -> calls.Reply:
+        """Answer a call even where our own code fails on it.
+
+        Stopping the process, as for other broken invariants, would let one
+        odd request that is sent again take down every VM in turn.
+        """
+        try:
+            return self._reply(call)
+        except Exception:
+            log.exception("failed on {} {}", call.method, call.path)
+            return calls.refuse(
+                outcomes.Refusal(
+                    500, "internal", "the node failed on this", outcomes.Ran.UNKNOWN
+                )
+            )
+
+    def _reply(self, call: calls.Call) -> calls.Reply:
+        match call.path:
+            case "/healthz":
+                return calls.json_reply({"alive": True})
+            case "/readyz":
+                return self._ready()
+            case "/metrics":
+                body, headers = self.kernel.metrics.render()
+                return calls.Reply(200, list(headers.items()), [body])
+        for prefix, protocol in self.protocol_by_prefix.items():
+            if call.path.startswith(prefix):
+                return protocol.serve(call)
+        return calls.refuse(
+            outcomes.invalid(f"nothing is at {call.path!r:.80}", "not_found", 404)
+        )
+
+    def _ready(self) -> calls.Reply:
+        if self.kernel.draining:
+            return calls.json_reply({"ready": False, "why": "shutting down"}, 503)
+        if not self.configuration.loaded.is_set():
+            return calls.json_reply({"ready": False, "why": "no configuration"}, 503)
+        return calls.json_reply({"ready": True})
--- /dev/null
+++ b/packages/mothworks/src/mothworks/service_calls.py
@@ -0,0 +1,102 @@
+"""Caller protocol ``/services/``: calls to the plain services."""
+
+import result
+
+from mothworks import (
+    calls,
+    catalogue,
+    configuration,
+    dispatch,
+    kernel,
+    outcomes,
+    plugins,
+    requests,
+)
+
+#: Headers that are not passed on to a service.
+WITHHELD = frozenset(
+    (
+        "HTTP_AUTHORIZATION",
+        "HTTP_CONNECTION",
+        "HTTP_EXPECT",
+        "HTTP_HOST",
+        "HTTP_KEEP_ALIVE",
+        "HTTP_TE",
+        "HTTP_TRAILER",
+        "HTTP_TRANSFER_ENCODING",
+        "HTTP_UPGRADE",
+    )
+)
+
+
+@plugins.register(plugins.CALLER_PROTOCOL, "/services/")
+class Services:
+    """Serves ``/services/<name>/<path>``.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        self.configuration = node_kernel.get(configuration.Configuration)
+        self.dispatch = node_kernel.get(dispatch.Dispatch)
+
+    def serve(self, call: calls.Call) -> calls.Reply:
+        """Answer one call.
+
+        :param call: the call.
+        """
+        outcome = calls.authenticate(call, self.configuration.index).and_then(
+            lambda caller: call.body().and_then(
+                lambda body: self._request(call, caller, body).and_then(
+                    self.dispatch.begin
+                )
+            )
+        )
+        match outcome:
+            case result.Ok(running):
+                answer = running.answer
+                headers = [*answer.headers, ("X-Request-Id", call.id)]
+                body = self.dispatch.chunks(running)
+                return calls.Reply(answer.status, headers, body)
+            case result.Err(refusal):
+                return calls.refuse(refusal)
+
+    def _request(
+        self, call: calls.Call, caller: catalogue.Caller, body: bytes
+    ) -> result.Result[requests.Request, outcomes.Refusal]:
+        name, _, rest = call.path.removeprefix("/services/").partition("/")
+        service = self.configuration.index.service_by_name.get(name)
+        if service is None or (caller.models and name not in caller.models):
+            message = f"no service is named {name!r:.80}"
+            return result.Err(outcomes.invalid(message, "service_not_found", 404))
+        query = call.environ.get("QUERY_STRING")
+        path = f"/{rest}?{query}" if query else f"/{rest}"
+        return result.Ok(
+            requests.Request(
+                id=call.id,
+                caller=caller,
+                target=name,
+                model="",
+                method=call.method,
+                path=path,
+                headers=_headers(call),
+                body=body,
+                stream=False,
+                repeatable=service.repeatable,
+                arrived=call.arrived,
+                first_token_deadline=call.arrived + caller.first_token_ms / 1000,
+                idempotency_key=call.header("idempotency-key"),
+            )
+        )
+
+
+def _headers(call: calls.Call) -> tuple[tuple[str, str], ...]:
+    passed = [
+        (name.removeprefix("HTTP_").replace("_", "-").title(), value)
+        for name, value in call.environ.items()
+        if name.startswith("HTTP_") and name not in WITHHELD
+    ]
+    content_type = call.environ.get("CONTENT_TYPE")
+    if content_type:
+        passed.append(("Content-Type", content_type))
+    return tuple(passed)
--- /dev/null
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -0,0 +1,157 @@
+"""HTTP exchanges with endpoints, over geventhttpclient's pool and parser.
+
+The library's own client may send a request again after a connection broke,
+which must not happen to work that may run only once. Here each exchange
+sends its bytes exactly once and says whether any of them left.
+"""
+
+import collections
+import collections.abc
+
+import geventhttpclient.connectionpool
+import geventhttpclient.response
+import result
+
+from mothworks import endpoints
+
+#: Most connections to one endpoint.
+POOL_SIZE = 512
+#: Time for a connection to open, seconds.
+CONNECT_S = 1.0
+#: Longest silence of an endpoint, seconds.
+SILENCE_S = 120.0
+#: Bytes taken from a socket at once.
+RECEIVE_BYTES = 64 << 10
+
+#: What a broken connection or answer raises.
+FAILURES = (OSError, geventhttpclient.response.HTTPParseError)
+
+#: Headers that concern one connection only and are not passed on.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+class HttpAnswer(endpoints.Answer):
+    """An answer over HTTP whose body is passed on as it arrives.
+
+    :param response: the library's response, head already read.
+    """
+
+    def __init__(self, response: "_Response"):
+        headers = [
+            (name, value)
+            for name, value in response.items()
+            if name.lower() not in HOP_BY_HOP
+        ]
+        super().__init__(response.status_code, headers)
+        self.response = response
+
+    def chunks(self) -> collections.abc.Iterator[bytes]:
+        """Yield whatever has arrived, as few times as possible."""
+        while True:
+            data = self.response.read_available()
+            if not data:
+                return
+            yield data
+
+    def close(self) -> None:
+        """Return the connection to the pool, or close it to cancel."""
+        self.response.release()
+
+
+class _Response(geventhttpclient.response.HTTPSocketPoolResponse):
+    """The library's response, with a read that waits for any bytes at all."""
+
+    def read_available(self) -> bytes:
+        while not self._body_buffer and not self.message_complete:
+            sock = self._sock
+            if sock is None:
+                raise ConnectionResetError("the answer was released")
+            data = sock.recv(RECEIVE_BYTES)
+            if not data:
+                self.feed(b"")
+                if not self.message_complete:
+                    raise ConnectionResetError("the answer broke off")
+                break
+            self.feed(data)
+        body = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return body
+
+
+class Transport:
+    """Connections to all endpoints of one kind, pooled by address."""
+
+    def __init__(self):
+        self.pool_by_address: dict[
+            tuple[str, int], geventhttpclient.connectionpool.ConnectionPool
+        ] = {}
+
+    def exchange(
+        self,
+        address: tuple[str, int],
+        method: str,
+        path: str,
+        headers: collections.abc.Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> result.Result[HttpAnswer, endpoints.SendFailure]:
+        """Send a request once and read the head of its answer.
+
+        :param address: IP number and port.
+        :param method: the HTTP method.
+        :param path: path and query.
+        :param headers: headers beside Host and Content-Length.
+        :param body: the request's body.
+        """
+        pool = self._pool(address)
+        try:
+            sock = pool.get_socket()
+        except FAILURES as error:
+            return result.Err(endpoints.SendFailure(f"connect: {error}", False))
+        head = _head(address, method, path, headers, len(body))
+        try:
+            sock.sendall(head + body)
+        except OSError as error:
+            pool.release_socket(sock)
+            return result.Err(endpoints.SendFailure(f"send: {error}", True))
+        try:
+            response = _Response(sock, pool, method=method, block_size=RECEIVE_BYTES)
+        except FAILURES as error:
+            return result.Err(endpoints.SendFailure(f"answer: {error}", True))
+        return result.Ok(HttpAnswer(response))
+
+    def _pool(self, address: tuple[str, int]):
+        pool = self.pool_by_address.get(address)
+        if pool is None:
+            pool = geventhttpclient.connectionpool.ConnectionPool(
+                *address,
+                *address,
+                size=POOL_SIZE,
+                connection_timeout=CONNECT_S,
+                network_timeout=SILENCE_S,
+            )
+            self.pool_by_address[address] = pool
+        return pool
+
+
+def _head(
+    address: tuple[str, int],
+    method: str,
+    path: str,
+    headers: collections.abc.Iterable[tuple[str, str]],
+    length: int,
+) -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address[0]}:{address[1]}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines += [f"Content-Length: {length}", "", ""]
+    return "\r\n".join(lines).encode("latin-1")
--- /dev/null
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -0,0 +1,73 @@
+"""Endpoint plug-in ``vllm``: engines with vLLM's HTTP interface.
+
+Requests go to ``/v1/chat/completions`` and ``/v1/completions``. Residents,
+load and orders use the agent's pages ``/state`` and ``/orders`` beside them.
+"""
+
+import orjson
+import result
+
+from mothworks import catalogue, endpoints, plugins, requests, transport
+
+#: Statuses by which an engine refuses a request before running it.
+REFUSED_STATUSES = frozenset((429, 503))
+
+
+@plugins.register(plugins.ENDPOINT, "vllm")
+class Vllm(endpoints.Adapter):
+    """Speaks to vLLM-style engines."""
+
+    def __init__(self):
+        self.transport = transport.Transport()
+
+    def send(
+        self, endpoint: catalogue.Endpoint, request: requests.Request
+    ) -> result.Result[endpoints.Answer, endpoints.SendFailure]:
+        """Send a request; see :meth:`endpoints.Adapter.send`."""
+        sent = self.transport.exchange(
+            (endpoint.address, endpoint.port),
+            request.method,
+            request.path,
+            (*request.headers, ("X-Request-Id", request.id)),
+            request.body,
+        )
+        return sent.and_then(_unless_refused)
+
+    def report(
+        self, endpoint: catalogue.Endpoint
+    ) -> result.Result[endpoints.Report, str]:
+        """Ask for residents and load; see :meth:`endpoints.Adapter.report`."""
+        asked = self.transport.exchange(
+            (endpoint.address, endpoint.port), "GET", "/state", (), b""
+        )
+        return asked.map_err(lambda failure: failure.reason).and_then(_report)
+
+
+def _unless_refused(answer: transport.HttpAnswer):
+    if answer.status not in REFUSED_STATUSES:
+        return result.Ok(answer)
+    answer.close()
+    reason = f"the endpoint refused with status {answer.status}"
+    return result.Err(endpoints.SendFailure(reason, sent=True, refused=True))
+
+
+def _report(answer: transport.HttpAnswer) -> result.Result[endpoints.Report, str]:
+    try:
+        body = b"".join(answer.chunks())
+    except transport.FAILURES as error:
+        return result.Err(str(error))
+    if answer.status != 200:
+        return result.Err(f"status {answer.status}")
+    try:
+        state = orjson.loads(body)
+        residents = tuple(
+            endpoints.Resident(item["name"], item["version"], item["memory_mb"])
+            for item in state["residents"]
+        )
+        return result.Ok(
+            endpoints.Report(
+                residents, state["running"], state["waiting"], state["draining"]
+            )
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return result.Err(f"the endpoint's state is not understood: {error!r}")
--- /dev/null
+++ b/packages/mothworks/tests/builders.py
@@ -0,0 +1,83 @@
+"""Builders of test data: valid objects with defaults that tests vary."""
+
+import time
+
+from mothworks import catalogue, requests
+from mothworks_fakes import testbed
+
+CALLER_KEY = "guest-key"
+BULK_KEY = "bulk-key"
+
+
+def caller(**changes) -> catalogue.Caller:
+    fields = {
+        "name": "guest",
+        "key_sha256": testbed.key_hash(CALLER_KEY),
+        "urgency": catalogue.Urgency.URGENT,
+    }
+    return catalogue.Caller(**{**fields, **changes})
+
+
+def bulk_caller(**changes) -> catalogue.Caller:
+    fields = {
+        "name": "batch",
+        "key_sha256": testbed.key_hash(BULK_KEY),
+        "urgency": catalogue.Urgency.BULK,
+    }
+    return catalogue.Caller(**{**fields, **changes})
+
+
+def endpoint(name: str = "engine-1", **changes) -> catalogue.Endpoint:
+    fields = {
+        "name": name,
+        "kind": "vllm",
+        "address": "127.0.0.1",
+        "port": 1,
+        "data_centre": "dc-1",
+        "memory_mb": 80_000,
+        "accelerators": 1,
+    }
+    return catalogue.Endpoint(**{**fields, **changes})
+
+
+def service_endpoint(name: str = "orders-1", **changes) -> catalogue.Endpoint:
+    fields = {"kind": "application", "service": "orders", "memory_mb": 0}
+    return endpoint(name, **{**fields, **changes})
+
+
+def model(name: str = "menu", **changes) -> catalogue.Model:
+    fields = {"name": name, "memory_mb": 16_000, "working_mb": 4_000}
+    return catalogue.Model(**{**fields, **changes})
+
+
+def declared(**changes) -> catalogue.Catalogue:
+    fields = {
+        "data_centres": (
+            catalogue.DataCentre("dc-1", "region-1"),
+            catalogue.DataCentre("dc-2", "region-1"),
+        ),
+        "models": (model(),),
+        "services": (catalogue.Service("orders"),),
+        "callers": (caller(), bulk_caller()),
+        "endpoints": (endpoint(), service_endpoint()),
+    }
+    return catalogue.Catalogue(**{**fields, **changes})
+
+
+def request(request_id: str = "request-1", **changes) -> requests.Request:
+    now = time.monotonic()
+    fields = {
+        "id": request_id,
+        "caller": caller(),
+        "target": "menu",
+        "model": "menu",
+        "method": "POST",
+        "path": "/v1/chat/completions",
+        "headers": (),
+        "body": b'{"model": "menu"}',
+        "stream": True,
+        "repeatable": True,
+        "arrived": now,
+        "first_token_deadline": now + 1.6,
+    }
+    return requests.Request(**{**fields, **changes})
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/__main__.py
@@ -0,0 +1,74 @@
+"""Starts one stand-in: ``python -m mothworks_fakes engine --memory-mb 1000``."""
+
+import defopt
+import gevent.event
+import orjson
+
+from mothworks_fakes import application, engine, object_api, platform, web
+
+
+def run_engine(
+    *, memory_mb: int = 80_000, fencing: bool = True, port: int = 0, model: list[str]
+) -> None:
+    """Run a model engine.
+
+    :param memory_mb: accelerator memory, MB.
+    :param fencing: refuse orders with an old fencing number.
+    :param port: TCP port; 0 lets the kernel choose.
+    :param model: models resident from the start, of 1000 MB each.
+    """
+    fake = engine.Engine(memory_mb, fencing, port=port)
+    for name in model:
+        fake.place(name, 1000)
+    _serve(fake)
+
+
+def run_application(*, port: int = 0) -> None:
+    """Run a plain service.
+
+    :param port: TCP port; 0 lets the kernel choose.
+    """
+    _serve(application.Application(port))
+
+
+def run_object_api(*, port: int = 0) -> None:
+    """Run the object API.
+
+    :param port: TCP port; 0 lets the kernel choose.
+    """
+    _serve(object_api.ObjectApi(port))
+
+
+def run_vm_list(*, port: int = 0) -> None:
+    """Run the platform's list of VMs.
+
+    :param port: TCP port; 0 lets the kernel choose.
+    """
+    _serve(platform.VmList(port))
+
+
+def run_weight_store(*, port: int = 0, parallel: int = 8) -> None:
+    """Run the weight store.
+
+    :param port: TCP port; 0 lets the kernel choose.
+    :param parallel: loads served at a time.
+    """
+    _serve(platform.WeightStore(port, parallel))
+
+
+def _serve(fake: web.Fake) -> None:
+    fake.start()
+    print(orjson.dumps({"url": fake.url}).decode(), flush=True)
+    gevent.event.Event().wait()
+
+
+if __name__ == "__main__":
+    defopt.run(
+        {
+            "engine": run_engine,
+            "application": run_application,
+            "object-api": run_object_api,
+            "vm-list": run_vm_list,
+            "weight-store": run_weight_store,
+        }
+    )
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/application.py
@@ -0,0 +1,31 @@
+"""Stand-in for a plain service that confirms orders and counts each call."""
+
+import collections
+
+import gevent
+
+from mothworks_fakes import web
+
+
+class Application(web.Fake):
+    """Answers every call with its own path, and counts calls by body.
+
+    :param port: TCP port; 0 lets the kernel choose.
+    :param work_s: time that each call takes, seconds.
+    """
+
+    def __init__(self, port: int = 0, work_s: float = 0.0):
+        super().__init__(port)
+        self.work_s = work_s
+        self.calls_by_body: collections.Counter[bytes] = collections.Counter()
+        self.draining = False
+
+    def serve(self, method: str, path: str, environ: dict) -> web.Reply:
+        """Answer one call; see :meth:`web.Fake.serve`."""
+        if path == "/health":
+            status = "503 Service Unavailable" if self.draining else "200 OK"
+            return web.json_reply({}, status)
+        body = environ["wsgi.input"].read()
+        self.calls_by_body[body] += 1
+        gevent.sleep(self.work_s)
+        return web.json_reply({"path": path, "echo": body.decode("utf-8", "replace")})
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -0,0 +1,247 @@
+"""Stand-in for a vLLM-style engine with continuous batching.
+
+The time of a step grows with the batch, prompts are prefilled one at a time,
+and accelerator memory is counted, so that overcommitment shows. Every run
+is recorded for history checks.
+"""
+
+import collections.abc
+import hashlib
+
+import attrs
+import gevent
+import gevent.lock
+import orjson
+
+from mothworks_fakes import web
+
+#: Bytes of a prompt that count as one token.
+BYTES_A_TOKEN = 4
+#: A prompt with this text crashes the engine that runs it.
+POISON = b"poison"
+
+
+@attrs.define
+class Speed:
+    """How fast an engine is.
+
+    :param prefill_tokens_per_s: prompt tokens a second, one prompt at a time.
+    :param step_s: time of one decoding step of a batch of one, seconds.
+    :param step_s_per_request: what each further request adds, seconds.
+    :param batch: most requests in the batch; others wait in the engine.
+    :param load_mb_per_s: rate of loading weights.
+    """
+
+    prefill_tokens_per_s: float = 50_000.0
+    step_s: float = 0.01
+    step_s_per_request: float = 0.0003
+    batch: int = 16
+    load_mb_per_s: float = 100_000.0
+
+
+@attrs.frozen
+class Run:
+    """A request that the engine began to run.
+
+    :param request_id: the id that the node sent.
+    :param body_hash: hash of the request's body.
+    """
+
+    request_id: str
+    body_hash: str
+
+
+class Engine(web.Fake):
+    """One engine.
+
+    :param memory_mb: accelerator memory.
+    :param fencing: whether orders with an old fencing number are refused.
+    :param speed: how fast it is.
+    :param port: TCP port; 0 lets the kernel choose.
+    """
+
+    def __init__(
+        self,
+        memory_mb: int,
+        fencing: bool = True,
+        speed: Speed | None = None,
+        port: int = 0,
+    ):
+        super().__init__(port)
+        self.memory_mb = memory_mb
+        self.fencing = fencing
+        self.speed = speed or Speed()
+        self.resident_by_name: dict[str, dict] = {}
+        self.loading_by_name: dict[str, dict] = {}
+        self.outcome_by_order: dict[str, dict] = {}
+        self.highest_fence = 0
+        self.peak_memory_mb = 0
+        self.places = gevent.lock.BoundedSemaphore(self.speed.batch)
+        self.prefill = gevent.lock.BoundedSemaphore(1)
+        self.running = 0
+        self.waiting = 0
+        self.draining = False
+        self.runs: list[Run] = []
+        self.crashes = 0
+
+    def immune(self, path: str) -> bool:
+        """Return whether faults spare a path; see :meth:`web.Fake.immune`."""
+        return path == "/faults"
+
+    def serve(self, method: str, path: str, environ: dict) -> web.Reply:
+        """Answer one call; see :meth:`web.Fake.serve`."""
+        match (method, path):
+            case ("GET", "/health"):
+                return web.json_reply({})
+            case ("GET", "/state"):
+                return web.json_reply(self._state())
+            case ("GET", "/metrics"):
+                return web.Reply("200 OK", [], [self._metrics()])
+            case ("POST", "/orders"):
+                return self._order(orjson.loads(environ["wsgi.input"].read()))
+            case ("POST", "/v1/completions" | "/v1/chat/completions"):
+                return self._generate(path, environ)
+        return web.json_reply({}, "404 Not Found")
+
+    def place(self, name: str, memory_mb: int, version: str = "1") -> None:
+        """Make a model resident at once, as if loaded long ago.
+
+        :param name: the model.
+        :param memory_mb: its memory.
+        :param version: its version.
+        """
+        resident = {"name": name, "version": version, "memory_mb": memory_mb}
+        self.resident_by_name[name] = resident
+        self._note_memory()
+
+    def used_mb(self) -> int:
+        """Return the memory of residents and loads under way, MB."""
+        items = (*self.resident_by_name.values(), *self.loading_by_name.values())
+        return sum(item["memory_mb"] for item in items)
+
+    def _state(self) -> dict:
+        return {
+            "residents": list(self.resident_by_name.values()),
+            "running": self.running,
+            "waiting": self.waiting,
+            "draining": self.draining,
+            "memory_mb": self.memory_mb,
+            "highest_fence": self.highest_fence,
+            "orders": self.outcome_by_order,
+        }
+
+    def _metrics(self) -> bytes:
+        return (
+            f"vllm:num_requests_running {self.running}\n"
+            f"vllm:num_requests_waiting {self.waiting}\n"
+        ).encode()
+
+    def _note_memory(self) -> None:
+        self.peak_memory_mb = max(self.peak_memory_mb, self.used_mb())
+
+    def _order(self, order: dict) -> web.Reply:
+        known = self.outcome_by_order.get(order["id"])
+        if known is not None:
+            return web.json_reply(known)
+        if self.fencing and order["fence"] < self.highest_fence:
+            return web.json_reply({"error": "old fencing number"}, "409 Conflict")
+        self.highest_fence = max(self.highest_fence, order["fence"])
+        name = order["name"]
+        if order["kind"] == "load":
+            self.loading_by_name[name] = {
+                key: order[key] for key in ("name", "version", "memory_mb")
+            }
+            self._note_memory()
+            gevent.sleep(order["memory_mb"] / self.speed.load_mb_per_s)
+            self.resident_by_name[name] = self.loading_by_name.pop(name)
+        else:
+            self.resident_by_name.pop(name, None)
+        self.outcome_by_order[order["id"]] = {"id": order["id"], "done": True}
+        return web.json_reply(self.outcome_by_order[order["id"]])
+
+    def _generate(self, path: str, environ: dict) -> web.Reply:
+        body = environ["wsgi.input"].read()
+        request = orjson.loads(body)
+        model = request["model"]
+        if self.draining:
+            return web.json_reply({"error": "draining"}, "503 Service Unavailable")
+        if model not in self.resident_by_name:
+            message = f"{model} is not loaded"
+            return web.json_reply({"error": message}, "404 Not Found")
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        digest = hashlib.sha256(body).hexdigest()[:12]
+        self.runs.append(Run(request_id, digest))
+        if POISON in body:
+            self.crash()
+        wanted = request.get("max_tokens") or 16
+        tokens = self._tokens(len(body) // BYTES_A_TOKEN, digest, wanted)
+        chat = path.endswith("chat/completions")
+        if request.get("stream"):
+            pieces = self._stream(tokens, request_id, model, chat)
+            return web.Reply("200 OK", [("Content-Type", "text/event-stream")], pieces)
+        text = "".join(tokens)
+        return web.json_reply(_whole(text, wanted, request_id, model, chat))
+
+    def crash(self) -> None:
+        """Break every connection, as when the engine's process dies."""
+        self.crashes += 1
+        self.pool.kill(block=False)
+        gevent.sleep(0)
+
+    def _tokens(
+        self, prompt_tokens: int, digest: str, wanted: int
+    ) -> collections.abc.Iterator[str]:
+        """Yield tokens that depend on the request, as the batch allows."""
+        self.waiting += 1
+        with self.places:
+            self.waiting -= 1
+            self.running += 1
+            try:
+                with self.prefill:
+                    gevent.sleep(prompt_tokens / self.speed.prefill_tokens_per_s)
+                for number in range(wanted):
+                    extra = self.speed.step_s_per_request * (self.running - 1)
+                    gevent.sleep(self.speed.step_s + extra)
+                    yield f"{digest}-{number} "
+            finally:
+                self.running -= 1
+
+    def _stream(
+        self,
+        tokens: collections.abc.Iterator[str],
+        request_id: str,
+        model: str,
+        chat: bool,
+    ) -> collections.abc.Iterator[bytes]:
+        for token in tokens:
+            choice = {"index": 0, "finish_reason": None}
+            choice.update({"delta": {"content": token}} if chat else {"text": token})
+            event = {
+                "id": request_id,
+                "object": "chat.completion.chunk" if chat else "text_completion",
+                "created": 0,
+                "model": model,
+                "choices": [choice],
+            }
+            yield b"data: " + orjson.dumps(event) + b"\n\n"
+        yield b"data: [DONE]\n\n"
+
+
+def _whole(text: str, tokens: int, request_id: str, model: str, chat: bool) -> dict:
+    choice = {"index": 0, "finish_reason": "length"}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": request_id,
+        "object": "chat.completion" if chat else "text_completion",
+        "created": 0,
+        "model": model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": 1,
+            "completion_tokens": tokens,
+            "total_tokens": tokens + 1,
+        },
+    }
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/object_api.py
@@ -0,0 +1,125 @@
+"""Stand-in for the platform's object API: versions, conditions, watches."""
+
+import urllib.parse
+
+import attrs
+import gevent
+import gevent.event
+
+from mothworks_fakes import web
+
+#: Longest value, as on the platform.
+MOST_BYTES = 1_000_000
+
+
+@attrs.frozen
+class Item:
+    """A stored object.
+
+    :param revision: the store's revision at the last write.
+    :param body: its content.
+    """
+
+    revision: int
+    body: bytes
+
+
+class ObjectApi(web.Fake):
+    """Keeps objects in memory.
+
+    :param port: TCP port; 0 lets the kernel choose.
+    :param seed: seed of the faults' randomness.
+    """
+
+    def __init__(self, port: int = 0, seed: int = 0):
+        super().__init__(port, seed)
+        self.item_by_key: dict[str, Item] = {}
+        self.revision = 0
+        self.changes: list[tuple[int, str]] = []
+        self.changed = gevent.event.Event()
+        self.reads = 0
+        self.writes = 0
+
+    def serve(self, method: str, path: str, environ: dict) -> web.Reply:
+        """Answer one call; see :meth:`web.Fake.serve`."""
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        key = path.removeprefix("/objects/")
+        match method:
+            case "GET" if path == "/watch":
+                return self._watch(query)
+            case "GET" if path == "/objects":
+                return self._list(query["prefix"])
+            case "GET":
+                return self._get(key)
+            case "PUT":
+                return self._put(key, environ)
+            case "DELETE":
+                return self._delete(key, environ)
+        return web.json_reply({}, "405 Method Not Allowed")
+
+    def _get(self, key: str) -> web.Reply:
+        self.reads += 1
+        item = self.item_by_key.get(key)
+        if item is None:
+            return web.json_reply({}, "404 Not Found")
+        return web.Reply("200 OK", [("ETag", str(item.revision))], [item.body])
+
+    def _list(self, prefix: str) -> web.Reply:
+        self.reads += 1
+        return web.json_reply(
+            {
+                key: str(item.revision)
+                for key, item in self.item_by_key.items()
+                if key.startswith(prefix)
+            }
+        )
+
+    def _put(self, key: str, environ: dict) -> web.Reply:
+        self.writes += 1
+        body = environ["wsgi.input"].read()
+        if len(body) > MOST_BYTES:
+            return web.json_reply({}, "413 Content Too Large")
+        if not self._condition_holds(key, environ):
+            return web.json_reply({}, "412 Precondition Failed")
+        self._record(key)
+        self.item_by_key[key] = Item(self.revision, body)
+        return web.Reply("200 OK", [("ETag", str(self.revision))], [b"{}"])
+
+    def _delete(self, key: str, environ: dict) -> web.Reply:
+        self.writes += 1
+        if not self._condition_holds(key, environ):
+            return web.json_reply({}, "412 Precondition Failed")
+        self._record(key)
+        del self.item_by_key[key]
+        return web.json_reply({})
+
+    def _condition_holds(self, key: str, environ: dict) -> bool:
+        item = self.item_by_key.get(key)
+        if environ.get("HTTP_IF_NONE_MATCH") == "*":
+            return item is None
+        return item is not None and environ.get("HTTP_IF_MATCH") == str(item.revision)
+
+    def _record(self, key: str) -> None:
+        self.revision += 1
+        self.changes.append((self.revision, key))
+        self.changed.set()
+        self.changed.clear()
+
+    def _watch(self, query: dict[str, str]) -> web.Reply:
+        self.reads += 1
+        prefix = query["prefix"]
+        cursor = int(query.get("cursor", self.revision))
+        with gevent.Timeout(float(query["wait"]), False):
+            while not self._keys_after(prefix, cursor):
+                self.changed.wait()
+        keys = self._keys_after(prefix, cursor)
+        return web.json_reply({"cursor": str(self.revision), "keys": keys})
+
+    def _keys_after(self, prefix: str, cursor: int) -> list[str]:
+        keys = []
+        for revision, key in reversed(self.changes):
+            if revision <= cursor:
+                break
+            if key.startswith(prefix):
+                keys.append(key)
+        return sorted(set(keys))
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/processes.py
@@ -0,0 +1,77 @@
+"""Starts and stops the project's own programs as processes, for tests.
+
+Only tools use this module; a node itself never starts a process.
+"""
+
+import pathlib
+import subprocess
+import sys
+
+import gevent
+import gevent.subprocess
+import geventhttpclient
+import orjson
+
+from mothworks import documents, settings
+
+#: Time for a process to end by itself, seconds.
+STOP_S = 70.0
+
+
+class NodeProcess:
+    """A node in a process of its own.
+
+    :param checked: its settings; the kernel chooses ports that are 0.
+    :param folder: where its settings file and log go.
+    """
+
+    def __init__(self, checked: settings.Settings, folder: pathlib.Path):
+        self.settings = checked
+        path = folder / f"{checked.name}.json"
+        path.write_bytes(orjson.dumps(documents.plain(checked)))
+        self.log_path = folder / f"{checked.name}.log"
+        self.log = self.log_path.open("ab")
+        command = [sys.executable, "-m", "mothworks", "--settings", str(path)]
+        self.process = gevent.subprocess.Popen(
+            [*command, "--announce"], stdout=subprocess.PIPE, stderr=self.log
+        )
+        line = self.process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{checked.name} did not start; see {self.log_path}")
+        ports = orjson.loads(line)
+        self.port = ports["port"]
+        self.peer_port = ports["peer_port"]
+        self.url = f"http://{checked.address}:{self.port}"
+
+    def is_ready(self) -> bool:
+        """Return whether the node says that it is ready."""
+        try:
+            client = geventhttpclient.HTTPClient.from_url(self.url)
+            return client.get("/readyz").status_code == 200
+        except OSError:
+            return False
+
+    def kill(self) -> None:
+        """End the process at once, as when its VM fails."""
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+    def stop(self) -> int:
+        """Shut the node down gracefully and return its exit code."""
+        self.process.terminate()
+        try:
+            return self.process.wait(timeout=STOP_S)
+        finally:
+            self.kill()
+
+
+def wait_until(condition, timeout_s: float = 20.0) -> None:
+    """Wait for a condition; raises where it does not come true.
+
+    :param condition: called without arguments until it returns a true value.
+    :param timeout_s: longest wait, seconds.
+    """
+    with gevent.Timeout(timeout_s, TimeoutError(f"waited {timeout_s:g} s in vain")):
+        while not condition():
+            gevent.sleep(0.02)
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -0,0 +1,110 @@
+"""A whole deployment on one machine: stand-ins here, nodes as processes."""
+
+import hashlib
+import pathlib
+
+import attrs
+
+from mothworks import builtin, catalogue, settings, vm_list  # noqa: F401
+from mothworks_fakes import application, engine, object_api, platform, processes, web
+
+OPERATOR_KEY = "operator-key"
+
+
+def key_hash(key: str) -> str:
+    """Return the hash that catalogue and settings hold for a key.
+
+    :param key: the key.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Testbed:
+    """Object API, VM list, endpoints and nodes.
+
+    :param folder: where settings and logs of the nodes go.
+    """
+
+    __test__ = False
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.object_api = object_api.ObjectApi().start()
+        self.vm_list = platform.VmList().start()
+        self.fake_by_endpoint: dict[str, web.Fake] = {}
+        self.node_by_name: dict[str, processes.NodeProcess] = {}
+
+    def add_engine(
+        self, declared: catalogue.Endpoint, speed: engine.Speed | None = None
+    ) -> catalogue.Endpoint:
+        """Start an engine and return its declaration with the port in use.
+
+        :param declared: the endpoint; its port is replaced.
+        :param speed: how fast the engine is.
+        """
+        fake = engine.Engine(declared.memory_mb, declared.fencing, speed)
+        return self._add_fake(declared, fake)
+
+    def add_application(self, declared: catalogue.Endpoint) -> catalogue.Endpoint:
+        """Start an application service; see :meth:`add_engine`.
+
+        :param declared: the endpoint; its port is replaced.
+        """
+        return self._add_fake(declared, application.Application())
+
+    def add_node(
+        self, name: str, data_centre: str, region: str, **changes
+    ) -> processes.NodeProcess:
+        """Start a node and put it on the VM list.
+
+        :param name: the VM's name.
+        :param data_centre: where it runs.
+        :param region: that data centre's region.
+        :param changes: further fields of :class:`settings.Settings`.
+        """
+        checked = settings.Settings(
+            name=name,
+            address="127.0.0.1",
+            port=0,
+            peer_port=0,
+            data_centre=data_centre,
+            region=region,
+            object_api=settings.ObjectApi(self.object_api.url),
+            vm_list=settings.VmList(self.vm_list.url + "/vms", poll_s=0.5),
+            operators=(
+                settings.Operator(
+                    "demo", settings.Role.OPERATOR, key_hash(OPERATOR_KEY)
+                ),
+            ),
+        )
+        checked = attrs.evolve(checked, **changes)
+        node = processes.NodeProcess(checked, self.folder)
+        self.node_by_name[name] = node
+        self.vm_list.put(
+            vm_list.Vm(
+                name,
+                vm_list.VmKind.NODE,
+                "127.0.0.1",
+                port=node.port,
+                peer_port=node.peer_port,
+                data_centre=data_centre,
+                region=region,
+            )
+        )
+        return node
+
+    def stop(self) -> None:
+        """Stop everything that was started."""
+        for node in self.node_by_name.values():
+            node.kill()
+        for fake in (*self.fake_by_endpoint.values(), self.object_api, self.vm_list):
+            fake.stop()
+
+    def _add_fake(
+        self, declared: catalogue.Endpoint, fake: web.Fake
+    ) -> catalogue.Endpoint:
+        self.fake_by_endpoint[declared.name] = fake.start()
+        self.vm_list.put(
+            vm_list.Vm(declared.name, vm_list.VmKind.ENDPOINT, "127.0.0.1")
+        )
+        return attrs.evolve(declared, address="127.0.0.1", port=fake.port)
