--- a/packages/mothworks_fakes/src/mothworks_fakes/processes.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/processes.py
@@ -3,6 +3,7 @@
 Only tools use this module; a node itself never starts a process.
 """
 
+import os
 import pathlib
 import subprocess
 import sys
@@ -32,8 +33,14 @@
         self.log_path = folder / f"{checked.name}.log"
         self.log = self.log_path.open("ab")
         command = [sys.executable, "-m", "mothworks", "--settings", str(path)]
+        # The node imports the same sources as this process, also where
+        # another checkout is installed.
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
         self.process = gevent.subprocess.Popen(
-            [*command, "--announce"], stdout=subprocess.PIPE, stderr=self.log
+            [*command, "--announce"],
+            stdout=subprocess.PIPE,
+            stderr=self.log,
+            env=environment,
         )
         line = self.process.stdout.readline()
         if not line:
