Slot interface: how a request ended, what it asks for, owned endpoints

Planning and the adaptive limits need more than a request's id: AskSlot now names target, caller and tokens, release() takes an End with outcome and observed times, and Health tells which endpoints this VM owns. No behaviour changes; the existing tests pass.

--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -80,7 +80,7 @@
                 case result.Ok(answer):
                     return result.Ok(Running(answer, grant))
                 case result.Err(failure):
-                    self._release(grant)
+                    self._release(grant, slots.End(_outcome(failure)))
             refusal = _refusal(failure)
             ran = failure.sent and not failure.refused
             if ran and not request.repeatable:
@@ -92,18 +92,24 @@
 
         :param running: what :meth:`begin` returned.
         """
+        end = slots.End(slots.Outcome.CANCELLED)
         try:
             yield from running.answer.chunks()
+            end = slots.End(slots.Outcome.OK)
+        except OSError:
+            end = slots.End(slots.Outcome.CRASHED)
+            raise
         finally:
-            self.end(running)
+            self.end(running, end)
 
-    def end(self, running: Running) -> None:
+    def end(self, running: Running, end: slots.End) -> None:
         """Release the connection and the slot.
 
         :param running: what :meth:`begin` returned.
+        :param end: how the request ended.
         """
         running.answer.close()
-        self._release(running.grant)
+        self._release(running.grant, end)
 
     def _choose(self, request: requests.Request, tried: set[str]):
         names = self.placement.open_endpoints(request.target)
@@ -118,9 +124,9 @@
             return self.slots.acquire(request, endpoint)
         return result.Ok(slots.Grant(request.id, endpoint, ""))
 
-    def _release(self, grant: slots.Grant) -> None:
+    def _release(self, grant: slots.Grant, end: slots.End) -> None:
         self.policy.running_by_endpoint[grant.endpoint.name] -= 1
-        self.slots.release(grant)
+        self.slots.release(grant, end)
 
     def _no_endpoint(self, request: requests.Request) -> outcomes.Refusal:
         return outcomes.overloaded(
@@ -130,6 +136,12 @@
         )
 
 
+def _outcome(failure: endpoints.SendFailure) -> slots.Outcome:
+    if failure.sent and not failure.refused:
+        return slots.Outcome.CRASHED
+    return slots.Outcome.FAILED
+
+
 def _refusal(failure: endpoints.SendFailure) -> outcomes.Refusal:
     if failure.sent and not failure.refused:
         return outcomes.unknown(f"the endpoint gave no answer: {failure.reason}")
--- a/packages/mothworks/src/mothworks/health.py
+++ b/packages/mothworks/src/mothworks/health.py
@@ -59,6 +59,8 @@
         self.adapters = Adapters()
         self.report_by_endpoint: dict[str, endpoints.Report] = {}
         self.task_by_endpoint: dict[str, gevent.Greenlet] = {}
+        #: Functions to call after :meth:`owned` changed, without arguments.
+        self.on_owned: list = []
         self.configuration.on_change.append(self.assign)
         self.membership.on_change.append(self.assign)
 
@@ -75,6 +77,10 @@
         region = regions[endpoint.data_centre]
         return ownership.owner_of(endpoint, region, self.membership.live())
 
+    def owned(self) -> frozenset[str]:
+        """Return the names of the endpoints that this VM owns."""
+        return frozenset(self.task_by_endpoint)
+
     def assign(self) -> None:
         """Start and stop watches so that they fit what this VM owns."""
         own_name = self.kernel.settings.name
@@ -83,11 +89,15 @@
             owner = self.owner(endpoint)
             if owner is not None and owner.name == own_name:
                 owned.add(endpoint.name)
-        for name in self.task_by_endpoint.keys() - owned:
+        before = self.owned()
+        for name in before - owned:
             self.task_by_endpoint.pop(name).kill(block=False)
             self.report_by_endpoint.pop(name, None)
-        for name in owned - self.task_by_endpoint.keys():
+        for name in owned - before:
             self.task_by_endpoint[name] = self.tasks.spawn(self._watch, name)
+        if owned != before:
+            for notify in self.on_owned:
+                notify()
 
     def _watch(self, name: str) -> None:
         failures = 0
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -4,6 +4,7 @@
 endpoint. An entry asks for a slot before it sends, and reports the end.
 """
 
+import enum
 import heapq
 import itertools
 import time
@@ -44,6 +45,9 @@
     :param rank: rank of the request's urgency, 0 first.
     :param wait_ms: longest wait, milliseconds.
     :param target_ms: time left to the first token's target, milliseconds.
+    :param target: the model, adapter or service that was asked for.
+    :param caller: the caller's name.
+    :param tokens: most tokens the request may generate.
     """
 
     request_id: str
@@ -51,6 +55,9 @@
     rank: int
     wait_ms: int
     target_ms: int
+    target: str = ""
+    caller: str = ""
+    tokens: int = 0
 
 
 @messages.message(11)
@@ -73,10 +80,49 @@
 
     :param request_id: the request's id.
     :param endpoint: the endpoint's name.
+    :param outcome: an :class:`Outcome`.
+    :param first_token_ms: see :class:`End`, whole milliseconds.
+    :param between_tokens_us: see :class:`End`, whole microseconds.
+    :param tokens: see :class:`End`.
     """
 
     request_id: str
     endpoint: str
+    outcome: int = 0
+    first_token_ms: int = 0
+    between_tokens_us: int = 0
+    tokens: int = 0
+
+
+class Outcome(enum.IntEnum):
+    """How a request that had a slot ended."""
+
+    #: The endpoint's answer is complete.
+    OK = 0
+    #: The endpoint refused, or answered with an error of its own.
+    FAILED = 1
+    #: The connection to the endpoint broke off.
+    CRASHED = 2
+    #: The caller went away.
+    CANCELLED = 3
+
+
+@attrs.frozen
+class End:
+    """The end of a request that had a slot, as its entry saw it.
+
+    :param outcome: how it ended.
+    :param first_token_ms: from sending to the first token, milliseconds; 0
+        where none came.
+    :param between_tokens_ms: mean time between tokens, milliseconds; 0 where
+        fewer than two came.
+    :param tokens: tokens that the endpoint generated.
+    """
+
+    outcome: Outcome = Outcome.OK
+    first_token_ms: float = 0.0
+    between_tokens_ms: float = 0.0
+    tokens: int = 0
 
 
 @attrs.frozen
@@ -178,7 +224,16 @@
         rank = request.caller.urgency.rank
         target_ms = int((request.first_token_deadline - time.monotonic()) * 1000)
         wait_s = WAIT_S_BY_RANK[rank]
-        ask = AskSlot(request.id, endpoint.name, rank, int(wait_s * 1000), target_ms)
+        ask = AskSlot(
+            request.id,
+            endpoint.name,
+            rank,
+            int(wait_s * 1000),
+            target_ms,
+            request.target,
+            request.caller.name,
+            request.tokens,
+        )
         if owner.name == self.kernel.settings.name:
             answer = self._batch(endpoint.name).ask(ask)
         else:
@@ -194,19 +249,26 @@
             return result.Err(outcomes.overloaded(message, 1.0))
         return result.Ok(Grant(request.id, endpoint, owner.name))
 
-    def release(self, grant: Grant) -> None:
+    def release(self, grant: Grant, end: End) -> None:
         """Report the end of a request.
 
         :param grant: what :meth:`acquire` returned.
+        :param end: how the request ended.
         """
         if not grant.owner:
             return
         if grant.owner == self.kernel.settings.name:
             self._batch(grant.endpoint.name).done(grant.request_id)
         else:
-            self.peers.send(
-                grant.owner, SlotDone(grant.request_id, grant.endpoint.name)
+            done = SlotDone(
+                grant.request_id,
+                grant.endpoint.name,
+                int(end.outcome),
+                round(end.first_token_ms),
+                round(end.between_tokens_ms * 1000),
+                end.tokens,
             )
+            self.peers.send(grant.owner, done)
 
     def _batch(self, name: str) -> Batch:
         batch = self.batch_by_endpoint.get(name)
