--- a/packages/mothworks/src/mothworks/configuration.py
+++ b/packages/mothworks/src/mothworks/configuration.py
@@ -17,7 +17,7 @@
 import result
 import xxhash
 
-from mothworks import catalogue, documents, kernel, objects, plugins
+from mothworks import audit, catalogue, documents, kernel, objects, plugins
 
 log = logbook.Logger("configuration")
 
@@ -74,6 +74,7 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.api = node_kernel.get(objects.Objects).api
+        self.audit = node_kernel.get(audit.Audit)
         self.revision = 0
         self.index = catalogue.Index(catalogue.Catalogue())
         self.loaded = gevent.event.Event()
@@ -108,7 +109,7 @@
             return stored
         now = datetime.datetime.now(datetime.UTC).isoformat()
         head = Head(revision + 1, stored.ok(), who, now, why, uuid.uuid4().hex)
-        return self._flip(head, version).map(lambda _: self._take(head, changed))
+        return self._flip(head, version).map(lambda _: self._accept(head, changed))
 
     def refresh(self) -> result.Result[int, objects.Unavailable]:
         """Read the head and take it if it is newer.
@@ -127,6 +128,18 @@
             case result.Err(problem):
                 return result.Err(problem)
 
+    def _accept(self, head: Head, changed: catalogue.Catalogue) -> int:
+        self.audit.record(
+            audit.Kind.CONFIGURATION,
+            "catalogue",
+            "changed the catalogue",
+            head.why,
+            who=head.who,
+            before=head.revision - 1,
+            after=head.revision,
+        )
+        return self._take(head, changed)
+
     def _follow(self) -> None:
         cursor = ""
         while True:
--- a/packages/mothworks/src/mothworks/health.py
+++ b/packages/mothworks/src/mothworks/health.py
@@ -8,6 +8,7 @@
 import result
 
 from mothworks import (
+    audit,
     catalogue,
     configuration,
     endpoints,
@@ -56,6 +57,7 @@
         self.configuration = node_kernel.get(configuration.Configuration)
         self.membership = node_kernel.get(membership.Membership)
         self.placement = node_kernel.get(placement.Placement)
+        self.audit = node_kernel.get(audit.Audit)
         self.adapters = Adapters()
         self.report_by_endpoint: dict[str, endpoints.Report] = {}
         self.task_by_endpoint: dict[str, gevent.Greenlet] = {}
@@ -93,12 +95,21 @@
         for name in before - owned:
             self.task_by_endpoint.pop(name).kill(block=False)
             self.report_by_endpoint.pop(name, None)
+            self._record_ownership(name, "gave up ownership")
         for name in owned - before:
             self.task_by_endpoint[name] = self.tasks.spawn(self._watch, name)
+            self._record_ownership(name, "took ownership")
         if owned != before:
             for notify in self.on_owned:
                 notify()
 
+    def _record_ownership(self, name: str, what: str) -> None:
+        why = f"{len(self.membership.live())} live VMs"
+        revision = self.configuration.revision
+        self.audit.record(
+            audit.Kind.OWNERSHIP, name, what, why, before=revision, after=revision
+        )
+
     def _watch(self, name: str) -> None:
         failures = 0
         while True:
--- a/packages/mothworks/tests/builders.py
+++ b/packages/mothworks/tests/builders.py
@@ -2,7 +2,7 @@
 
 import time
 
-from mothworks import catalogue, requests
+from mothworks import builtin, catalogue, requests, settings as settings_module  # noqa: F401
 from mothworks_fakes import testbed
 
 CALLER_KEY = "guest-key"
@@ -81,3 +81,17 @@
         "first_token_deadline": now + 1.6,
     }
     return requests.Request(**{**fields, **changes})
+
+
+def settings(name: str = "vm-1", object_api_url: str = "http://127.0.0.1:1", **changes):
+    fields = {
+        "name": name,
+        "address": "127.0.0.1",
+        "port": 0,
+        "peer_port": 0,
+        "data_centre": "dc-1",
+        "region": "region-1",
+        "object_api": settings_module.ObjectApi(object_api_url),
+        "vm_list": settings_module.VmList("http://127.0.0.1:1/vms"),
+    }
+    return settings_module.Settings(**{**fields, **changes})
