Dispatch as a sequence of small steps, with a retry budget

Cause: dispatch's loop mixed slot, send and retry, so that nothing could be put between them; a retry was bounded only by three endpoints; a stream that an engine ended cleanly without [DONE] looked complete.

Change: one attempt is choose, slot, send, first bytes, each a method. Retries other than after a refused slot are paid from a budget (a tenth of recent requests plus one a second) and stop at the request's deadline. The slot is released with a typed End (outcome, first token, between tokens, tokens), measured by counting event ends. A stream is passed on in whole events and counts as complete only after [DONE]; an answer that ends by EOF is broken.

--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -1,11 +1,18 @@
-"""Dispatch: takes a request to an endpoint and brings back its answer."""
+"""Dispatch: takes a request to an endpoint and brings back its answer.
+
+One attempt is: choose an endpoint, get a slot from its owner, send, wait for
+the answer's first bytes. Until then a failed attempt may be followed by one
+at another endpoint; afterwards the caller has part of the answer.
+"""
 
 import collections.abc
+import time
 
 import attrs
 import result
 
 from mothworks import (
+    catalogue,
     configuration,
     endpoints,
     health,
@@ -13,7 +20,9 @@
     outcomes,
     placement,
     plugins,
+    progress,
     requests,
+    retries,
     routing,
     slots,
 )
@@ -22,18 +31,89 @@
 MOST_ATTEMPTS = 3
 #: Hint to a caller where a model has no endpoint now, seconds.
 NO_ENDPOINT_RETRY_S = 2.0
+#: Hint to a caller whose request an endpoint refused, seconds.
+REFUSED_RETRY_S = 1.0
 
 
 @attrs.frozen
+class Failed:
+    """An attempt that gave no answer.
+
+    :param refusal: what the caller is told, unless another attempt succeeds.
+    :param sent: whether the endpoint may have run the request.
+    :param counted: whether a further attempt is paid from the retry budget.
+    :param outcome: what the endpoint's owner is told.
+    """
+
+    refusal: outcomes.Refusal
+    sent: bool
+    counted: bool
+    outcome: slots.Outcome
+
+
 class Running:
     """A request whose answer has begun.
 
-    :param answer: the endpoint's answer.
+    Iterating yields the answer's body; :meth:`close` must be called in any
+    case, cancels what has not arrived, and gives the slot back.
+
+    :param request: the request.
     :param grant: the slot that it holds.
+    :param answer: the endpoint's answer.
+    :param dispatch: where the end is reported.
     """
 
-    answer: endpoints.Answer
-    grant: slots.Grant
+    def __init__(
+        self,
+        request: requests.Request,
+        grant: slots.Grant,
+        answer: endpoints.Answer,
+        dispatch: "Dispatch",
+    ):
+        self.request = request
+        self.grant = grant
+        self.answer = answer
+        self.dispatch = dispatch
+        self.progress = progress.Progress(request.stream and answer.status == 200)
+        self.outcome = slots.Outcome.CANCELLED
+        self.closed = False
+        self._chunks = answer.chunks()
+        self._first = b""
+
+    def read_first(self) -> None:
+        """Wait for the body's first bytes; raises OSError where it breaks."""
+        for data in self._chunks:
+            self._first = self.progress.take(data)
+            if self._first:
+                return
+        self._check_complete()
+
+    def __iter__(self) -> collections.abc.Iterator[bytes]:
+        """Yield the body; raises OSError where the answer breaks off."""
+        take = self.progress.take
+        try:
+            if self._first:
+                yield self._first
+            for data in self._chunks:
+                yield take(data)
+            self._check_complete()
+        except OSError:
+            self.outcome = slots.Outcome.CRASHED
+            raise
+        self.outcome = slots.Outcome.OK
+
+    def close(self) -> None:
+        """Release the connection and the slot; further calls do nothing."""
+        if not self.closed:
+            self.closed = True
+            self.answer.close()
+            self.dispatch.finish(self)
+
+    def _check_complete(self) -> None:
+        # An engine that is stopped may end its stream cleanly. Without this
+        # check the caller would take the part that came for the whole.
+        if not self.progress.complete():
+            raise ConnectionResetError("the stream ended before its last event")
 
 
 @plugins.register(plugins.PART, "dispatch")
@@ -51,67 +131,43 @@
         self.slots = node_kernel.get(slots.Slots)
         chosen = node_kernel.settings.routing
         self.policy: routing.Policy = plugins.find(plugins.ROUTING, chosen)()
-        self.requests_total = node_kernel.metrics.counter(
-            "requests_total", "Requests by target and outcome."
-        )
+        self.retries = retries.Budget()
 
     def begin(
         self, request: requests.Request
     ) -> result.Result[Running, outcomes.Refusal]:
-        """Get a slot, send the request and wait for its answer's head.
+        """Send a request and wait for its answer's first bytes.
 
         :param request: the request.
-        :returns: the running request, to be ended with :meth:`end`.
+        :returns: the running request, to be closed by the caller.
         """
+        self.retries.add_request()
         tried: set[str] = set()
-        refusal = self._no_endpoint(request)
-        for _ in range(MOST_ATTEMPTS):
+        refusal = _no_endpoint(request)
+        while len(tried) < MOST_ATTEMPTS:
             endpoint = self._choose(request, tried)
             if endpoint is None:
                 break
             tried.add(endpoint.name)
-            match self._acquire(request, endpoint):
-                case result.Ok(grant):
-                    pass
-                case result.Err(refusal):
-                    continue
-            self.policy.running_by_endpoint[endpoint.name] += 1
-            match self.health.adapters.get(endpoint.kind).send(endpoint, request):
-                case result.Ok(answer):
-                    return result.Ok(Running(answer, grant))
-                case result.Err(failure):
-                    self._release(grant, slots.End(_outcome(failure)))
-            refusal = _refusal(failure)
-            ran = failure.sent and not failure.refused
-            if ran and not request.repeatable:
+            match self._attempt(request, endpoint):
+                case result.Ok(running):
+                    return result.Ok(running)
+                case result.Err(failed):
+                    refusal = failed.refusal
+            if not self._may_retry(request, failed):
                 break
         return result.Err(refusal)
 
-    def chunks(self, running: Running) -> collections.abc.Iterator[bytes]:
-        """Yield the answer's body; closing the iterator cancels the rest.
+    def finish(self, running: Running) -> None:
+        """Report the end of a request whose answer had begun.
 
-        :param running: what :meth:`begin` returned.
+        :param running: the request.
         """
-        end = slots.End(slots.Outcome.CANCELLED)
-        try:
-            yield from running.answer.chunks()
-            end = slots.End(slots.Outcome.OK)
-        except OSError:
-            end = slots.End(slots.Outcome.CRASHED)
-            raise
-        finally:
-            self.end(running, end)
-
-    def end(self, running: Running, end: slots.End) -> None:
-        """Release the connection and the slot.
+        self._release(running.grant, running.progress.end(running.outcome))
 
-        :param running: what :meth:`begin` returned.
-        :param end: how the request ended.
-        """
-        running.answer.close()
-        self._release(running.grant, end)
-
-    def _choose(self, request: requests.Request, tried: set[str]):
+    def _choose(
+        self, request: requests.Request, tried: set[str]
+    ) -> catalogue.Endpoint | None:
         names = self.placement.open_endpoints(request.target)
         names = [name for name in names if name not in tried]
         if not names:
@@ -119,32 +175,79 @@
         first = self.policy.order(names)[0]
         return self.configuration.index.endpoint_by_name[first]
 
-    def _acquire(self, request: requests.Request, endpoint):
+    def _attempt(
+        self, request: requests.Request, endpoint: catalogue.Endpoint
+    ) -> result.Result[Running, Failed]:
+        match self._acquire(request, endpoint):
+            case result.Ok(grant):
+                pass
+            case result.Err(refusal):
+                return result.Err(_not_sent(refusal))
+        try:
+            sent = self._send(request, grant)
+        except BaseException:
+            self._release(grant, slots.End(slots.Outcome.CANCELLED))
+            raise
+        if sent.is_err():
+            self._release(grant, slots.End(sent.err_value.outcome))
+        return sent
+
+    def _acquire(
+        self, request: requests.Request, endpoint: catalogue.Endpoint
+    ) -> result.Result[slots.Grant, outcomes.Refusal]:
         if self.policy.asks_owner:
-            return self.slots.acquire(request, endpoint)
-        return result.Ok(slots.Grant(request.id, endpoint, ""))
+            acquired = self.slots.acquire(request, endpoint)
+        else:
+            acquired = result.Ok(slots.Grant(request.id, endpoint, ""))
+        if acquired.is_ok():
+            self.policy.running_by_endpoint[endpoint.name] += 1
+        return acquired
+
+    def _send(
+        self, request: requests.Request, grant: slots.Grant
+    ) -> result.Result[Running, Failed]:
+        adapter = self.health.adapters.get(grant.endpoint.kind)
+        match adapter.send(grant.endpoint, request):
+            case result.Ok(answer):
+                pass
+            case result.Err(failure):
+                return result.Err(_failed(failure))
+        running = Running(request, grant, answer, self)
+        try:
+            running.read_first()
+        except OSError as error:
+            answer.close()
+            return result.Err(_failed(endpoints.SendFailure(str(error), sent=True)))
+        except BaseException:
+            answer.close()
+            raise
+        return result.Ok(running)
 
     def _release(self, grant: slots.Grant, end: slots.End) -> None:
         self.policy.running_by_endpoint[grant.endpoint.name] -= 1
         self.slots.release(grant, end)
 
-    def _no_endpoint(self, request: requests.Request) -> outcomes.Refusal:
-        return outcomes.overloaded(
-            f"no endpoint takes work for {request.target!r} now",
-            NO_ENDPOINT_RETRY_S,
-            "no_endpoint",
-        )
+    def _may_retry(self, request: requests.Request, failed: Failed) -> bool:
+        if failed.sent and not request.repeatable:
+            return False
+        if time.monotonic() >= request.deadline:
+            return False
+        return not failed.counted or self.retries.take()
 
 
-def _outcome(failure: endpoints.SendFailure) -> slots.Outcome:
-    if failure.sent and not failure.refused:
-        return slots.Outcome.CRASHED
-    return slots.Outcome.FAILED
+def _no_endpoint(request: requests.Request) -> outcomes.Refusal:
+    message = f"no endpoint takes work for {request.target!r} now"
+    return outcomes.overloaded(message, NO_ENDPOINT_RETRY_S, "no_endpoint")
+
+
+def _not_sent(refusal: outcomes.Refusal) -> Failed:
+    return Failed(refusal, False, False, slots.Outcome.CANCELLED)
 
 
-def _refusal(failure: endpoints.SendFailure) -> outcomes.Refusal:
+def _failed(failure: endpoints.SendFailure) -> Failed:
     if failure.sent and not failure.refused:
-        return outcomes.unknown(f"the endpoint gave no answer: {failure.reason}")
-    return outcomes.overloaded(
-        f"the endpoint did not take the request: {failure.reason}", 1.0
-    )
+        message = f"the endpoint gave no answer: {failure.reason}"
+        return Failed(outcomes.unknown(message), True, True, slots.Outcome.CRASHED)
+    message = f"the endpoint did not take the request: {failure.reason}"
+    refusal = outcomes.overloaded(message, REFUSED_RETRY_S)
+    return Failed(refusal, False, True, slots.Outcome.FAILED)
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -88,10 +88,9 @@
         )
         match outcome:
             case result.Ok(running):
-                answer = running.answer
-                headers = [*answer.headers, ("X-Request-Id", call.id)]
-                body = self.dispatch.chunks(running)
-                return calls.Reply(answer.status, headers, _finished(body, answer))
+                headers = [*running.answer.headers, ("X-Request-Id", call.id)]
+                body = _EndedStream(running) if running.progress.stream else running
+                return calls.Reply(running.answer.status, headers, body)
             case result.Err(refusal):
                 return calls.refuse(refusal)
 
@@ -157,16 +156,23 @@
     return not caller.models or name in caller.models
 
 
-def _finished(
-    body: collections.abc.Iterator[bytes], answer
-) -> collections.abc.Iterator[bytes]:
-    """Pass a body on; where it breaks off, end it with an error event.
+class _EndedStream:
+    """A stream that ends with an error event where the answer breaks off.
 
     An answer that ends without ``[DONE]`` and without an error would look
     complete to a caller that does not check.
+
+    :param running: the running request.
     """
-    try:
-        yield from body
-    except OSError as error:
-        refusal = outcomes.unknown(f"the answer broke off: {error}", "broken_stream")
-        yield b"data: " + refusal.body() + b"\n\n"
+
+    def __init__(self, running: dispatch.Running):
+        self.running = running
+        self.close = running.close
+
+    def __iter__(self) -> collections.abc.Iterator[bytes]:
+        try:
+            yield from self.running
+        except OSError as error:
+            message = f"the answer broke off: {error}"
+            refusal = outcomes.unknown(message, "broken_stream")
+            yield b"data: " + refusal.body() + b"\n\n"
--- /dev/null
+++ b/packages/mothworks/src/mothworks/progress.py
@@ -0,0 +1,74 @@
+"""Progress of an answer, measured from its bytes without parsing them.
+
+A stream of server-sent events is passed on in whole events, so that what the
+caller has seen is always a number of whole tokens: a stream that breaks can
+then be ended with an error event, or resumed at that number elsewhere.
+"""
+
+import time
+
+from mothworks import slots
+
+#: The end of a server-sent event.
+EVENT_END = b"\n\n"
+#: The last event of a complete stream.
+DONE = b"data: [DONE]\n\n"
+
+
+class Progress:
+    """What has been seen of one answer.
+
+    :param stream: whether it is a stream of events.
+    """
+
+    def __init__(self, stream: bool):
+        self.stream = stream
+        self.sent = time.monotonic()
+        self.first = 0.0
+        self.last = 0.0
+        #: Whole events passed on, ``[DONE]`` not among them.
+        self.events = 0
+        #: Whether the stream's last event has been seen.
+        self.done = False
+        self._held = b""
+
+    def take(self, data: bytes) -> bytes:
+        """Note what arrived and return what may be passed on.
+
+        :param data: the answer's next bytes.
+        :returns: whole events; all the bytes where it is not a stream.
+        """
+        self.last = time.monotonic()
+        if not self.first:
+            self.first = self.last
+        if not self.stream:
+            return data
+        if self._held:
+            data = self._held + data
+            self._held = b""
+        if not data.endswith(EVENT_END):
+            end = data.rfind(EVENT_END) + 1
+            end = end + 1 if end else 0
+            self._held = data[end:]
+            data = data[:end]
+        self.events += data.count(EVENT_END)
+        if data.endswith(DONE):
+            self.done = True
+            self.events -= 1
+        return data
+
+    def complete(self) -> bool:
+        """Return whether an answer that ended here is whole."""
+        return self.done or not self.stream
+
+    def end(self, outcome: slots.Outcome) -> slots.End:
+        """Return what the endpoint's owner is told.
+
+        :param outcome: how the request ended.
+        """
+        if not self.first:
+            return slots.End(outcome)
+        first_ms = (self.first - self.sent) * 1000
+        gaps = max(1, self.events - 1)
+        between_ms = (self.last - self.first) * 1000 / gaps
+        return slots.End(outcome, first_ms, between_ms, self.events)
--- a/packages/mothworks/src/mothworks/requests.py
+++ b/packages/mothworks/src/mothworks/requests.py
@@ -1,5 +1,7 @@
 """A caller's request on its way through the system."""
 
+import math
+
 import attrs
 
 from mothworks import catalogue
@@ -23,6 +25,7 @@
     :param first_token_deadline: monotonic time of the first token's target.
     :param tokens: most tokens it may generate.
     :param idempotency_key: the caller's key for resends, or empty.
+    :param deadline: monotonic time after which no answer is of use.
     """
 
     id: str
@@ -39,3 +42,4 @@
     first_token_deadline: float
     tokens: int = 0
     idempotency_key: str = ""
+    deadline: float = math.inf
--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -66,6 +66,7 @@
         self, environ: dict[str, typing.Any], start_response: calls.StartResponse
     ) -> collections.abc.Iterator[bytes]:
         self.open_calls += 1
+        reply = None
         try:
             call = calls.Call(environ, self.kernel.settings.limits)
             logs.set_request_id(call.id)
@@ -73,6 +74,10 @@
             start_response(calls.status_line(reply.status), reply.headers)
             yield from reply.body
         finally:
+            # A body that was never iterated holds its slot until closed.
+            close = getattr(reply and reply.body, "close", None)
+            if close is not None:
+                close()
             self.open_calls -= 1
 
     def _guarded(self, call: calls.Call) -> calls.Reply:
--- a/packages/mothworks/src/mothworks/service_calls.py
+++ b/packages/mothworks/src/mothworks/service_calls.py
@@ -54,10 +54,8 @@
         )
         match outcome:
             case result.Ok(running):
-                answer = running.answer
-                headers = [*answer.headers, ("X-Request-Id", call.id)]
-                body = self.dispatch.chunks(running)
-                return calls.Reply(answer.status, headers, body)
+                headers = [*running.answer.headers, ("X-Request-Id", call.id)]
+                return calls.Reply(running.answer.status, headers, running)
             case result.Err(refusal):
                 return calls.refuse(refusal)
 
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -59,7 +59,10 @@
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield whatever has arrived, as few times as possible."""
         while True:
-            data = self.response.read_available()
+            try:
+                data = self.response.read_available()
+            except geventhttpclient.response.HTTPParseError as error:
+                raise ConnectionResetError(f"the answer is not HTTP: {error}")
             if not data:
                 return
             yield data
@@ -79,10 +82,9 @@
                 raise ConnectionResetError("the answer was released")
             data = sock.recv(RECEIVE_BYTES)
             if not data:
-                self.feed(b"")
-                if not self.message_complete:
-                    raise ConnectionResetError("the answer broke off")
-                break
+                # Also an answer without any length ends here: whether all of
+                # it came cannot be told, so it counts as broken.
+                raise ConnectionResetError("the answer broke off")
             self.feed(data)
         body = bytes(self._body_buffer)
         self._body_buffer.clear()
@@ -124,6 +126,11 @@
         except OSError as error:
             pool.release_socket(sock)
             return result.Err(endpoints.SendFailure(f"send: {error}", True))
+        except BaseException:
+            # The task was stopped in the middle of the request; what is left
+            # of it must not go before another one.
+            pool.release_socket(sock)
+            raise
         try:
             response = _Response(sock, pool, method=method, block_size=RECEIVE_BYTES)
         except FAILURES as error:
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -9,8 +9,9 @@
 
 from mothworks import catalogue, endpoints, plugins, requests, transport
 
-#: Statuses by which an engine refuses a request before running it.
-REFUSED_STATUSES = frozenset((429, 503))
+#: Statuses by which an engine refuses a request before running it: too busy,
+#: leaving, or the model was unloaded since the placement map was read.
+REFUSED_STATUSES = frozenset((404, 429, 503))
 
 
 @plugins.register(plugins.ENDPOINT, "vllm")
