--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -1,11 +1,13 @@
 """A whole deployment on one machine: stand-ins here, nodes as processes."""
 
+import collections.abc
 import hashlib
 import pathlib
 
 import attrs
 
-from mothworks import builtin, catalogue, settings, vm_list  # noqa: F401
+from mothctl import client
+from mothworks import builtin, catalogue, documents, settings, vm_list  # noqa: F401
 from mothworks_fakes import application, engine, object_api, platform, processes, web
 
 OPERATOR_KEY = "operator-key"
@@ -93,6 +95,41 @@
         )
         return node
 
+    def operator(self, node: processes.NodeProcess) -> client.Client:
+        """Return an operator's client of a node.
+
+        :param node: the node to ask.
+        """
+        return client.Client(node.url, OPERATOR_KEY)
+
+    def apply(self, declared: catalogue.Catalogue, revision: int = 0) -> int:
+        """Put a catalogue in force through the first node.
+
+        :param declared: the catalogue.
+        :param revision: the revision that it replaces.
+        :returns: the new revision.
+        """
+        first = next(iter(self.node_by_name.values()))
+        change = {
+            "revision": revision,
+            "why": "test",
+            "catalogue": documents.plain(declared),
+        }
+        return self.operator(first).put("catalogue", change).unwrap()["revision"]
+
+    def all_open(self, names: collections.abc.Iterable[str]) -> bool:
+        """Return whether every node knows that endpoints take new work.
+
+        :param names: the endpoints.
+        """
+        wanted = set(names)
+        for node in self.node_by_name.values():
+            shown = self.operator(node).get("show/endpoints").unwrap_or([])
+            open_names = {row["endpoint"] for row in shown if row["state"] == "open"}
+            if not wanted <= open_names:
+                return False
+        return True
+
     def stop(self) -> None:
         """Stop everything that was started."""
         for node in self.node_by_name.values():
