--- a/packages/mothworks/src/mothworks/configuration.py
+++ b/packages/mothworks/src/mothworks/configuration.py
@@ -194,7 +194,8 @@
 
     def _flip(self, head: Head, version: str | None):
         body = orjson.dumps(documents.plain(head))
-        match self.api.put(HEAD_KEY, body, version):
+        nonce = head.nonce.encode()
+        match objects.put_known(self.api, HEAD_KEY, body, version, nonce):
             case result.Ok(_):
                 return result.Ok(None)
             case result.Err(objects.Conflict()):
--- a/packages/mothworks/src/mothworks/objects_http.py
+++ b/packages/mothworks/src/mothworks/objects_http.py
@@ -7,53 +7,70 @@
 
 import urllib.parse
 
-import geventhttpclient
-import geventhttpclient.response
+import attrs
 import orjson
 import result
 
-from mothworks import objects, plugins, settings
+from mothworks import endpoints, objects, plugins, settings, transport
 
-#: Connections kept to the object API.
-CONNECTIONS = 8
+#: Most connections to the object API.
+CONNECTIONS = 64
 #: Time that a long poll's reply may take beyond the wait, seconds.
 WATCH_GRACE_S = 5.0
+#: Port of a URL that names none.
+DEFAULT_PORT = 80
 
-_FAILURES = (OSError, geventhttpclient.response.HTTPParseError)
+
+@attrs.frozen
+class Reply:
+    """A complete reply of the object API.
+
+    :param status: the HTTP status.
+    :param etag: the object's version, or empty.
+    :param body: the body.
+    """
+
+    status: int
+    etag: str
+    body: bytes
 
 
 @plugins.register(plugins.OBJECT_API, "http")
 class HttpObjects(objects.Api):
-    """Client of an object API over HTTP.
+    """Client of an object API over HTTP; sends each call exactly once.
+
+    geventhttpclient's own client would send a PUT again after a broken
+    connection. Where the first had taken effect, the second is answered with
+    a conflict, and the writer would believe that nothing changed.
 
     :param chosen: where it answers.
     """
 
     def __init__(self, chosen: settings.ObjectApi):
+        url = urllib.parse.urlsplit(chosen.url)
+        self.address = (url.hostname, url.port or DEFAULT_PORT)
+        self.base_path = url.path.rstrip("/")
         self.chosen = chosen
-        self.client = self._connect(chosen.timeout_s, CONNECTIONS)
-        self.watch_client_by_wait: dict[float, geventhttpclient.HTTPClient] = {}
+        self.transport = transport.Transport(chosen.timeout_s, CONNECTIONS)
+        self.watch_transport_by_wait: dict[float, transport.Transport] = {}
 
     def get(self, key: str) -> result.Result[objects.Stored, objects.ReadError]:
         """Read one object; see :meth:`objects.Api.get`."""
-        try:
-            reply = self.client.get(_path(key))
-            body = bytes(reply.read())
-        except _FAILURES as error:
-            return result.Err(objects.Unavailable(str(error)))
-        match reply.status_code:
-            case 200:
-                return result.Ok(objects.Stored(key, reply["etag"], body))
-            case 404:
+        match self._read(self.transport, _path(key)):
+            case result.Ok(Reply(200, etag, body)):
+                return result.Ok(objects.Stored(key, etag, body))
+            case result.Ok(Reply(404)):
                 return result.Err(objects.Missing(key))
-            case status:
+            case result.Ok(Reply(status)):
                 return result.Err(objects.Unavailable(f"status {status}"))
+            case error:
+                return error
 
     def put(
         self, key: str, body: bytes, version: str | None
     ) -> result.Result[str, objects.WriteError]:
         """Write one object; see :meth:`objects.Api.put`."""
-        return self._write("PUT", key, body, version).map(lambda reply: reply["etag"])
+        return self._write("PUT", key, body, version)
 
     def delete(self, key: str, version: str) -> result.Result[None, objects.WriteError]:
         """Delete one object; see :meth:`objects.Api.delete`."""
@@ -62,7 +79,7 @@
     def list(self, prefix: str) -> result.Result[dict[str, str], objects.Unavailable]:
         """List versions by key; see :meth:`objects.Api.list`."""
         query = urllib.parse.urlencode({"prefix": prefix})
-        return self._read_json(self.client, f"/objects?{query}")
+        return self._read_json(self.transport, f"/objects?{query}")
 
     def watch(
         self, prefix: str, cursor: str, wait_s: float
@@ -71,48 +88,73 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "cursor": cursor, "wait": wait_s}
         )
-        client = self.watch_client_by_wait.get(wait_s)
-        if client is None:
-            client = self._connect(wait_s + WATCH_GRACE_S, CONNECTIONS)
-            self.watch_client_by_wait[wait_s] = client
-        return self._read_json(client, f"/watch?{query}").map(
+        chosen = self.watch_transport_by_wait.get(wait_s)
+        if chosen is None:
+            chosen = transport.Transport(wait_s + WATCH_GRACE_S, CONNECTIONS)
+            self.watch_transport_by_wait[wait_s] = chosen
+        return self._read_json(chosen, f"/watch?{query}").map(
             lambda seen: objects.Changes(seen["cursor"], tuple(seen["keys"]))
         )
 
-    def _connect(self, timeout_s: float, size: int) -> geventhttpclient.HTTPClient:
-        return geventhttpclient.HTTPClient.from_url(
-            self.chosen.url,
-            concurrency=size,
-            connection_timeout=self.chosen.timeout_s,
-            network_timeout=timeout_s,
+    def _exchange(
+        self,
+        chosen: transport.Transport,
+        method: str,
+        path: str,
+        headers: tuple[tuple[str, str], ...] = (),
+        body: bytes = b"",
+    ) -> result.Result[Reply, endpoints.SendFailure]:
+        path = self.base_path + path
+        match chosen.exchange(self.address, method, path, headers, body):
+            case result.Ok(answer):
+                pass
+            case error:
+                return error
+        try:
+            received = b"".join(answer.chunks())
+        except transport.FAILURES as error:
+            return result.Err(endpoints.SendFailure(f"answer: {error}", True))
+        finally:
+            answer.close()
+        header_by_name = {name.lower(): value for name, value in answer.headers}
+        return result.Ok(Reply(answer.status, header_by_name.get("etag", ""), received))
+
+    def _read(self, chosen: transport.Transport, path: str):
+        return self._exchange(chosen, "GET", path).map_err(
+            lambda failure: objects.Unavailable(failure.reason)
         )
 
-    def _read_json(self, client: geventhttpclient.HTTPClient, path: str):
-        try:
-            reply = client.get(path)
-            body = reply.read()
-        except _FAILURES as error:
-            return result.Err(objects.Unavailable(str(error)))
-        if reply.status_code != 200:
-            return result.Err(objects.Unavailable(f"status {reply.status_code}"))
-        return result.Ok(orjson.loads(body))
-
-    def _write(self, method: str, key: str, body: bytes, version: str | None):
-        condition = {"If-None-Match": "*"} if version is None else {"If-Match": version}
+    def _read_json(self, chosen: transport.Transport, path: str):
+        match self._read(chosen, path):
+            case result.Ok(Reply(200, _, body)):
+                pass
+            case result.Ok(Reply(status)):
+                return result.Err(objects.Unavailable(f"status {status}"))
+            case error:
+                return error
         try:
-            reply = self.client.request(method, _path(key), body, condition)
-            reply.read()
-        except ConnectionRefusedError as error:
-            return result.Err(objects.Unavailable(str(error)))
-        except _FAILURES as error:
-            return result.Err(objects.Unknown(str(error)))
-        match reply.status_code:
+            return result.Ok(orjson.loads(body))
+        except orjson.JSONDecodeError as error:
+            return result.Err(objects.Unavailable(f"not valid JSON: {error}"))
+
+    def _write(
+        self, method: str, key: str, body: bytes, version: str | None
+    ) -> result.Result[str, objects.WriteError]:
+        condition = ("If-Match", version) if version else ("If-None-Match", "*")
+        match self._exchange(self.transport, method, _path(key), (condition,), body):
+            case result.Ok(reply):
+                pass
+            case result.Err(failure) if failure.sent:
+                return result.Err(objects.Unknown(failure.reason))
+            case result.Err(failure):
+                return result.Err(objects.Unavailable(failure.reason))
+        match reply.status:
             case 200 | 201 | 204:
-                return result.Ok(reply)
-            case 409 | 412:
+                return result.Ok(reply.etag)
+            case 404 | 409 | 412:
                 return result.Err(objects.Conflict(key))
             case 429 | 503:
-                return result.Err(objects.Unavailable(f"status {reply.status_code}"))
+                return result.Err(objects.Unavailable(f"status {reply.status}"))
             case status:
                 return result.Err(objects.Unknown(f"status {status}"))
 
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -92,9 +92,15 @@
 
 
 class Transport:
-    """Connections to all endpoints of one kind, pooled by address."""
+    """Connections to all endpoints of one kind, pooled by address.
 
-    def __init__(self):
+    :param silence_s: longest silence of an endpoint, seconds.
+    :param size: most connections to one address.
+    """
+
+    def __init__(self, silence_s: float = SILENCE_S, size: int = POOL_SIZE):
+        self.silence_s = silence_s
+        self.size = size
         self.pool_by_address: dict[
             tuple[str, int], geventhttpclient.connectionpool.ConnectionPool
         ] = {}
@@ -143,9 +149,9 @@
             pool = geventhttpclient.connectionpool.ConnectionPool(
                 *address,
                 *address,
-                size=POOL_SIZE,
+                size=self.size,
                 connection_timeout=CONNECT_S,
-                network_timeout=SILENCE_S,
+                network_timeout=self.silence_s,
             )
             self.pool_by_address[address] = pool
         return pool
--- a/packages/mothworks_fakes/src/mothworks_fakes/object_api.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/object_api.py
@@ -27,6 +27,9 @@
 class ObjectApi(web.Fake):
     """Keeps objects in memory.
 
+    Clients may be told apart by the first part of their base URL's path,
+    ``/clients/<name>``, so that a test can cut one of them off.
+
     :param port: TCP port; 0 lets the kernel choose.
     :param seed: seed of the faults' randomness.
     """
@@ -39,10 +42,20 @@
         self.changed = gevent.event.Event()
         self.reads = 0
         self.writes = 0
+        #: Share of reads that return what the object was before.
+        self.stale_reads = 0.0
+        #: Names of clients that the network has cut off.
+        self.cut_off: set[str] = set()
+        self.previous_by_key: dict[str, Item | None] = {}
 
     def serve(self, method: str, path: str, environ: dict) -> web.Reply:
         """Answer one call; see :meth:`web.Fake.serve`."""
         query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        if path.startswith("/clients/"):
+            client, _, rest = path.removeprefix("/clients/").partition("/")
+            if client in self.cut_off:
+                raise web.BreakConnection
+            path = f"/{rest}"
         key = path.removeprefix("/objects/")
         match method:
             case "GET" if path == "/watch":
@@ -60,6 +73,8 @@
     def _get(self, key: str) -> web.Reply:
         self.reads += 1
         item = self.item_by_key.get(key)
+        if self.random.random() < self.stale_reads:
+            item = self.previous_by_key.get(key)
         if item is None:
             return web.json_reply({}, "404 Not Found")
         return web.Reply("200 OK", [("ETag", str(item.revision))], [item.body])
@@ -101,6 +116,7 @@
 
     def _record(self, key: str) -> None:
         self.revision += 1
+        self.previous_by_key[key] = self.item_by_key.get(key)
         self.changes.append((self.revision, key))
         self.changed.set()
         self.changed.clear()
@@ -108,7 +124,7 @@
     def _watch(self, query: dict[str, str]) -> web.Reply:
         self.reads += 1
         prefix = query["prefix"]
-        cursor = int(query.get("cursor", self.revision))
+        cursor = int(query.get("cursor") or self.revision)
         with gevent.Timeout(float(query["wait"]), False):
             while not self._keys_after(prefix, cursor):
                 self.changed.wait()
--- a/packages/mothworks_fakes/src/mothworks_fakes/web.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/web.py
@@ -23,12 +23,16 @@
         breaks before the reply.
     :param dropped: share of calls whose connection breaks before they take
         effect.
+    :param only: faults touch only paths that start so.
+    :param writes_only: faults touch only calls that are no GET.
     """
 
     outage: bool = False
     delay_s: float = 0.0
     lost_reply: float = 0.0
     dropped: float = 0.0
+    only: str = ""
+    writes_only: bool = False
 
 
 @attrs.frozen
@@ -54,13 +58,13 @@
     return Reply(status, [("Content-Type", "application/json")], [orjson.dumps(value)])
 
 
-class _BreakConnection(Exception):
+class BreakConnection(Exception):
     """Makes the server drop the connection without a reply."""
 
 
 class _Handler(gevent.pywsgi.WSGIHandler):
     def handle_error(self, kind, value, trace):
-        if isinstance(value, _BreakConnection):
+        if isinstance(value, BreakConnection):
             self.close_connection = True
             return
         super().handle_error(kind, value, trace)
@@ -124,17 +128,20 @@
         method = environ["REQUEST_METHOD"]
         if path == "/faults":
             return self._set_faults(environ)
-        if self.immune(path):
+        faults = self.faults
+        spared = not path.startswith(faults.only)
+        spared = spared or (faults.writes_only and method == "GET")
+        if spared or self.immune(path):
             return self.serve(method, path, environ)
-        if self.faults.delay_s:
-            gevent.sleep(self.faults.delay_s)
-        if self.faults.outage:
+        if faults.delay_s:
+            gevent.sleep(faults.delay_s)
+        if faults.outage:
             return json_reply({"error": "outage"}, "503 Service Unavailable")
-        if self.random.random() < self.faults.dropped:
-            raise _BreakConnection
+        if self.random.random() < faults.dropped:
+            raise BreakConnection
         reply = self.serve(method, path, environ)
         if self.random.random() < self.faults.lost_reply:
-            raise _BreakConnection
+            raise BreakConnection
         return reply
 
     def _set_faults(self, environ: dict) -> Reply:
