--- a/packages/mothworks/src/mothworks/catalogue.py
+++ b/packages/mothworks/src/mothworks/catalogue.py
@@ -143,12 +143,16 @@
     :param moves: cost of one load, unload or relocation.
     :param loads_per_s: loads that the store starts each second.
     :param parallel_loads: loads that the store runs at full speed.
+    :param late_order_s: longest delay of a copy of an order on its way to an
+        endpoint, seconds; memory is kept for it that long. It bounds the
+        pause of a VM between its last look at a ledger and its order too.
     """
 
     attainment: float = 1.0
     moves: float = 1.0
     loads_per_s: float = attrs.field(default=2.0, validator=settings.check_positive)
     parallel_loads: int = attrs.field(default=8, validator=settings.check_positive)
+    late_order_s: float = attrs.field(default=30.0, validator=settings.check_positive)
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/endpoints.py
+++ b/packages/mothworks/src/mothworks/endpoints.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import enum
 
 import attrs
 import result
@@ -57,6 +58,62 @@
     draining: bool = False
 
 
+class OrderKind(enum.StrEnum):
+    """What an order asks of an endpoint."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+@attrs.frozen
+class Order:
+    """An order to an endpoint; every copy of it carries the same id.
+
+    :param id: unique among all orders.
+    :param kind: what is asked.
+    :param name: the model or adapter; for a change of role, the new role.
+    :param version: the model's version.
+    :param memory_mb: accelerator memory of a load, MB.
+    :param fence: the fencing number; a later order has a higher one.
+    :param base: the model that an adapter belongs to; empty for a model.
+    """
+
+    id: str
+    kind: OrderKind
+    name: str
+    version: str
+    memory_mb: int
+    fence: int
+    base: str = ""
+
+
+@attrs.frozen
+class OrderRefused:
+    """The endpoint did not carry out an order and says so.
+
+    :param reason: why.
+    :param highest_fence: the endpoint's fencing number, where the order's
+        own was too old; otherwise 0.
+    """
+
+    reason: str
+    highest_fence: int = 0
+
+
+@attrs.frozen
+class OrderUnknown:
+    """It is not known yet whether an order was, or will be, carried out.
+
+    :param reason: what failed, or that the endpoint is still at it.
+    """
+
+    reason: str
+
+
+OrderFailure = OrderRefused | OrderUnknown
+
+
 class Answer:
     """An endpoint's answer while it arrives.
 
@@ -95,3 +152,14 @@
         :param endpoint: the endpoint to ask.
         """
         raise NotImplementedError
+
+    def order(
+        self, endpoint: catalogue.Endpoint, order: Order
+    ) -> result.Result[None, OrderFailure]:
+        """Send one copy of an order.
+
+        :param endpoint: where to.
+        :param order: the order; sending it again does no harm.
+        :returns: Ok once the endpoint has carried it out.
+        """
+        return result.Err(OrderRefused("this kind of endpoint takes no orders"))
--- a/packages/mothworks/src/mothworks/health.py
+++ b/packages/mothworks/src/mothworks/health.py
@@ -61,6 +61,8 @@
         self.adapters = Adapters()
         self.report_by_endpoint: dict[str, endpoints.Report] = {}
         self.task_by_endpoint: dict[str, gevent.Greenlet] = {}
+        #: Models and adapters that are resident but about to be unloaded.
+        self.withheld_by_endpoint: dict[str, frozenset[str]] = {}
         #: Functions to call after :meth:`owned` changed, without arguments.
         self.on_owned: list = []
         self.configuration.on_change.append(self.assign)
@@ -83,6 +85,18 @@
         """Return the names of the endpoints that this VM owns."""
         return frozenset(self.task_by_endpoint)
 
+    def withhold(self, name: str, models: frozenset[str]) -> None:
+        """Announce that an endpoint no longer answers for some residents.
+
+        :param name: an owned endpoint.
+        :param models: its models and adapters that get no new requests; empty
+            offers all of them again.
+        """
+        self.withheld_by_endpoint[name] = models
+        report = self.report_by_endpoint.get(name)
+        if report is not None:
+            self._announce(name, report)
+
     def assign(self) -> None:
         """Start and stop watches so that they fit what this VM owns."""
         own_name = self.kernel.settings.name
@@ -96,6 +110,7 @@
             self.task_by_endpoint.pop(name).kill(block=False)
             self.report_by_endpoint.pop(name, None)
             self._record_ownership(name, "gave up ownership")
+            self.withheld_by_endpoint.pop(name, None)
         for name in owned - before:
             self.task_by_endpoint[name] = self.tasks.spawn(self._watch, name)
             self._record_ownership(name, "took ownership")
@@ -133,5 +148,7 @@
         state = placement.EndpointState.OPEN
         if report.draining:
             state = placement.EndpointState.DRAINING
-        models = tuple(sorted(item.name for item in report.residents))
+        withheld = self.withheld_by_endpoint.get(name, frozenset())
+        resident = {item.name for item in report.residents}
+        models = tuple(sorted(resident - withheld))
         self.placement.announce(name, state, models)
--- /dev/null
+++ b/packages/mothworks/src/mothworks/ledger.py
@@ -0,0 +1,288 @@
+"""The ledger: the durable record of one endpoint's accelerator memory.
+
+An order is sent only after its intent and its memory were written here by a
+conditional update, and it carries the fencing number of that write. Memory is
+free again only when nothing can take it any more: neither a resident, nor an
+order of unknown outcome, nor a copy of an order that is still on its way.
+
+The functions of this module take a ledger and return the next one; writing
+it is the business of :mod:`mothworks.ledger_store`.
+"""
+
+import collections.abc
+
+import attrs
+import result
+
+from mothworks import endpoints
+
+
+@attrs.frozen
+class Holding:
+    """A model or adapter that takes memory.
+
+    :param name: the model or adapter.
+    :param version: the model's version.
+    :param memory_mb: its weights, MB.
+    :param working_mb: room that is kept beside the weights, MB.
+    :param base: the model that an adapter belongs to; empty for a model.
+    :param since: wall time since which it is known to be resident, seconds.
+    """
+
+    name: str
+    version: str
+    memory_mb: int
+    working_mb: int = 0
+    base: str = ""
+    since: float = 0.0
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return what tells two holdings apart."""
+        return (self.name, self.version)
+
+    @property
+    def reserved_mb(self) -> int:
+        """Return the memory that is kept for it, MB."""
+        return self.memory_mb + self.working_mb
+
+
+@attrs.frozen
+class Intent:
+    """An order that was, or is about to be, sent.
+
+    :param id: the order's id.
+    :param kind: what is asked.
+    :param holding: what is loaded or unloaded; its name is the new role.
+    :param fence: the order's fencing number.
+    """
+
+    id: str
+    kind: endpoints.OrderKind
+    holding: Holding
+    fence: int
+
+    def order(self) -> endpoints.Order:
+        """Return the order as the endpoint gets it."""
+        item = self.holding
+        return endpoints.Order(
+            self.id,
+            self.kind,
+            item.name,
+            item.version,
+            item.memory_mb,
+            self.fence,
+            item.base,
+        )
+
+
+@attrs.frozen
+class Late:
+    """Memory that a copy of an earlier load may still take.
+
+    :param holding: what the load would bring back.
+    :param until: wall time after which no copy can arrive, seconds.
+    """
+
+    holding: Holding
+    until: float
+
+
+@attrs.frozen
+class Ledger:
+    """The record of one endpoint.
+
+    :param endpoint: its name.
+    :param fence: the highest fencing number given out.
+    :param nonce: tells this write from all others.
+    :param holdings: what is resident.
+    :param intent: the one order whose outcome is not known, if any.
+    :param late: memory that copies of earlier loads may still take.
+    """
+
+    endpoint: str
+    fence: int = 0
+    nonce: str = ""
+    holdings: tuple[Holding, ...] = ()
+    intent: Intent | None = None
+    late: tuple[Late, ...] = ()
+
+    def holding(self, name: str, version: str) -> Holding | None:
+        """Return a resident, or None.
+
+        :param name: the model or adapter.
+        :param version: its version.
+        """
+        wanted = (name, version)
+        return next((item for item in self.holdings if item.key == wanted), None)
+
+    def reserved_mb(self, now: float) -> int:
+        """Return the memory that is not free, MB.
+
+        :param now: wall time, seconds.
+        """
+        return sum(item.reserved_mb for item in self._reserved(now).values())
+
+    def _reserved(self, now: float) -> dict[tuple[str, str], Holding]:
+        # A late copy of a load that is resident or pending brings back the
+        # same weights and takes no further memory, hence one entry a key.
+        items = [late.holding for late in self.late if late.until > now]
+        items += self.holdings
+        if self.intent is not None and self.intent.kind is endpoints.OrderKind.LOAD:
+            items.append(self.intent.holding)
+        return {item.key: item for item in items}
+
+
+@attrs.frozen
+class NoRoom:
+    """A load does not fit.
+
+    :param missing_mb: how much memory is missing, MB.
+    """
+
+    missing_mb: int
+
+
+@attrs.frozen
+class Busy:
+    """Another order's outcome is not known yet.
+
+    :param order_id: that order.
+    """
+
+    order_id: str
+
+
+@attrs.frozen
+class Needless:
+    """The order would change nothing."""
+
+
+IntentError = NoRoom | Busy | Needless
+
+
+def intend(
+    ledger: Ledger,
+    kind: endpoints.OrderKind,
+    holding: Holding,
+    order_id: str,
+    capacity_mb: int,
+    now: float,
+) -> result.Result[Ledger, IntentError]:
+    """Return the ledger with the intent of an order and its memory.
+
+    :param ledger: the ledger as last read.
+    :param kind: what is to be asked.
+    :param holding: what is to be loaded or unloaded.
+    :param order_id: the new order's id.
+    :param capacity_mb: the endpoint's memory, MB.
+    :param now: wall time, seconds.
+    """
+    if ledger.intent is not None:
+        return result.Err(Busy(ledger.intent.id))
+    resident = ledger.holding(*holding.key)
+    match kind:
+        case endpoints.OrderKind.LOAD if resident is not None:
+            return result.Err(Needless())
+        case endpoints.OrderKind.UNLOAD if resident is None:
+            return result.Err(Needless())
+        case endpoints.OrderKind.UNLOAD:
+            holding = resident
+    fence = ledger.fence + 1
+    intent = Intent(order_id, kind, holding, fence)
+    intended = attrs.evolve(
+        ledger, fence=fence, intent=intent, late=_still_late(ledger, now)
+    )
+    missing_mb = intended.reserved_mb(now) - capacity_mb
+    if kind is endpoints.OrderKind.LOAD and missing_mb > 0:
+        return result.Err(NoRoom(missing_mb))
+    return result.Ok(intended)
+
+
+def settle(
+    ledger: Ledger,
+    outcome: result.Result[None, endpoints.OrderRefused],
+    fencing: bool,
+    late_s: float,
+    now: float,
+) -> Ledger:
+    """Return the ledger once the outcome of its intent is known.
+
+    :param ledger: a ledger with an intent.
+    :param outcome: what the endpoint said.
+    :param fencing: whether it refuses orders with an old fencing number.
+    :param late_s: longest delay of a copy of an order, seconds.
+    :param now: wall time, seconds.
+    """
+    intent = ledger.intent
+    holding = intent.holding
+    settled = attrs.evolve(ledger, intent=None, late=_still_late(ledger, now))
+    match (intent.kind, outcome):
+        case (endpoints.OrderKind.LOAD, result.Ok(_)):
+            resident = attrs.evolve(holding, since=now)
+            return attrs.evolve(settled, holdings=(*settled.holdings, resident))
+        case (endpoints.OrderKind.LOAD, result.Err(refused)):
+            # A copy of the refused load may still arrive and succeed, on a
+            # fencing endpoint too, because nothing newer has reached it.
+            late = Late(holding, now + late_s)
+            fence = max(settled.fence, refused.highest_fence)
+            return attrs.evolve(settled, fence=fence, late=(*settled.late, late))
+        case (endpoints.OrderKind.UNLOAD, result.Ok(_)):
+            return _drop(settled, holding, fencing, late_s)
+        case (_, result.Err(refused)):
+            fence = max(settled.fence, refused.highest_fence)
+            return attrs.evolve(settled, fence=fence)
+    return settled
+
+
+def reconcile(
+    ledger: Ledger,
+    residents: collections.abc.Sequence[Holding],
+    late_s: float,
+    now: float,
+) -> Ledger:
+    """Return the ledger as the endpoint's own report corrects it.
+
+    The report must have been asked for after the ledger was read and while
+    it has no intent; a conditional write then proves that no order came
+    between.
+
+    :param ledger: a ledger without an intent.
+    :param residents: what the endpoint says is in its memory.
+    :param late_s: longest delay of a copy of an order, seconds.
+    :param now: wall time, seconds.
+    """
+    reported = {item.key: item for item in residents}
+    for holding in ledger.holdings:
+        if holding.key not in reported:
+            # The endpoint restarted, or a late copy of an unload arrived.
+            # It may have forgotten its fencing number, so that a late copy
+            # of the load counts here for both kinds of endpoints.
+            ledger = _drop(ledger, holding, False, late_s)
+    known = {item.key for item in ledger.holdings}
+    found = [
+        attrs.evolve(item, since=now)
+        for key, item in reported.items()
+        if key not in known
+    ]
+    holdings = (*ledger.holdings, *found)
+    return attrs.evolve(ledger, holdings=holdings, late=_still_late(ledger, now))
+
+
+def _drop(ledger: Ledger, holding: Holding, fencing: bool, late_s: float) -> Ledger:
+    """Return the ledger without a resident.
+
+    On an endpoint that ignores fencing, a copy of the load that was sent
+    before its outcome was known may still come and load the model again:
+    memory would then be overcommitted by whatever took its place. The last
+    copy left before ``since``, so its longest delay counts from there.
+    """
+    holdings = tuple(item for item in ledger.holdings if item.key != holding.key)
+    late = ledger.late
+    if not fencing:
+        late = (*late, Late(holding, holding.since + late_s))
+    return attrs.evolve(ledger, holdings=holdings, late=late)
+
+
+def _still_late(ledger: Ledger, now: float) -> tuple[Late, ...]:
+    return tuple(item for item in ledger.late if item.until > now)
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -157,7 +157,8 @@
 
     def __init__(self, limit: int):
         self.limit = limit
-        self.running: set[str] = set()
+        #: Targets of the requests in flight, by request.
+        self.running: dict[str, str] = {}
         self.queue: list[Waiting] = []
         self.numbers = itertools.count()
 
@@ -167,7 +168,7 @@
         :param ask: the entry's message.
         """
         if len(self.running) < self.limit and not self.queue:
-            self.running.add(ask.request_id)
+            self.running[ask.request_id] = ask.target
             return SlotAnswer(True)
         if len(self.queue) >= QUEUE_LENGTH:
             return SlotAnswer(False, "queue_full")
@@ -187,12 +188,26 @@
 
         :param request_id: the request that ended.
         """
-        self.running.discard(request_id)
+        self.running.pop(request_id, None)
         while self.queue and len(self.running) < self.limit:
             waiting = heapq.heappop(self.queue)
-            self.running.add(waiting.ask.request_id)
+            self.running[waiting.ask.request_id] = waiting.ask.target
             waiting.event.set(SlotAnswer(True))
 
+    def turn_away(self, targets: frozenset[str]) -> None:
+        """Refuse the waiting requests for some targets.
+
+        :param targets: models or adapters.
+        """
+        staying = []
+        for waiting in self.queue:
+            if waiting.ask.target in targets:
+                waiting.event.set(SlotAnswer(False, "not_offered"))
+            else:
+                staying.append(waiting)
+        heapq.heapify(staying)
+        self.queue = staying
+
 
 @plugins.register(plugins.PART, "slots")
 class Slots(kernel.Part):
@@ -235,7 +250,7 @@
             request.tokens,
         )
         if owner.name == self.kernel.settings.name:
-            answer = self._batch(endpoint.name).ask(ask)
+            answer = self._ask(ask)
         else:
             match self.peers.call(owner.name, ask, wait_s + REPLY_GRACE_S):
                 case result.Ok(reply):
@@ -270,6 +285,34 @@
             )
             self.peers.send(grant.owner, done)
 
+    def running(self, endpoint: str, target: str) -> frozenset[str]:
+        """Return the requests in flight for a target at an owned endpoint.
+
+        :param endpoint: the endpoint's name.
+        :param target: a model or adapter.
+        """
+        running = self._batch(endpoint).running
+        return frozenset(key for key, value in running.items() if value == target)
+
+    def withhold(self, endpoint: str, models: frozenset[str]) -> None:
+        """Give no further slots for some residents of an owned endpoint.
+
+        An entry may not have heard yet that the models are not offered any
+        more; the owner's own check keeps its requests from running into the
+        unload. Requests that wait are turned away and go elsewhere.
+
+        :param endpoint: the endpoint's name.
+        :param models: models and adapters that are about to be unloaded.
+        """
+        self.health.withhold(endpoint, models)
+        self._batch(endpoint).turn_away(models)
+
+    def _ask(self, ask: AskSlot) -> SlotAnswer:
+        withheld = self.health.withheld_by_endpoint.get(ask.endpoint, frozenset())
+        if ask.target in withheld:
+            return SlotAnswer(False, "not_offered")
+        return self._batch(ask.endpoint).ask(ask)
+
     def _batch(self, name: str) -> Batch:
         batch = self.batch_by_endpoint.get(name)
         if batch is None:
@@ -279,7 +322,7 @@
         return batch
 
     def _serve_ask(self, _: str, ask: AskSlot, answer: peers.Answer) -> None:
-        self.tasks.spawn(lambda: answer(self._batch(ask.endpoint).ask(ask)))
+        self.tasks.spawn(lambda: answer(self._ask(ask)))
 
     def _serve_done(self, _: str, done: SlotDone, __: peers.Answer) -> None:
         self._batch(done.endpoint).done(done.request_id)
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -4,6 +4,7 @@
 load and orders use the agent's pages ``/state`` and ``/orders`` beside them.
 """
 
+import attrs
 import orjson
 import result
 
@@ -43,6 +44,21 @@
         )
         return asked.map_err(lambda failure: failure.reason).and_then(_report)
 
+    def order(
+        self, endpoint: catalogue.Endpoint, order: endpoints.Order
+    ) -> result.Result[None, endpoints.OrderFailure]:
+        """Send one copy of an order; see :meth:`endpoints.Adapter.order`."""
+        sent = self.transport.exchange(
+            (endpoint.address, endpoint.port),
+            "POST",
+            "/orders",
+            (("Content-Type", "application/json"),),
+            orjson.dumps(attrs.asdict(order)),
+        )
+        return sent.map_err(
+            lambda failure: endpoints.OrderUnknown(failure.reason)
+        ).and_then(_order_outcome)
+
 
 def _unless_refused(answer: transport.HttpAnswer):
     if answer.status not in REFUSED_STATUSES:
@@ -72,3 +88,30 @@
         )
     except (ValueError, KeyError, TypeError) as error:
         return result.Err(f"the endpoint's state is not understood: {error!r}")
+
+
+def _order_outcome(
+    answer: transport.HttpAnswer,
+) -> result.Result[None, endpoints.OrderFailure]:
+    try:
+        body = b"".join(answer.chunks())
+    except transport.FAILURES as error:
+        return result.Err(endpoints.OrderUnknown(str(error)))
+    if answer.status != 200:
+        return result.Err(endpoints.OrderUnknown(f"status {answer.status}"))
+    try:
+        reply = orjson.loads(body)
+        outcome = reply["outcome"]
+        highest_fence = int(reply["highest_fence"])
+    except (ValueError, KeyError, TypeError) as error:
+        return result.Err(endpoints.OrderUnknown(f"not understood: {error!r}"))
+    match outcome:
+        case "done":
+            return result.Ok(None)
+        case "fenced":
+            reason = "the fencing number is old"
+            return result.Err(endpoints.OrderRefused(reason, highest_fence))
+        case "failed":
+            return result.Err(endpoints.OrderRefused("the endpoint failed"))
+        case _:
+            return result.Err(endpoints.OrderUnknown(f"outcome {outcome}"))
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -13,7 +13,7 @@
 import gevent.lock
 import orjson
 
-from mothworks_fakes import web
+from mothworks_fakes import engine_memory, web
 
 #: Bytes of a prompt that count as one token.
 BYTES_A_TOKEN = 4
@@ -69,13 +69,11 @@
     ):
         super().__init__(port)
         self.memory_mb = memory_mb
-        self.fencing = fencing
+        self.memory = engine_memory.EngineMemory(memory_mb, fencing)
         self.speed = speed or Speed()
-        self.resident_by_name: dict[str, dict] = {}
-        self.loading_by_name: dict[str, dict] = {}
-        self.outcome_by_order: dict[str, dict] = {}
-        self.highest_fence = 0
-        self.peak_memory_mb = 0
+        #: Holds one place of the weight store during a load; None for no limit.
+        self.store_places: gevent.lock.BoundedSemaphore | None = None
+        self.order_ids: list[str] = []
         self.places = gevent.lock.BoundedSemaphore(self.speed.batch)
         self.prefill = gevent.lock.BoundedSemaphore(1)
         self.running = 0
@@ -110,24 +108,29 @@
         :param memory_mb: its memory.
         :param version: its version.
         """
-        resident = {"name": name, "version": version, "memory_mb": memory_mb}
-        self.resident_by_name[name] = resident
-        self._note_memory()
+        self.memory.place(engine_memory.Item(name, version, memory_mb))
 
-    def used_mb(self) -> int:
-        """Return the memory of residents and loads under way, MB."""
-        items = (*self.resident_by_name.values(), *self.loading_by_name.values())
-        return sum(item["memory_mb"] for item in items)
+    @property
+    def peak_memory_mb(self) -> int:
+        """Return the most memory ever taken, MB."""
+        return self.memory.peak_mb
+
+    def restart(self) -> None:
+        """Break every connection and lose all memory, as a new process does."""
+        self.memory.restart()
+        self.crash()
 
     def _state(self) -> dict:
         return {
-            "residents": list(self.resident_by_name.values()),
+            "residents": [
+                attrs.asdict(item) for item in self.memory.resident_by_key.values()
+            ],
             "running": self.running,
             "waiting": self.waiting,
             "draining": self.draining,
             "memory_mb": self.memory_mb,
-            "highest_fence": self.highest_fence,
-            "orders": self.outcome_by_order,
+            "highest_fence": self.memory.highest_fence,
+            "role": self.memory.role,
         }
 
     def _metrics(self) -> bytes:
@@ -136,28 +139,27 @@
             f"vllm:num_requests_waiting {self.waiting}\n"
         ).encode()
 
-    def _note_memory(self) -> None:
-        self.peak_memory_mb = max(self.peak_memory_mb, self.used_mb())
-
-    def _order(self, order: dict) -> web.Reply:
-        known = self.outcome_by_order.get(order["id"])
-        if known is not None:
-            return web.json_reply(known)
-        if self.fencing and order["fence"] < self.highest_fence:
-            return web.json_reply({"error": "old fencing number"}, "409 Conflict")
-        self.highest_fence = max(self.highest_fence, order["fence"])
-        name = order["name"]
-        if order["kind"] == "load":
-            self.loading_by_name[name] = {
-                key: order[key] for key in ("name", "version", "memory_mb")
-            }
-            self._note_memory()
-            gevent.sleep(order["memory_mb"] / self.speed.load_mb_per_s)
-            self.resident_by_name[name] = self.loading_by_name.pop(name)
+    def _order(self, fields: dict) -> web.Reply:
+        item = engine_memory.Item(
+            fields["name"], fields["version"], fields["memory_mb"]
+        )
+        order = engine_memory.Order(fields["id"], fields["kind"], item, fields["fence"])
+        self.order_ids.append(order.id)
+        loads_already = item.key in self.memory.loading_by_key
+        reply = self.memory.take(order)
+        if reply is engine_memory.Reply.LOADING and not loads_already:
+            gevent.spawn(self._finish_load, item)
+        answer = {"outcome": reply, "highest_fence": self.memory.highest_fence}
+        return web.json_reply(answer)
+
+    def _finish_load(self, item: engine_memory.Item) -> None:
+        duration_s = item.memory_mb / self.speed.load_mb_per_s
+        if self.store_places is None:
+            gevent.sleep(duration_s)
         else:
-            self.resident_by_name.pop(name, None)
-        self.outcome_by_order[order["id"]] = {"id": order["id"], "done": True}
-        return web.json_reply(self.outcome_by_order[order["id"]])
+            with self.store_places:
+                gevent.sleep(duration_s)
+        self.memory.finish(item.key)
 
     def _generate(self, path: str, environ: dict) -> web.Reply:
         body = environ["wsgi.input"].read()
@@ -165,7 +167,7 @@
         model = request["model"]
         if self.draining:
             return web.json_reply({"error": "draining"}, "503 Service Unavailable")
-        if model not in self.resident_by_name:
+        if not self.memory.versions(model):
             message = f"{model} is not loaded"
             return web.json_reply({"error": message}, "404 Not Found")
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
