--- a/packages/mothworks/src/mothworks/catalogue.py
+++ b/packages/mothworks/src/mothworks/catalogue.py
@@ -121,6 +121,7 @@
     :param fencing: whether it refuses orders with an old fencing number.
     :param service: the plain service it is an instance of.
     :param slots: most requests at a time, before the limit adapts.
+    :param drain: it gets no new work, so that it can be taken away.
     """
 
     name: str
@@ -133,6 +134,7 @@
     fencing: bool = True
     service: str | None = None
     slots: int = attrs.field(default=16, validator=settings.check_positive)
+    drain: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/mothworks/src/mothworks/changes.py
@@ -0,0 +1,195 @@
+"""Changes of the catalogue: applying a statement, and what differs.
+
+Everything here is a pure function of catalogues, so that a change can be
+worked out again on a newer revision and compared with what its operator saw.
+"""
+
+import attrs
+import result
+
+from mothworks import catalogue, documents, outcomes, statements
+
+#: Sections whose items have names, in the order of the catalogue.
+NAMED_SECTIONS = (
+    "data_centres",
+    "models",
+    "adapters",
+    "services",
+    "callers",
+    "endpoints",
+)
+#: Fields that hold secrets, though only hashes; differences leave them out.
+HIDDEN_FIELDS = frozenset(("key_sha256",))
+
+
+@attrs.frozen
+class Difference:
+    """One field in which two catalogues differ.
+
+    :param section: the section of the catalogue.
+    :param name: the item's name; empty for a section without items.
+    :param field: the field; empty where the whole item came or went.
+    :param before: its value in the first catalogue, None for none.
+    :param after: its value in the second catalogue, None for none.
+    """
+
+    section: str
+    name: str
+    field: str
+    before: str | None
+    after: str | None
+
+
+def change(
+    declared: catalogue.Catalogue, statement: statements.Change
+) -> result.Result[catalogue.Catalogue, outcomes.Refusal]:
+    """Return the catalogue after a statement.
+
+    :param declared: the catalogue before.
+    :param statement: what to change.
+    """
+    match statement:
+        case statements.Add(section, item):
+            changed = _add(declared, section, item)
+        case statements.Retire(section, name):
+            changed = _retire(declared, section, name)
+        case statements.Drain(name):
+            changed = _evolve(declared, "endpoints", name, drain=True)
+        case statements.Resume(name):
+            changed = _evolve(declared, "endpoints", name, drain=False)
+        case statements.Reprioritise(name, urgency):
+            changed = _evolve(declared, "callers", name, urgency=urgency)
+    return changed.and_then(_check)
+
+
+def touched(statement: statements.Change) -> tuple[str, str]:
+    """Return section and name of the item that a statement changes.
+
+    :param statement: the statement.
+    """
+    match statement:
+        case statements.Add(section, item):
+            return section.field, str(item.get("name", ""))
+        case statements.Retire(section, name):
+            return section.field, name
+        case statements.Drain(name) | statements.Resume(name):
+            return "endpoints", name
+        case statements.Reprioritise(name):
+            return "callers", name
+
+
+def difference(
+    before: catalogue.Catalogue, after: catalogue.Catalogue
+) -> tuple[Difference, ...]:
+    """Return every field in which two catalogues differ.
+
+    :param before: the first catalogue.
+    :param after: the second catalogue.
+    """
+    found = []
+    for section in NAMED_SECTIONS:
+        first = {item.name: item for item in getattr(before, section)}
+        second = {item.name: item for item in getattr(after, section)}
+        for name in sorted(first.keys() | second.keys()):
+            found += _item_difference(section, name, first.get(name), second.get(name))
+    found += _item_difference("weights", "", before.weights, after.weights)
+    return tuple(found)
+
+
+def item_difference(
+    before: catalogue.Catalogue, after: catalogue.Catalogue, section: str, name: str
+) -> tuple[Difference, ...]:
+    """Return in what one item differs between two catalogues.
+
+    :param before: the first catalogue.
+    :param after: the second catalogue.
+    :param section: the item's section.
+    :param name: the item's name.
+    """
+    first = _find(before, section, name)
+    second = _find(after, section, name)
+    return tuple(_item_difference(section, name, first, second))
+
+
+def _add(declared: catalogue.Catalogue, section: statements.Section, item: dict):
+    shape = documents.structure({section.field: [item]}, catalogue.Catalogue, "add")
+    match shape:
+        case result.Ok(read):
+            added = getattr(read, section.field)
+        case result.Err(problem):
+            return result.Err(outcomes.invalid(str(problem), "invalid_statement", 422))
+    if _find(declared, section.field, added[0].name) is not None:
+        message = f"{section} {added[0].name!r} is declared already"
+        return result.Err(outcomes.invalid(message, "already_declared", 409))
+    items = (*getattr(declared, section.field), *added)
+    return result.Ok(attrs.evolve(declared, **{section.field: items}))
+
+
+def _retire(declared: catalogue.Catalogue, section: statements.Section, name: str):
+    if _find(declared, section.field, name) is None:
+        return result.Err(_absent(section, name))
+    items = getattr(declared, section.field)
+    kept = tuple(item for item in items if item.name != name)
+    changes = {section.field: kept}
+    if section is statements.Section.MODEL:
+        changes["adapters"] = tuple(
+            adapter for adapter in declared.adapters if adapter.model != name
+        )
+    return result.Ok(attrs.evolve(declared, **changes))
+
+
+def _evolve(declared: catalogue.Catalogue, section: str, name: str, **fields):
+    if _find(declared, section, name) is None:
+        return result.Err(_absent(section.removesuffix("s"), name))
+    items = tuple(
+        attrs.evolve(item, **fields) if item.name == name else item
+        for item in getattr(declared, section)
+    )
+    return result.Ok(attrs.evolve(declared, **{section: items}))
+
+
+def _check(changed: catalogue.Catalogue):
+    return catalogue.check(changed, "catalogue").map_err(
+        lambda problem: outcomes.invalid(str(problem), "invalid_catalogue", 422)
+    )
+
+
+def _find(declared: catalogue.Catalogue, section: str, name: str):
+    items = getattr(declared, section)
+    return next((item for item in items if item.name == name), None)
+
+
+def _absent(section: str, name: str) -> outcomes.Refusal:
+    return outcomes.invalid(f"no {section} is named {name!r}", "not_declared", 404)
+
+
+def _item_difference(section: str, name: str, before, after) -> list[Difference]:
+    if before == after:
+        return []
+    if before is None or after is None:
+        return [Difference(section, name, "", _summary(before), _summary(after))]
+    return [
+        Difference(section, name, field.name, first, second)
+        for field in attrs.fields(type(before))
+        for first, second in [_values(before, after, field.name)]
+        if getattr(before, field.name) != getattr(after, field.name)
+    ]
+
+
+def _values(before, after, field: str) -> tuple[str, str]:
+    if field in HIDDEN_FIELDS:
+        return "(hidden)", "(another)"
+    return str(getattr(before, field)), str(getattr(after, field))
+
+
+def _summary(item) -> str | None:
+    if item is None:
+        return None
+    shown = [
+        f"{field.name} {getattr(item, field.name)}"
+        for field in attrs.fields(type(item))
+        if field.name != "name"
+        and field.name not in HIDDEN_FIELDS
+        and getattr(item, field.name) != field.default
+    ]
+    return ", ".join(shown) or "declared"
--- a/packages/mothworks/src/mothworks/placement.py
+++ b/packages/mothworks/src/mothworks/placement.py
@@ -111,11 +111,13 @@
 
     def _is_open(self, name: str) -> bool:
         status = self.status_by_endpoint.get(name)
+        declared = self.configuration.index.endpoint_by_name.get(name)
         return (
             status is not None
+            and declared is not None
             and status.state == EndpointState.OPEN
+            and not declared.drain
             and name not in self.membership.leaving_endpoints
-            and name in self.configuration.index.endpoint_by_name
         )
 
     def _repair(self) -> None:
--- /dev/null
+++ b/packages/mothworks/src/mothworks/statements.py
@@ -0,0 +1,233 @@
+"""Statements: what operators can ask and command, as typed classes.
+
+``mothctl`` parses the language and sends a statement as JSON; its field
+``statement`` names the class. The node checks it again by these classes.
+"""
+
+import enum
+import typing
+
+import attrs
+import result
+
+from mothworks import catalogue, documents
+
+
+class Collection(enum.StrEnum):
+    """What ``show`` and ``watch`` list."""
+
+    MODELS = "models"
+    ENDPOINTS = "endpoints"
+    CALLERS = "callers"
+    WAITING = "waiting"
+    MOVES = "moves"
+    PEERS = "peers"
+    AUDIT = "audit"
+    QUARANTINE = "quarantine"
+
+
+class Section(enum.StrEnum):
+    """Kinds of items of the catalogue, in the singular."""
+
+    MODEL = "model"
+    ADAPTER = "adapter"
+    SERVICE = "service"
+    CALLER = "caller"
+    ENDPOINT = "endpoint"
+
+    @property
+    def field(self) -> str:
+        """Return the catalogue's field that holds such items."""
+        return f"{self.value}s"
+
+
+class Comparison(enum.StrEnum):
+    """How a condition compares a field with a value."""
+
+    EQUAL = "="
+    NOT_EQUAL = "!="
+    LESS = "<"
+    LESS_OR_EQUAL = "<="
+    GREATER = ">"
+    GREATER_OR_EQUAL = ">="
+    #: The field's text contains the value.
+    CONTAINS = "~"
+
+
+@attrs.frozen
+class Condition:
+    """A condition on the rows of a collection.
+
+    :param field: the row's field.
+    :param comparison: how it is compared.
+    :param value: what it is compared with.
+    """
+
+    field: str
+    comparison: Comparison
+    value: str
+
+
+@attrs.frozen
+class Show:
+    """``show COLLECTION where ...``: list rows.
+
+    :param collection: what to list.
+    :param conditions: all must hold.
+    """
+
+    collection: Collection
+    conditions: tuple[Condition, ...] = ()
+
+
+@attrs.frozen
+class WhyModel:
+    """``why model M``: where a model is, where not, and what is pending.
+
+    :param model: the model, adapter or service.
+    """
+
+    model: str
+
+
+@attrs.frozen
+class WhyRequest:
+    """``why request R``: where a request is and how that was decided.
+
+    :param request: the request's id.
+    """
+
+    request: str
+
+
+@attrs.frozen
+class Add:
+    """``add SECTION N with FIELD = VALUE and ...``: declare an item.
+
+    :param section: the kind of item.
+    :param item: its fields, as in the catalogue.
+    :param why: the reason, for the audit trail.
+    :param revision: the revision that the operator saw; None for the one in
+        force when the statement arrives.
+    """
+
+    section: Section
+    item: dict[str, typing.Any]
+    why: str = ""
+    revision: int | None = None
+
+
+@attrs.frozen
+class Retire:
+    """``retire SECTION N``: remove an item; a model's adapters go with it.
+
+    :param section: the kind of item.
+    :param name: its name.
+    :param why: see :class:`Add`.
+    :param revision: see :class:`Add`.
+    """
+
+    section: Section
+    name: str
+    why: str = ""
+    revision: int | None = None
+
+
+@attrs.frozen
+class Drain:
+    """``drain endpoint N``: give it no new work.
+
+    :param endpoint: the endpoint's name.
+    :param why: see :class:`Add`.
+    :param revision: see :class:`Add`.
+    """
+
+    endpoint: str
+    why: str = ""
+    revision: int | None = None
+
+
+@attrs.frozen
+class Resume:
+    """``resume endpoint N``: end a drain.
+
+    :param endpoint: the endpoint's name.
+    :param why: see :class:`Add`.
+    :param revision: see :class:`Add`.
+    """
+
+    endpoint: str
+    why: str = ""
+    revision: int | None = None
+
+
+@attrs.frozen
+class Reprioritise:
+    """``reprioritise caller C to URGENCY``: change a caller's class.
+
+    :param caller: the caller's name.
+    :param urgency: the new class of all its work.
+    :param why: see :class:`Add`.
+    :param revision: see :class:`Add`.
+    """
+
+    caller: str
+    urgency: catalogue.Urgency
+    why: str = ""
+    revision: int | None = None
+
+
+@attrs.frozen
+class Move:
+    """``move model M from A to B``: relocate a replica.
+
+    :param model: the model.
+    :param source: the endpoint that has it.
+    :param target: the endpoint that is to have it.
+    :param why: see :class:`Add`.
+    """
+
+    model: str
+    source: str
+    target: str
+    why: str = ""
+
+
+#: Statements that read; the role viewer is enough.
+Question = Show | WhyModel | WhyRequest
+#: Statements that change the catalogue.
+Change = Add | Retire | Drain | Resume | Reprioritise
+#: Every statement that a node takes.
+Statement = Question | Change | Move
+
+_class_by_name = {kind.__name__: kind for kind in typing.get_args(Statement)}
+
+
+def plain(statement: Statement) -> dict[str, typing.Any]:
+    """Return a statement as plain values, ready for JSON.
+
+    :param statement: the statement.
+
+    >>> plain(Drain("engine-1"))["statement"]
+    'Drain'
+    """
+    return {"statement": type(statement).__name__, **documents.plain(statement)}
+
+
+def read(value: typing.Any) -> result.Result[Statement, documents.DocumentError]:
+    """Check plain values and return the statement.
+
+    :param value: what JSON held.
+    """
+    if not isinstance(value, dict):
+        return _wrong("expected an object")
+    fields = dict(value)
+    kind = _class_by_name.get(fields.pop("statement", None))
+    if kind is None:
+        names = ", ".join(_class_by_name)
+        return _wrong(f"$.statement: expected one of {names}")
+    return documents.structure(fields, kind, "statement")
+
+
+def _wrong(problem: str) -> result.Result:
+    return result.Err(documents.DocumentError("statement", (problem,)))
