Bounded traces of what an entry decided about each request

Cause: why request needs the endpoints that were considered and why not, also after a request ended. Change: decisions.Decisions keeps 512 ended traces of at most 32 steps; dispatch records each attempt, and placement.why_closed() says why an endpoint takes no new work (it now also decides it). Test: packages/mothworks/tests/test_decisions.py.

--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -14,6 +14,7 @@
 from mothworks import (
     catalogue,
     configuration,
+    decisions,
     endpoints,
     health,
     kernel,
@@ -129,6 +130,7 @@
         self.health = node_kernel.get(health.Health)
         self.placement = node_kernel.get(placement.Placement)
         self.slots = node_kernel.get(slots.Slots)
+        self.decisions = node_kernel.get(decisions.Decisions)
         chosen = node_kernel.settings.routing
         self.policy: routing.Policy = plugins.find(plugins.ROUTING, chosen)()
         self.retries = retries.Budget()
@@ -142,18 +144,34 @@
         :returns: the running request, to be closed by the caller.
         """
         self.retries.add_request()
+        trace = self.decisions.open(request)
+        try:
+            begun = self._try_endpoints(request, trace)
+        except BaseException:
+            self.decisions.close(request.id, "cancelled")
+            raise
+        if begun.is_err():
+            self.decisions.close(request.id, f"refused: {begun.err_value.code}")
+        return begun
+
+    def _try_endpoints(
+        self, request: requests.Request, trace: decisions.Trace
+    ) -> result.Result[Running, outcomes.Refusal]:
         tried: set[str] = set()
         refusal = _no_endpoint(request)
         while len(tried) < MOST_ATTEMPTS:
             endpoint = self._choose(request, tried)
             if endpoint is None:
+                self._explain_closed(request, trace)
                 break
             tried.add(endpoint.name)
             match self._attempt(request, endpoint):
                 case result.Ok(running):
+                    trace.add(endpoint.name, f"granted by {running.grant.owner or '-'}")
                     return result.Ok(running)
                 case result.Err(failed):
                     refusal = failed.refusal
+                    trace.add(endpoint.name, refusal.message)
             if not self._may_retry(request, failed):
                 break
         return result.Err(refusal)
@@ -164,6 +182,13 @@
         :param running: the request.
         """
         self._release(running.grant, running.progress.end(running.outcome))
+        self.decisions.close(running.request.id, running.outcome.name.lower())
+
+    def _explain_closed(
+        self, request: requests.Request, trace: decisions.Trace
+    ) -> None:
+        for name in self.placement.candidates(request.target):
+            trace.add(name, self.placement.why_closed(name) or "tried already")
 
     def _choose(
         self, request: requests.Request, tried: set[str]
--- a/packages/mothworks/src/mothworks/placement.py
+++ b/packages/mothworks/src/mothworks/placement.py
@@ -100,25 +100,39 @@
     def open_endpoints(self, target: str) -> list[str]:
         """Return the endpoints that take new work for a target.
 
+        :param target: a model, adapter or service.
+        """
+        names = self.candidates(target)
+        return [name for name in names if not self.why_closed(name)]
+
+    def candidates(self, target: str) -> list[str]:
+        """Return the endpoints that have a target, open or not.
+
         :param target: a model, adapter or service.
         """
         by_service = self.configuration.index.endpoints_by_service
         if target in by_service:
-            names = [endpoint.name for endpoint in by_service[target]]
-        else:
-            names = sorted(self.endpoints_by_model.get(target, ()))
-        return [name for name in names if self._is_open(name)]
+            return [endpoint.name for endpoint in by_service[target]]
+        return sorted(self.endpoints_by_model.get(target, ()))
+
+    def why_closed(self, name: str) -> str:
+        """Return why an endpoint takes no new work; empty where it does.
 
-    def _is_open(self, name: str) -> bool:
+        :param name: the endpoint's name.
+        """
         status = self.status_by_endpoint.get(name)
         declared = self.configuration.index.endpoint_by_name.get(name)
-        return (
-            status is not None
-            and declared is not None
-            and status.state == EndpointState.OPEN
-            and not declared.drain
-            and name not in self.membership.leaving_endpoints
-        )
+        if declared is None:
+            return "not declared"
+        if declared.drain:
+            return "drained by an operator"
+        if name in self.membership.leaving_endpoints:
+            return "its VM is leaving"
+        if status is None:
+            return "no report from its owner yet"
+        if status.state != EndpointState.OPEN:
+            return status.state
+        return ""
 
     def _repair(self) -> None:
         # An announcement is lost on a VM that joins later or was cut off:
