Owners can be asked what waits in their queues, in the order of service

Cause: show waiting and why request need position, class and deadline as the queue itself orders them. Change: Slots.waiting() returns typed rows. Test: packages/mothworks/tests/test_queue_rows.py.

--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -25,6 +25,7 @@
     peers,
     plugins,
     requests,
+    row_classes,
 )
 
 #: Most requests that wait for one endpoint.
@@ -147,6 +148,7 @@
     number: int
     ask: AskSlot
     event: gevent.event.AsyncResult
+    since: float
 
 
 class Batch:
@@ -172,9 +174,10 @@
             return SlotAnswer(True)
         if len(self.queue) >= QUEUE_LENGTH:
             return SlotAnswer(False, "queue_full")
-        target = time.monotonic() + ask.target_ms / 1000
+        now = time.monotonic()
+        target = now + ask.target_ms / 1000
         event = gevent.event.AsyncResult()
-        waiting = Waiting(ask.rank, target, next(self.numbers), ask, event)
+        waiting = Waiting(ask.rank, target, next(self.numbers), ask, event, now)
         heapq.heappush(self.queue, waiting)
         try:
             return event.get(timeout=ask.wait_ms / 1000)
@@ -285,6 +288,15 @@
             )
             self.peers.send(grant.owner, done)
 
+    def waiting(self) -> list[row_classes.WaitingRow]:
+        """Return the requests in this VM's queues, in their order of service."""
+        owner = self.kernel.settings.name
+        return [
+            _waiting_row(owner, endpoint, batch, place, waiting)
+            for endpoint, batch in sorted(self.batch_by_endpoint.items())
+            for place, waiting in enumerate(sorted(batch.queue), start=1)
+        ]
+
     def running(self, endpoint: str, target: str) -> frozenset[str]:
         """Return the requests in flight for a target at an owned endpoint.
 
@@ -326,3 +338,24 @@
 
     def _serve_done(self, _: str, done: SlotDone, __: peers.Answer) -> None:
         self._batch(done.endpoint).done(done.request_id)
+
+
+def _waiting_row(
+    owner: str, endpoint: str, batch: Batch, place: int, waiting: Waiting
+) -> row_classes.WaitingRow:
+    now = time.monotonic()
+    ask = waiting.ask
+    return row_classes.WaitingRow(
+        request=ask.request_id,
+        endpoint=endpoint,
+        owner=owner,
+        position=place,
+        queued=len(batch.queue),
+        running=len(batch.running),
+        slots=batch.limit,
+        urgency=list(catalogue.Urgency)[ask.rank],
+        caller=ask.caller,
+        model=ask.target,
+        waited_ms=round((now - waiting.since) * 1000),
+        deadline_ms=round((waiting.target - now) * 1000),
+    )
