Membership by SWIM probes in one group a region, tables exchanged over TCP

Cause: membership was whatever the platform's list said, which lags and may be down; a dead VM went on owning endpoints until the list dropped it. Change: one probe a round over UDP, indirect probes, suspicion counted in own rounds, refutation by incarnation, piggybacked news with bounded sendings. Digests and tables over TCP join, heal partitions and link regions; the list only gives addresses to try. Peers use one connection both ways, and notice a VM that vanished. Owners are kept and updated only where members changed. Tests drop, pause, part and forge traffic at the sockets of nodes' parts.

--- a/packages/mothworks/src/mothworks/health.py
+++ b/packages/mothworks/src/mothworks/health.py
@@ -13,6 +13,7 @@
     configuration,
     endpoints,
     kernel,
+    members,
     membership,
     ownership,
     placement,
@@ -59,6 +60,7 @@
         self.placement = node_kernel.get(placement.Placement)
         self.audit = node_kernel.get(audit.Audit)
         self.adapters = Adapters()
+        self.ownership = ownership.Ownership()
         self.report_by_endpoint: dict[str, endpoints.Report] = {}
         self.task_by_endpoint: dict[str, gevent.Greenlet] = {}
         #: Models and adapters that are resident but about to be unloaded.
@@ -72,14 +74,12 @@
         """Start to watch what this VM owns."""
         self.assign()
 
-    def owner(self, endpoint: catalogue.Endpoint) -> membership.Member | None:
+    def owner(self, endpoint: catalogue.Endpoint) -> members.Member | None:
         """Return the VM that owns an endpoint now.
 
         :param endpoint: the endpoint.
         """
-        regions = self.configuration.index.region_by_data_centre
-        region = regions[endpoint.data_centre]
-        return ownership.owner_of(endpoint, region, self.membership.live())
+        return self.ownership.owner(endpoint)
 
     def owned(self) -> frozenset[str]:
         """Return the names of the endpoints that this VM owns."""
@@ -100,6 +100,7 @@
     def assign(self) -> None:
         """Start and stop watches so that they fit what this VM owns."""
         own_name = self.kernel.settings.name
+        self.ownership.update(self.configuration.index, self.membership.live())
         owned = set()
         for endpoint in self.configuration.index.catalogue.endpoints:
             owner = self.owner(endpoint)
--- a/packages/mothworks/src/mothworks/kernel.py
+++ b/packages/mothworks/src/mothworks/kernel.py
@@ -53,6 +53,8 @@
         self.metrics = metrics.Metrics()
         self.part_by_class: dict[type, Part] = {}
         self.draining = False
+        #: Functions to call when a graceful shutdown begins, without arguments.
+        self.on_draining: list = []
         self.stopped = gevent.event.Event()
         self.failure: BaseException | None = None
 
@@ -84,6 +86,8 @@
             return
         self.draining = True
         log.info("draining")
+        for notify in self.on_draining:
+            notify()
         deadline = time.monotonic() + self.settings.limits.drain_s
         parts = list(reversed(self.part_by_class.values()))
         for part in parts:
--- a/packages/mothworks/src/mothworks/membership.py
+++ b/packages/mothworks/src/mothworks/membership.py
@@ -1,40 +1,18 @@
 """Membership: which VMs run a node now.
 
-The platform's list seeds it. Other parts ask :meth:`Membership.live` and
-are told of changes.
+The VMs of a region probe each other (:mod:`mothworks.swim`) and keep one
+table (:mod:`mothworks.members`); :mod:`mothworks.exchange` joins, heals
+partitions and links regions. Other parts ask :meth:`Membership.live` and are
+told of changes.
 """
 
-import attrs
 import logbook
-import result
 
-from mothworks import kernel, plugins, vm_list
+from mothworks import gossip, kernel, members, plugins, ports, swim, vm_list
 
 log = logbook.Logger("membership")
 
 
-@attrs.frozen
-class Member:
-    """A VM that runs a node.
-
-    :param name: the VM's name.
-    :param address: its IP number.
-    :param peer_port: its port for peers, TCP and UDP.
-    :param port: its port for callers.
-    :param data_centre: where it runs.
-    :param region: that data centre's region.
-    :param leaving: it is shutting down and takes no new ownership.
-    """
-
-    name: str
-    address: str
-    peer_port: int
-    port: int
-    data_centre: str
-    region: str
-    leaving: bool = False
-
-
 @plugins.register(plugins.PART, "membership")
 class Membership(kernel.Part):
     """Knows the live VMs.
@@ -44,75 +22,112 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
-        self.list = node_kernel.get(vm_list.VmList)
-        self.member_by_name: dict[str, Member] = {}
+        self.ports = node_kernel.get(ports.Ports)
+        self.news = gossip.Gossip()
+        self.table = members.Members(
+            self.me(), self.news.add, self._notify, self._suspicion_rounds
+        )
+        self.swim = swim.Swim(self.table, self.news, self.ports.datagram, self.tasks)
+        #: VMs that the platform lists; some may be gone, others missing.
+        self.listed_by_name: dict[str, members.Member] = {}
         #: Endpoints that the platform lists as leaving.
         self.leaving_endpoints: frozenset[str] = frozenset()
+        #: Whether the platform lists this VM as leaving.
+        self.leaving = False
         #: Functions to call after a change, without arguments.
         self.on_change: list = []
+        node_kernel.on_draining.append(self._announce)
 
     def start(self) -> None:
-        """Read the list once, then again and again."""
-        self.refresh()
-        self.tasks.every(self.kernel.settings.vm_list.poll_s, self.refresh)
+        """Start to probe and to answer."""
+        self._announce()
+        self.swim.start()
+
+    def stop(self) -> None:
+        """Tell peers that this VM has left, then stop."""
+        if self.kernel.draining:
+            self.swim.farewell(self.table.leave())
+        super().stop()
 
-    def me(self) -> Member:
+    def me(self) -> members.Member:
         """Return this VM as a member."""
         chosen = self.kernel.settings
-        return Member(
+        return members.Member(
             chosen.name,
             chosen.address,
-            chosen.peer_port,
+            chosen.peer_port or self.ports.port,
             chosen.port,
             chosen.data_centre,
             chosen.region,
-            self.kernel.draining,
+            self.kernel.draining or getattr(self, "leaving", False),
         )
 
-    def live(self) -> list[Member]:
+    def live(self) -> list[members.Member]:
         """Return all live members, this VM among them."""
-        return [*self.member_by_name.values(), self.me()]
+        return [*self.table.live(), self.me()]
 
-    def peers(self) -> list[Member]:
+    def peers(self) -> list[members.Member]:
         """Return all live members but this VM."""
-        return list(self.member_by_name.values())
+        return self.table.live()
 
-    def refresh(self) -> None:
-        """Read the platform's list."""
-        match self.list.source.read():
-            case result.Ok(vms):
-                self._take(vms)
-            case result.Err(reason):
-                log.warning("vm list: {}", reason)
+    def near(self) -> list[members.Member]:
+        """Return the live members of this VM's region, itself left out."""
+        return self.swim.near()
 
-    def _take(self, vms: tuple[vm_list.Vm, ...]) -> None:
+    def find(self, vm: str) -> members.Member | None:
+        """Return where a VM is reached, whether or not it is live.
+
+        :param vm: the VM's name.
+        """
+        record = self.table.find(vm)
+        return record.member if record else self.listed_by_name.get(vm)
+
+    def is_live(self, vm: str) -> bool:
+        """Return whether a VM is live and not suspected.
+
+        :param vm: the VM's name.
+        """
+        record = self.table.find(vm)
+        return record is not None and record.state is members.State.ALIVE
+
+    def take_list(self, vms: tuple[vm_list.Vm, ...]) -> None:
+        """Note what the platform's list says.
+
+        The list lags: it only gives addresses to try, endpoints that are
+        leaving, and whether this VM itself is to leave.
+
+        :param vms: the whole list.
+        """
         own_name = self.kernel.settings.name
-        members = {
-            vm.name: _member(vm)
-            for vm in vms
-            if vm.kind is vm_list.VmKind.NODE and vm.name != own_name
+        nodes = [item for item in vms if item.kind is vm_list.VmKind.NODE]
+        self.listed_by_name = {
+            item.name: _member(item) for item in nodes if item.name != own_name
         }
-        leaving = frozenset(
-            vm.name
-            for vm in vms
-            if vm.kind is vm_list.VmKind.ENDPOINT
-            and vm.state is vm_list.VmState.LEAVING
+        leaving = [item for item in vms if item.state is vm_list.VmState.LEAVING]
+        names = frozenset(
+            item.name for item in leaving if item.kind is vm_list.VmKind.ENDPOINT
         )
-        if members == self.member_by_name and leaving == self.leaving_endpoints:
-            return
-        self.member_by_name = members
-        self.leaving_endpoints = leaving
+        self.leaving = any(item.name == own_name for item in leaving)
+        self._announce()
+        if names != self.leaving_endpoints:
+            self.leaving_endpoints = names
+            self._notify()
+
+    def _announce(self) -> None:
+        me = self.me()
+        if me != self.table.own.member:
+            self.table.announce(me)
+            self._notify()
+
+    def _notify(self) -> None:
         for notify in self.on_change:
             notify()
 
+    def _suspicion_rounds(self) -> int:
+        return self.swim.suspicion_rounds()
+
 
-def _member(vm: vm_list.Vm) -> Member:
-    return Member(
-        vm.name,
-        vm.address,
-        vm.peer_port,
-        vm.port,
-        vm.data_centre,
-        vm.region,
-        vm.state is vm_list.VmState.LEAVING,
+def _member(vm: vm_list.Vm) -> members.Member:
+    return members.Member(
+        vm.name, vm.address, vm.peer_port, vm.port, vm.data_centre, vm.region
     )
--- a/packages/mothworks/src/mothworks/ownership.py
+++ b/packages/mothworks/src/mothworks/ownership.py
@@ -8,38 +8,35 @@
 
 import collections.abc
 
+import attrs
 import xxhash
 
-from mothworks import catalogue, membership
+from mothworks import catalogue, members
 
 
-def owner_of(
-    endpoint: catalogue.Endpoint,
-    region: str,
-    members: collections.abc.Iterable[membership.Member],
-) -> membership.Member | None:
-    """Return the endpoint's owner, or None where its region has no VM.
+def candidates(
+    data_centre: str, region: str, live: collections.abc.Iterable[members.Member]
+) -> list[members.Member]:
+    """Return the VMs that may own the endpoints of a data centre.
 
-    :param endpoint: the endpoint.
-    :param region: the region of its data centre.
-    :param members: all live members.
+    :param data_centre: its name.
+    :param region: its region.
+    :param live: all live members.
     """
-    staying = [item for item in members if not item.leaving]
-    near = [item for item in staying if item.data_centre == endpoint.data_centre]
-    if not near:
-        near = [item for item in staying if item.region == region]
-    return highest(endpoint.name, near)
+    staying = [item for item in live if not item.leaving]
+    near = [item for item in staying if item.data_centre == data_centre]
+    return near or [item for item in staying if item.region == region]
 
 
 def highest(
-    key: str, members: collections.abc.Iterable[membership.Member]
-) -> membership.Member | None:
+    key: str, vms: collections.abc.Iterable[members.Member]
+) -> members.Member | None:
     """Return the member with the highest rendezvous weight for a key.
 
     :param key: what is to be owned.
-    :param members: the candidates.
+    :param vms: the candidates.
     """
-    return max(members, key=lambda item: weight(key, item.name), default=None)
+    return max(vms, key=lambda item: weight(key, item.name), default=None)
 
 
 def weight(key: str, vm: str) -> int:
@@ -52,3 +49,77 @@
     True
     """
     return xxhash.xxh64_intdigest(f"{key}\0{vm}".encode())
+
+
+@attrs.define
+class Owners:
+    """The owners of one data centre's endpoints.
+
+    :param vm_by_name: the VMs that may own them.
+    :param vm_by_endpoint: the VM that owns each.
+    """
+
+    vm_by_name: dict[str, members.Member] = attrs.field(factory=dict)
+    vm_by_endpoint: dict[str, members.Member] = attrs.field(factory=dict)
+
+    def update(
+        self,
+        vms: collections.abc.Iterable[members.Member],
+        endpoints: collections.abc.Iterable[str],
+    ) -> None:
+        """Follow a change of members or endpoints.
+
+        A whole computation takes a weight for each pair, which at hundreds
+        of VMs and endpoints would stop the node for too long at every
+        change. Only pairs with new VMs, and endpoints whose owner went, are
+        computed.
+
+        :param vms: the VMs that may own the endpoints now.
+        :param endpoints: names of all endpoints.
+        """
+        before, self.vm_by_name = self.vm_by_name, {item.name: item for item in vms}
+        new = [item for name, item in self.vm_by_name.items() if name not in before]
+        owner_by_endpoint = self.vm_by_endpoint
+        self.vm_by_endpoint = {}
+        for name in endpoints:
+            known = owner_by_endpoint.get(name)
+            kept = self.vm_by_name.get(known.name) if known is not None else None
+            choice = [kept, *new] if kept is not None else self.vm_by_name.values()
+            owner = highest(name, choice) if kept is None or new else kept
+            if owner is not None:
+                self.vm_by_endpoint[name] = owner
+
+
+class Ownership:
+    """The owners of all endpoints, by data centre."""
+
+    def __init__(self):
+        self.owners_by_data_centre: dict[str, Owners] = {}
+
+    def update(
+        self, index: catalogue.Index, live: collections.abc.Sequence[members.Member]
+    ) -> None:
+        """Follow a change of members or of the catalogue.
+
+        :param index: the catalogue in force.
+        :param live: all live members.
+        """
+        names_by_data_centre: dict[str, list[str]] = {}
+        for endpoint in index.catalogue.endpoints:
+            names = names_by_data_centre.setdefault(endpoint.data_centre, [])
+            names.append(endpoint.name)
+        former = self.owners_by_data_centre
+        self.owners_by_data_centre = {}
+        for data_centre, names in names_by_data_centre.items():
+            region = index.region_by_data_centre[data_centre]
+            owners = former.get(data_centre) or Owners()
+            owners.update(candidates(data_centre, region, live), names)
+            self.owners_by_data_centre[data_centre] = owners
+
+    def owner(self, endpoint: catalogue.Endpoint) -> members.Member | None:
+        """Return an endpoint's owner, or None where its region has no VM.
+
+        :param endpoint: the endpoint.
+        """
+        owners = self.owners_by_data_centre.get(endpoint.data_centre)
+        return owners.vm_by_endpoint.get(endpoint.name) if owners else None
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -1,13 +1,15 @@
 """Connections to the other VMs: one TCP connection and task per peer.
 
-A VM dials each peer it has something to send to and gets replies on the
-same connection. Send queues are bounded: to a peer that does not read, a
+A VM dials each peer it has something to send to; both then use the same
+connection. A reply carries the negative of its call's number. Send queues are
+bounded: to a peer that does not read, a
 call fails at once instead of filling memory.
 """
 
 import collections.abc
 import itertools
 import socket
+import time
 import typing
 
 import attrs
@@ -19,7 +21,7 @@
 import msgpack
 import result
 
-from mothworks import kernel, membership, messages, plugins
+from mothworks import kernel, members, membership, messages, plugins, ports
 
 log = logbook.Logger("peers")
 
@@ -28,7 +30,11 @@
 #: Most bytes of one message.
 MESSAGE_BYTES = 2 << 20
 #: Time for a connection to open, seconds.
-CONNECT_S = 1.0
+CONNECT_S = 0.5
+#: Time before a VM that could not be reached is dialled again, seconds.
+RETRY_S = 0.5
+#: Longest time that sent bytes stay without an acknowledgement, milliseconds.
+UNACKED_MS = 5_000
 #: Bytes taken from a socket at once.
 RECEIVE_BYTES = 64 << 10
 
@@ -54,15 +60,22 @@
 
 
 class Link:
-    """One open connection, either way.
+    """One open connection; messages go both ways.
 
     :param sock: the connected socket.
+    :param vm: the peer's name; None until the peer that dialled has said it.
     """
 
-    def __init__(self, sock: socket.socket):
+    def __init__(self, sock: socket.socket, vm: str | None):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A VM that vanishes closes nothing. Without a bound the connection to
+        # it stays open, and everything sent on it is lost unnoticed.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
         self.sock = sock
+        self.vm = vm
         self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LENGTH)
         self.sent_bytes = 0
+        self.received_bytes = 0
 
     def send(self, frame: bytes) -> bool:
         """Queue a frame.
@@ -103,6 +116,7 @@
                 return
             if not data:
                 return
+            self.received_bytes += len(data)
             try:
                 unpacker.feed(data)
                 yield from unpacker
@@ -110,6 +124,14 @@
                 log.warning("bad message from a peer: {}", error)
                 return
 
+    def close(self) -> None:
+        """Close the connection; both of its tasks end."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The peer closed it already.
+            pass
+
 
 @plugins.register(plugins.PART, "peers")
 class Peers(kernel.Part):
@@ -124,14 +146,16 @@
         self.handler_by_class: dict[type, Handler] = {}
         self.link_by_vm: dict[str, Link] = {}
         self.waiting_by_call: dict[int, tuple[Link, gevent.event.AsyncResult]] = {}
+        self.retry_at_by_vm: dict[str, float] = {}
         self.calls = itertools.count(1)
-        chosen = node_kernel.settings
-        self.listener = gevent.server.StreamServer(
-            (chosen.address, chosen.peer_port), self._serve
-        )
-        self.listener.init_socket()
+        self.closed_bytes = 0
+        #: Opens a connection to an address; tests cut links here.
+        self.connect = gevent.socket.create_connection
+        owned_ports = node_kernel.get(ports.Ports)
+        self.listener = gevent.server.StreamServer(owned_ports.stream, self._serve)
         #: The port that the kernel chose where the setting is 0.
-        self.port = self.listener.socket.getsockname()[1]
+        self.port = owned_ports.port
+        self.membership.on_change.append(self._close_dead)
 
     def start(self) -> None:
         """Listen to peers."""
@@ -189,88 +213,113 @@
         return link is not None and link.send(messages.pack(message))
 
     def send_all(self, message: typing.Any) -> None:
-        """Send a message to every live peer.
+        """Send a message to every live peer of this VM's region.
 
         :param message: an instance of a registered class.
         """
-        for member in self.membership.peers():
-            self.tasks.spawn(self.send, member.name, message)
+        frame = messages.pack(message)
+        for member in self.membership.near():
+            link = self.link_by_vm.get(member.name)
+            if link is not None:
+                link.send(frame)
+            else:
+                # Opening a connection blocks; the other peers need not wait.
+                self.tasks.spawn(self.send, member.name, message)
+
+    def total_bytes(self) -> int:
+        """Return the bytes sent to and received from peers so far, over TCP."""
+        return self.closed_bytes + sum(
+            link.sent_bytes + link.received_bytes for link in self.link_by_vm.values()
+        )
 
     def _link(self, vm: str) -> Link | None:
         link = self.link_by_vm.get(vm)
         if link is not None:
             return link
-        member = self.membership.member_by_name.get(vm)
-        if member is None:
+        member = self.membership.find(vm)
+        # While a VM is unreachable, each request that needs it would wait for
+        # the connection to fail, one after the other.
+        if member is None or time.monotonic() < self.retry_at_by_vm.get(vm, 0.0):
             return None
         try:
-            sock = gevent.socket.create_connection(
-                (member.address, member.peer_port), CONNECT_S
-            )
+            sock = self.connect((member.address, member.peer_port), CONNECT_S)
         except OSError:
+            self.retry_at_by_vm[vm] = time.monotonic() + RETRY_S
             return None
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.retry_at_by_vm.pop(vm, None)
         raced = self.link_by_vm.get(vm)
         if raced is not None:
             sock.close()
             return raced
-        link = Link(sock)
+        sock.settimeout(None)
+        link = Link(sock, vm)
         self.link_by_vm[vm] = link
-        hello = messages.Hello(messages.PROTOCOL_VERSION, self.kernel.settings.name)
-        link.send(messages.pack(hello))
-        self.tasks.spawn(self._run_dialled, vm, link)
+        self._greet(link)
+        self.tasks.spawn(self._run, link)
         return link
 
-    def _run_dialled(self, vm: str, link: Link) -> None:
+    def _serve(self, sock: socket.socket, _: tuple) -> None:
+        link = Link(sock, None)
+        self._greet(link)
+        self._run(link)
+
+    def _greet(self, link: Link) -> None:
+        name = self.kernel.settings.name
+        link.send(messages.pack(messages.Hello(messages.PROTOCOL_VERSION, name)))
+
+    def _run(self, link: Link) -> None:
         writer = self.tasks.spawn(link.write_all)
         for array in link.read_all():
             received = messages.unpack(array)
-            if received is not None:
-                self._take_reply(*received)
+            if received is not None and not self._take(link, *received):
+                break
         writer.kill()
         link.sock.close()
-        del self.link_by_vm[vm]
+        self.closed_bytes += link.sent_bytes + link.received_bytes
+        if self.link_by_vm.get(link.vm) is link:
+            del self.link_by_vm[link.vm]
         # Callers that wait for a reply on this connection would otherwise
         # wait until their timeout.
         for waiting_link, reply in list(self.waiting_by_call.values()):
             if waiting_link is link:
                 reply.set(None)
 
-    def _take_reply(self, message: typing.Any, call: int) -> None:
-        waiting = self.waiting_by_call.get(call)
-        if waiting is not None:
-            waiting[1].set(message)
+    def _take(self, link: Link, message: typing.Any, call: int) -> bool:
+        """Handle a message; returns whether the connection is to go on."""
+        match message:
+            case messages.Hello():
+                return self._take_hello(link, message)
+            case _ if call < 0:
+                waiting = self.waiting_by_call.get(-call)
+                if waiting is not None:
+                    waiting[1].set(message)
+            case _ if link.vm is not None:
+                self._dispatch(link, message, call)
+        return True
 
-    def _serve(self, sock: socket.socket, _: tuple) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = Link(sock)
-        writer = self.tasks.spawn(link.write_all)
-        sender = None
-        for array in link.read_all():
-            received = messages.unpack(array)
-            if received is None:
-                continue
-            message, call = received
-            if isinstance(message, messages.Hello):
-                if message.version != messages.PROTOCOL_VERSION:
-                    log.warning("{} speaks version {}", message.name, message.version)
-                    break
-                sender = message.name
-            elif sender is not None:
-                self._dispatch(sender, message, call, link)
-        writer.kill()
-        sock.close()
+    def _take_hello(self, link: Link, hello: messages.Hello) -> bool:
+        if hello.version != messages.PROTOCOL_VERSION:
+            log.warning("{} speaks version {}", hello.name, hello.version)
+            return False
+        if link.vm is None:
+            link.vm = hello.name
+            self.link_by_vm.setdefault(hello.name, link)
+        # A list that lags names a VM by an address that another has now.
+        return link.vm == hello.name
 
-    def _dispatch(
-        self, sender: str, message: typing.Any, call: int, link: Link
-    ) -> None:
+    def _dispatch(self, link: Link, message: typing.Any, call: int) -> None:
         handler = self.handler_by_class.get(type(message))
         if handler is None:
             log.warning("no part serves {}", type(message).__name__)
             return
 
         def answer(reply: typing.Any) -> None:
-            link.send(messages.pack(reply, call))
+            link.send(messages.pack(reply, -call))
+
+        handler(link.vm, message, answer)
 
-        handler(sender, message, answer)
+    def _close_dead(self) -> None:
+        for vm, link in list(self.link_by_vm.items()):
+            record = self.membership.table.find(vm)
+            if record is not None and record.state is members.State.DEAD:
+                link.close()
--- a/packages/mothworks/src/mothworks/vm_list.py
+++ b/packages/mothworks/src/mothworks/vm_list.py
@@ -13,6 +13,9 @@
 
 from mothworks import documents, kernel, plugins, settings
 
+#: Longest wait for the list, seconds.
+TIMEOUT_S = 2.0
+
 
 class VmState(enum.StrEnum):
     """What the platform says of a VM."""
@@ -70,7 +73,9 @@
     def __init__(self, chosen: settings.VmList):
         url = geventhttpclient.URL(chosen.url)
         self.path = url.request_uri
-        self.client = geventhttpclient.HTTPClient.from_url(url)
+        self.client = geventhttpclient.HTTPClient.from_url(
+            url, connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
+        )
 
     def read(self) -> result.Result[tuple[Vm, ...], str]:
         """Read the whole list; see :meth:`Source.read`."""
--- a/packages/mothworks/tests/builders.py
+++ b/packages/mothworks/tests/builders.py
@@ -92,6 +92,6 @@
         "data_centre": "dc-1",
         "region": "region-1",
         "object_api": settings_module.ObjectApi(object_api_url),
-        "vm_list": settings_module.VmList("http://127.0.0.1:1/vms"),
+        "vm_list": settings_module.VmList("http://127.0.0.1:1/vms", poll_s=0.2),
     }
     return settings_module.Settings(**{**fields, **changes})
