Configuration spreads by gossip; parts by content; honest outcomes

Cause: every VM held a watch and read every part of each change; a VM could not learn of a change, or start, while the object API was down; a flip whose read-back failed was reported as nothing changed; a head with unknown fields stopped the process. Change: a few VMs of each region watch, the others hear new heads from peers and fetch only the parts they lack, from the sender first; a section is cut where an item's hash says so, so that one change alters one part; heads repeat the last nonces, by which a writer finds its change below later ones; an unknown outcome is Uncertain; a revision that cannot be read is refused with a log line; old parts are collected, and a part that is named again is written anew so that its version protects it. Check: test_configuration.py, a state machine over three VMs among its tests.

--- a/packages/mothworks/src/mothworks/configuration.py
+++ b/packages/mothworks/src/mothworks/configuration.py
@@ -2,71 +2,118 @@
 
 A revision is stored as immutable parts, named by the hash of their content,
 and one head object that names them and is flipped by a conditional update.
-A VM never takes a lower revision than it has.
+A VM never takes a lower revision than it has. Other modules bring new heads:
+:mod:`mothworks.configuration_following` from the object API,
+:mod:`mothworks.configuration_gossip` from peers.
 """
 
+import collections
+import collections.abc
 import datetime
-import itertools
+import random
+import time
 import uuid
 
 import attrs
 import gevent
 import gevent.event
+import gevent.lock
 import logbook
-import orjson
 import result
-import xxhash
 
-from mothworks import audit, catalogue, documents, kernel, objects, plugins
+from mothworks import (
+    catalogue,
+    configuration_head,
+    configuration_parts,
+    documents,
+    kernel,
+    objects,
+    plugins,
+)
 
 log = logbook.Logger("configuration")
 
-HEAD_KEY = "configuration/head"
-PART_PREFIX = "configuration/parts/"
-#: Items in one part, so that a part of long items stays under 1 MB.
-ITEMS_A_PART = 1000
-#: One long poll of the head, seconds.
-WATCH_S = 20.0
-#: Pause after a failed call, seconds.
-RETRY_S = 0.5
+#: Attempts to store a part, or to read a head that is not older than ours.
+ATTEMPTS = 4
+#: Longest pause between them, seconds.
+PAUSE_S = 0.1
+#: Longest time to learn whether a change was accepted, seconds.
+FLIP_S = 3.0
+#: Time before a revision that this VM could not read is tried again, seconds.
+REFUSED_S = 60.0
+#: Revisions kept, so that an operator whose change came too late is told
+#: what others changed.
+EARLIER_REVISIONS = 8
 
 
 @attrs.frozen
-class Head:
-    """The object that names a revision's parts.
-
-    :param revision: grows by one with every accepted change.
-    :param parts_by_section: hashes of parts, by section of the catalogue.
-    :param who: the operator.
-    :param when: ISO time of acceptance.
-    :param why: the operator's reason.
-    :param nonce: recognises a write whose reply was lost.
+class Stale:
+    """A change was made against another revision than the one in force.
+
+    :param revision: the revision in force.
+    :param base: the catalogue that the change was made against; None where
+        this VM does not have it.
+    :param in_force: the catalogue in force.
     """
 
     revision: int
-    parts_by_section: dict[str, tuple[str, ...]]
-    who: str
-    when: str
-    why: str
-    nonce: str
+    base: catalogue.Catalogue | None
+    in_force: catalogue.Catalogue
 
 
 @attrs.frozen
-class Stale:
-    """A change was made against another revision than the one in force.
+class Uncertain:
+    """A change was sent, but whether it is accepted is not known.
 
-    :param revision: the revision in force.
+    :param revision: the revision that it has if it was accepted.
+    :param reason: what failed.
     """
 
     revision: int
+    reason: str
 
 
-ApplyError = Stale | objects.Unavailable
+@attrs.frozen
+class Unreadable:
+    """A revision is corrupt, or has fields that this version does not know.
+
+    :param revision: the revision.
+    :param problems: what is wrong with it.
+    """
+
+    revision: int
+    problems: documents.DocumentError
+
+
+ApplyError = Stale | Uncertain | objects.Unavailable | objects.TooLarge
+TakeError = objects.Unavailable | Unreadable
+#: Asks for a part by its name; returns it compressed, or None.
+PartSource = collections.abc.Callable[[str], bytes | None]
+
+
+@attrs.frozen
+class _Refused:
+    """A head that could not be read, and when it is tried again."""
+
+    until: float
+    error: Unreadable
+
+
+@attrs.frozen
+class _StoredHead:
+    """The head as the object API holds it; both None before the first."""
+
+    version: str | None = None
+    head: configuration_head.Head | None = None
+
+    @property
+    def revision(self) -> int:
+        return self.head.revision if self.head else 0
 
 
 @plugins.register(plugins.PART, "configuration")
 class Configuration(kernel.Part):
-    """Follows the head and applies changes.
+    """Holds the newest revision and applies changes.
 
     :param node_kernel: the node's kernel.
     """
@@ -74,15 +121,22 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.api = node_kernel.get(objects.Objects).api
-        self.audit = node_kernel.get(audit.Audit)
         self.revision = 0
         self.index = catalogue.Index(catalogue.Catalogue())
+        #: Set once this VM has a revision or knows that there is none.
         self.loaded = gevent.event.Event()
-        self.on_change: list = []
-
-    def start(self) -> None:
-        """Start to follow the head."""
-        self.tasks.spawn(self._follow)
+        #: Functions to call after a change, without arguments.
+        self.on_change: list[collections.abc.Callable[[], None]] = []
+        #: Where parts are looked for before the object API is asked.
+        self.part_sources: list[PartSource] = []
+        #: The head in force as it was stored; empty before the first.
+        self.head_body = b""
+        self.part_by_name: dict[str, configuration_parts.Part] = {}
+        self.earlier: collections.OrderedDict[int, catalogue.Catalogue] = (
+            collections.OrderedDict()
+        )
+        self.refused_by_nonce: dict[str, _Refused] = {}
+        self.taking = gevent.lock.RLock()
 
     def apply(
         self, changed: catalogue.Catalogue, expected: int, who: str, why: str
@@ -93,154 +147,258 @@
         :param expected: the revision that the operator's change is based on.
         :param who: the operator.
         :param why: the operator's reason.
-        :returns: the new revision; an error has changed nothing.
+        :returns: the new revision. An error has changed nothing, but for
+            :class:`Uncertain`.
         """
-        match self._read_head():
-            case result.Ok(None):
-                version, revision = None, 0
-            case result.Ok((version, head)):
-                revision = head.revision
-            case result.Err(problem):
-                return result.Err(problem)
-        if revision != expected:
-            return result.Err(Stale(revision))
-        stored = self._store_parts(changed)
-        if stored.is_err():
-            return stored
-        now = datetime.datetime.now(datetime.UTC).isoformat()
-        head = Head(revision + 1, stored.ok(), who, now, why, uuid.uuid4().hex)
-        return self._flip(head, version).map(lambda _: self._accept(head, changed))
-
-    def refresh(self) -> result.Result[int, objects.Unavailable]:
-        """Read the head and take it if it is newer.
-
-        :returns: the revision in force afterwards.
-        """
-        match self._read_head():
-            case result.Ok(None):
-                return result.Ok(self.revision)
-            case result.Ok((_, head)) if head.revision <= self.revision:
-                return result.Ok(self.revision)
-            case result.Ok((_, head)):
-                return self._read_parts(head).map(
-                    lambda declared: self._take(head, declared)
-                )
-            case result.Err(problem):
-                return result.Err(problem)
-
-    def _accept(self, head: Head, changed: catalogue.Catalogue) -> int:
-        self.audit.record(
-            audit.Kind.CONFIGURATION,
-            "catalogue",
-            "changed the catalogue",
-            head.why,
-            who=head.who,
-            before=head.revision - 1,
-            after=head.revision,
-        )
-        return self._take(head, changed)
-
-    def _follow(self) -> None:
-        cursor = ""
-        while True:
-            # The cursor is taken before the read, so that a change between
-            # the two is seen by the next poll.
-            seen = self.api.watch(HEAD_KEY, cursor, WATCH_S if cursor else 0.0)
-            done = seen.and_then(lambda _: self.refresh())
-            if done.is_err():
-                log.warning("object api: {}", done.err())
-                gevent.sleep(RETRY_S)
-                continue
-            cursor = seen.ok().cursor
-            self.loaded.set()
-
-    def _take(self, head: Head, declared: catalogue.Catalogue) -> int:
-        # A slow read may finish after a newer revision was taken: taking it
-        # then would revert an accepted change on this VM.
-        if head.revision > self.revision:
-            self.revision = head.revision
-            self.index = catalogue.Index(declared)
-            log.info("revision {} by {}", head.revision, head.who)
-            for notify in self.on_change:
-                notify()
-        return self.revision
-
-    def _read_head(self):
-        match self.api.get(HEAD_KEY):
+        match self._read_newest():
             case result.Ok(stored):
-                value = orjson.loads(stored.body)
-                head = documents.structure(value, Head, HEAD_KEY).unwrap()
-                return result.Ok((stored.version, head))
-            case result.Err(objects.Missing()):
-                return result.Ok(None)
+                pass
             case error:
                 return error
-
-    def _store_parts(self, changed: catalogue.Catalogue):
-        parts_by_section = {}
-        for section, items in documents.plain(changed).items():
-            hashes = []
-            for chunk in _chunks(items):
-                body = orjson.dumps(chunk, option=orjson.OPT_SORT_KEYS)
-                name = xxhash.xxh3_128_hexdigest(body)
-                match self.api.put(PART_PREFIX + name, body, None):
-                    # A part that exists has the same content.
-                    case result.Ok(_) | result.Err(objects.Conflict()):
-                        hashes.append(name)
-                    case result.Err(problem):
-                        return result.Err(objects.Unavailable(problem.reason))
-            parts_by_section[section] = tuple(hashes)
-        return result.Ok(parts_by_section)
-
-    def _flip(self, head: Head, version: str | None):
-        body = orjson.dumps(documents.plain(head))
-        nonce = head.nonce.encode()
-        match objects.put_known(self.api, HEAD_KEY, body, version, nonce):
+        if stored.revision != expected:
+            return self._stale(expected)
+        parts = configuration_parts.split(changed)
+        problem = self._store_parts(parts, stored.head)
+        if problem is not None:
+            return result.Err(problem)
+        head = _next_head(stored.head, parts, who, why)
+        match self._flip(head, stored.version):
             case result.Ok(_):
-                return result.Ok(None)
+                self._install(head, configuration_head.write(head), parts)
+                return result.Ok(head.revision)
             case result.Err(objects.Conflict()):
-                return self._recognise(head)
-            case result.Err(objects.Unknown()):
-                return self._recognise(head)
-            case result.Err(problem):
-                return result.Err(problem)
-
-    def _recognise(self, head: Head):
-        """Tell a lost reply from a lost race by the head's nonce."""
-        match self._read_head():
-            case result.Ok((_, found)) if found.nonce == head.nonce:
-                return result.Ok(None)
-            case result.Ok((_, found)):
-                return result.Err(Stale(found.revision))
-            case result.Ok(None):
-                return result.Err(objects.Unavailable("the head was not written"))
+                return self._stale(expected)
             case error:
                 return error
 
-    def _read_parts(self, head: Head):
-        value = {}
-        for section, hashes in head.parts_by_section.items():
-            chunks = []
-            for name in hashes:
-                match self.api.get(PART_PREFIX + name):
-                    case result.Ok(stored):
-                        chunks.append(orjson.loads(stored.body))
-                    case result.Err(problem):
-                        return result.Err(objects.Unavailable(str(problem)))
-            value[section] = _join(chunks)
-        return result.Ok(
-            documents.structure(value, catalogue.Catalogue, HEAD_KEY).unwrap()
-        )
-
+    def refresh(self) -> result.Result[int, TakeError]:
+        """Read the head and take it if it is newer.
 
-def _chunks(items: list | dict) -> list:
-    if isinstance(items, dict):
-        return [items]
-    starts = range(0, len(items), ITEMS_A_PART)
-    return [items[start : start + ITEMS_A_PART] for start in starts]
+        :returns: the revision in force afterwards.
+        """
+        match self.api.get(configuration_head.KEY):
+            case result.Ok(stored):
+                taken = self.take(stored.body)
+            case result.Err(objects.Missing()):
+                taken = result.Ok(self.revision)
+            case error:
+                return error
+        if taken.is_ok():
+            self.loaded.set()
+        return taken
 
+    def take(
+        self, body: bytes, sources: tuple[PartSource, ...] = ()
+    ) -> result.Result[int, TakeError]:
+        """Take a head if it is newer than the one in force.
 
-def _join(chunks: list) -> list | dict:
-    if chunks and isinstance(chunks[0], dict):
-        return chunks[0]
-    return list(itertools.chain.from_iterable(chunks))
+        :param body: the head as it was stored.
+        :param sources: where to look for parts first.
+        :returns: the revision in force afterwards.
+        """
+        match configuration_head.read(body):
+            case result.Ok(head):
+                pass
+            case result.Err(problems):
+                return self._refuse(body.decode("latin-1"), 0, problems)
+        # A slow read may finish after a newer revision was taken: taking it
+        # then would revert an accepted change on this VM.
+        with self.taking:
+            if head.revision <= self.revision:
+                return result.Ok(self.revision)
+            refused = self.refused_by_nonce.get(head.nonce)
+            if refused is not None and time.monotonic() < refused.until:
+                return result.Err(refused.error)
+            match self._fetch_parts(head, (*sources, *self.part_sources)):
+                case result.Ok(parts):
+                    pass
+                case error:
+                    return error
+            declared = configuration_parts.join(parts)
+            match catalogue.check(declared, configuration_head.KEY):
+                case result.Err(problems):
+                    return self._refuse(head.nonce, head.revision, problems)
+        self._install(head, body, parts)
+        self.loaded.set()
+        return result.Ok(self.revision)
+
+    def part(self, name: str) -> bytes | None:
+        """Return a part of the revision in force, compressed, for a peer.
+
+        :param name: the part's name.
+        """
+        known = self.part_by_name.get(name)
+        return known.packed if known else None
+
+    def _install(
+        self,
+        head: configuration_head.Head,
+        body: bytes,
+        parts: list[configuration_parts.Part],
+    ) -> None:
+        with self.taking:
+            if head.revision <= self.revision:
+                return
+            self.earlier[self.revision] = self.index.catalogue
+            while len(self.earlier) > EARLIER_REVISIONS:
+                self.earlier.popitem(last=False)
+            self.revision = head.revision
+            self.index = catalogue.Index(configuration_parts.join(parts))
+            self.part_by_name = {part.name: part for part in parts}
+            self.head_body = body
+            self.refused_by_nonce.clear()
+        log.info("revision {} by {}", head.revision, head.who)
+        for notify in self.on_change:
+            notify()
+
+    def _refuse(
+        self, nonce: str, revision: int, problems: documents.DocumentError
+    ) -> result.Result[int, TakeError]:
+        """Keep the revision in force in place of one that cannot be read."""
+        error = Unreadable(revision, problems)
+        self.refused_by_nonce[nonce] = _Refused(time.monotonic() + REFUSED_S, error)
+        log.error("revision {} is not taken: {}", revision, problems)
+        return result.Err(error)
+
+    def _stale(self, expected: int) -> result.Result[int, ApplyError]:
+        # The difference is told from the catalogue in force, so this VM has
+        # to have it; where it cannot be read, what it has is told.
+        self.refresh()
+        base = self.earlier.get(expected)
+        in_force = self.index.catalogue
+        return result.Err(Stale(self.revision, base, in_force))
+
+    def _read_newest(self) -> result.Result[_StoredHead, objects.Unavailable]:
+        """Read the head, not contented with one older than what is in force."""
+        for _ in range(ATTEMPTS):
+            match self.api.get(configuration_head.KEY):
+                case result.Ok(stored):
+                    head = configuration_head.read(stored.body)
+                    found = _StoredHead(stored.version, head.unwrap_or(None))
+                case result.Err(objects.Missing()):
+                    found = _StoredHead()
+                case error:
+                    return error
+            if found.version and not found.head:
+                reason = "the stored head is of a newer version of the program"
+                return result.Err(objects.Unavailable(reason))
+            if found.revision >= self.revision:
+                return result.Ok(found)
+            gevent.sleep(random.uniform(0, PAUSE_S))
+        return result.Err(objects.Unavailable("it answers with old reads"))
+
+    def _flip(
+        self, head: configuration_head.Head, version: str | None
+    ) -> result.Result[str, objects.Conflict | objects.Unavailable | Uncertain]:
+        body = configuration_head.write(head)
+        nonce = head.nonce.encode()
+        key = configuration_head.KEY
+        match objects.put_known(self.api, key, body, version, nonce, FLIP_S):
+            case result.Err(objects.Unknown(reason)):
+                return self._find_trace(head, reason)
+            case outcome:
+                return outcome
+
+    def _find_trace(self, head: configuration_head.Head, reason: str):
+        """Look for a head of unknown outcome below the one stored now."""
+        most = configuration_head.EARLIER_NONCES
+        match self._read_newest():
+            case result.Ok(found) if found.head and found.head.follows(head.nonce):
+                return result.Ok(found.version)
+            case result.Ok(found) if 0 <= found.revision - head.revision < most:
+                # Another writer has taken the revision that ours would have.
+                return result.Err(objects.Conflict(configuration_head.KEY))
+            case _:
+                return result.Err(Uncertain(head.revision, reason))
+
+    def _store_parts(
+        self,
+        parts: list[configuration_parts.Part],
+        current: configuration_head.Head | None,
+    ) -> objects.Unavailable | objects.TooLarge | None:
+        kept = current.names() if current else set()
+        for part in parts:
+            if part.name in kept:
+                continue
+            problem = self._store_part(part)
+            if problem is not None:
+                return problem
+        return None
+
+    def _store_part(
+        self, part: configuration_parts.Part
+    ) -> objects.Unavailable | objects.TooLarge | None:
+        key = configuration_parts.KEY_PREFIX + part.name
+        body = configuration_parts.body(part)
+        version = None
+        for _ in range(ATTEMPTS):
+            match self.api.put(key, body, version):
+                case result.Ok(_):
+                    return None
+                case result.Err(objects.TooLarge() as problem):
+                    return problem
+                case result.Err(objects.Conflict() as problem):
+                    # An old part with this content is written once more: its
+                    # new version keeps the garbage collection, which may be
+                    # about to delete it, from doing so.
+                    found = self.api.get(key)
+                    version = found.map(lambda stored: stored.version).ok()
+                case result.Err(problem):
+                    gevent.sleep(random.uniform(0, PAUSE_S))
+        return objects.Unavailable(f"a part was not stored: {problem}")
+
+    def _fetch_parts(
+        self, head: configuration_head.Head, sources: tuple[PartSource, ...]
+    ) -> result.Result[list[configuration_parts.Part], TakeError]:
+        parts = []
+        for names in head.parts_by_section.values():
+            for name in names:
+                match self._fetch_part(head, name, sources):
+                    case result.Ok(part):
+                        parts.append(part)
+                    case error:
+                        return error
+        return result.Ok(parts)
+
+    def _fetch_part(
+        self, head: configuration_head.Head, name: str, sources: tuple[PartSource, ...]
+    ) -> result.Result[configuration_parts.Part, TakeError]:
+        known = self.part_by_name.get(name)
+        if known is not None:
+            return result.Ok(known)
+        for source in sources:
+            packed = source(name)
+            if packed is None:
+                continue
+            read = configuration_parts.read(name, packed)
+            if read.is_ok():
+                return read
+            log.warning("a part from a peer: {}", read.err())
+        match self.api.get(configuration_parts.KEY_PREFIX + name):
+            case result.Ok(stored):
+                packed = configuration_parts.pack(stored.body)
+            case result.Err(problem):
+                return result.Err(objects.Unavailable(f"part {name}: {problem}"))
+        match configuration_parts.read(name, packed):
+            case result.Err(problems):
+                return self._refuse(head.nonce, head.revision, problems)
+            case read:
+                return read
+
+
+def _next_head(
+    current: configuration_head.Head | None,
+    parts: list[configuration_parts.Part],
+    who: str,
+    why: str,
+) -> configuration_head.Head:
+    earlier = (current.nonce, *current.earlier_nonces) if current else ()
+    return configuration_head.Head(
+        revision=current.revision + 1 if current else 1,
+        parts_by_section=configuration_parts.by_section(parts),
+        who=who,
+        when=datetime.datetime.now(datetime.UTC).isoformat(),
+        why=why,
+        nonce=uuid.uuid4().hex,
+        earlier_nonces=earlier[: configuration_head.EARLIER_NONCES],
+    )
--- a/packages/mothworks/src/mothworks/guard.py
+++ b/packages/mothworks/src/mothworks/guard.py
@@ -12,18 +12,13 @@
 import gevent
 import result
 
-from mothworks import circuit, metrics
+from mothworks import circuit, metrics, retries
 
 #: Attempts of one call that may be repeated.
 ATTEMPTS = 3
 #: Longest pause before a retry, seconds; the pause is random below it and
 #: the bound doubles with each attempt.
 PAUSE_S = 0.05
-#: Retries that each call earns; bounds the load that retries add to a
-#: service that fails in part.
-RETRIES_A_CALL = 0.2
-#: Most retries that may be saved up.
-MOST_RETRIES = 20.0
 
 Function = collections.abc.Callable[..., result.Result]
 
@@ -47,7 +42,7 @@
         self.unanswered = unanswered
         self.closed = closed
         self.circuit = circuit.Circuit()
-        self.retries = MOST_RETRIES
+        self.retries = retries.Budget()
         self.calls_total = node_metrics.counter(
             f"{name}_calls_total", "Calls to the service by kind and outcome."
         )
@@ -65,7 +60,9 @@
         for attempt in range(ATTEMPTS):
             outcome = self.once(kind, function, *args)
             last = attempt == ATTEMPTS - 1
-            if last or not self._failed(outcome) or not self._spend_retry():
+            if last or not self._failed(outcome) or self.circuit.open:
+                break
+            if not self.retries.take():
                 break
             gevent.sleep(random.uniform(0, PAUSE_S * 2**attempt))
         return outcome
@@ -79,7 +76,7 @@
         """
         if not self.circuit.admit():
             return result.Err(self.closed)
-        self.retries = min(MOST_RETRIES, self.retries + RETRIES_A_CALL)
+        self.retries.add_request()
         began = time.monotonic()
         outcome = function(*args)
         if self._failed(outcome):
@@ -93,12 +90,6 @@
     def _failed(self, outcome: result.Result) -> bool:
         return outcome.is_err() and self.unanswered(outcome.err())
 
-    def _spend_retry(self) -> bool:
-        if self.circuit.open or self.retries < 1:
-            return False
-        self.retries -= 1
-        return True
-
 
 def _word(outcome: result.Result) -> str:
     return "ok" if outcome.is_ok() else type(outcome.err()).__name__.lower()
--- a/packages/mothworks/src/mothworks/operator_calls.py
+++ b/packages/mothworks/src/mothworks/operator_calls.py
@@ -120,6 +120,15 @@
             case result.Err(objects.Unavailable(reason)):
                 message = f"the object API does not answer: {reason}"
                 return calls.refuse(outcomes.overloaded(message, 5.0, "object_api"))
+            case result.Err(objects.TooLarge(key, size)):
+                message = f"{key} would take {size} bytes, over the platform's bound"
+                return calls.refuse(outcomes.invalid(message, "too_large", 413))
+            case result.Err(configuration.Uncertain(revision, reason)):
+                message = (
+                    f"whether revision {revision} was accepted is not known "
+                    f"({reason}); look before you repeat the change"
+                )
+                return calls.refuse(outcomes.unknown(message))
 
     def _models(self) -> list[dict]:
         by_model = self.placement.endpoints_by_model
--- a/packages/mothworks/tests/builders.py
+++ b/packages/mothworks/tests/builders.py
@@ -2,7 +2,14 @@
 
 import time
 
-from mothworks import builtin, catalogue, requests, settings as settings_module  # noqa: F401
+from mothworks import (  # noqa: F401
+    builtin,
+    catalogue,
+    kernel,
+    objects,
+    requests,
+    settings as settings_module,
+)
 from mothworks_fakes import testbed
 
 CALLER_KEY = "guest-key"
@@ -95,3 +102,14 @@
         "vm_list": settings_module.VmList("http://127.0.0.1:1/vms", poll_s=0.2),
     }
     return settings_module.Settings(**{**fields, **changes})
+
+
+def kernel_with_objects(api: objects.Api, name: str = "vm-1") -> kernel.Kernel:
+    """Return a kernel whose parts use an object API in memory.
+
+    :param api: the object API.
+    :param name: the VM's name.
+    """
+    made = kernel.Kernel(settings(name))
+    made.get(objects.Objects).api = api
+    return made
--- /dev/null
+++ b/packages/mothworks/tests/test_configuration.py
@@ -0,0 +1,291 @@
+"""Configuration: revisions never fall, accepted changes are never lost."""
+
+import hypothesis
+import hypothesis.stateful
+import hypothesis.strategies as st
+import pytest
+import result
+
+import builders
+import stored
+from mothworks import (
+    catalogue,
+    configuration,
+    configuration_garbage,
+    configuration_head,
+    configuration_parts,
+    objects,
+    settings,
+)
+from mothworks_fakes import processes
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch):
+    monkeypatch.setattr(objects, "PAUSE_S", 0.0)
+    monkeypatch.setattr(configuration, "PAUSE_S", 0.0)
+
+
+def made(api, name="vm-1"):
+    kernel = builders.kernel_with_objects(api, name)
+    return kernel.get(configuration.Configuration)
+
+
+def declared(marker):
+    return builders.declared(
+        services=(catalogue.Service("orders"), catalogue.Service(marker))
+    )
+
+
+def marker(body):
+    """Return the hashes of services, which tell one change from others."""
+    return configuration_head.read(body).unwrap().parts_by_section["services"]
+
+
+def test_a_change_stores_only_the_parts_that_differ():
+    api = stored.MemoryApi()
+    vm = made(api)
+    models = tuple(builders.model(f"model-{number}") for number in range(1000))
+    assert vm.apply(builders.declared(models=models), 0, "ana", "").unwrap() == 1
+    stored_first = api.puts
+    inserted = (*models[:500], builders.model("one-more"), *models[500:])
+    assert vm.apply(builders.declared(models=inserted), 1, "ana", "").unwrap() == 2
+    assert stored_first > 8
+    # The part around the new model, a second one if the model ends a part,
+    # and the head.
+    assert api.puts - stored_first <= 3
+    restarted = made(api)
+    assert restarted.refresh().unwrap() == 2
+    assert restarted.index.catalogue == builders.declared(models=inserted)
+
+
+def test_the_later_of_two_operators_is_told_the_difference():
+    api = stored.MemoryApi()
+    first, second = made(api, name="vm-1"), made(api, name="vm-2")
+    first.apply(declared("base"), 0, "ana", "")
+    second.refresh()
+    assert first.apply(declared("mine"), 1, "ana", "").unwrap() == 2
+    stale = second.apply(declared("theirs"), 1, "eva", "").unwrap_err()
+    expected = configuration.Stale(2, declared("base"), declared("mine"))
+    assert stale == expected
+    assert second.revision == 2
+
+
+def test_an_unknown_outcome_is_not_reported_as_nothing_changed(monkeypatch):
+    # The flip of the head takes effect, but this and every later reply is
+    # lost. "The object API does not answer" made the operator repeat the
+    # change, which then met a revision that was nobody else's.
+    monkeypatch.setattr(configuration, "FLIP_S", 0.0)
+    api = stored.MemoryApi()
+    vm = made(api)
+    vm.apply(declared("base"), 0, "ana", "")
+
+    def go_down(key):
+        api.down = key == configuration_head.KEY
+
+    api.before_put = go_down
+    # One put stores the part, the next flips the head.
+    api.put_faults.extend([None, stored.Fault.LOST])
+    outcome = vm.apply(declared("mine"), 1, "ana", "").unwrap_err()
+    assert isinstance(outcome, configuration.Uncertain)
+    api.down = False
+    assert vm.refresh().unwrap() == 2
+
+
+def test_an_own_change_is_found_below_a_later_one(monkeypatch):
+    # A flip takes effect and its reply is lost; before the writer reads
+    # back, another VM makes the next change on top of it.
+    api = stored.MemoryApi()
+    vm, other = made(api, name="vm-1"), made(api, name="vm-2")
+    vm.apply(declared("base"), 0, "ana", "")
+    heads = api.bodies_by_key[configuration_head.KEY]
+
+    def follow_up(key):
+        if key == configuration_head.KEY and len(heads) == 2:
+            api.before_put = lambda key: None
+            other.refresh()
+            assert other.apply(declared("theirs"), 2, "eva", "").unwrap() == 3
+
+    api.before_put = follow_up
+    api.put_faults.extend([None, stored.Fault.LOST])
+    assert vm.apply(declared("mine"), 1, "ana", "").unwrap() == 2
+    assert vm.refresh().unwrap() == 3
+
+
+def test_an_unreadable_revision_is_refused_and_the_old_one_kept():
+    # During an upgrade a newer VM stores fields that an older one does not
+    # know, or a part is corrupt: taking what can be read would serve callers
+    # from half a catalogue.
+    api = stored.MemoryApi()
+    vm = made(api)
+    vm.apply(declared("base"), 0, "ana", "")
+    other = made(api, name="vm-2")
+    other.refresh()
+    other.apply(declared("corrupt"), 1, "eva", "")
+    (name,) = marker(api.bodies_by_key[configuration_head.KEY][-1])
+    api.bodies_by_key[configuration_parts.KEY_PREFIX + name][-1] += b" "
+    assert isinstance(vm.refresh().unwrap_err(), configuration.Unreadable)
+    assert (vm.revision, vm.index.catalogue) == (1, declared("base"))
+    newer = b'{"revision": 9, "colour": "blue"}'
+    assert isinstance(vm.take(newer).unwrap_err(), configuration.Unreadable)
+    # The next revision that can be read is taken.
+    assert other.apply(declared("good"), 2, "eva", "").unwrap() == 3
+    assert vm.refresh().unwrap() == 3
+
+
+def test_a_corrupt_part_from_a_peer_is_fetched_elsewhere():
+    api = stored.MemoryApi()
+    made(api).apply(declared("base"), 0, "ana", "")
+    vm = made(api, name="vm-2")
+    body = api.bodies_by_key[configuration_head.KEY][-1]
+    bad = configuration_parts.pack(b'{"section": "services", "items": []}')
+    assert vm.take(body, (lambda name: bad,)).unwrap() == 1
+    assert vm.index.catalogue == declared("base")
+
+
+def test_old_parts_are_collected_and_parts_in_use_are_kept():
+    # A change names a part that an earlier revision had. The collection,
+    # which found it unnamed long ago, must not delete it below the new head.
+    api = stored.MemoryApi()
+    vm = made(api)
+    garbage = vm.kernel.get(configuration_garbage.Garbage)
+    for revision, name in enumerate(("one", "two", "three")):
+        vm.apply(declared(name), revision, "ana", "")
+    first, second, third = (
+        configuration_parts.KEY_PREFIX + marker(body)[0]
+        for body in api.bodies_by_key[configuration_head.KEY]
+    )
+    garbage.collect(0.0)
+    assert vm.apply(declared("one"), 3, "ana", "").is_ok()
+    garbage.collect(configuration_garbage.YOUNG_S / 2)
+    garbage.collect(configuration_garbage.YOUNG_S)
+    kept = set(api.list(configuration_parts.KEY_PREFIX).unwrap())
+    assert first in kept and third in kept and second not in kept
+    assert made(api, name="vm-2").refresh().unwrap() == 4
+
+
+VMS = st.sampled_from(("vm-1", "vm-2", "vm-3"))
+PUT_FAULTS = st.lists(
+    st.sampled_from(
+        (None, None, stored.Fault.LOST, stored.Fault.DROPPED, stored.Fault.DOWN)
+    ),
+    max_size=6,
+)
+GET_FAULTS = st.lists(
+    st.sampled_from((None, stored.Fault.STALE, stored.Fault.DOWN)), max_size=3
+)
+
+
+class Revisions(hypothesis.stateful.RuleBasedStateMachine):
+    """Writers, lost replies, stale reads, and heads that arrive in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.api = stored.MemoryApi()
+        self.vm_by_name = {}
+        for name in ("vm-1", "vm-2", "vm-3"):
+            self.restart(name)
+        self.changes = 0
+        self.accepted_by_revision = {}
+        self.failed = []
+
+    def restart(self, name):
+        self.vm_by_name[name] = made(self.api, name=name)
+        self.vm_by_name[name].highest = 0
+
+    @hypothesis.stateful.rule(name=VMS, puts=PUT_FAULTS, gets=GET_FAULTS)
+    def change(self, name, puts, gets):
+        self.api.put_faults.extend(puts)
+        self.api.get_faults.extend(gets)
+        self.changes += 1
+        wanted = declared(f"change-{self.changes}")
+        vm = self.vm_by_name[name]
+        match vm.apply(wanted, vm.revision, name, ""):
+            case result.Ok(revision):
+                assert revision not in self.accepted_by_revision
+                self.accepted_by_revision[revision] = wanted
+            case result.Err(configuration.Uncertain()):
+                pass
+            case result.Err(_):
+                self.failed.append(wanted)
+        self.api.put_faults.clear()
+        self.api.get_faults.clear()
+
+    @hypothesis.stateful.rule(name=VMS, faults=GET_FAULTS)
+    def refresh(self, name, faults):
+        self.api.get_faults.extend(faults)
+        self.vm_by_name[name].refresh()
+        self.api.get_faults.clear()
+
+    @hypothesis.stateful.rule(name=VMS, number=st.integers(0, 100))
+    def hear_any_head(self, name, number):
+        heads = self.api.bodies_by_key[configuration_head.KEY]
+        if heads:
+            self.vm_by_name[name].take(heads[number % len(heads)])
+
+    @hypothesis.stateful.rule(name=VMS)
+    def start_anew(self, name):
+        self.restart(name)
+
+    @hypothesis.stateful.invariant()
+    def revisions_never_fall(self):
+        for vm in self.vm_by_name.values():
+            assert vm.revision >= vm.highest
+            vm.highest = vm.revision
+
+    @hypothesis.stateful.invariant()
+    def accepted_changes_are_in_the_history(self):
+        heads = self.api.bodies_by_key[configuration_head.KEY]
+        for place, body in enumerate(heads, 1):
+            assert configuration_head.read(body).unwrap().revision == place
+        for revision, wanted in self.accepted_by_revision.items():
+            assert marker(heads[revision - 1]) == names_of(wanted)
+
+    @hypothesis.stateful.invariant()
+    def failed_changes_changed_nothing(self):
+        written = {
+            marker(body) for body in self.api.bodies_by_key[configuration_head.KEY]
+        }
+        assert not written & {names_of(wanted) for wanted in self.failed}
+
+
+def names_of(wanted):
+    parts = configuration_parts.split(wanted)
+    return configuration_parts.by_section(parts)["services"]
+
+
+@pytest.mark.usefixtures("short_pauses")
+def test_revisions_under_faults():
+    hypothesis.stateful.run_state_machine_as_test(
+        Revisions,
+        settings=hypothesis.settings(
+            max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
+        ),
+    )
+
+
+def test_peers_carry_a_change_while_the_object_api_is_away(bed):
+    # The object API goes away right after a change was accepted. Without
+    # peers' gossip the other VMs would serve the old catalogue until it is
+    # back, and a VM that restarts meanwhile would have none.
+    for number in range(1, 5):
+        name = f"vm-{number}"
+        url = f"{bed.object_api.url}/clients/{name}"
+        bed.add_node(
+            name, "dc-1", "region-1", object_api=settings.ObjectApi(url, timeout_s=0.5)
+        )
+    bed.object_api.cut_off = {"vm-2", "vm-3", "vm-4"}
+    assert bed.apply(builders.declared()) == 1
+    bed.object_api.faults.outage = True
+    processes.wait_until(
+        lambda: all(revision_of(bed, name) == 1 for name in bed.node_by_name)
+    )
+    bed.node_by_name["vm-3"].kill()
+    bed.add_node("vm-3", "dc-1", "region-1")
+    processes.wait_until(lambda: revision_of(bed, "vm-3") == 1)
+    assert bed.node_by_name["vm-3"].is_ready()
+
+
+def revision_of(bed, name):
+    shown = bed.operator(bed.node_by_name[name]).get("catalogue")
+    return shown.map(lambda value: value["revision"]).unwrap_or(0)
