Placement, thin: demand, packing, planner, and orders through the ledger

Cause: a declared model answered only where a test had put it. One VM a region now plans from the owners' reports and the entries' counts; owners write the intent, wait for requests in flight before an unload, send the order, and write its outcome. The end-to-end test failed before with no_endpoint, and passes: a model declared on two empty engines is loaded, answers, and so does its adapter.

--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -15,6 +15,7 @@
     catalogue,
     configuration,
     decisions,
+    demand,
     endpoints,
     health,
     kernel,
@@ -62,6 +63,7 @@
     :param grant: the slot that it holds.
     :param answer: the endpoint's answer.
     :param dispatch: where the end is reported.
+    :param began: monotonic time at which it was sent, seconds.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         grant: slots.Grant,
         answer: endpoints.Answer,
         dispatch: "Dispatch",
+        began: float,
     ):
         self.request = request
         self.grant = grant
@@ -78,6 +81,8 @@
         self.progress = progress.Progress(request.stream and answer.status == 200)
         self.outcome = slots.Outcome.CANCELLED
         self.closed = False
+        #: Monotonic time at which the request was sent, seconds.
+        self.began = began
         self._chunks = answer.chunks()
         self._first = b""
 
@@ -129,6 +134,7 @@
         self.configuration = node_kernel.get(configuration.Configuration)
         self.health = node_kernel.get(health.Health)
         self.placement = node_kernel.get(placement.Placement)
+        self.demand = node_kernel.get(demand.Demand)
         self.slots = node_kernel.get(slots.Slots)
         self.decisions = node_kernel.get(decisions.Decisions)
         chosen = node_kernel.settings.routing
@@ -144,6 +150,7 @@
         :returns: the running request, to be closed by the caller.
         """
         self.retries.add_request()
+        self.demand.arrived(request.target)
         trace = self.decisions.open(request)
         try:
             begun = self._try_endpoints(request, trace)
@@ -181,6 +188,7 @@
 
         :param running: the request.
         """
+        self.demand.ended(running.request.target, running.began)
         self._release(running.grant, running.progress.end(running.outcome))
         self.decisions.close(running.request.id, running.outcome.name.lower())
 
@@ -232,12 +240,13 @@
         self, request: requests.Request, grant: slots.Grant
     ) -> result.Result[Running, Failed]:
         adapter = self.health.adapters.get(grant.endpoint.kind)
+        began = time.monotonic()
         match adapter.send(grant.endpoint, request):
             case result.Ok(answer):
                 pass
             case result.Err(failure):
                 return result.Err(_failed(failure))
-        running = Running(request, grant, answer, self)
+        running = Running(request, grant, answer, self, began)
         try:
             running.read_first()
         except OSError as error:
--- a/packages/mothworks/src/mothworks/health.py
+++ b/packages/mothworks/src/mothworks/health.py
@@ -97,6 +97,22 @@
         if report is not None:
             self._announce(name, report)
 
+    def refresh(self, name: str) -> bool:
+        """Ask an owned endpoint for its report now and announce it.
+
+        :param name: an owned endpoint.
+        :returns: whether it answered.
+        """
+        endpoint = self.configuration.index.endpoint_by_name.get(name)
+        if endpoint is None:
+            return False
+        match self.adapters.get(endpoint.kind).report(endpoint):
+            case result.Ok(report) if name in self.task_by_endpoint:
+                self.report_by_endpoint[name] = report
+                self._announce(name, report)
+                return True
+        return False
+
     def assign(self) -> None:
         """Start and stop watches so that they fit what this VM owns."""
         own_name = self.kernel.settings.name
--- a/packages/mothworks/src/mothworks/moves.py
+++ b/packages/mothworks/src/mothworks/moves.py
@@ -59,7 +59,7 @@
         self.looked_at = 0.0
 
     @property
-    def ledger(self) -> ledger.Ledger | None:
+    def current(self) -> ledger.Ledger | None:
         """Return the ledger as last read or written, or None before."""
         return self.kept.ledger if self.kept else None
 
@@ -79,7 +79,7 @@
         :param holding: what is to be loaded or unloaded.
         """
         intended = ledger.intend(
-            self.ledger,
+            self.current,
             kind,
             holding,
             uuid.uuid4().hex,
@@ -100,7 +100,7 @@
         if self.clock.monotonic() - self.looked_at > SEND_WINDOW_S:
             self.kept = None
             return None
-        return self.ledger.intent if self.ledger else None
+        return self.current.intent if self.current else None
 
     def send(self, intent: ledger.Intent) -> result.Result:
         """Send one copy of an order.
@@ -122,10 +122,10 @@
         match outcome:
             case result.Err(endpoints.OrderUnknown()):
                 return result.Ok(None)
-        if self.ledger is None or self.ledger.intent != intent:
+        if self.current is None or self.current.intent != intent:
             return result.Err(ledger_store.Lost())
         settled = ledger.settle(
-            self.ledger,
+            self.current,
             outcome,
             self.endpoint.fencing,
             self.late_order_s,
@@ -140,7 +140,7 @@
 
         :param working_mb_by_name: room that models need beside their weights.
         """
-        if self.ledger is None or self.ledger.intent is not None:
+        if self.current is None or self.current.intent is not None:
             return result.Ok(None)
         match self.adapter.report(self.endpoint):
             case result.Ok(report):
@@ -150,9 +150,9 @@
             case result.Err(reason):
                 return result.Err(reason)
         corrected = ledger.reconcile(
-            self.ledger, residents, self.late_order_s, self.clock.wall()
+            self.current, residents, self.late_order_s, self.clock.wall()
         )
-        if corrected == self.ledger and self.kept.version is not None:
+        if corrected == self.current and self.kept.version is not None:
             return result.Ok(None)
         return self._write(corrected)
 
--- a/packages/mothworks/src/mothworks/ownership.py
+++ b/packages/mothworks/src/mothworks/ownership.py
@@ -39,6 +39,18 @@
     return max(vms, key=lambda item: weight(key, item.name), default=None)
 
 
+def planner_of(
+    region: str, members: collections.abc.Iterable[membership.Member]
+) -> membership.Member | None:
+    """Return the VM that plans the placement of a region.
+
+    :param region: the region.
+    :param members: all live members.
+    """
+    near = [item for item in members if item.region == region and not item.leaving]
+    return highest(f"planner/{region}", near)
+
+
 def weight(key: str, vm: str) -> int:
     """Return a VM's rendezvous weight for a key.
 
--- /dev/null
+++ b/packages/mothworks/src/mothworks/packing.py
@@ -0,0 +1,412 @@
+"""Placement policy ``packing``: few moves, each worth more than it costs.
+
+In the order of urgency: models that are resident nowhere; replicas that the
+declaration asks for; replicas for demand that is not served, each only if
+the requests it brings into their target outweigh its moves; a second data
+centre for what has only one; adapters; and last, unloads of what nobody
+needs. A replica that is no longer needed stays until its memory is.
+"""
+
+import collections.abc
+import random
+
+import attrs
+
+from mothworks import catalogue, fleet, orders, plugins
+
+#: Endpoints that are looked at for one load; in a larger fleet a sample.
+CANDIDATES = 64
+#: Endpoints whose residents are looked at for one load that needs room.
+ROOM_CANDIDATES = 8
+
+
+@attrs.frozen
+class Site:
+    """A place for a load, with what must leave it first.
+
+    :param site: the endpoint.
+    :param victims: keys to unload before the load.
+    :param gain: requests a second that come into their target.
+    """
+
+    site: fleet.Site
+    victims: tuple[tuple[str, str], ...] = ()
+    gain: float = 0.0
+
+
+class Policy:
+    """Interface of the plug-ins of kind :data:`plugins.PLACEMENT`.
+
+    :param weights: how the deployment weighs attainment against moves.
+    """
+
+    def __init__(self, weights: catalogue.Weights):
+        self.weights = weights
+
+    def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
+        """Return the moves to begin now, the most urgent first.
+
+        :param planned: the fleet; the moves are entered into it.
+        :param loads: most loads, as the weight store allows.
+        """
+        raise NotImplementedError
+
+
+class Batch:
+    """The moves of one pass.
+
+    :param planned: the fleet; moves are entered into it.
+    :param loads: most loads.
+    """
+
+    def __init__(self, planned: fleet.Fleet, loads: int):
+        self.fleet = planned
+        self.loads = loads
+        self.moves: list[orders.Move] = []
+
+    @property
+    def full(self) -> bool:
+        """Return whether the weight store allows no further load."""
+        return self.loads <= 0
+
+    def load(self, site: fleet.Site, need: fleet.Need, why: str) -> None:
+        """Add a load.
+
+        :param site: where to.
+        :param need: what is loaded.
+        :param why: the reason, for the audit trail.
+        """
+        self.loads -= 1
+        self.fleet.load(site, need)
+        move = orders.Move(
+            site.name, orders.MoveKind.LOAD, need.name, need.version, why
+        )
+        self.moves.append(move)
+
+    def unload(self, site: fleet.Site, key: tuple[str, str], why: str) -> None:
+        """Add an unload.
+
+        :param site: where.
+        :param key: name and version.
+        :param why: the reason, for the audit trail.
+        """
+        self.fleet.unload(site, key)
+        self.moves.append(orders.Move(site.name, orders.MoveKind.UNLOAD, *key, why))
+
+
+@plugins.register(plugins.PLACEMENT, "packing")
+class Packing(Policy):
+    """Packs by urgency, see the module.
+
+    :param weights: how the deployment weighs attainment against moves.
+    """
+
+    def __init__(self, weights: catalogue.Weights):
+        super().__init__(weights)
+        self.random = random.Random(0)
+
+    def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
+        """Return the moves to begin now; see :meth:`Policy.plan`."""
+        batch = Batch(planned, loads)
+        self._restore(batch)
+        self._complete(batch)
+        self._relieve(batch)
+        self._spread(batch)
+        self._place_adapters(batch)
+        self._clean(batch)
+        return batch.moves
+
+    def _restore(self, batch: Batch) -> None:
+        """Load the models that are resident nowhere, the most wanted first."""
+        lost = [
+            item
+            for item in batch.fleet.demanded_by_name.values()
+            if not item.share_by_site and not item.need.base
+        ]
+        # Large models are the hardest to find room for.
+        lost.sort(key=lambda item: (item.places > 0, item.need.room_mb), reverse=True)
+        for item in lost:
+            if batch.full:
+                return
+            found = self._find(batch.fleet, item) or self._make_room(batch, item)
+            if found is not None:
+                self._place(batch, found, item.need, "resident nowhere")
+
+    def _complete(self, batch: Batch) -> None:
+        """Load the replicas that the declaration asks for."""
+        for item in batch.fleet.demanded_by_name.values():
+            if batch.full:
+                return
+            count = len(item.share_by_site)
+            if item.need.base or not 0 < count < item.need.replicas:
+                continue
+            found = self._find(batch.fleet, item)
+            if found is not None:
+                why = f"{count} of {item.need.replicas} replicas"
+                self._place(batch, found, item.need, why)
+
+    def _relieve(self, batch: Batch) -> None:
+        """Load replicas for demand that is not served, the largest first."""
+        least = self.weights.moves / self.weights.attainment
+        waiting = []
+        for name, item in batch.fleet.demanded_by_name.items():
+            lacking = batch.fleet.excess(name) / item.service_s
+            if lacking > least and item.share_by_site and not item.need.base:
+                waiting.append((lacking, name))
+        waiting.sort(reverse=True)
+        for _, name in waiting:
+            self._relieve_one(batch, batch.fleet.demanded_by_name[name], least)
+
+    def _relieve_one(self, batch: Batch, item: fleet.Demanded, least: float) -> None:
+        while not batch.full:
+            lacking = batch.fleet.excess(item.need.name)
+            if lacking / item.service_s <= least:
+                return
+            found = self._worthwhile(batch.fleet, item, lacking)
+            if found is None:
+                return
+            why = f"{lacking / item.service_s:.1f} requests/s too many"
+            self._place(batch, found, item.need, why)
+
+    def _spread(self, batch: Batch) -> None:
+        """Give models a second data centre where memory is free."""
+        for item in batch.fleet.demanded_by_name.values():
+            if batch.full:
+                return
+            sites = batch.fleet.replicas(item.need.name)
+            if item.need.base or not sites:
+                continue
+            used = {site.data_centre for site in sites}
+            if len(used) > 1:
+                continue
+            found = self._find(batch.fleet, item, used)
+            if found is not None:
+                self._place(batch, found, item.need, "a second data centre")
+
+    def _place_adapters(self, batch: Batch) -> None:
+        """Load adapters beside their models, further ones where asked for."""
+        for item in batch.fleet.demanded_by_name.values():
+            if batch.full:
+                return
+            base = batch.fleet.demanded_by_name.get(item.need.base)
+            if base is None or not base.share_by_site:
+                continue
+            bases = batch.fleet.ready(base.need.name)
+            lacks = [site for site in bases if site.name not in item.share_by_site]
+            wanted = item.places > 0 or not item.share_by_site
+            fitting = [site for site in lacks if site.free_mb >= item.need.memory_mb]
+            if wanted and fitting:
+                emptiest = max(fitting, key=lambda site: site.spare)
+                batch.load(emptiest, item.need, f"adapter of {item.need.base}")
+
+    def _clean(self, batch: Batch) -> None:
+        """Unload what is not declared any more, or in an old version."""
+        for site in batch.fleet.site_by_name.values():
+            for key in list(site.memory_by_key.keys() - site.leaving - site.loading):
+                if self._is_stale(batch.fleet, key):
+                    batch.unload(site, key, "not declared any more")
+
+    def _is_stale(self, planned: fleet.Fleet, key: tuple[str, str]) -> bool:
+        item = planned.demanded_by_name.get(key[0])
+        if item is None:
+            return True
+        # The new version must answer before the old one is given up.
+        return item.need.version != key[1] and bool(planned.ready(key[0]))
+
+    def _find(
+        self,
+        planned: fleet.Fleet,
+        item: fleet.Demanded,
+        avoided: collections.abc.Set[str] = frozenset(),
+    ) -> Site | None:
+        """Return the best endpoint with free memory for a load, or None."""
+        others = {site.data_centre for site in planned.replicas(item.need.name)}
+        fitting = [
+            site
+            for site in self._candidates(planned, item)
+            if site.free_mb >= item.need.room_mb and site.data_centre not in avoided
+        ]
+        best = max(
+            fitting,
+            key=lambda site: (site.data_centre not in others, site.spare),
+            default=None,
+        )
+        return None if best is None else Site(best)
+
+    def _worthwhile(
+        self, planned: fleet.Fleet, item: fleet.Demanded, lacking: float
+    ) -> Site | None:
+        """Return the place for one more replica that is worth its moves most."""
+        candidates = self._candidates(planned, item)
+        candidates = [site for site in candidates if site.spare > 0]
+        candidates.sort(key=lambda site: site.spare, reverse=True)
+        best, best_worth = None, 0.0
+        looked_at = 0
+        for site in candidates:
+            gain = min(lacking, site.spare) / item.service_s
+            victims = self._victims(planned, site, item.need)
+            if victims is None:
+                continue
+            loss = sum(self._loss(planned, site, key) for key in victims)
+            gain -= loss
+            price = self.weights.moves * (1 + len(victims))
+            worth = self.weights.attainment * gain - price
+            if worth > best_worth:
+                best, best_worth = Site(site, victims, gain), worth
+            looked_at += 1
+            if looked_at >= ROOM_CANDIDATES:
+                break
+        return best
+
+    def _victims(
+        self, planned: fleet.Fleet, site: fleet.Site, need: fleet.Need
+    ) -> tuple[tuple[str, str], ...] | None:
+        """Return residents that make room for a load without harm, or None."""
+        missing_mb = need.room_mb - site.free_mb
+        if missing_mb <= 0:
+            return ()
+        surplus = [
+            key for key in site.memory_by_key if self._may_go(planned, site, key)
+        ]
+        surplus.sort(key=lambda key: (self._share(planned, site, key), key))
+        victims = []
+        for key in surplus:
+            if missing_mb <= 0:
+                break
+            victims.append(key)
+            missing_mb -= site.memory_by_key[key]
+        if missing_mb > 0:
+            return None
+        return tuple(victims)
+
+    def _may_go(
+        self, planned: fleet.Fleet, site: fleet.Site, key: tuple[str, str]
+    ) -> bool:
+        """Return whether a resident has enough replicas elsewhere."""
+        if key in site.leaving or key in site.loading:
+            return False
+        item = planned.demanded_by_name.get(key[0])
+        if item is None:
+            return True
+        if item.need.version != key[1]:
+            return bool(planned.ready(key[0]))
+        adapters = planned.adapters_by_model.get(key[0], ())
+        if any(name in site.names for name in adapters):
+            return False
+        others = [other for other in planned.ready(key[0]) if other is not site]
+        return len(others) >= item.need.replicas
+
+    def _share(
+        self, planned: fleet.Fleet, site: fleet.Site, key: tuple[str, str]
+    ) -> float:
+        item = planned.demanded_by_name.get(key[0])
+        return 0.0 if item is None else item.share_by_site.get(site.name, 0.0)
+
+    def _loss(
+        self, planned: fleet.Fleet, site: fleet.Site, key: tuple[str, str]
+    ) -> float:
+        """Return the requests a second that an unload leaves unserved."""
+        share = self._share(planned, site, key)
+        if not share:
+            return 0.0
+        others = [other for other in planned.replicas(key[0]) if other is not site]
+        spare = sum(max(0.0, other.spare) for other in others)
+        service_s = planned.demanded_by_name[key[0]].service_s
+        return max(0.0, share - spare) / service_s
+
+    def _make_room(self, batch: Batch, item: fleet.Demanded) -> Site | None:
+        """Return the endpoint where fewest unloads make room, or None.
+
+        Where surplus replicas alone do not free enough memory on any
+        endpoint, single replicas are copied elsewhere first; a later pass
+        finds them to be surplus.
+        """
+        found = []
+        for site in batch.fleet.site_by_name.values():
+            if not site.open or item.need.key in site.memory_by_key:
+                continue
+            victims = self._victims(batch.fleet, site, item.need)
+            if victims is not None:
+                loss = sum(self._loss(batch.fleet, site, key) for key in victims)
+                found.append(Site(site, victims, -loss))
+        if found:
+            return max(found, key=lambda place: (place.gain, -len(place.victims)))
+        self._copy_away(batch, item)
+        return None
+
+    def _copy_away(self, batch: Batch, item: fleet.Demanded) -> None:
+        sites = [
+            site
+            for site in batch.fleet.site_by_name.values()
+            if site.open and site.memory_mb >= item.need.room_mb
+        ]
+        sites.sort(key=lambda site: site.free_mb, reverse=True)
+        for site in sites[:ROOM_CANDIDATES]:
+            copied = self._copies(batch, site, item)
+            if copied:
+                for place, need in copied:
+                    batch.load(place, need, f"room for {item.need.name}")
+                return
+
+    def _copies(
+        self, batch: Batch, site: fleet.Site, item: fleet.Demanded
+    ) -> list[tuple[fleet.Site, fleet.Need]]:
+        """Return loads elsewhere after which a site can make room, or none."""
+        missing_mb = item.need.room_mb - site.free_mb
+        taken_mb: dict[str, int] = {}
+        copies = []
+        for key in sorted(site.memory_by_key, key=site.memory_by_key.get):
+            if missing_mb <= 0:
+                break
+            other = batch.fleet.demanded_by_name.get(key[0])
+            if other is None or other.need.base or key in site.leaving | site.loading:
+                continue
+            if other.need.version != key[1]:
+                continue
+            missing_mb -= site.memory_by_key[key]
+            if self._may_go(batch.fleet, site, key):
+                continue
+            places = [
+                place
+                for place in self._candidates(batch.fleet, other)
+                if place is not site
+                and place.free_mb - taken_mb.get(place.name, 0) >= other.need.room_mb
+            ]
+            if not places or len(copies) >= batch.loads:
+                return []
+            place = min(places, key=lambda place: place.free_mb)
+            taken_mb[place.name] = taken_mb.get(place.name, 0) + other.need.room_mb
+            copies.append((place, other.need))
+        return copies if missing_mb <= 0 else []
+
+    def _place(self, batch: Batch, found: Site, need: fleet.Need, why: str) -> None:
+        for key in found.victims:
+            batch.unload(found.site, key, f"room for {need.name}")
+        batch.load(found.site, need, why)
+
+    def _candidates(
+        self, planned: fleet.Fleet, item: fleet.Demanded
+    ) -> list[fleet.Site]:
+        """Return open endpoints without a replica; of many, a sample.
+
+        Looking at every endpoint for every load would make a pass quadratic
+        in the fleet; a sample of this size holds one of the best fiftieth
+        with near certainty.
+        """
+        sites = list(planned.site_by_name.values())
+        if len(sites) > 4 * CANDIDATES:
+            chosen = self._fitting(self.random.sample(sites, CANDIDATES), item)
+            if any(site.free_mb >= item.need.room_mb for site in chosen):
+                return chosen
+        return self._fitting(sites, item)
+
+    def _fitting(
+        self, sites: list[fleet.Site], item: fleet.Demanded
+    ) -> list[fleet.Site]:
+        return [
+            site
+            for site in sites
+            if site.open
+            and site.memory_mb >= item.need.room_mb
+            and item.need.key not in site.memory_by_key
+        ]
