--- a/packages/mothworks/src/mothworks/ledger_store.py
+++ b/packages/mothworks/src/mothworks/ledger_store.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class Lost:
-    """Another owner wrote the ledger first; nothing was written."""
+    """Another owner wrote the ledger; it must be read again."""
 
 
 StoreError = Lost | objects.Unavailable
@@ -40,10 +40,12 @@
     """Ledgers in the object API.
 
     :param api: the object API's client.
+    :param patience_s: longest time to learn a write's outcome, seconds.
     """
 
-    def __init__(self, api: objects.Api):
+    def __init__(self, api: objects.Api, patience_s: float = objects.PATIENCE_S):
         self.api = api
+        self.patience_s = patience_s
 
     def read(self, endpoint: str) -> result.Result[Kept, objects.Unavailable]:
         """Read an endpoint's ledger; an empty one where there is none.
@@ -69,21 +71,18 @@
         :param changed: its next state.
         :returns: the ledger as it stands now.
         """
-        changed = attrs.evolve(changed, nonce=uuid.uuid4().hex)
+        nonce = uuid.uuid4().hex
+        changed = attrs.evolve(changed, nonce=nonce)
         body = orjson.dumps(documents.plain(changed))
-        match self.api.put(PREFIX + changed.endpoint, body, kept.version):
+        key = PREFIX + changed.endpoint
+        written = objects.put_known(
+            self.api, key, body, kept.version, nonce.encode(), self.patience_s
+        )
+        match written:
             case result.Ok(version):
                 return result.Ok(Kept(changed, version))
             case result.Err(objects.Unavailable() as problem):
                 return result.Err(problem)
-        # A conflict may be the work of this very write: its reply was lost
-        # and the client below sent it again.
-        return self.read(changed.endpoint).and_then(
-            lambda found: _recognise(found, changed)
-        )
-
-
-def _recognise(found: Kept, written: ledger.Ledger) -> result.Result[Kept, StoreError]:
-    if found.ledger.nonce == written.nonce:
-        return result.Ok(found)
-    return result.Err(Lost())
+        # Also where this write may have taken effect: then the ledger that is
+        # read next holds its intent, and whoever reads it goes on from there.
+        return result.Err(Lost())
--- a/packages/mothworks/src/mothworks/orders.py
+++ b/packages/mothworks/src/mothworks/orders.py
@@ -22,6 +22,7 @@
     kernel,
     ledger,
     ledger_store,
+    members,
     membership,
     messages,
     moves,
@@ -173,7 +174,7 @@
         else:
             self.peers.send(planner.name, holdings)
 
-    def planner(self, endpoint: str) -> membership.Member | None:
+    def planner(self, endpoint: str) -> members.Member | None:
         """Return the VM that plans for an endpoint.
 
         :param endpoint: the endpoint's name.
--- a/packages/mothworks/src/mothworks/ownership.py
+++ b/packages/mothworks/src/mothworks/ownership.py
@@ -40,14 +40,14 @@
 
 
 def planner_of(
-    region: str, members: collections.abc.Iterable[membership.Member]
-) -> membership.Member | None:
+    region: str, live: collections.abc.Iterable[members.Member]
+) -> members.Member | None:
     """Return the VM that plans the placement of a region.
 
     :param region: the region.
-    :param members: all live members.
+    :param live: all live members.
     """
-    near = [item for item in members if item.region == region and not item.leaving]
+    near = [item for item in live if item.region == region and not item.leaving]
     return highest(f"planner/{region}", near)
 
 
