--- a/packages/mothworks_fakes/src/mothworks_fakes/application.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/application.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from mothworks_fakes import web
+from mothworks_fakes import gates, web
 
 
 class Application(web.Fake):
@@ -26,6 +26,9 @@
             status = "503 Service Unavailable" if self.draining else "200 OK"
             return web.json_reply({}, status)
         body = environ["wsgi.input"].read()
+        self.gates.pass_by(gates.Step.SENT)
         self.calls_by_body[body] += 1
         gevent.sleep(self.work_s)
-        return web.json_reply({"path": path, "echo": body.decode("utf-8", "replace")})
+        self.gates.pass_by(gates.Step.MID_ANSWER)
+        reply = {"path": path, "echo": body.decode("utf-8", "replace")}
+        return web.json_reply(reply)
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -13,7 +13,7 @@
 import gevent.lock
 import orjson
 
-from mothworks_fakes import engine_memory, web
+from mothworks_fakes import engine_memory, gates, web
 
 #: Bytes of a prompt that count as one token.
 BYTES_A_TOKEN = 4
@@ -172,6 +172,7 @@
             return web.json_reply({"error": message}, "404 Not Found")
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         digest = hashlib.sha256(body).hexdigest()[:12]
+        self.gates.pass_by(gates.Step.SENT)
         self.runs.append(Run(request_id, digest))
         if POISON in body:
             self.crash()
@@ -187,7 +188,7 @@
     def crash(self) -> None:
         """Break every connection, as when the engine's process dies."""
         self.crashes += 1
-        self.pool.kill(block=False)
+        self.break_connections()
         gevent.sleep(0)
 
     def _tokens(
@@ -202,6 +203,8 @@
                 with self.prefill:
                     gevent.sleep(prompt_tokens / self.speed.prefill_tokens_per_s)
                 for number in range(wanted):
+                    if number == wanted // 2:
+                        self.gates.pass_by(gates.Step.MID_ANSWER)
                     extra = self.speed.step_s_per_request * (self.running - 1)
                     gevent.sleep(self.speed.step_s + extra)
                     yield f"{digest}-{number} "
@@ -226,6 +229,7 @@
                 "choices": [choice],
             }
             yield b"data: " + orjson.dumps(event) + b"\n\n"
+        self.gates.pass_by(gates.Step.BEFORE_END)
         yield b"data: [DONE]\n\n"
 
 
--- a/packages/mothworks_fakes/src/mothworks_fakes/object_api.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/object_api.py
@@ -6,10 +6,12 @@
 import gevent
 import gevent.event
 
-from mothworks_fakes import web
+from mothworks_fakes import gates, web
 
 #: Longest value, as on the platform.
 MOST_BYTES = 1_000_000
+#: How the keys of claims start; gates stop writes of these.
+CLAIM_PREFIX = "claims/"
 
 
 @attrs.frozen
@@ -94,11 +96,14 @@
         body = environ["wsgi.input"].read()
         if len(body) > MOST_BYTES:
             return web.json_reply({}, "413 Content Too Large")
+        self._pass_by(gates.Step.BEFORE_CLAIM, key)
         if not self._condition_holds(key, environ):
             return web.json_reply({}, "412 Precondition Failed")
         self._record(key)
         self.item_by_key[key] = Item(self.revision, body)
-        return web.Reply("200 OK", [("ETag", str(self.revision))], [b"{}"])
+        version = str(self.revision)
+        self._pass_by(gates.Step.AFTER_CLAIM, key)
+        return web.Reply("200 OK", [("ETag", version)], [b"{}"])
 
     def _delete(self, key: str, environ: dict) -> web.Reply:
         self.writes += 1
@@ -108,6 +113,10 @@
         del self.item_by_key[key]
         return web.json_reply({})
 
+    def _pass_by(self, step: gates.Step, key: str) -> None:
+        if key.startswith(CLAIM_PREFIX):
+            self.gates.pass_by(step)
+
     def _condition_holds(self, key: str, environ: dict) -> bool:
         item = self.item_by_key.get(key)
         if environ.get("HTTP_IF_NONE_MATCH") == "*":
--- a/packages/mothworks_fakes/src/mothworks_fakes/processes.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/processes.py
@@ -5,6 +5,7 @@
 
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -64,6 +65,14 @@
         self.process.wait()
         self.log.close()
 
+    def pause(self) -> None:
+        """Stop the process from running, as when its VM is suspended."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process run on; it does not know that it was paused."""
+        self.process.send_signal(signal.SIGCONT)
+
     def stop(self) -> int:
         """Shut the node down gracefully and return its exit code."""
         self.process.terminate()
--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -36,6 +36,15 @@
         self.fake_by_endpoint: dict[str, web.Fake] = {}
         self.node_by_name: dict[str, processes.NodeProcess] = {}
 
+    def add(self, declared: catalogue.Endpoint) -> catalogue.Endpoint:
+        """Start whatever stands in for an endpoint; see :meth:`add_engine`.
+
+        :param declared: the endpoint; its port is replaced.
+        """
+        if declared.service is not None:
+            return self.add_application(declared)
+        return self.add_engine(declared)
+
     def add_engine(
         self, declared: catalogue.Endpoint, speed: engine.Speed | None = None
     ) -> catalogue.Endpoint:
@@ -130,6 +139,18 @@
                 return False
         return True
 
+    def all_resident(self, declared: catalogue.Catalogue) -> bool:
+        """Return whether every node knows an endpoint for each model.
+
+        :param declared: the catalogue in force.
+        """
+        wanted = {model.name for model in declared.models}
+        for node in self.node_by_name.values():
+            shown = self.operator(node).get("show/models").unwrap_or([])
+            if not wanted <= {row["model"] for row in shown if row["endpoints"]}:
+                return False
+        return True
+
     def stop(self) -> None:
         """Stop everything that was started."""
         for node in self.node_by_name.values():
--- a/packages/mothworks_fakes/src/mothworks_fakes/web.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/web.py
@@ -10,6 +10,8 @@
 import gevent.pywsgi
 import orjson
 
+from mothworks_fakes import gates
+
 Body = collections.abc.Iterable[bytes]
 
 
@@ -79,6 +81,7 @@
 
     def __init__(self, port: int = 0, seed: int = 0):
         self.faults = Faults()
+        self.gates = gates.Gates()
         self.random = random.Random(seed)
         self.pool = gevent.pool.Pool()
         self.server = gevent.pywsgi.WSGIServer(
@@ -100,6 +103,10 @@
     def stop(self) -> None:
         """Close the listener and break every connection."""
         self.server.stop(timeout=0)
+        self.break_connections()
+
+    def break_connections(self) -> None:
+        """Break every connection, as when the process dies and restarts."""
         self.pool.kill(block=False)
 
     def serve(self, method: str, path: str, environ: dict) -> Reply:
