Slots: priority queue, adaptive limit and late binding at the owners

Cause: asks waited in a first-come queue with a fixed limit and a fixed hint; work that could not start in time was held, a lost report leaked its slot, and a second replica was not asked while the first let a request wait. Change: asks, answers and ends are one-way messages with a number each. An owner queues by class and deadline, bounds the queue as a whole and for each caller, lets aged bulk through, keeps slots free of bulk where they seldom become free, refuses at once with the time to come back, and adapts its limit to the observed time between tokens. An entry waits at two owners at most and takes the first slot; it follows moving owners, reports running requests to new ones, and without an owner bounds itself. Slots of dead entries and of lost reports are freed.

--- /dev/null
+++ b/packages/mothworks/src/mothworks/batches.py
@@ -0,0 +1,281 @@
+"""One endpoint's requests, as its owner counts them.
+
+The batch grants a slot where the limit allows, else queues the ask, else
+refuses it at once: an ask that would not get its slot in time learns so when
+it comes, and when it is worth asking again.
+"""
+
+import collections.abc
+import math
+import time
+
+import attrs
+
+from mothworks import limits, queues, slot_messages
+
+#: Weight of a new sample in running means.
+WEIGHT = 0.1
+#: Least time after which a refused request is worth repeating, milliseconds.
+LEAST_RETRY_MS = 200
+#: Time without new grants after the endpoint refused a request, seconds.
+PAUSE_S = 0.5
+#: Mean time to the next free slot above which slots are kept free of bulk
+#: work, seconds; a quarter of the first token's target.
+TOLERATED_WAIT_S = 0.4
+#: Time in which the count of urgent requests in flight fades, seconds.
+FADE_S = 60.0
+#: Time for which a new owner believes the engine's own count, seconds.
+TAKEOVER_S = 5.0
+
+
+@attrs.define
+class Held:
+    """A slot in use.
+
+    :param ask: the entry's message.
+    :param entry: the entry's name.
+    :param since: when it was granted, monotonic seconds.
+    """
+
+    ask: slot_messages.AskSlot
+    entry: str
+    since: float
+
+
+class Batch:
+    """The slots and the queue of one endpoint.
+
+    :param slots: the engine's slots.
+    :param why_closed: returns why an ask gets no slot; empty where it may.
+    :param share: returns the largest share of the queue for a caller.
+    :param reported: returns the requests that the engine itself reports; None
+        before its first report.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        why_closed: collections.abc.Callable[[slot_messages.AskSlot], str],
+        share: collections.abc.Callable[[str], float] = lambda caller: 1.0,
+        reported: collections.abc.Callable[[], int | None] = lambda: None,
+    ):
+        self.limit = limits.Limit(slots)
+        self.why_closed = why_closed
+        self.share = share
+        self.reported = reported
+        self.queue = queues.Queue()
+        self.held_by_key: dict[queues.Key, Held] = {}
+        self.hold_s = 0.0
+        self.first_token_s = 0.0
+        self.paused_until = 0.0
+        self.created = time.monotonic()
+        #: Requests that ran when this VM became the owner; None if unknown.
+        self.inherited: int | None = None
+        #: How many of them entries have reported.
+        self.adopted = 0
+        self.urgent_peak = 0.0
+        self.peak_at = self.created
+
+    def ask(
+        self,
+        ask: slot_messages.AskSlot,
+        entry: str,
+        answer: collections.abc.Callable[[slot_messages.SlotAnswer], None],
+    ) -> None:
+        """Answer an ask; one that is sent again is answered again.
+
+        :param ask: the entry's message.
+        :param entry: the entry's name.
+        :param answer: sends the answer, at once and again when a slot is free.
+        """
+        now = time.monotonic()
+        key = (entry, ask.number)
+        if ask.held or key in self.held_by_key:
+            self._hold(ask, entry, now)
+            answer(_answer(ask, slot_messages.Verdict.GRANTED))
+            return
+        waiting = self.queue.waiting_by_key.get(key)
+        if waiting is None:
+            waiting = queues.Waiting(ask, entry, now, self._deadline(ask, now), answer)
+            if not self._admit(waiting, now):
+                return
+        others = self.queue.ahead(ask.rank) - 1
+        wait_ms = math.ceil(self._wait_s(others) * 1000)
+        answer(_answer(ask, slot_messages.Verdict.QUEUED, wait_ms))
+
+    def done(self, key: queues.Key, first_token_ms: float = 0.0) -> None:
+        """End an ask, granted or waiting, and give its slot to the next.
+
+        :param key: what names the ask.
+        :param first_token_ms: from sending to the first token; 0 for unknown.
+        """
+        self.queue.remove(key)
+        held = self.held_by_key.pop(key, None)
+        now = time.monotonic()
+        if held is not None and first_token_ms:
+            self.hold_s = _mean(self.hold_s, now - held.since)
+            self.first_token_s = _mean(self.first_token_s, first_token_ms / 1000)
+        self.pump(now)
+
+    def observe(self, between_ms: float, target_ms: float) -> None:
+        """Adapt the limit to how fast a request's tokens came.
+
+        :param between_ms: mean time between its tokens, milliseconds.
+        :param target_ms: its caller's target, milliseconds.
+        """
+        self.limit.observe(between_ms, target_ms)
+
+    def pause(self) -> None:
+        """Grant nothing for a moment, since the endpoint refused a request."""
+        self.paused_until = time.monotonic() + PAUSE_S
+
+    def pump(self, now: float) -> None:
+        """Grant free slots to what waits.
+
+        :param now: monotonic seconds.
+        """
+        while len(self.queue) and self._free(0, now):
+            waiting = self.queue.pop(self._free(queues.BULK, now), now)
+            if waiting is None:
+                return
+            reason = self.why_closed(waiting.ask)
+            if reason:
+                self._refuse(waiting, reason)
+            else:
+                self._grant(waiting, now)
+
+    def sweep(self, now: float) -> None:
+        """Refuse what waited too long or may not run here any more.
+
+        :param now: monotonic seconds.
+        """
+        for waiting in list(self.queue.waiting_by_key.values()):
+            reason = self.why_closed(waiting.ask)
+            if not reason and waiting.deadline <= now:
+                reason = "waited_too_long"
+            if reason:
+                self.queue.remove(waiting.key)
+                self._refuse(waiting, reason)
+        self.pump(now)
+
+    def hand_over(self) -> None:
+        """Send all that waits to the endpoint's new owner."""
+        for waiting in self.queue.ordered():
+            self.queue.remove(waiting.key)
+            waiting.answer(_answer(waiting.ask, slot_messages.Verdict.MOVED))
+
+    def asks(self) -> list[queues.Key]:
+        """Return what names the asks that are granted or wait."""
+        return [*self.held_by_key, *self.queue.waiting_by_key]
+
+    def running(self) -> int:
+        """Return how many requests the endpoint runs, as far as is known.
+
+        A new owner has not yet heard from all entries what they have running;
+        granting all slots would fill the endpoint's batch twice over.
+        """
+        return len(self.held_by_key) + self._unheard()
+
+    def reserve(self) -> int:
+        """Return how many slots are kept free of bulk work.
+
+        While slots become free often, an urgent request that finds the batch
+        full of bulk work waits little, and nothing is kept. Where bulk work
+        holds its slots long, as many are kept as urgent work has used lately.
+        """
+        self._note_urgent(time.monotonic())
+        if not self.urgent_peak or self._next_free_s() <= TOLERATED_WAIT_S:
+            return 0
+        return min(math.ceil(self.urgent_peak) + 1, self.limit.value - 1)
+
+    def _unheard(self) -> int:
+        if time.monotonic() - self.created > TAKEOVER_S:
+            return 0
+        if self.inherited is None:
+            self.inherited = self.reported()
+        return max(0, (self.inherited or 0) - self.adopted)
+
+    def _admit(self, waiting: queues.Waiting, now: float) -> bool:
+        """Grant, queue or refuse; returns whether it is queued."""
+        ask = waiting.ask
+        reason = self.why_closed(ask)
+        if reason:
+            self._refuse(waiting, reason)
+            return False
+        if self._free(ask.rank, now) and not self.queue.ahead(ask.rank):
+            self._grant(waiting, now)
+            return False
+        self.limit.note_full()
+        reason = self.queue.why_not(ask, self.share(ask.caller))
+        if (
+            not reason
+            and now + self._wait_s(self.queue.ahead(ask.rank)) > waiting.deadline
+        ):
+            reason = "deadline"
+        if reason:
+            self._refuse(waiting, reason)
+            return False
+        evicted = self.queue.add(waiting)
+        if evicted is not None:
+            self._refuse(evicted, "queue_full")
+        return True
+
+    def _free(self, rank: int, now: float) -> bool:
+        if now < self.paused_until:
+            return False
+        limit = self.limit.value
+        if rank == queues.BULK:
+            limit -= self.reserve()
+        return self.running() < limit
+
+    def _grant(self, waiting: queues.Waiting, now: float) -> None:
+        self._hold(waiting.ask, waiting.entry, now)
+        waiting.answer(_answer(waiting.ask, slot_messages.Verdict.GRANTED))
+
+    def _hold(self, ask: slot_messages.AskSlot, entry: str, now: float) -> None:
+        key = (entry, ask.number)
+        self.queue.remove(key)
+        if key not in self.held_by_key:
+            self.held_by_key[key] = Held(ask, entry, now)
+            self.adopted += ask.held
+        if ask.rank < queues.BULK:
+            self._note_urgent(now)
+
+    def _refuse(self, waiting: queues.Waiting, reason: str) -> None:
+        # Asked again when the queue is short enough, the request would get
+        # its slot in time; earlier it would only be refused again.
+        wait_s = self._wait_s(self.queue.ahead(waiting.ask.rank))
+        late_s = time.monotonic() + wait_s - waiting.deadline
+        wait_ms = max(LEAST_RETRY_MS, math.ceil(late_s * 1000))
+        refused = slot_messages.Verdict.REFUSED
+        waiting.answer(_answer(waiting.ask, refused, wait_ms, reason))
+
+    def _deadline(self, ask: slot_messages.AskSlot, now: float) -> float:
+        if ask.rank == queues.BULK:
+            return now + ask.wait_ms / 1000
+        return now + ask.target_ms / 1000 - self.first_token_s
+
+    def _wait_s(self, ahead: int) -> float:
+        return (ahead + 1) * self._next_free_s()
+
+    def _next_free_s(self) -> float:
+        return self.hold_s / self.limit.value
+
+    def _note_urgent(self, now: float) -> None:
+        urgent = sum(item.ask.rank < queues.BULK for item in self.held_by_key.values())
+        fade = math.exp((self.peak_at - now) / FADE_S)
+        self.urgent_peak = max(self.urgent_peak * fade, float(urgent))
+        self.peak_at = now
+
+
+def _answer(
+    ask: slot_messages.AskSlot,
+    verdict: slot_messages.Verdict,
+    wait_ms: int = 0,
+    reason: str = "",
+) -> slot_messages.SlotAnswer:
+    return slot_messages.SlotAnswer(ask.number, int(verdict), wait_ms, reason)
+
+
+def _mean(known: float, sample: float) -> float:
+    return sample if not known else known + WEIGHT * (sample - known)
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -45,12 +45,14 @@
     :param sent: whether the endpoint may have run the request.
     :param counted: whether a further attempt is paid from the retry budget.
     :param outcome: what the endpoint's owner is told.
+    :param endpoint: where it was tried; empty where no endpoint gave a slot.
     """
 
     refusal: outcomes.Refusal
     sent: bool
     counted: bool
     outcome: slots.Outcome
+    endpoint: str = ""
 
 
 class Running:
@@ -167,18 +169,19 @@
         tried: set[str] = set()
         refusal = _no_endpoint(request)
         while len(tried) < MOST_ATTEMPTS:
-            endpoint = self._choose(request, tried)
-            if endpoint is None:
+            choice = self._choose(request, tried)
+            if not choice:
                 self._explain_closed(request, trace)
                 break
-            tried.add(endpoint.name)
-            match self._attempt(request, endpoint):
+            match self._attempt(request, choice):
                 case result.Ok(running):
-                    trace.add(endpoint.name, f"granted by {running.grant.owner or '-'}")
+                    grant = running.grant
+                    trace.add(grant.endpoint.name, f"granted by {grant.owner or '-'}")
                     return result.Ok(running)
                 case result.Err(failed):
                     refusal = failed.refusal
-                    trace.add(endpoint.name, refusal.message)
+                    trace.add(failed.endpoint, refusal.message)
+            tried.add(failed.endpoint)
             if not self._may_retry(request, failed):
                 break
         return result.Err(refusal)
@@ -200,18 +203,16 @@
 
     def _choose(
         self, request: requests.Request, tried: set[str]
-    ) -> catalogue.Endpoint | None:
+    ) -> list[catalogue.Endpoint]:
         names = self.placement.open_endpoints(request.target)
         names = [name for name in names if name not in tried]
-        if not names:
-            return None
-        first = self.policy.order(names)[0]
-        return self.configuration.index.endpoint_by_name[first]
+        by_name = self.configuration.index.endpoint_by_name
+        return [by_name[name] for name in self.policy.order(names)]
 
     def _attempt(
-        self, request: requests.Request, endpoint: catalogue.Endpoint
+        self, request: requests.Request, choice: list[catalogue.Endpoint]
     ) -> result.Result[Running, Failed]:
-        match self._acquire(request, endpoint):
+        match self._acquire(request, choice):
             case result.Ok(grant):
                 pass
             case result.Err(refusal):
@@ -223,17 +224,18 @@
             raise
         if sent.is_err():
             self._release(grant, slots.End(sent.err_value.outcome))
-        return sent
+        name = grant.endpoint.name
+        return sent.map_err(lambda failed: attrs.evolve(failed, endpoint=name))
 
     def _acquire(
-        self, request: requests.Request, endpoint: catalogue.Endpoint
+        self, request: requests.Request, choice: list[catalogue.Endpoint]
     ) -> result.Result[slots.Grant, outcomes.Refusal]:
         if self.policy.asks_owner:
-            acquired = self.slots.acquire(request, endpoint)
+            acquired = self.slots.acquire(request, *choice)
         else:
-            acquired = result.Ok(slots.Grant(request.id, endpoint, ""))
+            acquired = result.Ok(slots.Grant(request.id, choice[0], ""))
         if acquired.is_ok():
-            self.policy.running_by_endpoint[endpoint.name] += 1
+            self.policy.running_by_endpoint[acquired.ok_value.endpoint.name] += 1
         return acquired
 
     def _send(
@@ -262,6 +264,9 @@
         self.slots.release(grant, end)
 
     def _may_retry(self, request: requests.Request, failed: Failed) -> bool:
+        if not failed.endpoint:
+            # The owners of all endpoints worth asking have refused.
+            return False
         if failed.sent and not request.repeatable:
             return False
         if time.monotonic() >= request.deadline:
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -149,6 +149,8 @@
         self.retry_at_by_vm: dict[str, float] = {}
         self.calls = itertools.count(1)
         self.closed_bytes = 0
+        #: Functions to call with a VM's name after the connection to it broke.
+        self.on_lost: list = []
         #: Opens a connection to an address; tests cut links here.
         self.connect = gevent.socket.create_connection
         owned_ports = node_kernel.get(ports.Ports)
@@ -283,6 +285,9 @@
         for waiting_link, reply in list(self.waiting_by_call.values()):
             if waiting_link is link:
                 reply.set(None)
+        if link.vm is not None:
+            for notify in self.on_lost:
+                notify(link.vm)
 
     def _take(self, link: Link, message: typing.Any, call: int) -> bool:
         """Handle a message; returns whether the connection is to go on."""
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -1,98 +1,58 @@
 """Slots: an endpoint's owner grants each request its place in the batch.
 
 The owner has the exact count in flight and one priority queue for each
-endpoint. An entry asks for a slot before it sends, and reports the end.
+endpoint (:mod:`mothworks.batches`). An entry asks for a slot before it sends,
+and reports the end. Where the first owner would let the request wait, the
+entry asks a second endpoint's owner too and takes whichever slot comes first.
 """
 
 import enum
-import heapq
 import itertools
+import math
 import time
-import typing
 
 import attrs
-import gevent
-import gevent.event
+import gevent.queue
+import logbook
 import result
 
 from mothworks import (
+    batches,
     catalogue,
     configuration,
     health,
     kernel,
-    messages,
+    membership,
     outcomes,
     peers,
+    placement,
     plugins,
+    queues,
     requests,
     row_classes,
+    slot_messages,
 )
 
-#: Most requests that wait for one endpoint.
-QUEUE_LENGTH = 1024
-#: Longest wait for a slot, seconds, by rank of urgency.
-WAIT_S_BY_RANK = (10.0, 60.0, 600.0)
-#: Time a reply may take beyond the wait, seconds.
-REPLY_GRACE_S = 2.0
-
-
-@messages.message(10)
-@attrs.frozen
-class AskSlot:
-    """An entry asks an endpoint's owner for a slot.
-
-    :param request_id: the request's id.
-    :param endpoint: the endpoint's name.
-    :param rank: rank of the request's urgency, 0 first.
-    :param wait_ms: longest wait, milliseconds.
-    :param target_ms: time left to the first token's target, milliseconds.
-    :param target: the model, adapter or service that was asked for.
-    :param caller: the caller's name.
-    :param tokens: most tokens the request may generate.
-    """
-
-    request_id: str
-    endpoint: str
-    rank: int
-    wait_ms: int
-    target_ms: int
-    target: str = ""
-    caller: str = ""
-    tokens: int = 0
-
-
-@messages.message(11)
-@attrs.frozen
-class SlotAnswer:
-    """The owner's answer to :class:`AskSlot`.
-
-    :param granted: whether the request may be sent now.
-    :param reason: why not.
-    """
-
-    granted: bool
-    reason: str = ""
-
-
-@messages.message(12)
-@attrs.frozen
-class SlotDone:
-    """An entry reports the end of a request that had a slot.
-
-    :param request_id: the request's id.
-    :param endpoint: the endpoint's name.
-    :param outcome: an :class:`Outcome`.
-    :param first_token_ms: see :class:`End`, whole milliseconds.
-    :param between_tokens_us: see :class:`End`, whole microseconds.
-    :param tokens: see :class:`End`.
-    """
-
-    request_id: str
-    endpoint: str
-    outcome: int = 0
-    first_token_ms: int = 0
-    between_tokens_us: int = 0
-    tokens: int = 0
+log = logbook.Logger("slots")
+
+#: Longest wait for a slot of bulk work, seconds.
+PATIENCE_S = 600.0
+#: Time for an owner's first answer before it counts as unreachable, seconds.
+ANSWER_S = 0.3
+#: Endpoints at which one request waits at the same time.
+MOST_WAITING = 2
+#: Endpoints that are asked for one request.
+MOST_ASKED = 4
+#: Times that one request follows moving owners.
+MOST_MOVES = 20
+#: Bytes of the bodies that wait for slots on one VM.
+WAITING_BYTES = 16 << 20
+#: Seconds between sweeps of the queues.
+SWEEP_S = 0.1
+#: Seconds between checks with entries of the slots in use.
+CHECK_S = 5.0
+#: Hint to a caller where this VM or its owners have no room, seconds.
+RETRY_S = 1.0
 
 
 class Outcome(enum.IntEnum):
@@ -133,83 +93,50 @@
     :param request_id: the request's id.
     :param endpoint: the endpoint.
     :param owner: the VM that granted it; empty where none was asked.
+    :param number: the ask's number; 0 where no slot was asked for.
     """
 
     request_id: str
     endpoint: catalogue.Endpoint
     owner: str
+    number: int = 0
 
 
-class Waiting(typing.NamedTuple):
-    """A request in an owner's queue, in the order of service."""
-
-    rank: int
-    target: float
-    number: int
-    ask: AskSlot
-    event: gevent.event.AsyncResult
-    since: float
-
-
-class Batch:
-    """What the owner knows of one endpoint's requests.
+@attrs.define(eq=False)
+class Place:
+    """One ask of this entry, from the ask until the request's end.
 
-    :param limit: most requests in flight.
+    :param ask: the message to the owner.
+    :param endpoint: the endpoint.
+    :param owner: the VM that was asked; empty for this VM's own guard.
+    :param inbox: where answers go while the request waits.
+    :param queued: whether the owner has answered that it waits.
+    :param held: whether the slot was granted.
     """
 
-    def __init__(self, limit: int):
-        self.limit = limit
-        #: Targets of the requests in flight, by request.
-        self.running: dict[str, str] = {}
-        self.queue: list[Waiting] = []
-        self.numbers = itertools.count()
+    ask: slot_messages.AskSlot
+    endpoint: catalogue.Endpoint
+    owner: str
+    inbox: gevent.queue.SimpleQueue
+    queued: bool = False
+    held: bool = False
 
-    def ask(self, ask: AskSlot) -> SlotAnswer:
-        """Wait for a slot, blocking the current task.
 
-        :param ask: the entry's message.
-        """
-        if len(self.running) < self.limit and not self.queue:
-            self.running[ask.request_id] = ask.target
-            return SlotAnswer(True)
-        if len(self.queue) >= QUEUE_LENGTH:
-            return SlotAnswer(False, "queue_full")
-        now = time.monotonic()
-        target = now + ask.target_ms / 1000
-        event = gevent.event.AsyncResult()
-        waiting = Waiting(ask.rank, target, next(self.numbers), ask, event, now)
-        heapq.heappush(self.queue, waiting)
-        try:
-            return event.get(timeout=ask.wait_ms / 1000)
-        except gevent.Timeout:
-            self.queue.remove(waiting)
-            heapq.heapify(self.queue)
-            return SlotAnswer(False, "waited_too_long")
+@attrs.frozen
+class Lost:
+    """The owner of a place cannot be reached."""
 
-    def done(self, request_id: str) -> None:
-        """Free a slot and give it to the next request.
 
-        :param request_id: the request that ended.
-        """
-        self.running.pop(request_id, None)
-        while self.queue and len(self.running) < self.limit:
-            waiting = heapq.heappop(self.queue)
-            self.running[waiting.ask.request_id] = waiting.ask.target
-            waiting.event.set(SlotAnswer(True))
+@attrs.frozen
+class News:
+    """Something happened to a place.
 
-    def turn_away(self, targets: frozenset[str]) -> None:
-        """Refuse the waiting requests for some targets.
+    :param place: the place.
+    :param what: the owner's answer, or that the owner was lost.
+    """
 
-        :param targets: models or adapters.
-        """
-        staying = []
-        for waiting in self.queue:
-            if waiting.ask.target in targets:
-                waiting.event.set(SlotAnswer(False, "not_offered"))
-            else:
-                staying.append(waiting)
-        heapq.heapify(staying)
-        self.queue = staying
+    place: Place
+    what: slot_messages.SlotAnswer | Lost
 
 
 @plugins.register(plugins.PART, "slots")
@@ -222,50 +149,54 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.configuration = node_kernel.get(configuration.Configuration)
+        self.membership = node_kernel.get(membership.Membership)
+        self.placement = node_kernel.get(placement.Placement)
         self.health = node_kernel.get(health.Health)
         self.peers = node_kernel.get(peers.Peers)
-        self.batch_by_endpoint: dict[str, Batch] = {}
-        self.peers.handle(AskSlot, self._serve_ask)
-        self.peers.handle(SlotDone, self._serve_done)
+        self.batch_by_endpoint: dict[str, batches.Batch] = {}
+        #: Batches by which this entry bounds what it sends without an owner.
+        self.guard_by_endpoint: dict[str, batches.Batch] = {}
+        self.endpoint_by_key: dict[queues.Key, str] = {}
+        self.place_by_number: dict[int, Place] = {}
+        self.numbers = itertools.count(1)
+        self.waiting_bytes = 0
+        self.peers.handle(slot_messages.AskSlot, self._serve_ask)
+        self.peers.handle(slot_messages.SlotAnswer, self._serve_answer)
+        self.peers.handle(slot_messages.SlotDone, self._serve_done)
+        self.peers.handle(slot_messages.CheckSlots, self._serve_check)
+        self.peers.handle(slot_messages.LostSlots, self._serve_lost)
+        self.peers.on_lost.append(self._lose_owner)
+        self.health.on_owned.append(self._hand_over)
+        self.membership.on_change.append(self._follow_members)
+        self.configuration.on_change.append(self._follow_owners)
+
+    def start(self) -> None:
+        """Start to look after the queues."""
+        self.tasks.every(SWEEP_S, self.sweep)
+        self.tasks.every(CHECK_S, self.check)
+
+    # -- entry ----------------------------------------------------------
 
     def acquire(
-        self, request: requests.Request, endpoint: catalogue.Endpoint
+        self, request: requests.Request, *endpoints: catalogue.Endpoint
     ) -> result.Result[Grant, outcomes.Refusal]:
-        """Get a slot for a request, waiting in the owner's queue.
+        """Get a slot for a request at one of some endpoints.
 
         :param request: the request.
-        :param endpoint: where it is to run.
+        :param endpoints: where it may run, the best first.
+        :returns: the slot, to be given back by :meth:`release`; or the final
+            refusal, as soon as it is known.
         """
-        owner = self.health.owner(endpoint)
-        if owner is None:
-            return result.Ok(Grant(request.id, endpoint, ""))
-        rank = request.caller.urgency.rank
-        target_ms = int((request.first_token_deadline - time.monotonic()) * 1000)
-        wait_s = WAIT_S_BY_RANK[rank]
-        ask = AskSlot(
-            request.id,
-            endpoint.name,
-            rank,
-            int(wait_s * 1000),
-            target_ms,
-            request.target,
-            request.caller.name,
-            request.tokens,
-        )
-        if owner.name == self.kernel.settings.name:
-            answer = self._ask(ask)
-        else:
-            match self.peers.call(owner.name, ask, wait_s + REPLY_GRACE_S):
-                case result.Ok(reply):
-                    answer = reply
-                case result.Err(_):
-                    # The owner is unreachable: serving goes on without it,
-                    # at worst overfilling the endpoint's batch for a while.
-                    return result.Ok(Grant(request.id, endpoint, ""))
-        if not answer.granted:
-            message = f"no capacity for {request.target!r} in time: {answer.reason}"
-            return result.Err(outcomes.overloaded(message, 1.0))
-        return result.Ok(Grant(request.id, endpoint, owner.name))
+        if self.waiting_bytes + len(request.body) > WAITING_BYTES:
+            message = "too many bytes wait for slots on this VM"
+            return result.Err(outcomes.overloaded(message, RETRY_S))
+        self.waiting_bytes += len(request.body)
+        search = _Search(self, request, list(endpoints[:MOST_ASKED]))
+        try:
+            return search.run()
+        finally:
+            self.waiting_bytes -= len(request.body)
+            search.close()
 
     def release(self, grant: Grant, end: End) -> None:
         """Report the end of a request.
@@ -273,28 +204,92 @@
         :param grant: what :meth:`acquire` returned.
         :param end: how the request ended.
         """
-        if not grant.owner:
-            return
-        if grant.owner == self.kernel.settings.name:
-            self._batch(grant.endpoint.name).done(grant.request_id)
-        else:
-            done = SlotDone(
-                grant.request_id,
-                grant.endpoint.name,
+        place = self.place_by_number.pop(grant.number, None)
+        if place is not None:
+            done = slot_messages.SlotDone(
+                grant.number,
                 int(end.outcome),
                 round(end.first_token_ms),
                 round(end.between_tokens_ms * 1000),
                 end.tokens,
             )
-            self.peers.send(grant.owner, done)
+            self._finish(place, done)
+
+    def ask(self, place: Place) -> None:
+        """Send a place's ask to its owner, or count it here without one.
+
+        :param place: the place; answers come to its inbox.
+        """
+        self.place_by_number[place.ask.number] = place
+        if not place.owner:
+            guard = self._guard(place.endpoint)
+            guard.ask(place.ask, self.name, self._take_answer)
+        elif place.owner == self.name:
+            self._ask_here(self.name, place.ask, self._take_answer)
+        elif not self.peers.send(place.owner, place.ask):
+            place.inbox.put(News(place, Lost()))
+
+    def give_up(self, place: Place) -> None:
+        """Take back an ask, or give back its slot.
+
+        :param place: the place.
+        """
+        if self.place_by_number.pop(place.ask.number, None) is not None:
+            cancelled = int(Outcome.CANCELLED)
+            self._finish(place, slot_messages.SlotDone(place.ask.number, cancelled))
+
+    def _finish(self, place: Place, done: slot_messages.SlotDone) -> None:
+        if not place.owner:
+            guard = self._guard(place.endpoint)
+            guard.done((self.name, done.number))
+        elif place.owner == self.name:
+            self._done_here(self.name, done)
+        else:
+            self.peers.send(place.owner, done)
+
+    def _take_answer(self, answer: slot_messages.SlotAnswer) -> None:
+        place = self.place_by_number.get(answer.number)
+        if place is not None and not place.held:
+            place.inbox.put(News(place, answer))
+
+    def _follow_owners(self) -> None:
+        """Ask, or report running requests to, owners that are new."""
+        for place in list(self.place_by_number.values()):
+            owner = self.health.owner(place.endpoint)
+            if not place.owner or owner is None or owner.name == place.owner:
+                continue
+            former = attrs.evolve(place)
+            self._finish(former, slot_messages.SlotDone(place.ask.number))
+            if place.held:
+                place.owner = owner.name
+                self.ask(place)
+            else:
+                moved = int(slot_messages.Verdict.MOVED)
+                answer = slot_messages.SlotAnswer(place.ask.number, moved)
+                place.inbox.put(News(place, answer))
+
+    def _lose_owner(self, vm: str) -> None:
+        """Ask again, or report running requests again, after a broken link.
+
+        What was on its way is lost, and the owner may have restarted: waiting
+        requests would wait for nothing, and running ones be uncounted.
+        """
+        for place in list(self.place_by_number.values()):
+            if place.owner != vm:
+                continue
+            if place.held:
+                self.tasks.spawn(self.peers.send, vm, place.ask)
+            else:
+                place.inbox.put(News(place, Lost()))
+
+    # -- owner ----------------------------------------------------------
 
     def waiting(self) -> list[row_classes.WaitingRow]:
         """Return the requests in this VM's queues, in their order of service."""
-        owner = self.kernel.settings.name
         return [
-            _waiting_row(owner, endpoint, batch, place, waiting)
+            _waiting_row(self.name, endpoint, batch, position, waiting)
             for endpoint, batch in sorted(self.batch_by_endpoint.items())
-            for place, waiting in enumerate(sorted(batch.queue), start=1)
+            for position, waiting in enumerate(batch.queue.ordered(), start=1)
         ]
 
     def running(self, endpoint: str, target: str) -> frozenset[str]:
@@ -303,8 +298,10 @@
         :param endpoint: the endpoint's name.
         :param target: a model or adapter.
         """
-        running = self._batch(endpoint).running
-        return frozenset(key for key, value in running.items() if value == target)
+        held = self._batch(endpoint).held_by_key.values()
+        return frozenset(
+            item.ask.request_id for item in held if item.ask.target == target
+        )
 
     def withhold(self, endpoint: str, models: frozenset[str]) -> None:
         """Give no further slots for some residents of an owned endpoint.
@@ -317,45 +314,324 @@
         :param models: models and adapters that are about to be unloaded.
         """
         self.health.withhold(endpoint, models)
-        self._batch(endpoint).turn_away(models)
+        self._batch(endpoint).sweep(time.monotonic())
 
-    def _ask(self, ask: AskSlot) -> SlotAnswer:
-        withheld = self.health.withheld_by_endpoint.get(ask.endpoint, frozenset())
-        if ask.target in withheld:
-            return SlotAnswer(False, "not_offered")
-        return self._batch(ask.endpoint).ask(ask)
+    def sweep(self) -> None:
+        """Refuse what waited too long or may not run any more."""
+        now = time.monotonic()
+        for held in (self.batch_by_endpoint, self.guard_by_endpoint):
+            for batch in held.values():
+                if len(batch.queue):
+                    batch.sweep(now)
+
+    def check(self) -> None:
+        """Ask entries for slots that they do not know any more.
 
-    def _batch(self, name: str) -> Batch:
+        The report of an end is lost with its connection; without the check
+        its slot would stay taken for good.
+        """
+        numbers_by_entry: dict[str, list[int]] = {}
+        old = time.monotonic() - CHECK_S
+        for batch in self.batch_by_endpoint.values():
+            for (entry, number), held in batch.held_by_key.items():
+                if held.since < old and entry != self.name:
+                    numbers_by_entry.setdefault(entry, []).append(number)
+        for entry, numbers in numbers_by_entry.items():
+            self.peers.send(entry, slot_messages.CheckSlots(numbers))
+
+    @property
+    def name(self) -> str:
+        """Return this VM's name."""
+        return self.kernel.settings.name
+
+    def _ask_here(self, entry: str, ask: slot_messages.AskSlot, answer) -> None:
+        self.endpoint_by_key[(entry, ask.number)] = ask.endpoint
+
+        def keep_known(reply: slot_messages.SlotAnswer) -> None:
+            if reply.verdict >= slot_messages.Verdict.REFUSED:
+                self.endpoint_by_key.pop((entry, ask.number), None)
+            answer(reply)
+
+        self._batch(ask.endpoint).ask(ask, entry, keep_known)
+
+    def _done_here(self, entry: str, done: slot_messages.SlotDone) -> None:
+        key = (entry, done.number)
+        endpoint = self.endpoint_by_key.pop(key, None)
+        if endpoint is None:
+            return
+        batch = self._batch(endpoint)
+        held = batch.held_by_key.get(key)
+        if held is not None and done.between_tokens_us:
+            target_ms = self._between_target_ms(held.ask.caller)
+            batch.observe(done.between_tokens_us / 1000, target_ms)
+        if done.outcome == Outcome.FAILED:
+            batch.pause()
+        batch.done(key, done.first_token_ms)
+
+    def _batch(self, name: str) -> batches.Batch:
         batch = self.batch_by_endpoint.get(name)
         if batch is None:
             endpoint = self.configuration.index.endpoint_by_name.get(name)
-            batch = Batch(endpoint.slots if endpoint else 1)
+            slots = endpoint.slots if endpoint else 1
+            batch = batches.Batch(
+                slots, self._why_closed, self._share, lambda: self._reported(name)
+            )
             self.batch_by_endpoint[name] = batch
         return batch
 
-    def _serve_ask(self, _: str, ask: AskSlot, answer: peers.Answer) -> None:
-        self.tasks.spawn(lambda: answer(self._ask(ask)))
+    def _reported(self, name: str) -> int | None:
+        report = self.health.report_by_endpoint.get(name)
+        return report.running if report else None
+
+    def _guard(self, endpoint: catalogue.Endpoint) -> batches.Batch:
+        guard = self.guard_by_endpoint.get(endpoint.name)
+        if guard is None:
+            # Every entry may be without the owner at the same time; together
+            # they then send about what the endpoint's batch holds.
+            vms = len(self.membership.near()) + 1
+            slots = max(1, math.ceil(endpoint.slots / vms))
+            guard = batches.Batch(slots, self._why_closed, self._share)
+            self.guard_by_endpoint[endpoint.name] = guard
+        return guard
+
+    def _why_closed(self, ask: slot_messages.AskSlot) -> str:
+        withheld = self.health.withheld_by_endpoint.get(ask.endpoint, frozenset())
+        if ask.target in withheld:
+            return "not_offered"
+        return self.placement.why_closed(ask.endpoint)
+
+    def _share(self, name: str) -> float:
+        caller = self.configuration.index.caller_by_name.get(name)
+        return caller.share if caller else 1.0
+
+    def _between_target_ms(self, name: str) -> float:
+        caller = self.configuration.index.caller_by_name.get(name)
+        default = attrs.fields(catalogue.Caller).between_tokens_ms.default
+        return caller.between_tokens_ms if caller else default
+
+    def _hand_over(self) -> None:
+        """Send what waits for endpoints that are no longer owned to new owners."""
+        for name in self.batch_by_endpoint.keys() - self.health.owned():
+            batch = self.batch_by_endpoint.pop(name)
+            batch.hand_over()
+            for key in batch.held_by_key:
+                self.endpoint_by_key.pop(key, None)
+
+    def _follow_members(self) -> None:
+        """Free the slots of entries that died, and ask new owners."""
+        for batch in list(self.batch_by_endpoint.values()):
+            for key in batch.asks():
+                if not self._lives(key[0]):
+                    self.endpoint_by_key.pop(key, None)
+                    batch.done(key)
+        self._follow_owners()
+
+    def _lives(self, entry: str) -> bool:
+        record = self.membership.table.find(entry)
+        return entry == self.name or (record is not None and record.live)
+
+    # -- messages -------------------------------------------------------
+
+    def _serve_ask(self, sender: str, ask: slot_messages.AskSlot, _) -> None:
+        self._ask_here(sender, ask, lambda reply: self.peers.send(sender, reply))
+
+    def _serve_answer(self, sender: str, answer: slot_messages.SlotAnswer, _) -> None:
+        place = self.place_by_number.get(answer.number)
+        if place is None or place.owner != sender:
+            # A grant that crossed with its cancellation: the cancellation
+            # frees it. From a former owner: it was told already.
+            return
+        self._take_answer(answer)
+
+    def _serve_done(self, sender: str, done: slot_messages.SlotDone, _) -> None:
+        self._done_here(sender, done)
+
+    def _serve_check(self, sender: str, check: slot_messages.CheckSlots, _) -> None:
+        lost = [
+            number
+            for number in check.numbers
+            if number not in self.place_by_number
+            or self.place_by_number[number].owner != sender
+        ]
+        if lost:
+            self.peers.send(sender, slot_messages.LostSlots(lost))
+
+    def _serve_lost(self, sender: str, lost: slot_messages.LostSlots, _) -> None:
+        for number in lost.numbers:
+            self._done_here(sender, slot_messages.SlotDone(number))
+
+
+class _Search:
+    """The search of one request for a slot.
+
+    :param slots: the part that sends its asks.
+    :param request: the request.
+    :param endpoints: where it may run, the best first.
+    """
+
+    def __init__(
+        self,
+        slots: Slots,
+        request: requests.Request,
+        endpoints: list[catalogue.Endpoint],
+    ):
+        self.slots = slots
+        self.request = request
+        self.endpoints = endpoints
+        self.inbox: gevent.queue.SimpleQueue = gevent.queue.SimpleQueue()
+        self.open: list[Place] = []
+        self.unreachable: list[catalogue.Endpoint] = []
+        self.refusals: list[slot_messages.SlotAnswer] = []
+        self.moves = 0
+        self.until = self._deadline()
+
+    def run(self) -> result.Result[Grant, outcomes.Refusal]:
+        """Ask owners until one grants or all have refused."""
+        self._ask_next()
+        while self.open:
+            match self._next_news():
+                case None:
+                    if time.monotonic() >= self.until:
+                        return result.Err(self._refusal())
+                    self._lose_silent()
+                case News(place) if place not in self.open:
+                    continue
+                case News(place, Lost()):
+                    self._lose(place)
+                case News(place, answer):
+                    match slot_messages.Verdict(answer.verdict):
+                        case slot_messages.Verdict.GRANTED:
+                            return result.Ok(self._take(place))
+                        case slot_messages.Verdict.QUEUED:
+                            self._wait(place)
+                        case slot_messages.Verdict.REFUSED:
+                            self.refusals.append(answer)
+                            self._drop(place)
+                        case slot_messages.Verdict.MOVED:
+                            self._follow(place)
+            if not self.open:
+                self._ask_next()
+        return result.Err(self._refusal())
+
+    def close(self) -> None:
+        """Take back every ask that was not granted."""
+        for place in self.open:
+            self.slots.give_up(place)
+        self.open = []
+
+    def _deadline(self) -> float:
+        if self.request.caller.urgency.rank == queues.BULK:
+            patience = time.monotonic() + PATIENCE_S
+            return min(patience, self.request.deadline)
+        # The owner refuses by its own clock; this is for the case that it
+        # falls silent.
+        return max(self.request.first_token_deadline, time.monotonic()) + ANSWER_S
+
+    def _next_news(self) -> News | None:
+        timeout = self.until - time.monotonic()
+        if not all(place.queued for place in self.open):
+            timeout = min(timeout, ANSWER_S)
+        try:
+            return self.inbox.get(timeout=max(0.0, timeout))
+        except gevent.queue.Empty:
+            return None
+
+    def _ask_next(self) -> None:
+        """Ask for the next endpoint; without owners, where one was silent."""
+        if self.endpoints:
+            endpoint = self.endpoints.pop(0)
+            owner = self.slots.health.owner(endpoint)
+            if owner is None:
+                self.unreachable.append(endpoint)
+                self._ask_next()
+            else:
+                self._ask(endpoint, owner.name)
+        elif self.unreachable and not self.open:
+            self._ask(self.unreachable.pop(0), "")
+
+    def _ask(self, endpoint: catalogue.Endpoint, owner: str) -> None:
+        now = time.monotonic()
+        ask = slot_messages.AskSlot(
+            self.request.id,
+            endpoint.name,
+            self.request.caller.urgency.rank,
+            round((self.until - now) * 1000),
+            round((self.request.first_token_deadline - now) * 1000),
+            self.request.target,
+            self.request.caller.name,
+            self.request.tokens,
+            next(self.slots.numbers),
+        )
+        place = Place(ask, endpoint, owner, self.inbox)
+        self.open.append(place)
+        self.slots.ask(place)
+
+    def _take(self, place: Place) -> Grant:
+        self.open.remove(place)
+        place.held = True
+        # From here on a repeated ask only tells an owner what runs.
+        place.ask = attrs.evolve(place.ask, held=True)
+        ask = place.ask
+        return Grant(ask.request_id, place.endpoint, place.owner, ask.number)
+
+    def _wait(self, place: Place) -> None:
+        place.queued = True
+        if len(self.open) < MOST_WAITING:
+            self._ask_next()
+
+    def _drop(self, place: Place) -> None:
+        self.open.remove(place)
+        self.slots.give_up(place)
+
+    def _lose(self, place: Place) -> None:
+        self._drop(place)
+        self.unreachable.append(place.endpoint)
+
+    def _lose_silent(self) -> None:
+        for place in [item for item in self.open if not item.queued]:
+            log.info("{} does not answer for {}", place.owner, place.endpoint.name)
+            self._lose(place)
+
+    def _follow(self, place: Place) -> None:
+        self._drop(place)
+        self.moves += 1
+        owner = self.slots.health.owner(place.endpoint)
+        if owner is None or self.moves > MOST_MOVES:
+            self.unreachable.append(place.endpoint)
+        else:
+            self._ask(place.endpoint, owner.name)
 
-    def _serve_done(self, _: str, done: SlotDone, __: peers.Answer) -> None:
-        self._batch(done.endpoint).done(done.request_id)
+    def _refusal(self) -> outcomes.Refusal:
+        target = self.request.target
+        if not self.refusals:
+            message = f"no capacity for {target!r} in time: waited_too_long"
+            return outcomes.overloaded(message, RETRY_S)
+        best = min(self.refusals, key=lambda answer: answer.wait_ms)
+        message = f"no capacity for {target!r} in time: {best.reason}"
+        return outcomes.overloaded(message, best.wait_ms / 1000)
 
 
 def _waiting_row(
-    owner: str, endpoint: str, batch: Batch, place: int, waiting: Waiting
+    owner: str,
+    endpoint: str,
+    batch: batches.Batch,
+    position: int,
+    waiting: queues.Waiting,
 ) -> row_classes.WaitingRow:
     now = time.monotonic()
     ask = waiting.ask
+    target = waiting.since + ask.target_ms / 1000
     return row_classes.WaitingRow(
         request=ask.request_id,
         endpoint=endpoint,
         owner=owner,
-        position=place,
+        position=position,
         queued=len(batch.queue),
-        running=len(batch.running),
-        slots=batch.limit,
+        running=len(batch.held_by_key),
+        slots=batch.limit.value,
         urgency=list(catalogue.Urgency)[ask.rank],
         caller=ask.caller,
         model=ask.target,
         waited_ms=round((now - waiting.since) * 1000),
-        deadline_ms=round((waiting.target - now) * 1000),
+        deadline_ms=round((target - now) * 1000),
     )
--- a/packages/mothworks/tests/builders.py
+++ b/packages/mothworks/tests/builders.py
@@ -9,6 +9,7 @@
     objects,
     requests,
     settings as settings_module,
+    slot_messages,
 )
 from mothworks_fakes import testbed
 
@@ -71,6 +72,19 @@
     return catalogue.Catalogue(**{**fields, **changes})
 
 
+def ask(request_id: str = "request-1", rank: int = 0, **changes):
+    fields = {
+        "request_id": request_id,
+        "endpoint": "engine-1",
+        "rank": rank,
+        "wait_ms": 600_000,
+        "target_ms": 1600,
+        "target": "menu",
+        "caller": "guest",
+    }
+    return slot_messages.AskSlot(**{**fields, **changes})
+
+
 def request(request_id: str = "request-1", **changes) -> requests.Request:
     now = time.monotonic()
     fields = {
