Callers' connections: bounds, leavers noticed, no delayed small writes

Cause: the second of two small writes waited for the delayed acknowledgement of the first, on both sides of the node; a full connection pool left callers hanging; the WSGI server read all of an over-long body, noticed a caller that left only on write, and answered bad heads without an error object. A service path was passed on decoded, so that %0d%0a would have started a request.

Change: TCP_NODELAY; connections.py bounds connections (503 at once), heads and idle time, refuses ambiguous framing, closes where a body is left; caller_watch.py throws CallerGone into the call's task on the caller's EOF.

--- a/packages/mothworks/src/mothworks/calls.py
+++ b/packages/mothworks/src/mothworks/calls.py
@@ -12,7 +12,7 @@
 import orjson
 import result
 
-from mothworks import catalogue, outcomes, settings
+from mothworks import caller_watch, catalogue, outcomes, settings
 
 StartResponse = collections.abc.Callable[[str, list[tuple[str, str]]], typing.Any]
 
@@ -29,6 +29,7 @@
     409: "Conflict",
     411: "Length Required",
     413: "Content Too Large",
+    414: "URI Too Long",
     422: "Unprocessable Content",
     429: "Too Many Requests",
     431: "Request Header Fields Too Large",
@@ -39,6 +40,15 @@
 }
 
 JSON = ("Content-Type", "application/json")
+#: Name in the WSGI environment of the connection that carries the call.
+CONNECTION = "mothworks.connection"
+#: Header that carries a request's id in every reply.
+REQUEST_ID = "X-Request-Id"
+
+
+def new_id() -> str:
+    """Return a new request's id."""
+    return uuid.uuid4().hex
 
 
 @attrs.frozen
@@ -63,12 +73,24 @@
     :param limits: bounds of this VM.
     :param id: the request's id.
     :param arrived: monotonic time of arrival, seconds.
+    :param watch: notices when the caller leaves, once started.
     """
 
     environ: dict[str, typing.Any]
     limits: settings.Limits
-    id: str = attrs.field(factory=lambda: uuid.uuid4().hex)
+    id: str = attrs.field(factory=new_id)
     arrived: float = attrs.field(factory=time.monotonic)
+    watch: caller_watch.Watch | None = None
+
+    def start_watch(self) -> caller_watch.Watch:
+        """Watch for the caller to leave, from when its body was read."""
+        self.watch = caller_watch.Watch(self.environ[CONNECTION].socket)
+        return self.watch
+
+    def stop_watch(self) -> None:
+        """Stop watching, if the watch was started."""
+        if self.watch is not None:
+            self.watch.stop()
 
     @property
     def method(self) -> str:
@@ -80,6 +102,11 @@
         """Return the path, percent-decoded."""
         return self.environ["PATH_INFO"]
 
+    @property
+    def raw_path(self) -> str:
+        """Return the path as it was sent, without its query."""
+        return self.environ[CONNECTION].path.partition("?")[0]
+
     def header(self, name: str) -> str:
         """Return a header's value, or an empty text.
 
@@ -105,10 +132,11 @@
         try:
             with gevent.Timeout(self.limits.upload_s):
                 body = self.environ["wsgi.input"].read(most + 1)
-        except gevent.Timeout:
+        except (gevent.Timeout, TimeoutError):
             message = f"the body did not arrive within {self.limits.upload_s:g} s"
             return result.Err(outcomes.invalid(message, "upload_timeout", 408))
-        except OSError:
+        except (OSError, ValueError):
+            # Also what the server raises for chunks that are no HTTP.
             return result.Err(outcomes.invalid("the body broke off", "truncated_body"))
         if len(body) > most:
             return result.Err(_too_long(most))
@@ -147,6 +175,20 @@
     return Reply(refusal.status, headers, [refusal.body()])
 
 
+def raw(reply: Reply, request_id: str) -> bytes:
+    """Return a whole reply as bytes, after which the connection closes.
+
+    :param reply: the reply, its body a list.
+    :param request_id: the request's id.
+    """
+    body = b"".join(reply.body)
+    lines = [f"HTTP/1.1 {status_line(reply.status)}"]
+    lines += [f"{name}: {value}" for name, value in reply.headers]
+    lines += [f"{REQUEST_ID}: {request_id}", "Connection: close"]
+    lines += [f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
 def json_reply(value: typing.Any, status: int = 200) -> Reply:
     """Return a reply of plain values as JSON.
 
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -12,6 +12,7 @@
 import result
 
 from mothworks import (
+    caller_watch,
     catalogue,
     configuration,
     decisions,
@@ -80,11 +81,10 @@
         self.grant = grant
         self.answer = answer
         self.dispatch = dispatch
-        self.progress = progress.Progress(request.stream and answer.status == 200)
+        stream = request.stream and answer.status == 200
+        self.progress = progress.Progress(stream, began)
         self.outcome = slots.Outcome.CANCELLED
         self.closed = False
-        #: Monotonic time at which the request was sent, seconds.
-        self.began = began
         self._chunks = answer.chunks()
         self._first = b""
 
@@ -144,18 +144,20 @@
         self.retries = retries.Budget()
 
     def begin(
-        self, request: requests.Request
+        self, request: requests.Request, watch: caller_watch.Watch | None = None
     ) -> result.Result[Running, outcomes.Refusal]:
         """Send a request and wait for its answer's first bytes.
 
         :param request: the request.
+        :param watch: notices that the caller leaves; stopped before work that
+            may run only once is sent, so that it is not broken off half-way.
         :returns: the running request, to be closed by the caller.
         """
         self.retries.add_request()
         self.demand.arrived(request.target)
         trace = self.decisions.open(request)
         try:
-            begun = self._try_endpoints(request, trace)
+            begun = self._try_endpoints(request, trace, watch)
         except BaseException:
             self.decisions.close(request.id, "cancelled")
             raise
@@ -164,7 +166,10 @@
         return begun
 
     def _try_endpoints(
-        self, request: requests.Request, trace: decisions.Trace
+        self,
+        request: requests.Request,
+        trace: decisions.Trace,
+        watch: caller_watch.Watch | None,
     ) -> result.Result[Running, outcomes.Refusal]:
         tried: set[str] = set()
         refusal = _no_endpoint(request)
@@ -173,7 +178,7 @@
             if not choice:
                 self._explain_closed(request, trace)
                 break
-            match self._attempt(request, choice):
+            match self._attempt(request, choice, watch):
                 case result.Ok(running):
                     grant = running.grant
                     trace.add(grant.endpoint.name, f"granted by {grant.owner or '-'}")
@@ -191,7 +196,7 @@
 
         :param running: the request.
         """
-        self.demand.ended(running.request.target, running.began)
+        self.demand.ended(running.request.target, running.progress.sent)
         self._release(running.grant, running.progress.end(running.outcome))
         self.decisions.close(running.request.id, running.outcome.name.lower())
 
@@ -210,13 +215,18 @@
         return [by_name[name] for name in self.policy.order(names)]
 
     def _attempt(
-        self, request: requests.Request, choice: list[catalogue.Endpoint]
+        self,
+        request: requests.Request,
+        choice: list[catalogue.Endpoint],
+        watch: caller_watch.Watch | None,
     ) -> result.Result[Running, Failed]:
         match self._acquire(request, choice):
             case result.Ok(grant):
                 pass
             case result.Err(refusal):
                 return result.Err(_not_sent(refusal))
+        if watch is not None and not request.repeatable:
+            watch.stop()
         try:
             sent = self._send(request, grant)
         except BaseException:
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -83,14 +83,14 @@
         return calls.json_reply({"object": "list", "data": data})
 
     def _generate(self, call: calls.Call, caller: catalogue.Caller) -> calls.Reply:
-        outcome = call.body().and_then(
-            lambda body: self._request(call, caller, body).and_then(self.dispatch.begin)
-        )
-        match outcome:
+        read = call.body().and_then(lambda body: self._request(call, caller, body))
+        match read.and_then(
+            lambda request: self.dispatch.begin(request, call.start_watch())
+        ):
             case result.Ok(running):
-                headers = [*running.answer.headers, ("X-Request-Id", call.id)]
                 body = _EndedStream(running) if running.progress.stream else running
-                return calls.Reply(running.answer.status, headers, body)
+                answer = running.answer
+                return calls.Reply(answer.status, answer.headers, body)
             case result.Err(refusal):
                 return calls.refuse(refusal)
 
--- a/packages/mothworks/src/mothworks/progress.py
+++ b/packages/mothworks/src/mothworks/progress.py
@@ -19,11 +19,12 @@
     """What has been seen of one answer.
 
     :param stream: whether it is a stream of events.
+    :param sent: monotonic time at which the request was sent, seconds.
     """
 
-    def __init__(self, stream: bool):
+    def __init__(self, stream: bool, sent: float):
         self.stream = stream
-        self.sent = time.monotonic()
+        self.sent = sent
         self.first = 0.0
         self.last = 0.0
         #: Whole events passed on, ``[DONE]`` not among them.
--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -4,13 +4,13 @@
 import time
 import typing
 
-import gevent.pool
-import gevent.pywsgi
+import gevent
 import logbook
 
 from mothworks import (
     calls,
     configuration,
+    connections,
     kernel,
     logs,
     outcomes,
@@ -35,13 +35,8 @@
             for prefix in plugins.keys(plugins.CALLER_PROTOCOL)
         }
         chosen = node_kernel.settings
-        self.pool = gevent.pool.Pool(chosen.limits.connections)
-        self.listener = gevent.pywsgi.WSGIServer(
-            (chosen.address, chosen.port),
-            self._application,
-            spawn=self.pool,
-            log=None,
-            error_log=None,
+        self.listener = connections.Listener(
+            (chosen.address, chosen.port), self._application, chosen.limits
         )
         self.listener.init_socket()
         #: The port that the kernel chose where the setting is 0.
@@ -66,18 +61,23 @@
         self, environ: dict[str, typing.Any], start_response: calls.StartResponse
     ) -> collections.abc.Iterator[bytes]:
         self.open_calls += 1
-        reply = None
+        call = reply = None
         try:
             call = calls.Call(environ, self.kernel.settings.limits)
             logs.set_request_id(call.id)
             reply = self._guarded(call)
-            start_response(calls.status_line(reply.status), reply.headers)
+            headers = _headers(reply, call.id)
+            start_response(calls.status_line(reply.status), headers)
             yield from reply.body
+        except OSError as error:
+            raise connections.BrokenAnswer from error
         finally:
             # A body that was never iterated holds its slot until closed.
             close = getattr(reply and reply.body, "close", None)
             if close is not None:
                 close()
+            if call is not None:
+                call.stop_watch()
             self.open_calls -= 1
 
     def _guarded(self, call: calls.Call) -> calls.Reply:
@@ -118,3 +118,12 @@
         if not self.configuration.loaded.is_set():
             return calls.json_reply({"ready": False, "why": "no configuration"}, 503)
         return calls.json_reply({"ready": True})
+
+
+def _headers(reply: calls.Reply, request_id: str) -> list[tuple[str, str]]:
+    withheld = {calls.REQUEST_ID.lower()}
+    if reply.status in (204, 304):
+        # The WSGI server fails on a length of a body that must not be there.
+        withheld.add("content-length")
+    kept = [item for item in reply.headers if item[0].lower() not in withheld]
+    return [*kept, (calls.REQUEST_ID, request_id)]
--- a/packages/mothworks/src/mothworks/service_calls.py
+++ b/packages/mothworks/src/mothworks/service_calls.py
@@ -25,6 +25,7 @@
         "HTTP_TRAILER",
         "HTTP_TRANSFER_ENCODING",
         "HTTP_UPGRADE",
+        "HTTP_X_REQUEST_ID",
     )
 )
 
@@ -45,24 +46,30 @@
 
         :param call: the call.
         """
-        outcome = calls.authenticate(call, self.configuration.index).and_then(
-            lambda caller: call.body().and_then(
-                lambda body: self._request(call, caller, body).and_then(
-                    self.dispatch.begin
-                )
-            )
-        )
-        match outcome:
+        match calls.authenticate(call, self.configuration.index):
+            case result.Ok(caller):
+                pass
+            case result.Err(refusal):
+                return calls.refuse(refusal)
+        read = call.body().and_then(lambda body: self._request(call, caller, body))
+        match read.and_then(
+            lambda request: self.dispatch.begin(request, call.start_watch())
+        ):
             case result.Ok(running):
-                headers = [*running.answer.headers, ("X-Request-Id", call.id)]
-                return calls.Reply(running.answer.status, headers, running)
+                answer = running.answer
+                return calls.Reply(answer.status, answer.headers, running)
             case result.Err(refusal):
                 return calls.refuse(refusal)
 
     def _request(
         self, call: calls.Call, caller: catalogue.Caller, body: bytes
     ) -> result.Result[requests.Request, outcomes.Refusal]:
-        name, _, rest = call.path.removeprefix("/services/").partition("/")
+        # The path goes on as it came: decoded, a line break inside it would
+        # start a request of its own at the service.
+        raw = call.raw_path
+        if not (raw.isascii() and raw.isprintable()):
+            return result.Err(outcomes.invalid("the path is not plain ASCII"))
+        name, _, rest = raw.removeprefix("/services/").partition("/")
         service = self.configuration.index.service_by_name.get(name)
         if service is None or (caller.models and name not in caller.models):
             message = f"no service is named {name!r:.80}"
--- a/packages/mothworks_fakes/src/mothworks_fakes/__main__.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/__main__.py
@@ -8,16 +8,25 @@
 
 
 def run_engine(
-    *, memory_mb: int = 80_000, fencing: bool = True, port: int = 0, model: list[str]
+    *,
+    memory_mb: int = 80_000,
+    fencing: bool = True,
+    port: int = 0,
+    step_ms: float = 10.0,
+    batch: int = 16,
+    model: list[str],
 ) -> None:
     """Run a model engine.
 
     :param memory_mb: accelerator memory, MB.
     :param fencing: refuse orders with an old fencing number.
     :param port: TCP port; 0 lets the kernel choose.
+    :param step_ms: time of a decoding step, milliseconds.
+    :param batch: most requests in the batch.
     :param model: models resident from the start, of 1000 MB each.
     """
-    fake = engine.Engine(memory_mb, fencing, port=port)
+    speed = engine.Speed(step_s=step_ms / 1000, step_s_per_request=0.0, batch=batch)
+    fake = engine.Engine(memory_mb, fencing, speed, port)
     for name in model:
         fake.place(name, 1000)
     _serve(fake)
--- a/packages/mothworks_fakes/src/mothworks_fakes/web.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/web.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import random
+import socket
 import typing
 
 import attrs
@@ -65,6 +66,10 @@
 
 
 class _Handler(gevent.pywsgi.WSGIHandler):
+    def __init__(self, sock, address, server, rfile=None):
+        super().__init__(sock, address, server, rfile)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
     def handle_error(self, kind, value, trace):
         if isinstance(value, BreakConnection):
             self.close_connection = True
