Callers that send what they should not, stall or leave: tests; a model's page

Cause: nothing provoked bad requests below the JSON level, stalls, leavers or the official client; more than 100 headers left a traceback in the log; /v1/models/<id> was missing; the stand-in engine ignored stream_options.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -18,7 +18,8 @@
 
 #: Longest wait for the next request on an open connection, seconds.
 IDLE_S = 75.0
-#: Most header lines; the standard library's own bound.
+#: Most header lines, the empty one included. The standard library has the same bound, but answers
+#: beyond it with a traceback in the log.
 MOST_HEADERS = 100
 #: Time given to a caller to read a refusal while it still sends, seconds.
 LINGER_S = 3.0
@@ -200,10 +201,14 @@
         self.file = file
         self.most = most
         self.left = most * 4
+        self.lines = 0
 
     def readline(self, _: int = -1) -> bytes:
         line = self.file.readline(self.most + 1)
         self.left -= len(line)
+        self.lines += 1
+        if self.lines > MOST_HEADERS:
+            raise HeadTooLong(f"there are more than {MOST_HEADERS} headers")
         if len(line) > self.most:
             raise HeadTooLong(f"a header line is longer than {self.most} bytes")
         if self.left < 0:
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -19,6 +19,8 @@
 
 #: Paths that generate, the same towards callers and engines.
 GENERATING_PATHS = frozenset(("/v1/chat/completions", "/v1/completions"))
+#: What comes before a model's name in the path of its own page.
+MODEL_PATH = "/v1/models/"
 #: Tokens assumed where the caller names no maximum.
 DEFAULT_TOKENS = 256
 
@@ -61,6 +63,8 @@
         match (call.method, call.path):
             case ("GET", "/v1/models"):
                 return self._models(caller)
+            case ("GET", path) if path.startswith(MODEL_PATH):
+                return self._model(caller, path.removeprefix(MODEL_PATH))
             case ("POST", path) if path in GENERATING_PATHS:
                 return self._generate(call, caller)
             case (_, path) if path in GENERATING_PATHS or path == "/v1/models":
@@ -75,13 +79,16 @@
     def _models(self, caller: catalogue.Caller) -> calls.Reply:
         index = self.configuration.index
         names = [*index.model_by_name, *index.adapter_by_name]
-        data = [
-            {"id": name, "object": "model", "created": 0, "owned_by": "mothworks"}
-            for name in names
-            if _allowed(caller, name)
-        ]
+        data = [_listed(name) for name in names if _allowed(caller, name)]
         return calls.json_reply({"object": "list", "data": data})
 
+    def _model(self, caller: catalogue.Caller, name: str) -> calls.Reply:
+        index = self.configuration.index
+        known = name in index.model_by_name or name in index.adapter_by_name
+        if not known or not _allowed(caller, name):
+            return calls.refuse(_no_model(name))
+        return calls.json_reply(_listed(name))
+
     def _generate(self, call: calls.Call, caller: catalogue.Caller) -> calls.Reply:
         read = call.body().and_then(lambda body: self._request(call, caller, body))
         match read.and_then(
@@ -106,8 +113,7 @@
         adapter = index.adapter_by_name.get(fields.model)
         model = adapter.model if adapter else fields.model
         if model not in index.model_by_name or not _allowed(caller, fields.model):
-            message = f"no model is named {fields.model!r:.80}"
-            return result.Err(outcomes.invalid(message, "model_not_found", 404))
+            return result.Err(_no_model(fields.model))
         return result.Ok(
             requests.Request(
                 id=call.id,
@@ -152,6 +158,15 @@
     return result.Ok(Fields(model, bool(stream), tokens))
 
 
+def _listed(name: str) -> dict:
+    return {"id": name, "object": "model", "created": 0, "owned_by": "mothworks"}
+
+
+def _no_model(name: str) -> outcomes.Refusal:
+    message = f"no model is named {name!r:.80}"
+    return outcomes.invalid(message, "model_not_found", 404)
+
+
 def _allowed(caller: catalogue.Caller, name: str) -> bool:
     return not caller.models or name in caller.models
 
--- a/packages/mothworks/tests/builders.py
+++ b/packages/mothworks/tests/builders.py
@@ -53,6 +53,10 @@
     return endpoint(name, **{**fields, **changes})
 
 
+def service(name: str = "orders", **changes) -> catalogue.Service:
+    return catalogue.Service(name, **changes)
+
+
 def model(name: str = "menu", **changes) -> catalogue.Model:
     fields = {"name": name, "memory_mb": 16_000, "working_mb": 4_000}
     return catalogue.Model(**{**fields, **changes})
--- /dev/null
+++ b/packages/mothworks/tests/test_callers.py
@@ -0,0 +1,276 @@
+"""Callers that send what they should not, stall, or leave."""
+
+import gevent
+import pytest
+
+import served
+from mothworks import slots
+from mothworks_fakes import gates, processes
+
+MANY = 150
+
+
+@pytest.fixture(scope="module")
+def shared():
+    made = served.Served(body_bytes=10_000, header_bytes=2_000)
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def serve():
+    made = []
+
+    def start(**options):
+        made.append(served.Served(**options))
+        return made[-1]
+
+    yield start
+    for each in made:
+        each.stop()
+
+
+def chunked(*parts: bytes) -> bytes:
+    start = served.head("POST", served.CHAT, Transfer_Encoding="chunked")
+    return start + b"".join(parts)
+
+
+BAD_REQUESTS = {
+    "malformed JSON": (served.post(served.CHAT, b'{"model": '), 400, "invalid_json"),
+    "invalid UTF-8": (served.post(served.CHAT, b'{"m": "\xff"}'), 400, "invalid_json"),
+    "empty body": (served.post(served.CHAT, b""), 400, "invalid_json"),
+    "no length": (served.head("POST", served.CHAT), 400, "invalid_json"),
+    "no object": (served.post(served.CHAT, b"[1]"), 400, "invalid_request"),
+    "no model": (served.post(served.CHAT, b"{}"), 400, "invalid_request"),
+    "unknown model": (
+        served.post(served.CHAT, b'{"model": "absent"}'),
+        404,
+        "model_not_found",
+    ),
+    "stream is text": (
+        served.post(served.CHAT, b'{"model": "menu", "stream": "yes"}'),
+        400,
+        "invalid_request",
+    ),
+    "stream is a list": (
+        served.post(served.CHAT, b'{"model": "menu", "stream": []}'),
+        400,
+        "invalid_request",
+    ),
+    "tokens below one": (
+        served.post(served.CHAT, b'{"model": "menu", "max_tokens": 0}'),
+        400,
+        "invalid_request",
+    ),
+    "wrong key": (
+        served.head("GET", "/v1/models", key="wrong"),
+        401,
+        "invalid_api_key",
+    ),
+    "key not ASCII": (
+        served.head("GET", "/v1/models", key="\u20ac"),
+        401,
+        "invalid_api_key",
+    ),
+    "wrong method": (served.head("GET", served.CHAT), 405, "method_not_allowed"),
+    "unknown path": (served.head("GET", "/v1/absent"), 404, "not_found"),
+    "unknown tree": (served.head("GET", "/absent"), 404, "not_found"),
+    "unknown service": (
+        served.head("GET", "/services/absent/x"),
+        404,
+        "service_not_found",
+    ),
+    "declared too long": (
+        served.head("POST", served.CHAT, Content_Length=10_001),
+        413,
+        "body_too_long",
+    ),
+    "too long": (served.post(served.CHAT, b" " * 2_000_000), 413, "body_too_long"),
+    "chunks too long": (
+        chunked(*(b"400\r\n" + b" " * 1024 + b"\r\n" for _ in range(2_000))),
+        413,
+        "body_too_long",
+    ),
+    "chunk size not hex": (chunked(b"zz\r\n"), 400, "truncated_body"),
+    "chunk size missing": (chunked(b"\r\n\r\n"), 400, "truncated_body"),
+    "chunk without its end": (chunked(b"1\r\nabc\r\n"), 400, "truncated_body"),
+    "length not a number": (
+        served.head("POST", served.CHAT, Content_Length="ten"),
+        400,
+        "invalid_head",
+    ),
+    "length with a sign": (
+        served.head("POST", served.CHAT, Content_Length="+2") + b"{}",
+        400,
+        "invalid_head",
+    ),
+    "two lengths": (
+        served.head("POST", served.CHAT, Content_Length="2\r\nContent-Length: 3"),
+        400,
+        "invalid_head",
+    ),
+    "unknown coding": (
+        served.head("POST", served.CHAT, Transfer_Encoding="gzip, chunked"),
+        400,
+        "invalid_head",
+    ),
+    "no header line": (
+        served.head("GET", "/v1/models", X="1\r\nnot a header"),
+        400,
+        "invalid_head",
+    ),
+    "folded header": (
+        served.head("GET", "/v1/models", X="1\r\n 2"),
+        400,
+        "invalid_head",
+    ),
+    "long header line": (
+        served.head("GET", "/v1/models", X="x" * 2_001),
+        431,
+        "head_too_long",
+    ),
+    "many header bytes": (
+        served.head("GET", "/v1/models", **{f"X{n}": "x" * 1_900 for n in range(5)}),
+        431,
+        "head_too_long",
+    ),
+    "many headers": (
+        served.head("GET", "/v1/models", **{f"X{n}": "x" for n in range(MANY)}),
+        431,
+        "head_too_long",
+    ),
+    "long path": (served.head("GET", "/" + "x" * 10_000), 414, "head_too_long"),
+    "no HTTP": (b"hello\r\n\r\n", 400, "invalid_head"),
+    "service path not ASCII": (
+        served.head("GET", "/services/orders/\xe9"),
+        400,
+        "invalid_request",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD_REQUESTS)
+def test_a_bad_request_is_refused_and_harms_nothing(shared, name):
+    wire, status, code = BAD_REQUESTS[name]
+    runs = len(shared.engines[0].runs)
+    answered = shared.send(wire)
+    assert (answered.status, answered.error["code"]) == (status, code)
+    assert answered.error["ran"] == answered.headers["mothworks-ran"] == "no"
+    assert answered.headers["x-request-id"]
+    assert len(shared.engines[0].runs) == runs
+    assert shared.send(served.head("GET", "/healthz")).status == 200
+
+
+def test_an_encoded_line_break_stays_encoded(shared):
+    # A path that is decoded on its way to the service starts a request of
+    # the caller's making there: the reply to it goes to the next caller.
+    path = "/services/orders/a%0d%0aX:%20y%20b?q=%0a"
+    answered = shared.send(served.head("GET", path))
+    assert answered.status == 200
+    assert b'"/a\\r\\nX: y b"' in answered.body
+
+
+def test_a_truncated_upload_is_refused(shared):
+    sock = shared.connect()
+    sock.sendall(served.head("POST", served.CHAT, Content_Length=500) + b"{")
+    sock.shutdown(gevent.socket.SHUT_WR)
+    answered = served.read_answer(sock)
+    assert (answered.status, answered.error["code"]) == (400, "truncated_body")
+
+
+@pytest.mark.parametrize(
+    ("wire", "code"),
+    [
+        (served.head("POST", served.CHAT, Content_Length=500) + b"{", "upload_timeout"),
+        (b"GET /v1/models HTTP/1.1\r\nHost: te", "head_timeout"),
+    ],
+    ids=["body", "head"],
+)
+def test_a_stalled_upload_is_refused(serve, wire, code):
+    answered = serve(upload_s=0.2).send(wire)
+    assert (answered.status, answered.error["code"]) == (408, code)
+
+
+def test_a_connection_too_many_is_told_so(serve):
+    # A pool that just stops accepting leaves callers in the kernel's queue:
+    # they see neither an answer nor a refusal until their own timeout.
+    node = serve(connections=2)
+    held = [node.connect() for _ in range(2)]
+    processes.wait_until(lambda: len(node.node.server.listener.connections) == 2)
+    answered = node.send(served.head("GET", "/healthz"))
+    assert (answered.status, answered.error["code"]) == (503, "connections")
+    assert answered.headers["retry-after"] == "1"
+    held.pop().close()
+    processes.wait_until(
+        lambda: node.send(served.head("GET", "/healthz")).status == 200
+    )
+
+
+def test_a_reader_that_stalls_loses_its_connection_and_slot(serve):
+    # A caller that stops reading fills the buffers between; without a bound
+    # its request keeps a slot at the engine for as long as it likes.
+    big = b"data: " + b"x" * 60_000 + b"\n\n"
+    pieces = (big for _ in range(10_000))
+    engine = served.ScriptedEngine(lambda _: served.stream_reply(*pieces))
+    node = serve(engines=[engine], write_s=0.3)
+    sock = node.connect()
+    sock.sendall(served.chat(stream=True))
+    processes.wait_until(lambda: engine.bodies)
+    processes.wait_until(node.idle)
+    sock.close()
+
+
+@pytest.mark.parametrize("step", [gates.Step.SENT, gates.Step.MID_ANSWER])
+def test_a_caller_that_leaves_frees_its_slot(serve, step):
+    # The engine is busy with a request whose caller is gone; the next caller
+    # waits for a slot that nobody uses. The server notices only on write.
+    node = serve()
+    gate = node.engines[0].gates.close(step)
+    sock = node.connect()
+    sock.sendall(served.chat(stream=True))
+    gate.reached.wait()
+    assert not node.idle()
+    sock.close()
+    processes.wait_until(node.idle)
+    gate.opened.set()
+    processes.wait_until(lambda: node.engines[0].running == 0)
+
+
+def test_a_caller_that_leaves_the_queue_gives_up_its_place(serve):
+    node = serve(slots=1)
+    gate = node.engines[0].gates.close(gates.Step.SENT)
+    first, second = node.connect(), node.connect()
+    first.sendall(served.chat(stream=True))
+    gate.reached.wait()
+    second.sendall(served.chat(stream=True, max_tokens=99))
+    part = node.part(slots.Slots)
+    processes.wait_until(lambda: len(part.waiting()) == 1)
+    second.close()
+    processes.wait_until(lambda: len(part.waiting()) == 0)
+    gate.opened.set()
+    assert served.read_answer(first).events[-1] == b"data: [DONE]"
+    assert len(node.engines[0].runs) == 1
+
+
+def test_a_call_that_may_run_once_is_not_broken_off(serve):
+    # The guest closes the page while the kitchen takes the order. Breaking
+    # the call off would leave an order that may or may not have been taken.
+    node = serve()
+    node.orders.work_s = 0.2
+    sock = node.connect()
+    sock.sendall(served.post("/services/orders/confirm", b"two trays"))
+    processes.wait_until(lambda: node.orders.calls_by_body[b"two trays"])
+    sock.close()
+    assert not node.idle()
+    processes.wait_until(node.idle)
+    assert node.orders.calls_by_body == {b"two trays": 1}
+
+
+def test_each_request_of_a_connection_gets_its_own_answer(shared):
+    sock = shared.connect()
+    sock.sendall(served.chat(max_tokens=2) + served.chat(max_tokens=3))
+    wire = b""
+    while wire.count(b'"usage"') < 2:
+        wire += sock.recv(65536)
+    assert wire.index(b'"completion_tokens":2') < wire.index(b'"completion_tokens":3')
+    sock.close()
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -180,7 +180,7 @@
         tokens = self._tokens(len(body) // BYTES_A_TOKEN, digest, wanted)
         chat = path.endswith("chat/completions")
         if request.get("stream"):
-            pieces = self._stream(tokens, request_id, model, chat)
+            pieces = self._stream(tokens, request_id, model, chat, _usage(request))
             return web.Reply("200 OK", [("Content-Type", "text/event-stream")], pieces)
         text = "".join(tokens)
         return web.json_reply(_whole(text, wanted, request_id, model, chat))
@@ -217,7 +217,9 @@
         request_id: str,
         model: str,
         chat: bool,
+        usage: bool,
     ) -> collections.abc.Iterator[bytes]:
+        count = 0
         for token in tokens:
             choice = {"index": 0, "finish_reason": None}
             choice.update({"delta": {"content": token}} if chat else {"text": token})
@@ -228,6 +230,10 @@
                 "model": model,
                 "choices": [choice],
             }
+            count += 1
+            yield b"data: " + orjson.dumps(event) + b"\n\n"
+        if usage:
+            event = {**event, "choices": [], "usage": _counts(count)}
             yield b"data: " + orjson.dumps(event) + b"\n\n"
         self.gates.pass_by(gates.Step.BEFORE_END)
         yield b"data: [DONE]\n\n"
@@ -245,9 +251,18 @@
         "created": 0,
         "model": model,
         "choices": [choice],
-        "usage": {
-            "prompt_tokens": 1,
-            "completion_tokens": tokens,
-            "total_tokens": tokens + 1,
-        },
+        "usage": _counts(tokens),
+    }
+
+
+def _usage(request: dict) -> bool:
+    options = request.get("stream_options")
+    return isinstance(options, dict) and bool(options.get("include_usage"))
+
+
+def _counts(tokens: int) -> dict:
+    return {
+        "prompt_tokens": 1,
+        "completion_tokens": tokens,
+        "total_tokens": tokens + 1,
     }
