--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -18,8 +18,8 @@
 
 #: Longest wait for the next request on an open connection, seconds.
 IDLE_S = 75.0
-#: Most header lines, the empty one included. The standard library has the same bound, but answers
-#: beyond it with a traceback in the log.
+#: Most header lines, the empty one included. The standard library has the
+#: same bound, but answers beyond it with a traceback in the log.
 MOST_HEADERS = 100
 #: Time given to a caller to read a refusal while it still sends, seconds.
 LINGER_S = 3.0
