At most once: claims in the object API, batched by shard, with replay

Cause: nothing kept a resend on another VM from running an order again. Change: right before a request with an Idempotency-Key is sent, its entry claims the key; a shard's owner writes the claims of all entries together by conditional update, to a log of one head and immutable segments. A resend gets the stored answer, or ran: unknown; copies wait for the first; another body with the key is refused with 422. The rest of an answer is read also where the caller goes away. With the object API down, work that may run once is refused with ran: no and repeatable work goes on. Retention is in the catalogue. Check: test_claims.py (state machine: two owners, pauses, lost replies, stale reads) and test_resends.py (nodes killed before and after the claim and after sending).

--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -3,6 +3,7 @@
 from mothworks import (  # noqa: F401
     application,
     audit,
+    claims,
     configuration,
     configuration_following,
     configuration_garbage,
--- a/packages/mothworks/src/mothworks/catalogue.py
+++ b/packages/mothworks/src/mothworks/catalogue.py
@@ -157,6 +157,25 @@
     late_order_s: float = attrs.field(default=30.0, validator=settings.check_positive)
 
 
+@attrs.frozen
+class Retention:
+    """How long what the system keeps for callers is kept.
+
+    :param claims_s: time for which a resend with the same Idempotency-Key
+        is recognised, seconds.
+    :param deferred_s: time for which the answer of deferred work can be
+        fetched, seconds.
+    :param quarantine_s: time for which a request that crashed endpoints is
+        refused, seconds.
+    """
+
+    claims_s: float = attrs.field(default=86_400.0, validator=settings.check_positive)
+    deferred_s: float = attrs.field(default=86_400.0, validator=settings.check_positive)
+    quarantine_s: float = attrs.field(
+        default=3_600.0, validator=settings.check_positive
+    )
+
+
 @attrs.frozen
 class Catalogue:
     """Everything that operators declare.
@@ -168,6 +187,7 @@
     :param callers: who may call.
     :param endpoints: all back ends.
     :param weights: how measures are weighed.
+    :param retention: how long what is kept for callers is kept.
     """
 
     data_centres: tuple[DataCentre, ...] = ()
@@ -177,6 +197,7 @@
     callers: tuple[Caller, ...] = ()
     endpoints: tuple[Endpoint, ...] = ()
     weights: Weights = Weights()
+    retention: Retention = Retention()
 
 
 class Index:
--- a/packages/mothworks/src/mothworks/changes.py
+++ b/packages/mothworks/src/mothworks/changes.py
@@ -92,7 +92,10 @@
         second = {item.name: item for item in getattr(after, section)}
         for name in sorted(first.keys() | second.keys()):
             found += _item_difference(section, name, first.get(name), second.get(name))
-    found += _item_difference("weights", "", before.weights, after.weights)
+    for section in ("weights", "retention"):
+        found += _item_difference(
+            section, "", getattr(before, section), getattr(after, section)
+        )
     return tuple(found)
 
 
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -14,6 +14,8 @@
 from mothworks import (
     caller_watch,
     catalogue,
+    claim_records,
+    claims,
     configuration,
     decisions,
     demand,
@@ -24,6 +26,7 @@
     placement,
     plugins,
     progress,
+    recorded,
     requests,
     retries,
     routing,
@@ -81,8 +84,8 @@
         self.grant = grant
         self.answer = answer
         self.dispatch = dispatch
-        stream = request.stream and answer.status == 200
-        self.progress = progress.Progress(stream, began)
+        self.stream = request.stream and answer.status == 200
+        self.progress = progress.Progress(self.stream, began)
         self.outcome = slots.Outcome.CANCELLED
         self.closed = False
         self._chunks = answer.chunks()
@@ -138,6 +141,7 @@
         self.placement = node_kernel.get(placement.Placement)
         self.demand = node_kernel.get(demand.Demand)
         self.slots = node_kernel.get(slots.Slots)
+        self.claims = node_kernel.get(claims.Claims)
         self.decisions = node_kernel.get(decisions.Decisions)
         chosen = node_kernel.settings.routing
         self.policy: routing.Policy = plugins.find(plugins.ROUTING, chosen)()
@@ -145,7 +149,7 @@
 
     def begin(
         self, request: requests.Request, watch: caller_watch.Watch | None = None
-    ) -> result.Result[Running, outcomes.Refusal]:
+    ) -> result.Result[recorded.Running, outcomes.Refusal]:
         """Send a request and wait for its answer's first bytes.
 
         :param request: the request.
@@ -156,8 +160,12 @@
         self.retries.add_request()
         self.demand.arrived(request.target)
         trace = self.decisions.open(request)
+        claim = self.claims.open(request)
         try:
-            begun = self._try_endpoints(request, trace, watch)
+            if claim is None:
+                begun = self._try_endpoints(request, trace, watch, None)
+            else:
+                begun = self._try_claimed(request, trace, watch, claim)
         except BaseException:
             self.decisions.close(request.id, "cancelled")
             raise
@@ -165,11 +173,39 @@
             self.decisions.close(request.id, f"refused: {begun.err_value.code}")
         return begun
 
+    def _try_claimed(
+        self,
+        request: requests.Request,
+        trace: decisions.Trace,
+        watch: caller_watch.Watch | None,
+        claim: claims.Claim,
+    ) -> result.Result[recorded.Running, outcomes.Refusal]:
+        """Run a request with a key, unless another copy of it did or does."""
+        repeated = claim.find()
+        if repeated is not None:
+            return repeated.map(recorded.Replay)
+        try:
+            begun = self._try_endpoints(request, trace, watch, claim)
+        except BaseException:
+            claim.end(claim_records.State.UNKNOWN)
+            raise
+        if claim.lost:
+            return claim.wait().map(recorded.Replay)
+        match begun:
+            case result.Ok(running):
+                return result.Ok(recorded.Recorded(running, claim, self.claims.tasks))
+            case result.Err(outcomes.Refusal(ran=outcomes.Ran.NO)):
+                claim.end(claim_records.State.RELEASED)
+            case result.Err(_):
+                claim.end(claim_records.State.UNKNOWN)
+        return begun
+
     def _try_endpoints(
         self,
         request: requests.Request,
         trace: decisions.Trace,
         watch: caller_watch.Watch | None,
+        claim: claims.Claim | None,
     ) -> result.Result[Running, outcomes.Refusal]:
         tried: set[str] = set()
         refusal = _no_endpoint(request)
@@ -178,7 +214,7 @@
             if not choice:
                 self._explain_closed(request, trace)
                 break
-            match self._attempt(request, choice, watch):
+            match self._attempt(request, choice, watch, claim):
                 case result.Ok(running):
                     grant = running.grant
                     trace.add(grant.endpoint.name, f"granted by {grant.owner or '-'}")
@@ -187,7 +223,7 @@
                     refusal = failed.refusal
                     trace.add(failed.endpoint, refusal.message)
             tried.add(failed.endpoint)
-            if not self._may_retry(request, failed):
+            if (claim and claim.lost) or not self._may_retry(request, failed):
                 break
         return result.Err(refusal)
 
@@ -219,16 +255,20 @@
         request: requests.Request,
         choice: list[catalogue.Endpoint],
         watch: caller_watch.Watch | None,
+        claim: claims.Claim | None,
     ) -> result.Result[Running, Failed]:
         match self._acquire(request, choice):
             case result.Ok(grant):
                 pass
             case result.Err(refusal):
                 return result.Err(_not_sent(refusal))
-        if watch is not None and not request.repeatable:
+        if watch is not None and (claim or not request.repeatable):
             watch.stop()
         try:
-            sent = self._send(request, grant)
+            claimed = claim.take() if claim else result.Ok(None)
+            sent = claimed.map_err(_not_sent).and_then(
+                lambda _: self._send(request, grant)
+            )
         except BaseException:
             self._release(grant, slots.End(slots.Outcome.CANCELLED))
             raise
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -95,7 +95,7 @@
             lambda request: self.dispatch.begin(request, call.start_watch())
         ):
             case result.Ok(running):
-                body = _EndedStream(running) if running.progress.stream else running
+                body = _EndedStream(running) if running.stream else running
                 answer = running.answer
                 return calls.Reply(answer.status, answer.headers, body)
             case result.Err(refusal):
--- /dev/null
+++ b/packages/mothworks/tests/test_resends.py
@@ -0,0 +1,199 @@
+"""Resends with an Idempotency-Key between real nodes, which die midway."""
+
+import gevent
+import geventhttpclient
+import orjson
+import pytest
+
+import builders
+from mothworks import catalogue
+from mothworks_fakes import gates, processes, testbed, web
+
+NODES = ("vm-1", "vm-2", "vm-3")
+ENDPOINTS = ("engine-1", "orders-1", "kitchen-1")
+
+
+@pytest.fixture(scope="module")
+def bed(tmp_path_factory):
+    made = testbed.Testbed(tmp_path_factory.mktemp("resends"))
+    engine = made.add_engine(builders.endpoint())
+    made.fake_by_endpoint["engine-1"].place("menu", 16_000)
+    orders = made.add_application(builders.service_endpoint(slots=64))
+    kitchen = made.add_application(
+        builders.service_endpoint("kitchen-1", service="kitchen", slots=1)
+    )
+    for name in NODES:
+        made.add_node(name, "dc-1", "region-1")
+    declared = builders.declared(
+        services=(catalogue.Service("orders"), catalogue.Service("kitchen")),
+        endpoints=(engine, orders, kitchen),
+    )
+    made.apply(declared)
+    processes.wait_until(lambda: made.all_open(ENDPOINTS))
+    yield made
+    made.stop()
+
+
+@pytest.fixture(autouse=True)
+def no_faults(bed):
+    yield
+    bed.object_api.faults = web.Faults()
+    service(bed).work_s = 0.0
+
+
+@pytest.fixture
+def doomed(bed, request):
+    """A further node, which the test kills."""
+    name = f"doomed-{request.node.name}"
+    node = bed.add_node(name, "dc-1", "region-1")
+    processes.wait_until(lambda: bed.all_open(ENDPOINTS))
+    yield node
+    del bed.node_by_name[name]
+
+
+def service(bed):
+    return bed.fake_by_endpoint["orders-1"]
+
+
+def runs(bed, body):
+    return service(bed).calls_by_body[body]
+
+
+def send(bed, name, body, key, path="/services/orders/confirm"):
+    node = bed.node_by_name[name]
+    http = geventhttpclient.HTTPClient.from_url(node.url, network_timeout=30)
+    headers = {
+        "Authorization": f"Bearer {builders.CALLER_KEY}",
+        "Idempotency-Key": key,
+    }
+    reply = http.post(path, body, headers)
+    return reply.status_code, bytes(reply.read())
+
+
+def error(answer):
+    status, body = answer
+    value = orjson.loads(body)["error"]
+    return status, value["code"], value["ran"]
+
+
+def resend_until_settled(bed, body, key, *path):
+    """Send again while the nodes say that a later try makes sense."""
+    answers = []
+
+    def settled():
+        answers.append(send(bed, "vm-2", body, key, *path))
+        return answers[-1][0] not in (409, 503)
+
+    processes.wait_until(settled)
+    return answers[-1]
+
+
+def test_a_resend_on_any_node_gets_the_first_answer(bed):
+    body = b"one tray, resent"
+    answers = {send(bed, name, body, "resent") for name in NODES}
+    assert answers == {(200, b'{"path":"/confirm","echo":"one tray, resent"}')}
+    assert runs(bed, body) == 1
+
+
+def test_of_copies_sent_at_once_one_runs_and_all_get_its_answer(bed):
+    service(bed).work_s = 0.3
+    body = b"one tray, many copies"
+    copies = [gevent.spawn(send, bed, name, body, "copies") for name in NODES * 3]
+    gevent.joinall(copies)
+    assert {copy.value[0] for copy in copies} == {200}
+    assert runs(bed, body) == 1
+
+
+def test_a_key_is_the_callers_own_and_for_one_request(bed):
+    assert send(bed, "vm-1", b"first", "once")[0] == 200
+    refused = send(bed, "vm-2", b"another", "once")
+    assert error(refused) == (422, "idempotency_key_reused", "no")
+    assert runs(bed, b"another") == 0
+
+
+def test_a_model_request_with_a_key_is_replayed(bed):
+    body = orjson.dumps(
+        {"model": "menu", "messages": [], "stream": True, "max_tokens": 4}
+    )
+    path = "/v1/chat/completions"
+    first = send(bed, "vm-1", body, "chat", path)
+    assert first[1].endswith(b"[DONE]\n\n")
+    assert send(bed, "vm-3", body, "chat", path) == first
+    assert len(bed.fake_by_endpoint["engine-1"].runs) == 1
+
+
+def test_a_caller_that_gave_up_finds_the_answer_later(bed):
+    # The caller's client times out, closes the connection and sends the
+    # order again. Its first copy is still running.
+    service(bed).work_s = 1.0
+    body = b"one tray, impatient"
+    impatient = gevent.spawn(send, bed, "vm-1", body, "impatient")
+    processes.wait_until(lambda: runs(bed, body))
+    impatient.kill()
+    assert send(bed, "vm-2", body, "impatient")[0] == 200
+    assert runs(bed, body) == 1
+
+
+def test_an_outage_of_the_object_api_refuses_what_may_run_once(bed):
+    bed.object_api.faults.outage = True
+    body = b"one tray, outage"
+    assert error(send(bed, "vm-1", body, "outage")) == (503, "object_api", "no")
+    chat = orjson.dumps({"model": "menu", "messages": [], "max_tokens": 1})
+    answer = send(bed, "vm-1", chat, "outage-chat", "/v1/chat/completions")
+    assert answer[0] == 200
+    bed.object_api.faults.outage = False
+    assert resend_until_settled(bed, body, "outage")[0] == 200
+    assert runs(bed, body) == 1
+
+
+def test_a_node_that_dies_after_sending_leaves_the_outcome_unknown(bed, doomed):
+    # The node sent the order and died before the answer came. A resend that
+    # runs would be a second tray.
+    service(bed).work_s = 1.0
+    body = b"one tray, died after sending"
+    first = gevent.spawn(send, bed, doomed.settings.name, body, "after-send")
+    processes.wait_until(lambda: runs(bed, body))
+    doomed.kill()
+    answer = send(bed, "vm-1", body, "after-send")
+    assert error(answer) == (502, "outcome_unknown", "unknown")
+    assert runs(bed, body) == 1
+    first.kill()
+
+
+def test_a_node_that_dies_after_claiming_leaves_no_second_run(bed, doomed):
+    # The claim took effect and its reply was lost; the node died before it
+    # could learn that. Nothing ran, but no other node can know.
+    body = b"one tray, died after claiming"
+    bed.object_api.faults = web.Faults(
+        lost_reply=1.0, only="/objects/claims", writes_only=True
+    )
+    before = bed.object_api.writes
+    first = gevent.spawn(send, bed, doomed.settings.name, body, "after-claim")
+    processes.wait_until(lambda: bed.object_api.writes > before)
+    doomed.kill()
+    bed.object_api.faults = web.Faults()
+    status, _ = resend_until_settled(bed, body, "after-claim")
+    assert status in (200, 502)
+    assert runs(bed, body) == (1 if status == 200 else 0)
+    first.kill()
+
+
+def test_a_node_that_dies_before_claiming_costs_nothing(bed, doomed):
+    # The node died while the ticket waited for the kitchen's only slot. No
+    # claim was made, so that the resend runs.
+    kitchen = bed.fake_by_endpoint["kitchen-1"]
+    path = "/services/kitchen/ticket"
+    gate = kitchen.gates.close(gates.Step.MID_ANSWER)
+    other = gevent.spawn(send, bed, "vm-1", b"other", "other", path)
+    gate.reached.wait()
+    first = gevent.spawn(
+        send, bed, doomed.settings.name, b"ticket", "before-claim", path
+    )
+    gevent.sleep(0.1)
+    doomed.kill()
+    assert kitchen.calls_by_body[b"ticket"] == 0
+    gate.opened.set()
+    assert resend_until_settled(bed, b"ticket", "before-claim", path)[0] == 200
+    assert kitchen.calls_by_body[b"ticket"] == 1
+    other.join()
+    first.kill()
