--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -5,6 +5,7 @@
 import pathlib
 
 import attrs
+import result
 
 from mothctl import client
 from mothworks import builtin, catalogue, documents, settings, vm_list  # noqa: F401
@@ -127,12 +128,29 @@
         :returns: the new revision.
         """
         first = next(iter(self.node_by_name.values()))
+        return self.put_catalogue(first, declared, revision).unwrap()["revision"]
+
+    def put_catalogue(
+        self, node: processes.NodeProcess, declared: catalogue.Catalogue, revision: int
+    ) -> result.Result[dict, client.CallError]:
+        """Put a catalogue in force through a node.
+
+        :param node: the node to ask.
+        :param declared: the catalogue.
+        :param revision: the revision that it replaces.
+        """
         change = {
             "revision": revision,
             "why": "test",
             "catalogue": documents.plain(declared),
         }
-        return self.operator(first).put("catalogue", change).unwrap()["revision"]
+        return self.operator(node).put("catalogue", change)
+
+    def engines(self) -> collections.abc.Iterator[engine.Engine]:
+        """Yield the engines among the stand-ins."""
+        for fake in self.fake_by_endpoint.values():
+            if isinstance(fake, engine.Engine):
+                yield fake
 
     def all_open(self, names: collections.abc.Iterable[str]) -> bool:
         """Return whether every node knows that endpoints take new work.
