Operators' statements: questions by fan-out, conditional commands, roles

Cause: operators could only list three collections and replace the catalogue. Change: POST /operate/ask takes typed statements. Questions gather queues from the endpoints' owners and traces from the entries (messages 80, 81; bounded rows; VMs that do not answer are named). Commands are worked out on the newest revision, and refused with the difference where another operator changed the same item first. Roles are checked for each statement; all keys are compared in constant time. mothctl ask, diff, apply (which needs the compared revision), check, with documented exit codes.

--- a/packages/mothctl/src/mothctl/cli.py
+++ b/packages/mothctl/src/mothctl/cli.py
@@ -1,79 +1,164 @@
-"""The command line of the binary ``mothctl``."""
+"""The command line of the binary ``mothctl``.
+
+Exit codes: 0 done; 1 a node could not do it, or none answers; 2 the
+statement, file or command line is wrong; 3 another operator's change came
+first; 4 the key or its role does not allow it; 5 not applied, because it
+must be confirmed with the revision. After 2 to 5 nothing was changed.
+"""
 
 import os
 import pathlib
 import sys
+import time
 
 import defopt
-import orjson
 import result
-import tabulate
 
-from mothctl import client
-from mothworks import builtin, catalogue, documents  # noqa: F401
+from mothctl import client, execution, language, printing
 
-#: Exit codes.
+EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_CONFLICT = 3
+EXIT_FORBIDDEN = 4
+EXIT_UNCONFIRMED = 5
 
 URL_VARIABLE = "MOTHWORKS_URL"
 KEY_VARIABLE = "MOTHWORKS_KEY"
+KEY_FILE_VARIABLE = "MOTHWORKS_KEY_FILE"
+DEFAULT_URL = "http://127.0.0.1:8000"
 
+#: Seconds between the rounds of ``watch``.
+WATCH_S = 1.0
 
-def apply(file: pathlib.Path, *, why: str = "") -> int:
-    """Check a catalogue and put it in force.
+_EXIT_BY_STATUS = {
+    400: EXIT_USAGE,
+    401: EXIT_FORBIDDEN,
+    403: EXIT_FORBIDDEN,
+    404: EXIT_USAGE,
+    409: EXIT_CONFLICT,
+    422: EXIT_USAGE,
+}
 
-    :param file: the catalogue, JSON with comments.
-    :param why: the reason, for the audit trail.
+
+def ask(statement: str, *, json: bool = False, rounds: int = 0) -> int:
+    """Ask or command in the operators' language.
+
+    :param statement: for example ``show models where replicas < 2``, ``why
+        model menu`` or ``drain endpoint engine-1 because "new driver"``.
+    :param json: print JSON in place of tables.
+    :param rounds: how often ``watch`` shows its rows; 0 for ever.
     """
-    match catalogue.read(file.read_text(encoding="utf-8"), str(file)):
-        case result.Ok(declared):
-            pass
+    match language.parse(statement):
+        case result.Ok(parsed):
+            return _run(parsed, json, rounds)
         case result.Err(problem):
             print(problem, file=sys.stderr)
             return EXIT_USAGE
-    node = _client()
-    outcome = node.get("catalogue").and_then(
-        lambda current: node.put(
-            "catalogue",
-            {
-                "revision": current["revision"],
-                "why": why,
-                "catalogue": documents.plain(declared),
-            },
-        )
-    )
-    return _print(outcome.map(lambda reply: f"revision {reply['revision']}"))
+
+
+def apply(file: str, *, why: str = "", revision: int | None = None) -> int:
+    """Put a catalogue file in force, as the statement ``apply`` does.
+
+    :param file: the catalogue, JSON with comments.
+    :param why: the reason, for the audit trail.
+    :param revision: the revision that ``diff`` compared the file with; not
+        needed for the first catalogue of a deployment.
+    """
+    return _run(language.Apply(file, why, revision), False, 1)
+
+
+def diff(file: str, *, json: bool = False) -> int:
+    """Show what a catalogue file would change, as the statement ``diff`` does.
+
+    :param file: the catalogue, JSON with comments.
+    :param json: print JSON in place of lines.
+    """
+    return _run(language.Diff(file), json, 1)
 
 
 def show(collection: str, *, json: bool = False) -> int:
-    """List what a node knows.
+    """List a collection, as the statement ``show`` does.
 
-    :param collection: models, endpoints or peers.
+    :param collection: models, endpoints, callers, waiting, moves, peers,
+        audit or quarantine.
     :param json: print JSON in place of a table.
     """
-    outcome = _client().get(f"show/{collection}")
-    if json:
-        return _print(outcome.map(lambda rows: orjson.dumps(rows).decode()))
-    return _print(outcome.map(lambda rows: tabulate.tabulate(rows, headers="keys")))
+    return ask(f"show {collection}", json=json)
 
 
-def main() -> None:
-    """Run the command line."""
-    sys.exit(defopt.run([apply, show], short={}))
-
+def check(file: str) -> int:
+    """Check a catalogue file, without a node, and say every problem in it.
 
-def _client() -> client.Client:
-    url = os.environ.get(URL_VARIABLE, "http://127.0.0.1:8000")
-    return client.Client(url, os.environ.get(KEY_VARIABLE, ""))
+    :param file: the catalogue, JSON with comments.
+    """
+    match execution.read_file(file):
+        case result.Ok(_):
+            print(f"{file}: correct")
+            return EXIT_DONE
+        case result.Err(wrong):
+            print(wrong.problem, file=sys.stderr)
+            return EXIT_USAGE
 
 
-def _print(outcome: result.Result[str, client.CallError]) -> int:
+def main() -> None:
+    """Run the command line."""
+    sys.exit(defopt.run([ask, apply, diff, show, check], short={}))
+
+
+def _run(statement, json: bool, rounds: int) -> int:
+    key = _key()
+    if key is None:
+        return EXIT_USAGE
+    node = client.Client(os.environ.get(URL_VARIABLE, DEFAULT_URL), key)
+    code = _finish(execution.run(statement, node), json)
+    if not isinstance(statement, language.Watch):
+        return code
+    while code == EXIT_DONE and rounds != 1:
+        rounds -= 1
+        time.sleep(WATCH_S)
+        print()
+        code = _finish(execution.run(statement, node), json)
+    return code
+
+
+def _key() -> str | None:
+    """Return the operator's key, or None after saying why there is none."""
+    file = os.environ.get(KEY_FILE_VARIABLE)
+    if not file:
+        return os.environ.get(KEY_VARIABLE, "")
+    try:
+        return pathlib.Path(file).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{KEY_FILE_VARIABLE}: {error}", file=sys.stderr)
+        return None
+
+
+def _finish(outcome: execution.Outcome, json: bool) -> int:
+    """Print an outcome and return the exit code."""
     match outcome:
-        case result.Ok(text):
-            print(text)
-            return 0
-        case result.Err(error):
-            print(error.message, file=sys.stderr)
-            return EXIT_CONFLICT if error.status == 409 else EXIT_FAILED
+        case result.Ok(execution.Done(answer)):
+            print(printing.json(answer) if json else printing.answer(answer))
+            return EXIT_DONE
+        case result.Ok(execution.Compared(_, revision, difference)):
+            if json:
+                value = {"revision": revision, "difference": list(difference)}
+                print(printing.json(value))
+                return EXIT_DONE
+            lines = printing.difference(difference) or "no difference"
+            print(f"{lines}\ncompared with revision {revision}")
+            return EXIT_DONE
+        case result.Err(execution.Unconfirmed(compared)):
+            print(printing.difference(compared.difference), file=sys.stderr)
+            print(
+                f"not applied; to apply exactly this, say: apply {compared.file} "
+                f"at revision {compared.revision}",
+                file=sys.stderr,
+            )
+            return EXIT_UNCONFIRMED
+        case result.Err(execution.WrongFile(problem)):
+            print(problem, file=sys.stderr)
+            return EXIT_USAGE
+        case result.Err(failed):
+            print(printing.error(failed), file=sys.stderr)
+            return _EXIT_BY_STATUS.get(failed.status, EXIT_FAILED)
--- a/packages/mothctl/src/mothctl/client.py
+++ b/packages/mothctl/src/mothctl/client.py
@@ -1,4 +1,4 @@
-"""Client of a node's operator interface."""
+"""Client of the nodes' operator interface."""
 
 import typing
 
@@ -10,6 +10,8 @@
 
 #: Longest wait for a node's reply, seconds.
 TIMEOUT_S = 30.0
+#: Longest wait for a connection, seconds.
+CONNECT_S = 2.0
 
 
 @attrs.frozen
@@ -18,24 +20,34 @@
 
     :param status: the HTTP status; 0 where no node answered.
     :param message: one sentence, or one line a problem.
+    :param difference: what another operator's change differs in, if that
+        is the reason.
     """
 
     status: int
     message: str
+    difference: tuple[dict, ...] = ()
 
 
 class Client:
-    """Calls one node; any node will do.
+    """Calls a node; any node will do.
 
-    :param url: the node's base URL.
+    :param urls: base URLs of nodes, separated by commas. The next one is
+        tried only where no connection could be opened.
     :param key: the operator's key.
     """
 
-    def __init__(self, url: str, key: str):
+    def __init__(self, urls: str, key: str):
         headers = {"Authorization": f"Bearer {key}"}
-        self.http = geventhttpclient.HTTPClient.from_url(
-            url, headers=headers, network_timeout=TIMEOUT_S
-        )
+        self.nodes = [
+            geventhttpclient.HTTPClient.from_url(
+                url.strip(),
+                headers=headers,
+                connection_timeout=CONNECT_S,
+                network_timeout=TIMEOUT_S,
+            )
+            for url in urls.split(",")
+        ]
 
     def get(self, path: str) -> result.Result[typing.Any, CallError]:
         """Read a page.
@@ -52,14 +64,36 @@
         """
         return self._call("PUT", path, orjson.dumps(value))
 
+    def post(
+        self, path: str, value: typing.Any
+    ) -> result.Result[typing.Any, CallError]:
+        """Send something.
+
+        :param path: below ``/operate/``.
+        :param value: plain values.
+        """
+        return self._call("POST", path, orjson.dumps(value))
+
     def _call(self, method: str, path: str, body: bytes):
-        try:
-            reply = self.http.request(method, f"/operate/{path}", body)
-            text = reply.read()
-            value = orjson.loads(text)
-        except (OSError, ValueError, geventhttpclient.response.HTTPParseError) as error:
-            return result.Err(CallError(0, f"the node does not answer: {error}"))
-        if reply.status_code != 200:
-            message = value.get("error", {}).get("message", "no reason given")
-            return result.Err(CallError(reply.status_code, message))
+        problems = []
+        for node in self.nodes:
+            try:
+                reply = node.request(method, f"/operate/{path}", body)
+                return _outcome(reply.status_code, reply.read())
+            except ConnectionRefusedError as error:
+                problems.append(f"{node.host}:{node.port}: {error}")
+            except (OSError, geventhttpclient.response.HTTPParseError) as error:
+                message = f"{node.host}:{node.port} does not answer: {error}"
+                return result.Err(CallError(0, message))
+        return result.Err(CallError(0, "no node answers: " + "; ".join(problems)))
+
+
+def _outcome(status: int, body: bytes) -> result.Result[typing.Any, CallError]:
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return result.Err(CallError(status, "the node's reply is not JSON"))
+    if status == 200:
         return result.Ok(value)
+    message = value.get("error", {}).get("message", "no reason given")
+    return result.Err(CallError(status, message, tuple(value.get("difference", ()))))
--- /dev/null
+++ b/packages/mothctl/src/mothctl/execution.py
@@ -0,0 +1,146 @@
+"""Carries out statements: sends them to a node, or works on files here.
+
+A catalogue file replaces everything that is declared, so ``apply`` needs the
+revision that the operator compared it with; ``diff`` prints it. Without it,
+only the first catalogue of a deployment is applied.
+"""
+
+import pathlib
+import typing
+
+import attrs
+import result
+
+from mothctl import client, language
+from mothworks import builtin, catalogue, changes, documents, statements  # noqa: F401
+
+
+@attrs.frozen
+class Done:
+    """A statement was carried out.
+
+    :param answer: the node's answer, as it sent it.
+    """
+
+    answer: dict[str, typing.Any]
+
+
+@attrs.frozen
+class Compared:
+    """A file was compared with the catalogue in force.
+
+    :param file: the file.
+    :param revision: the revision in force.
+    :param difference: what the file would change.
+    """
+
+    file: str
+    revision: int
+    difference: tuple[dict, ...]
+
+
+@attrs.frozen
+class Unconfirmed:
+    """A file was not applied, because nobody has seen what it would change.
+
+    :param compared: what it would change.
+    """
+
+    compared: Compared
+
+
+@attrs.frozen
+class WrongFile:
+    """A file can't be read or holds no correct catalogue.
+
+    :param problem: one line a problem.
+    """
+
+    problem: str
+
+
+Outcome = result.Result[Done | Compared, Unconfirmed | WrongFile | client.CallError]
+
+
+def run(statement: statements.Statement | language.Local, node: client.Client):
+    """Carry out one statement.
+
+    :param statement: the statement; of a watch, one round.
+    :param node: client of the nodes.
+    :returns: an :data:`Outcome`.
+    """
+    match statement:
+        case language.Watch(show):
+            return run(show, node)
+        case language.Diff(file):
+            return read_file(file).and_then(
+                lambda declared: _compare(file, declared, node)
+            )
+        case language.Apply():
+            return read_file(statement.file).and_then(
+                lambda declared: _apply(statement, declared, node)
+            )
+        case _:
+            return node.post("ask", statements.plain(statement)).map(Done)
+
+
+def read_file(file: str) -> result.Result[catalogue.Catalogue, WrongFile]:
+    """Read and check a catalogue.
+
+    :param file: its path.
+    """
+    try:
+        text = pathlib.Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err(WrongFile(str(error)))
+    return catalogue.read(text, file).map_err(lambda error: WrongFile(str(error)))
+
+
+def _compare(file: str, declared: catalogue.Catalogue, node: client.Client):
+    match node.get("catalogue"):
+        case result.Ok(value):
+            pass
+        case error:
+            return error
+    in_force = documents.structure(
+        value["catalogue"], catalogue.Catalogue, "the catalogue in force"
+    )
+    match in_force:
+        case result.Ok(current):
+            items = changes.difference(current, declared)
+            plain = tuple(documents.plain(item) for item in items)
+            return result.Ok(Compared(file, value["revision"], plain))
+        case result.Err(problem):
+            message = f"the node's catalogue is of another version: {problem}"
+            return result.Err(client.CallError(0, message))
+
+
+def _apply(
+    statement: language.Apply, declared: catalogue.Catalogue, node: client.Client
+):
+    revision = statement.revision
+    if revision is None:
+        match _compare(statement.file, declared, node):
+            case result.Ok(compared):
+                pass
+            case error:
+                return error
+        # Applying over a revision that the operator hasn't seen would undo
+        # in silence what others changed since the file was written.
+        if compared.revision and compared.difference:
+            return result.Err(Unconfirmed(compared))
+        if compared.revision:
+            return result.Ok(compared)
+        revision = 0
+    change = {
+        "revision": revision,
+        "why": statement.why,
+        "catalogue": documents.plain(declared),
+    }
+    return node.put("catalogue", change).map(_in_force)
+
+
+def _in_force(reply: dict[str, typing.Any]) -> Done:
+    revision = reply["revision"]
+    note = f"revision {revision} is in force"
+    return Done({"revision": revision, "tables": [], "notes": [note], "unanswered": []})
--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -11,6 +11,7 @@
     demand,
     dispatch,
     exchange,
+    fan_out,
     health,
     membership,
     objects_http,
--- a/packages/mothworks/src/mothworks/calls.py
+++ b/packages/mothworks/src/mothworks/calls.py
@@ -34,6 +34,7 @@
     429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
+    501: "Not Implemented",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
--- a/packages/mothworks/src/mothworks/operator_calls.py
+++ b/packages/mothworks/src/mothworks/operator_calls.py
@@ -1,10 +1,12 @@
 """Caller protocol ``/operate/``: operators query and command the system.
 
+``POST /operate/ask`` takes a typed statement (:mod:`mothworks.statements`).
 ``GET /operate/catalogue`` returns the catalogue in force and its revision;
 ``PUT`` replaces it where ``revision`` is still in force. ``GET
-/operate/show/<collection>`` lists what this VM knows.
+/operate/show/<collection>`` lists rows as a plain array.
 """
 
+import collections.abc
 import hmac
 
 import attrs
@@ -12,20 +14,22 @@
 import result
 
 from mothworks import (
+    answers,
     calls,
     catalogue,
     configuration,
     documents,
-    health,
     kernel,
-    membership,
-    objects,
+    operator_commands,
     outcomes,
-    placement,
     plugins,
+    questions,
     settings,
+    statements,
 )
 
+SHOW_PREFIX = "/operate/show/"
+
 
 @attrs.frozen
 class Change:
@@ -51,44 +55,64 @@
     def __init__(self, node_kernel: kernel.Kernel):
         self.operators = node_kernel.settings.operators
         self.configuration = node_kernel.get(configuration.Configuration)
-        self.health = node_kernel.get(health.Health)
-        self.membership = node_kernel.get(membership.Membership)
-        self.placement = node_kernel.get(placement.Placement)
+        self.commands = node_kernel.get(operator_commands.Commands)
+        self.questions = node_kernel.get(questions.Questions)
 
     def serve(self, call: calls.Call) -> calls.Reply:
         """Answer one call.
 
         :param call: the call.
         """
-        operator = self._operator(call)
+        operator = authenticate(call, self.operators)
         if operator is None:
             refusal = outcomes.invalid(
                 "a valid operator's key is needed", "invalid_api_key", 401
             )
             return calls.refuse(refusal)
         match (call.method, call.path):
+            case ("POST", "/operate/ask"):
+                return self._ask(call, operator)
             case ("GET", "/operate/catalogue"):
                 return self._catalogue()
             case ("PUT", "/operate/catalogue"):
-                return self._apply(call, operator)
-            case ("GET", "/operate/show/models"):
-                return calls.json_reply(self._models())
-            case ("GET", "/operate/show/endpoints"):
-                return calls.json_reply(self._endpoints())
-            case ("GET", "/operate/show/peers"):
-                live = self.membership.live()
-                return calls.json_reply([attrs.asdict(member) for member in live])
+                return self._replace(call, operator)
+            case ("GET", path) if path.startswith(SHOW_PREFIX):
+                return self._show(path.removeprefix(SHOW_PREFIX))
             case (_, path):
                 return calls.refuse(
                     outcomes.invalid(f"nothing is at {path}", "not_found", 404)
                 )
 
-    def _operator(self, call: calls.Call) -> settings.Operator | None:
-        key_hash = call.bearer_hash() or ""
-        for operator in self.operators:
-            if hmac.compare_digest(operator.key_sha256, key_hash):
-                return operator
-        return None
+    def _ask(self, call: calls.Call, operator: settings.Operator) -> calls.Reply:
+        match call.body().and_then(_parse).and_then(_statement):
+            case result.Ok(statement):
+                pass
+            case result.Err(refusal):
+                return calls.refuse(refusal)
+        match statement:
+            case statements.Show() | statements.WhyModel() | statements.WhyRequest():
+                return _reply(self.questions.answer(statement))
+            case _ if operator.role is not settings.Role.OPERATOR:
+                return _forbidden()
+            case statements.Move():
+                message = "move can't be ordered by this version yet"
+                refusal = outcomes.invalid(message, "not_available", 501)
+                return calls.refuse(refusal)
+            case _:
+                ran = self.commands.run(statement, operator.name)
+                return _changed(ran, _done)
+
+    def _show(self, name: str) -> calls.Reply:
+        if name not in list(statements.Collection):
+            return calls.refuse(
+                outcomes.invalid(f"there is no {name!r:.80}", "not_found", 404)
+            )
+        shown = statements.Show(statements.Collection(name))
+        match self.questions.answer(shown):
+            case result.Ok(answer):
+                return calls.json_reply(answer.tables[0].plain()["rows"])
+            case result.Err(refusal):
+                return calls.refuse(refusal)
 
     def _catalogue(self) -> calls.Reply:
         declared = documents.plain(self.configuration.index.catalogue)
@@ -96,71 +120,86 @@
             {"revision": self.configuration.revision, "catalogue": declared}
         )
 
-    def _apply(self, call: calls.Call, operator: settings.Operator) -> calls.Reply:
+    def _replace(self, call: calls.Call, operator: settings.Operator) -> calls.Reply:
         if operator.role is not settings.Role.OPERATOR:
-            refusal = outcomes.invalid("this needs the role operator", "forbidden", 403)
-            return calls.refuse(refusal)
-        match call.body().and_then(_change):
+            return _forbidden()
+        match call.body().and_then(_parse).and_then(_change):
             case result.Ok(change):
-                pass
+                replaced = self.commands.replace(
+                    change.catalogue, change.revision, operator.name, change.why
+                )
+                return _changed(replaced, lambda revision: {"revision": revision})
             case result.Err(refusal):
                 return calls.refuse(refusal)
-        applied = self.configuration.apply(
-            change.catalogue, change.revision, operator.name, change.why
-        )
-        match applied:
-            case result.Ok(revision):
-                return calls.json_reply({"revision": revision})
-            case result.Err(configuration.Stale(revision)):
-                message = (
-                    f"the change is based on revision {change.revision}, but "
-                    f"revision {revision} is in force; nothing was changed"
-                )
-                return calls.refuse(outcomes.invalid(message, "stale", 409))
-            case result.Err(objects.Unavailable(reason)):
-                message = f"the object API does not answer: {reason}"
-                return calls.refuse(outcomes.overloaded(message, 5.0, "object_api"))
-            case result.Err(objects.TooLarge(key, size)):
-                message = f"{key} would take {size} bytes, over the platform's bound"
-                return calls.refuse(outcomes.invalid(message, "too_large", 413))
-            case result.Err(configuration.Uncertain(revision, reason)):
-                message = (
-                    f"whether revision {revision} was accepted is not known "
-                    f"({reason}); look before you repeat the change"
-                )
-                return calls.refuse(outcomes.unknown(message))
-
-    def _models(self) -> list[dict]:
-        by_model = self.placement.endpoints_by_model
-        index = self.configuration.index
-        return [
-            {"model": name, "endpoints": sorted(by_model.get(name, ()))}
-            for name in (*index.model_by_name, *index.adapter_by_name)
-        ]
-
-    def _endpoints(self) -> list[dict]:
-        rows = []
-        for endpoint in self.configuration.index.catalogue.endpoints:
-            status = self.placement.status_by_endpoint.get(endpoint.name)
-            owner = self.health.owner(endpoint)
-            rows.append(
-                {
-                    "endpoint": endpoint.name,
-                    "data_centre": endpoint.data_centre,
-                    "owner": owner.name if owner else None,
-                    "state": status.state if status else "unknown",
-                    "models": list(status.models) if status else [],
-                }
-            )
-        return rows
 
 
-def _change(body: bytes) -> result.Result[Change, outcomes.Refusal]:
+def authenticate(
+    call: calls.Call, operators: tuple[settings.Operator, ...]
+) -> settings.Operator | None:
+    """Return the operator whose key a call carries, or None.
+
+    Every key is compared, in constant time, so that the time of the answer
+    says neither how much of a key was right nor whose it was.
+
+    :param call: the call.
+    :param operators: who may query and command.
+    """
+    key_hash = call.bearer_hash() or ""
+    found = None
+    for operator in operators:
+        if hmac.compare_digest(operator.key_sha256, key_hash):
+            found = operator
+    return found
+
+
+def _reply(outcome: questions.Outcome) -> calls.Reply:
+    match outcome:
+        case result.Ok(answer):
+            return calls.json_reply(answer.plain())
+        case result.Err(refusal):
+            return calls.refuse(refusal)
+
+
+def _done(revision: int) -> dict:
+    note = f"revision {revision} is in force"
+    return answers.Answer(revision, (), (note,)).plain()
+
+
+def _changed(
+    outcome: operator_commands.Outcome,
+    body: collections.abc.Callable[[int], dict],
+) -> calls.Reply:
+    match outcome:
+        case result.Ok(revision):
+            return calls.json_reply(body(revision))
+        case result.Err(operator_commands.Rejected(refusal, difference)):
+            body = orjson.loads(refusal.body())
+            body["difference"] = [documents.plain(item) for item in difference]
+            refused = calls.refuse(refusal)
+            return attrs.evolve(refused, body=[orjson.dumps(body)])
+
+
+def _forbidden() -> calls.Reply:
+    return calls.refuse(
+        outcomes.invalid("this needs the role operator", "forbidden", 403)
+    )
+
+
+def _parse(body: bytes) -> result.Result:
     try:
-        value = orjson.loads(body)
+        return result.Ok(orjson.loads(body))
     except orjson.JSONDecodeError as error:
         message = f"the body is not valid JSON: {error}"
         return result.Err(outcomes.invalid(message, "invalid_json"))
+
+
+def _statement(value) -> result.Result[statements.Statement, outcomes.Refusal]:
+    return statements.read(value).map_err(
+        lambda error: outcomes.invalid(str(error), "invalid_statement", 422)
+    )
+
+
+def _change(value) -> result.Result[Change, outcomes.Refusal]:
     checked = documents.structure(value, Change, "change").and_then(
         lambda change: catalogue.check(change.catalogue, "catalogue").map(
             lambda _: change
--- /dev/null
+++ b/packages/mothworks/src/mothworks/slot_rows.py
@@ -0,0 +1,67 @@
+"""Rows about the queues and batches of the endpoints that this VM owns."""
+
+import time
+
+from mothworks import batches, catalogue, queues, row_classes, slots
+
+
+def waiting(owner: slots.Slots) -> list[row_classes.WaitingRow]:
+    """Return the requests in a VM's queues, in their order of service.
+
+    :param owner: the VM's slots.
+    """
+    return [
+        _waiting(owner.name, endpoint, batch, position, item)
+        for endpoint, batch in sorted(owner.batch_by_endpoint.items())
+        for position, item in enumerate(batch.queue.ordered(), start=1)
+    ]
+
+
+def running(owner: slots.Slots) -> list[row_classes.BatchRow]:
+    """Return the batch and queue of each endpoint that a VM was asked for.
+
+    :param owner: the VM's slots.
+    """
+    return [
+        row_classes.BatchRow(
+            endpoint=endpoint,
+            owner=owner.name,
+            running=batch.running(),
+            slots=batch.limit.value,
+            queued=len(batch.queue),
+            longest_ms=_longest_ms(batch),
+        )
+        for endpoint, batch in sorted(owner.batch_by_endpoint.items())
+    ]
+
+
+def _waiting(
+    owner: str,
+    endpoint: str,
+    batch: batches.Batch,
+    position: int,
+    item: queues.Waiting,
+) -> row_classes.WaitingRow:
+    now = time.monotonic()
+    ask = item.ask
+    target = item.since + ask.target_ms / 1000
+    return row_classes.WaitingRow(
+        request=ask.request_id,
+        endpoint=endpoint,
+        owner=owner,
+        position=position,
+        queued=len(batch.queue),
+        running=batch.running(),
+        slots=batch.limit.value,
+        urgency=list(catalogue.Urgency)[ask.rank],
+        caller=ask.caller,
+        model=ask.target,
+        waited_ms=round((now - item.since) * 1000),
+        deadline_ms=round((target - now) * 1000),
+    )
+
+
+def _longest_ms(batch: batches.Batch) -> int:
+    now = time.monotonic()
+    since = min((item.since for item in batch.queue.ordered()), default=now)
+    return round((now - since) * 1000)
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -30,7 +30,6 @@
     plugins,
     queues,
     requests,
-    row_classes,
     slot_messages,
 )
 
@@ -292,14 +291,6 @@
 
     # -- owner ----------------------------------------------------------
 
-    def waiting(self) -> list[row_classes.WaitingRow]:
-        """Return the requests in this VM's queues, in their order of service."""
-        return [
-            _waiting_row(self.name, endpoint, batch, position, waiting)
-            for endpoint, batch in sorted(self.batch_by_endpoint.items())
-            for position, waiting in enumerate(batch.queue.ordered(), start=1)
-        ]
-
     def running(self, endpoint: str, target: str) -> frozenset[str]:
         """Return the requests in flight for a target at an owned endpoint.
 
@@ -634,29 +625,3 @@
         best = min(self.refusals, key=lambda answer: answer.wait_ms)
         message = f"no capacity for {target!r} in time: {best.reason}"
         return outcomes.overloaded(message, best.wait_ms / 1000)
-
-
-def _waiting_row(
-    owner: str,
-    endpoint: str,
-    batch: batches.Batch,
-    position: int,
-    waiting: queues.Waiting,
-) -> row_classes.WaitingRow:
-    now = time.monotonic()
-    ask = waiting.ask
-    target = waiting.since + ask.target_ms / 1000
-    return row_classes.WaitingRow(
-        request=ask.request_id,
-        endpoint=endpoint,
-        owner=owner,
-        position=position,
-        queued=len(batch.queue),
-        running=len(batch.held_by_key),
-        slots=batch.limit.value,
-        urgency=list(catalogue.Urgency)[ask.rank],
-        caller=ask.caller,
-        model=ask.target,
-        waited_ms=round((now - waiting.since) * 1000),
-        deadline_ms=round((target - now) * 1000),
-    )
--- a/packages/mothworks/tests/test_callers.py
+++ b/packages/mothworks/tests/test_callers.py
@@ -4,7 +4,7 @@
 import pytest
 
 import served
-from mothworks import slots
+from mothworks import slot_rows, slots
 from mothworks_fakes import gates, processes
 
 MANY = 150
@@ -244,9 +244,9 @@
     gate.reached.wait()
     second.sendall(served.chat(stream=True, max_tokens=99))
     part = node.part(slots.Slots)
-    processes.wait_until(lambda: len(part.waiting()) == 1)
+    processes.wait_until(lambda: len(slot_rows.waiting(part)) == 1)
     second.close()
-    processes.wait_until(lambda: len(part.waiting()) == 0)
+    processes.wait_until(lambda: len(slot_rows.waiting(part)) == 0)
     gate.opened.set()
     assert served.read_answer(first).events[-1] == b"data: [DONE]"
     assert len(node.engines[0].runs) == 1
--- /dev/null
+++ b/packages/mothworks/tests/test_operator_calls.py
@@ -0,0 +1,128 @@
+"""Operators' statements against separate nodes: roles, fan-out, reasons."""
+
+import gevent
+import geventhttpclient
+import orjson
+import pytest
+
+import builders
+from mothctl import client, language
+from mothworks import settings, statements
+from mothworks_fakes import engine, processes, testbed
+
+VIEWER_KEY = "viewer-key"
+VMS = ("vm-1", "vm-2", "vm-3")
+
+
+@pytest.fixture
+def deployment(bed):
+    slow = engine.Speed(step_s=0.2)
+    declared = bed.add_engine(builders.endpoint(slots=1), slow)
+    bed.fake_by_endpoint["engine-1"].place("menu", 16_000)
+    operators = (
+        settings.Operator(
+            "demo", settings.Role.OPERATOR, testbed.key_hash(testbed.OPERATOR_KEY)
+        ),
+        settings.Operator("guest", settings.Role.VIEWER, testbed.key_hash(VIEWER_KEY)),
+    )
+    for name in VMS:
+        bed.add_node(name, "dc-1", "region-1", operators=operators)
+    patient = builders.caller(first_token_ms=60_000)
+    bed.apply(builders.declared(endpoints=(declared,), services=(), callers=(patient,)))
+    processes.wait_until(lambda: bed.all_open(["engine-1"]))
+    return bed
+
+
+def ask(bed, text, vm="vm-1", key=testbed.OPERATOR_KEY):
+    node = client.Client(bed.node_by_name[vm].url, key)
+    return node.post("ask", statements.plain(language.parse(text).unwrap()))
+
+
+def rows(bed, text, vm="vm-1", table=0):
+    return ask(bed, text, vm).unwrap()["tables"][table]["rows"]
+
+
+def chat(bed, vm, tokens):
+    """Send a chat request and return its id, status and text."""
+    http = geventhttpclient.HTTPClient.from_url(bed.node_by_name[vm].url)
+    body = orjson.dumps({"model": "menu", "messages": [], "max_tokens": tokens})
+    headers = {"Authorization": f"Bearer {builders.CALLER_KEY}"}
+    reply = http.post("/v1/chat/completions", body, headers)
+    return reply.get("x-request-id"), reply.status_code, reply.read()
+
+
+def test_a_viewer_asks_but_does_not_command(deployment):
+    assert ask(deployment, "show models", key=VIEWER_KEY).is_ok()
+    for text in ("drain endpoint engine-1", "move model menu from a to b"):
+        refused = ask(deployment, text, key=VIEWER_KEY).unwrap_err()
+        assert refused.status == 403
+    assert ask(deployment, "show models", key="wrong").unwrap_err().status == 401
+    assert ask(deployment, "show models", key="").unwrap_err().status == 401
+    assert rows(deployment, "show endpoints")[0]["drain"] is False
+
+
+def test_a_drain_is_in_force_on_every_vm_and_recorded(deployment):
+    ask(deployment, 'drain endpoint engine-1 because "new driver"').unwrap()
+    for vm in VMS:
+        processes.wait_until(
+            lambda vm=vm: rows(deployment, "show endpoints", vm)[0]["drain"]
+        )
+        _, status, body = chat(deployment, vm, 1)
+        assert (status, orjson.loads(body)["error"]["ran"]) == (503, "no")
+    [replica] = rows(deployment, "why model menu", "vm-3", table=1)
+    assert replica["takes_work"] == "drained by an operator"
+    ask(deployment, "resume endpoint engine-1", "vm-2").unwrap()
+    processes.wait_until(lambda: deployment.all_open(["engine-1"]))
+    assert chat(deployment, "vm-1", 1)[1] == 200
+    processes.wait_until(
+        lambda: (
+            [
+                (entry["who"], entry["why"], entry["before"], entry["after"])
+                for entry in rows(deployment, "show audit where subject = engine-1")
+                if entry["kind"] == "configuration"
+            ]
+            == [("demo", "new driver", 1, 2), ("demo", "", 2, 3)]
+        )
+    )
+
+
+def test_any_vm_tells_what_waits_and_why(deployment):
+    asked = [gevent.spawn(chat, deployment, "vm-2", 20) for _ in range(3)]
+    processes.wait_until(lambda: len(rows(deployment, "show waiting", "vm-3")) == 2)
+    first, second = rows(deployment, "show waiting", "vm-3")
+    assert (first["position"], second["position"]) == (1, 2)
+    assert (first["queued"], first["running"], first["slots"]) == (2, 1, 1)
+    why = ask(deployment, f"why request {second['request']}", "vm-1").unwrap()
+    tables = {table["title"]: table["rows"] for table in why["tables"]}
+    [request] = tables["request"]
+    assert (request["entry"], request["state"]) == ("vm-2", "running")
+    assert (request["urgency"], request["caller"]) == ("urgent", "guest")
+    assert tables["waiting"][0]["position"] == 2
+    assert any(step["endpoint"] == "engine-1" for step in tables["steps"])
+    assert why["unanswered"] == []
+    gevent.killall(asked)
+
+
+def test_why_request_tells_of_a_request_that_ended(deployment):
+    request_id, _, _ = chat(deployment, "vm-2", 1)
+    why = ask(deployment, f"why request {request_id}", "vm-3").unwrap()
+    tables = {table["title"]: table["rows"] for table in why["tables"]}
+    assert tables["request"][0]["state"] == "ok"
+    assert tables["waiting"] == []
+    absent = ask(deployment, "why request absent").unwrap_err()
+    assert absent.status == 404
+
+
+def test_a_vm_that_does_not_answer_is_named(deployment):
+    """An operator would take the queues of some VMs for all queues.
+
+    A VM is paused: it is still a member, but answers nothing.
+    """
+    paused = deployment.node_by_name["vm-2"].process
+    rows(deployment, "show waiting")
+    paused.send_signal(processes.PAUSE)
+    try:
+        answer = ask(deployment, "show waiting").unwrap()
+    finally:
+        paused.send_signal(processes.RESUME)
+    assert answer["unanswered"] == ["vm-2"]
--- a/packages/mothworks/tests/test_slots.py
+++ b/packages/mothworks/tests/test_slots.py
@@ -12,6 +12,7 @@
     queues,
     row_classes,
     slot_messages,
+    slot_rows,
     slots,
 )
 
@@ -235,7 +236,7 @@
     held.ask("bulk", BULK, target_ms=500)
     held.ask("late", target_ms=900)
     held.ask("soon", target_ms=400)
-    rows: list[row_classes.WaitingRow] = owner.waiting()
+    rows: list[row_classes.WaitingRow] = slot_rows.waiting(owner)
     assert [(row.request, row.position) for row in rows] == [
         ("soon", 1),
         ("late", 2),
--- a/packages/mothworks_fakes/src/mothworks_fakes/processes.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/processes.py
@@ -16,6 +16,9 @@
 
 from mothworks import documents, settings
 
+#: Signals that pause a process, as a VM that is moved, and wake it.
+PAUSE = signal.SIGSTOP
+RESUME = signal.SIGCONT
 #: Time for a process to end by itself, seconds.
 STOP_S = 70.0
 
--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -170,7 +170,7 @@
         names = set(self.node_by_name)
         for node in self.node_by_name.values():
             shown = self.operator(node).get("show/peers").unwrap_or([])
-            if {row["name"] for row in shown} != names:
+            if {row["vm"] for row in shown} != names:
                 return False
         return True
 
