Placement map: announced once to each VM, repaired by digests

Cause: every second each VM sent all statuses to a random peer; at 4,700 endpoints of 155 bytes that is 730 KB a second for one node. Change: the owner sends an announcement once to each VM of its region; every 2 s two VMs compare one hash (about 20 bytes), and only where it differs the hashes of 64 parts and the numbers inside those. Two VMs of a region link it with the others. Names are interned, undeclared endpoints forgotten.

--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -21,6 +21,7 @@
     packing,
     peers,
     placement,
+    placement_repair,
     planner,
     ports,
     routing,
--- a/packages/mothworks/src/mothworks/exchange.py
+++ b/packages/mothworks/src/mothworks/exchange.py
@@ -17,7 +17,6 @@
     members,
     membership,
     messages,
-    ownership,
     peers,
     plugins,
     vm_list,
@@ -31,8 +30,6 @@
 RECONNECT_S = 20.0
 #: Seconds between exchanges of a linking VM with another region.
 LINK_S = 5.0
-#: VMs of each region that exchange with other regions.
-LINKING_VMS = 2
 #: Unknown VMs of the platform's list that are tried at a time.
 TRIED = 3
 #: Time for a reply, seconds.
@@ -119,17 +116,8 @@
         Only a few VMs do. What they learn spreads in the region as news, and
         a region that cannot be reached keeps the state it had last.
         """
-        me = self.membership.me()
-        near = [*self.membership.near(), me]
-        near.sort(key=lambda item: ownership.weight("link", item.name))
-        if me not in near[:LINKING_VMS]:
-            return
-        far_by_region: dict[str, list[members.Member]] = {}
-        for member in self.membership.peers():
-            if member.region != me.region:
-                far_by_region.setdefault(member.region, []).append(member)
-        for far in far_by_region.values():
-            self._exchange_some(far, 1)
+        for member in self.membership.far():
+            self.exchange(member.name)
 
     def tell_all(self) -> None:
         """Tell every VM of the region at once what this VM says of itself.
--- a/packages/mothworks/src/mothworks/membership.py
+++ b/packages/mothworks/src/mothworks/membership.py
@@ -6,12 +6,26 @@
 told of changes.
 """
 
+import random
+
 import logbook
 
-from mothworks import gossip, kernel, members, plugins, ports, swim, vm_list
+from mothworks import (
+    gossip,
+    kernel,
+    members,
+    ownership,
+    plugins,
+    ports,
+    swim,
+    vm_list,
+)
 
 log = logbook.Logger("membership")
 
+#: VMs of each region that exchange with other regions.
+LINKING_VMS = 2
+
 
 @plugins.register(plugins.PART, "membership")
 class Membership(kernel.Part):
@@ -74,6 +88,23 @@
         """Return the live members of this VM's region, itself left out."""
         return self.swim.near()
 
+    def far(self) -> list[members.Member]:
+        """Return a random live member of each other region, for VMs that link.
+
+        Only a few VMs of a region exchange with others, so that the cost of a
+        link does not grow with the regions; on all other VMs this is empty.
+        """
+        me = self.me()
+        near = [*self.near(), me]
+        near.sort(key=lambda item: ownership.weight("link", item.name))
+        if me not in near[:LINKING_VMS]:
+            return []
+        far_by_region: dict[str, list[members.Member]] = {}
+        for member in self.peers():
+            if member.region != me.region:
+                far_by_region.setdefault(member.region, []).append(member)
+        return [random.choice(far) for far in far_by_region.values()]
+
     def find(self, vm: str) -> members.Member | None:
         """Return where a VM is reached, whether or not it is live.
 
--- a/packages/mothworks/src/mothworks/placement.py
+++ b/packages/mothworks/src/mothworks/placement.py
@@ -1,19 +1,24 @@
 """The placement map: which endpoints answer for a model now.
 
-Each endpoint's owner announces its state when it changes. Every VM keeps
-the newest announcement of each endpoint and an index by model.
+Each endpoint's owner announces its state when it changes, once to each VM of
+its region. Every VM keeps the newest announcement of each endpoint and an
+index by model; :mod:`mothworks.placement_repair` brings what was missed.
 """
 
+import collections.abc
 import enum
-import random
+import sys
 import time
 
 import attrs
+import xxhash
 
 from mothworks import configuration, kernel, membership, messages, peers, plugins
 
-#: Seconds between exchanges with a random peer.
-REPAIR_S = 1.0
+#: Parts into which the map's digest is divided.
+BUCKETS = 64
+#: Bits of a sequence that tell VMs apart.
+VM_BITS = 16
 
 
 class EndpointState(enum.StrEnum):
@@ -41,6 +46,44 @@
     models: tuple[str, ...] = attrs.field(converter=tuple)
 
 
+class Digest:
+    """Hashes of the map, equal on two VMs that know the same announcements."""
+
+    def __init__(self):
+        self.hashes = [0] * BUCKETS
+
+    def change(self, status: EndpointStatus) -> None:
+        """Take an announcement into the digest, or out of it again.
+
+        :param status: the announcement.
+        """
+        value = xxhash.xxh64_intdigest(f"{status.endpoint}\0{status.sequence}".encode())
+        self.hashes[bucket(status.endpoint)] ^= value
+
+    def whole(self) -> int:
+        """Return one hash of the whole map."""
+        joined = b"".join(item.to_bytes(8) for item in self.hashes)
+        return xxhash.xxh64_intdigest(joined)
+
+    def differing(self, hashes: collections.abc.Sequence[int]) -> frozenset[int]:
+        """Return the buckets in which another VM's map differs.
+
+        :param hashes: the other's hashes.
+        """
+        pairs = zip(self.hashes, hashes, strict=False)
+        return frozenset(
+            place for place, (own, other) in enumerate(pairs) if own != other
+        )
+
+
+def bucket(endpoint: str) -> int:
+    """Return the part of the digest that an endpoint belongs to.
+
+    :param endpoint: its name.
+    """
+    return xxhash.xxh32_intdigest(endpoint.encode()) % BUCKETS
+
+
 @plugins.register(plugins.PART, "placement")
 class Placement(kernel.Part):
     """Keeps the newest status of every endpoint.
@@ -54,12 +97,10 @@
         self.membership = node_kernel.get(membership.Membership)
         self.peers = node_kernel.get(peers.Peers)
         self.status_by_endpoint: dict[str, EndpointStatus] = {}
+        self.digest = Digest()
         self.endpoints_by_model: dict[str, set[str]] = {}
         self.peers.handle(EndpointStatus, self._receive)
-
-    def start(self) -> None:
-        """Start to repair what announcements missed."""
-        self.tasks.every(REPAIR_S, self._repair)
+        self.configuration.on_change.append(self._forget_undeclared)
 
     def announce(
         self, endpoint: str, state: EndpointState, models: tuple[str, ...]
@@ -73,14 +114,24 @@
         known = self.status_by_endpoint.get(endpoint)
         if known is not None and (known.state, known.models) == (state, models):
             return
-        # Wall time lets a new owner, which may not have heard the last
-        # announcement, go on above it; the maximum covers clock steps.
-        floor = known.sequence + 1 if known else 0
-        sequence = max(floor, time.time_ns() // 1_000_000)
-        status = EndpointStatus(endpoint, sequence, state, models)
+        status = EndpointStatus(endpoint, self._sequence(known), state, models)
         self.take(status)
         self.peers.send_all(status)
 
+    def _sequence(self, known: EndpointStatus | None) -> int:
+        """Return a sequence above all that this VM knows of.
+
+        Wall time lets a new owner, which may not have heard the last
+        announcement, go on above it; the maximum covers clock steps. Where
+        two VMs both believe they own an endpoint and announce in the same
+        millisecond, equal sequences would never be told apart again; the
+        last bits differ by VM.
+        """
+        floor = (known.sequence >> VM_BITS) + 1 if known else 0
+        number = max(floor, time.time_ns() // 1_000_000)
+        vm = xxhash.xxh32_intdigest(self.kernel.settings.name.encode())
+        return (number << VM_BITS) | (vm & ((1 << VM_BITS) - 1))
+
     def take(self, status: EndpointStatus) -> bool:
         """Keep a status if it is newer than the one known.
 
@@ -90,11 +141,18 @@
         known = self.status_by_endpoint.get(status.endpoint)
         if known is not None and known.sequence >= status.sequence:
             return False
-        for model in known.models if known else ():
-            self.endpoints_by_model[model].discard(status.endpoint)
-        for model in status.models:
+        if known is not None:
+            self._forget(known)
+        # The same few names come with every announcement; one copy of each
+        # keeps thousands of statuses small.
+        models = tuple(sys.intern(name) for name in status.models)
+        status = attrs.evolve(
+            status, endpoint=sys.intern(status.endpoint), models=models
+        )
+        for model in models:
             self.endpoints_by_model.setdefault(model, set()).add(status.endpoint)
         self.status_by_endpoint[status.endpoint] = status
+        self.digest.change(status)
         return True
 
     def open_endpoints(self, target: str) -> list[str]:
@@ -134,14 +192,20 @@
             return status.state
         return ""
 
-    def _repair(self) -> None:
-        # An announcement is lost on a VM that joins later or was cut off:
-        # it would never route to the endpoint. A random exchange reaches it.
-        others = self.membership.peers()
-        if others:
-            peer = random.choice(others).name
-            for status in list(self.status_by_endpoint.values()):
-                self.peers.send(peer, status)
+    def _forget(self, status: EndpointStatus) -> None:
+        del self.status_by_endpoint[status.endpoint]
+        self.digest.change(status)
+        for model in status.models:
+            names = self.endpoints_by_model[model]
+            names.discard(status.endpoint)
+            if not names:
+                del self.endpoints_by_model[model]
+
+    def _forget_undeclared(self) -> None:
+        declared = self.configuration.index.endpoint_by_name
+        for status in list(self.status_by_endpoint.values()):
+            if status.endpoint not in declared:
+                self._forget(status)
 
     def _receive(self, _: str, status: EndpointStatus, __: peers.Answer) -> None:
         self.take(status)
