A chunk's way: wait before receiving, one timer an answer, one copy, one send

Cause: a sampled profile of the node under 5,700 chunks/s showed 43 % in recv, most of it the receive that finds nothing and a timer object for each wait, and 20 % in sendall, which makes another timer and a copy.

Change: one watcher and one restarted timer for an answer's life, wait before receiving; a chunk is framed by one copy and goes out by one send.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -110,6 +110,21 @@
         except TimeoutError:
             self.close_connection = True
 
+    def _write(self, data: bytes) -> None:
+        # Called for each piece of a body. The base class copies it into an
+        # array and sends with a timer, which takes twice as long.
+        if not data:
+            return
+        if self.response_use_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._sendall(data)
+
+    def _sendall(self, data: bytes) -> None:
+        sent = self.socket.send(data)
+        if sent < len(data):
+            self.socket.sendall(memoryview(data)[sent:])
+        self.response_length += len(data)
+
     def _handle_client_error(self, ex: Exception):
         # The base class calls this for any failure to read a head.
         match ex:
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -10,6 +10,7 @@
 import select
 import time
 
+import gevent
 import gevent.socket
 import geventhttpclient.connectionpool
 import geventhttpclient.response
@@ -26,7 +27,7 @@
 #: Longest time that an idle connection is kept for the next request, seconds.
 IDLE_S = 2.0
 #: Bytes taken from a socket at once.
-RECEIVE_BYTES = 64 << 10
+RECEIVE_BYTES = 16 << 10
 
 #: What a broken connection or answer raises.
 FAILURES = (OSError, geventhttpclient.response.HTTPParseError)
@@ -78,11 +79,19 @@
 
 
 class _Response(geventhttpclient.response.HTTPSocketPoolResponse):
-    """The library's response, with a read that waits for any bytes at all."""
+    """The library's response, with a read that waits for any bytes at all.
 
-    def __init__(self, *args, **options):
+    Most chunks come one by one, so the read waits before it receives, with
+    one watcher and one timer for the whole answer: a receive that finds
+    nothing, and a timer made for each, take half of a chunk's time.
+    """
+
+    def __init__(self, sock: "_Socket", pool: "_Pool", method: str):
         self.pieces: list[bytes] = []
-        super().__init__(*args, **options)
+        self.hub = gevent.get_hub()
+        self.readable = self.hub.loop.io(sock.fileno(), 1)
+        self.silence = self.hub.loop.timer(pool.network_timeout, pool.network_timeout)
+        super().__init__(sock, pool, method=method, block_size=RECEIVE_BYTES)
 
     def read_available(self) -> bytes:
         """Return what has arrived; nothing at the end."""
@@ -90,6 +99,8 @@
             sock = self._sock
             if sock is None:
                 raise ConnectionResetError("the answer was released")
+            self.silence.again(self._fall_silent)
+            self.hub.wait(self.readable)
             data = sock.recv(RECEIVE_BYTES)
             if not data:
                 # Also an answer without any length ends here: whether all of
@@ -100,6 +111,17 @@
         self.pieces.clear()
         return body
 
+    def release(self) -> None:
+        """Return the connection to the pool, or close it to cancel."""
+        for watcher in (self.readable, self.silence):
+            watcher.stop()
+            watcher.close()
+        super().release()
+
+    def _fall_silent(self) -> None:
+        # The waiting task then sees the answer break off.
+        self._sock.shutdown(gevent.socket.SHUT_RD)
+
     def _on_body(self, buf: bytes) -> None:
         # Called by the parser; the library would copy each piece twice more.
         self.pieces.append(bytes(buf))
@@ -204,7 +226,7 @@
             pool.release_socket(sock)
             raise
         try:
-            response = _Response(sock, pool, method=method, block_size=RECEIVE_BYTES)
+            response = _Response(sock, pool, method)
         except FAILURES as error:
             return result.Err(endpoints.SendFailure(f"answer: {error}", True))
         return result.Ok(HttpAnswer(response))
