Deferred work: Prefer: respond-async, stored before it is accepted

A request with Prefer: respond-async is stored in the object API, then answered with 202 and a Location; the owner of its shard runs it as bulk work and stores the answer, which any node returns to the same caller. Work that may run once is claimed. Another owner finds the work by listing the shard, also after the death of every node. A refusal after an attempt that may have run no longer says ran: no (cause: the last attempt's refusal replaced the first's).

--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -8,6 +8,8 @@
     configuration_following,
     configuration_garbage,
     configuration_gossip,
+    deferred,
+    deferred_calls,
     demand,
     dispatch,
     exchange,
--- /dev/null
+++ b/packages/mothworks/src/mothworks/deferred.py
@@ -0,0 +1,444 @@
+"""Deferred work: stored first, run later, kept until its caller fetches it.
+
+A request with ``Prefer: respond-async`` (RFC 7240) is stored in the object
+API before its caller is told that it is accepted. The owner of its shard, by
+rendezvous hashing over the live VMs, runs it as bulk work and stores the
+answer; where that VM dies, the next owner finds the work by listing the
+shard. Two owners at a time do no harm: work that may run once is claimed,
+and of two answers the first is kept.
+"""
+
+import random
+import time
+
+import attrs
+import gevent
+import gevent.lock
+import logbook
+import result
+
+from mothworks import (
+    calls,
+    configuration,
+    deferred_records,
+    dispatch,
+    kernel,
+    membership,
+    messages,
+    objects,
+    outcomes,
+    ownership,
+    peers,
+    plugins,
+    requests,
+)
+
+log = logbook.Logger("deferred")
+
+#: Mean time between lists of an owned shard, seconds.
+SCAN_S = 10.0
+#: Mean time between searches for old answers, seconds.
+CLEAN_S = 600.0
+#: Works that one VM runs at a time.
+RUN_AT_ONCE = 16
+#: Works that may wait in one shard.
+MOST_OPEN = 1000
+#: Time for which an owner's report that a shard is full holds, seconds.
+FULL_S = 5.0
+#: Attempts that may have run, after which repeatable work is given up.
+MOST_RUNS = 5
+#: First and longest pause before a further attempt, seconds.
+PAUSE_S = 1.0
+MOST_PAUSE_S = 60.0
+#: Room for what is stored beside a body, bytes.
+OVERHEAD_BYTES = 16 << 10
+#: Hint to a caller when to ask for the answer, seconds.
+ASK_AGAIN_S = 2.0
+#: Hint to a caller while the object API does not answer, seconds.
+DOWN_RETRY_S = 5.0
+#: Longest time to learn whether a request is stored, seconds.
+STORE_S = 2.0
+#: Longest wait for an owner's reply, seconds.
+OWNER_S = 1.0
+
+
+@messages.message(56)
+@attrs.frozen
+class WorkStored:
+    """An entry tells a shard's owner that it stored work.
+
+    :param id: the work's id.
+    """
+
+    id: str
+
+
+@messages.message(57)
+@attrs.frozen
+class ShardFill:
+    """Answers :class:`WorkStored`.
+
+    :param open: works that wait or run in the shard.
+    """
+
+    open: int
+
+
+@messages.message(58)
+@attrs.frozen
+class AskRunning:
+    """Asks a shard's owner whether it runs a work now.
+
+    :param id: the work's id.
+    """
+
+    id: str
+
+
+@messages.message(59)
+@attrs.frozen
+class IsRunning:
+    """Answers :class:`AskRunning`.
+
+    :param running: whether it does.
+    """
+
+    running: bool
+
+
+@attrs.frozen
+class Waiting:
+    """Work that has no answer yet.
+
+    :param running: whether it runs now.
+    """
+
+    running: bool
+
+
+@plugins.register(plugins.PART, "deferred")
+class Deferred(kernel.Part):
+    """Accepts deferred work, and runs what this VM owns.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.api = node_kernel.get(objects.Objects).api
+        self.configuration = node_kernel.get(configuration.Configuration)
+        self.dispatch = node_kernel.get(dispatch.Dispatch)
+        self.membership = node_kernel.get(membership.Membership)
+        self.peers = node_kernel.get(peers.Peers)
+        self.places = gevent.lock.BoundedSemaphore(RUN_AT_ONCE)
+        #: Shards of the works that this VM has taken up.
+        self.shard_by_id: dict[str, int] = {}
+        self.running: set[str] = set()
+        self.full_until_by_shard: dict[int, float] = {}
+        self.peers.handle(WorkStored, self._serve_stored)
+        self.peers.handle(AskRunning, self._serve_running)
+
+    def start(self) -> None:
+        """Start to look for work and for old answers."""
+        self.tasks.spawn(self._scan)
+        self.tasks.every(SCAN_S, self._scan)
+        self.tasks.every(CLEAN_S, self._clean)
+
+    def drain(self, deadline: float) -> None:
+        """Finish the works that run; see :meth:`kernel.Part.drain`."""
+        while self.running and time.monotonic() < deadline:
+            gevent.sleep(0.02)
+
+    def accept(self, request: requests.Request) -> result.Result[str, outcomes.Refusal]:
+        """Store a request, to be run later.
+
+        :param request: the request.
+        :returns: the work's id, once the request is durably stored.
+        """
+        work = deferred_records.accept(request)
+        shard = deferred_records.shard(work.id)
+        if time.monotonic() < self.full_until_by_shard.get(shard, 0):
+            return result.Err(_full())
+        body = deferred_records.pack(work)
+        if len(body) > objects.MOST_BYTES - OVERHEAD_BYTES:
+            return result.Err(_too_long())
+        key = deferred_records.key(deferred_records.OPEN_PREFIX, work.id)
+        match objects.put_known(self.api, key, body, None, work.nonce, STORE_S):
+            case result.Ok(_):
+                self.tasks.spawn(self._announce, work.id)
+                return result.Ok(work.id)
+            case result.Err(objects.Conflict()):
+                return self._recognise(work, key)
+            case result.Err(objects.Unknown(reason)):
+                return result.Err(_maybe_stored(reason))
+            case result.Err(problem):
+                return result.Err(_down(str(problem)))
+
+    def find(
+        self, work_id: str, caller: str
+    ) -> result.Result[deferred_records.Finished | Waiting, outcomes.Refusal]:
+        """Return the answer to deferred work, or its state.
+
+        :param work_id: the work's id.
+        :param caller: who asks; only the work's own caller finds it.
+        """
+        if deferred_records.accepted_at(work_id) is None:
+            return result.Err(_not_found())
+        # The answer is written before the work is deleted: looked for in this
+        # order, work that finishes meanwhile is not missed.
+        for prefix in (
+            deferred_records.OPEN_PREFIX,
+            deferred_records.DONE_PREFIX,
+        ):
+            match self.api.get(deferred_records.key(prefix, work_id)):
+                case result.Err(objects.Missing()):
+                    continue
+                case result.Err(problem):
+                    return result.Err(_down(str(problem)))
+                case result.Ok(stored) if prefix == deferred_records.DONE_PREFIX:
+                    found = deferred_records.read_finished(stored.body)
+                case result.Ok(stored):
+                    found = deferred_records.read_work(stored.body)
+            if found.caller != caller:
+                break
+            if isinstance(found, deferred_records.Work):
+                return result.Ok(Waiting(self._is_running(work_id)))
+            return result.Ok(found)
+        return result.Err(_not_found())
+
+    def _recognise(
+        self, work: deferred_records.Work, key: str
+    ) -> result.Result[str, outcomes.Refusal]:
+        """Return the id of work that a resend finds stored."""
+        match self.api.get(key):
+            case result.Ok(stored):
+                known = deferred_records.read_work(stored.body)
+                if known.same_request(work):
+                    return result.Ok(work.id)
+                message = "this Idempotency-Key was used for another request"
+                return result.Err(
+                    outcomes.invalid(message, "idempotency_key_reused", 422)
+                )
+            case result.Err(objects.Missing()):
+                return result.Ok(work.id)
+            case result.Err(problem):
+                return result.Err(_maybe_stored(str(problem)))
+
+    def _owner(self, shard: int) -> str:
+        staying = [item for item in self.membership.live() if not item.leaving]
+        owner = ownership.highest(f"{deferred_records.OPEN_PREFIX}{shard}", staying)
+        return owner.name if owner else self.kernel.settings.name
+
+    def _is_mine(self, work_id: str) -> bool:
+        owner = self._owner(deferred_records.shard(work_id))
+        return owner == self.kernel.settings.name and not self.kernel.draining
+
+    def _announce(self, work_id: str) -> None:
+        shard = deferred_records.shard(work_id)
+        owner = self._owner(shard)
+        if owner == self.kernel.settings.name:
+            self._take_up(work_id)
+            fill = result.Ok(ShardFill(self._fill(shard)))
+        else:
+            fill = self.peers.call(owner, WorkStored(work_id), OWNER_S)
+        match fill:
+            case result.Ok(ShardFill(count)) if count >= MOST_OPEN:
+                self.full_until_by_shard[shard] = time.monotonic() + FULL_S
+
+    def _fill(self, shard: int) -> int:
+        return list(self.shard_by_id.values()).count(shard)
+
+    def _is_running(self, work_id: str) -> bool:
+        owner = self._owner(deferred_records.shard(work_id))
+        if owner == self.kernel.settings.name:
+            return work_id in self.running
+        match self.peers.call(owner, AskRunning(work_id), OWNER_S):
+            case result.Ok(IsRunning(running)):
+                return running
+            case _:
+                return False
+
+    def _scan(self) -> None:
+        """Take up what is stored in the shards that this VM owns."""
+        for shard in self._owned():
+            prefix = f"{deferred_records.OPEN_PREFIX}{shard}/"
+            match self.api.list(prefix):
+                case result.Ok(listed):
+                    for key in listed:
+                        self._take_up(key.removeprefix(prefix))
+                case result.Err(problem):
+                    log.warning("deferred work was not listed: {}", problem.reason)
+                    return
+
+    def _owned(self) -> list[int]:
+        name = self.kernel.settings.name
+        shards = range(deferred_records.SHARDS)
+        return [shard for shard in shards if self._owner(shard) == name]
+
+    def _take_up(self, work_id: str) -> None:
+        if work_id not in self.shard_by_id and not self.kernel.draining:
+            self.shard_by_id[work_id] = deferred_records.shard(work_id)
+            self.tasks.spawn(self._work, work_id)
+
+    def _work(self, work_id: str) -> None:
+        """Run a work until it has an answer, or another VM owns it."""
+        pause_s = PAUSE_S
+        runs = 0
+        while self._is_mine(work_id):
+            with self.places:
+                if not self._is_mine(work_id):
+                    break
+                self.running.add(work_id)
+                finished = self._run(work_id, runs)
+                self.running.discard(work_id)
+            if finished.is_ok():
+                break
+            runs += finished.err_value
+            gevent.sleep(pause_s * random.uniform(0.5, 1.5))
+            pause_s = min(2 * pause_s, MOST_PAUSE_S)
+        del self.shard_by_id[work_id]
+
+    def _run(self, work_id: str, runs: int) -> result.Result[None, int]:
+        """Run a work once; an error is the number of runs to be counted."""
+        done_key = deferred_records.key(deferred_records.DONE_PREFIX, work_id)
+        open_key = deferred_records.key(deferred_records.OPEN_PREFIX, work_id)
+        match self.api.get(open_key):
+            case result.Ok(stored):
+                work = deferred_records.read_work(stored.body)
+            case result.Err(objects.Missing()):
+                return result.Ok(None)
+            case _:
+                return result.Err(0)
+        match self.api.get(done_key):
+            case result.Err(objects.Missing()):
+                answered = self._answer(work, runs)
+                if answered.is_err():
+                    return answered
+                body = deferred_records.pack(answered.ok_value)
+                written = self.api.put(done_key, body, None)
+                # An answer that is there already is as good.
+                if written.is_err() and not isinstance(written.err(), objects.Conflict):
+                    return self._keep(done_key, body)
+            case result.Err(_):
+                return result.Err(0)
+        self.api.delete(open_key, stored.version)
+        return result.Ok(None)
+
+    def _keep(self, key: str, body: bytes) -> result.Result[None, int]:
+        """Store an answer while the object API is down, however long.
+
+        The work has run: without its answer it would run again, or its
+        caller would be told that the outcome is unknown.
+        """
+        while True:
+            gevent.sleep(PAUSE_S * random.uniform(0.5, 1.5))
+            match self.api.put(key, body, None):
+                case result.Ok(_) | result.Err(objects.Conflict()):
+                    return result.Err(0)
+
+    def _answer(
+        self, work: deferred_records.Work, runs: int
+    ) -> result.Result[deferred_records.Finished, int]:
+        caller = self.configuration.index.caller_by_name.get(work.caller)
+        if caller is None:
+            message = "the caller is no longer declared"
+            return result.Ok(
+                _refused(work, outcomes.invalid(message, "forbidden", 403))
+            )
+        match self.dispatch.begin(work.request(caller)):
+            case result.Ok(running):
+                pass
+            case result.Err(refusal):
+                return _unless_temporary(work, refusal, runs)
+        try:
+            return result.Ok(_collect(work, running))
+        except OSError as error:
+            refusal = outcomes.unknown(f"the answer broke off: {error}")
+            return _unless_temporary(work, refusal, runs)
+        finally:
+            running.close()
+
+    def _clean(self) -> None:
+        """Delete old answers in the shards that this VM owns."""
+        kept_s = self.configuration.index.catalogue.retention.deferred_s
+        oldest = time.time() - kept_s - deferred_records.HOUR_S
+        for shard in self._owned():
+            prefix = f"{deferred_records.DONE_PREFIX}{shard}/"
+            for key, version in self.api.list(prefix).unwrap_or({}).items():
+                accepted = deferred_records.accepted_at(key.removeprefix(prefix))
+                if accepted is not None and accepted < oldest:
+                    self.api.delete(key, version)
+
+    def _serve_stored(self, _: str, stored: WorkStored, answer: peers.Answer) -> None:
+        self._take_up(stored.id)
+        answer(ShardFill(self._fill(deferred_records.shard(stored.id))))
+
+    def _serve_running(self, _: str, ask: AskRunning, answer: peers.Answer) -> None:
+        answer(IsRunning(ask.id in self.running))
+
+
+def _collect(work: deferred_records.Work, running) -> deferred_records.Finished:
+    pieces, size = [], 0
+    for data in running:
+        pieces.append(data)
+        size += len(data)
+        if size > objects.MOST_BYTES - OVERHEAD_BYTES:
+            message = "the work ran; its answer is too long to be kept"
+            refusal = outcomes.Refusal(
+                502, "answer_not_kept", message, outcomes.Ran.UNKNOWN
+            )
+            return _refused(work, refusal)
+    answer = running.answer
+    headers = tuple((name, value) for name, value in answer.headers)
+    return deferred_records.Finished(
+        work.caller, answer.status, headers, b"".join(pieces)
+    )
+
+
+def _unless_temporary(
+    work: deferred_records.Work, refusal: outcomes.Refusal, runs: int
+) -> result.Result[deferred_records.Finished, int]:
+    """Return a refusal as the answer, unless a later attempt may succeed."""
+    if refusal.ran is outcomes.Ran.NO:
+        if refusal.retry_after is not None:
+            return result.Err(0)
+    elif refusal.retry_after is not None:
+        # Another copy is still running.
+        return result.Err(0)
+    elif work.repeatable and not work.idempotency_key and runs + 1 < MOST_RUNS:
+        return result.Err(1)
+    return result.Ok(_refused(work, refusal))
+
+
+def _refused(
+    work: deferred_records.Work, refusal: outcomes.Refusal
+) -> deferred_records.Finished:
+    reply = calls.refuse(refusal)
+    return deferred_records.Finished(
+        work.caller, reply.status, tuple(reply.headers), b"".join(reply.body)
+    )
+
+
+def _not_found() -> outcomes.Refusal:
+    return outcomes.invalid("no deferred work has this id", "work_not_found", 404)
+
+
+def _full() -> outcomes.Refusal:
+    message = "too much deferred work is waiting"
+    return outcomes.overloaded(message, FULL_S, "deferred_full")
+
+
+def _too_long() -> outcomes.Refusal:
+    most = objects.MOST_BYTES - OVERHEAD_BYTES
+    message = f"deferred work takes at most {most} bytes"
+    return outcomes.invalid(message, "body_too_long", 413)
+
+
+def _down(reason: str) -> outcomes.Refusal:
+    message = f"the object API, which keeps deferred work, does not answer: {reason}"
+    return outcomes.overloaded(message, DOWN_RETRY_S, "object_api")
+
+
+def _maybe_stored(reason: str) -> outcomes.Refusal:
+    message = f"the work may have been accepted; its storing is not known: {reason}"
+    return outcomes.unknown(message)
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -220,7 +220,12 @@
                     trace.add(grant.endpoint.name, f"granted by {grant.owner or '-'}")
                     return result.Ok(running)
                 case result.Err(failed):
-                    refusal = failed.refusal
+                    # An attempt that may have run is not undone by a later
+                    # one that did not: the caller must not read "not run".
+                    ran = failed.refusal.ran
+                    if refusal.ran is outcomes.Ran.UNKNOWN:
+                        ran = refusal.ran
+                    refusal = attrs.evolve(failed.refusal, ran=ran)
                     trace.add(failed.endpoint, refusal.message)
             tried.add(failed.endpoint)
             if (claim and claim.lost) or not self._may_retry(request, failed):
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -10,6 +10,8 @@
     calls,
     catalogue,
     configuration,
+    deferred,
+    deferred_calls,
     dispatch,
     kernel,
     outcomes,
@@ -49,6 +51,7 @@
     def __init__(self, node_kernel: kernel.Kernel):
         self.configuration = node_kernel.get(configuration.Configuration)
         self.dispatch = node_kernel.get(dispatch.Dispatch)
+        self.deferred = node_kernel.get(deferred.Deferred)
 
     def serve(self, call: calls.Call) -> calls.Reply:
         """Answer one call.
@@ -91,6 +94,8 @@
 
     def _generate(self, call: calls.Call, caller: catalogue.Caller) -> calls.Reply:
         read = call.body().and_then(lambda body: self._request(call, caller, body))
+        if read.is_ok() and deferred_calls.wanted(call):
+            return deferred_calls.accept(self.deferred, read.ok_value)
         match read.and_then(
             lambda request: self.dispatch.begin(request, call.start_watch())
         ):
--- a/packages/mothworks/src/mothworks/service_calls.py
+++ b/packages/mothworks/src/mothworks/service_calls.py
@@ -6,6 +6,8 @@
     calls,
     catalogue,
     configuration,
+    deferred,
+    deferred_calls,
     dispatch,
     kernel,
     outcomes,
@@ -40,6 +42,7 @@
     def __init__(self, node_kernel: kernel.Kernel):
         self.configuration = node_kernel.get(configuration.Configuration)
         self.dispatch = node_kernel.get(dispatch.Dispatch)
+        self.deferred = node_kernel.get(deferred.Deferred)
 
     def serve(self, call: calls.Call) -> calls.Reply:
         """Answer one call.
@@ -52,6 +55,8 @@
             case result.Err(refusal):
                 return calls.refuse(refusal)
         read = call.body().and_then(lambda body: self._request(call, caller, body))
+        if read.is_ok() and deferred_calls.wanted(call):
+            return deferred_calls.accept(self.deferred, read.ok_value)
         match read.and_then(
             lambda request: self.dispatch.begin(request, call.start_watch())
         ):
--- /dev/null
+++ b/packages/mothworks/tests/test_dispatch.py
@@ -0,0 +1,42 @@
+"""Dispatch: what a caller is told after several attempts."""
+
+import result
+
+import builders
+from mothworks import dispatch, outcomes, slots
+
+
+class ScriptedDispatch(dispatch.Dispatch):
+    """Attempts end as the test plans."""
+
+    def __init__(self, *refusals):
+        self.refusals = list(refusals)
+
+    def _choose(self, request, tried):
+        return [builders.endpoint(f"engine-{len(tried)}")]
+
+    def _attempt(self, request, choice, watch, claim):
+        refusal = self.refusals.pop(0)
+        sent = refusal.ran is outcomes.Ran.UNKNOWN
+        return result.Err(
+            dispatch.Failed(refusal, sent, False, slots.Outcome.FAILED, choice[0].name)
+        )
+
+
+class NoTrace:
+    def add(self, *_):
+        pass
+
+
+def test_a_refusal_after_an_attempt_that_may_have_run_does_not_say_not_run():
+    # The first engine crashed on the request; the second had no room. "Not
+    # run" would be a wrong word about the first.
+    crashed = outcomes.unknown("the endpoint gave no answer")
+    full = outcomes.overloaded("no capacity", 1.0)
+    scripted = ScriptedDispatch(crashed, full, full)
+    refused = scripted._try_endpoints(builders.request(), NoTrace(), None, None)
+    assert refused.err_value.code == "overloaded"
+    assert refused.err_value.ran is outcomes.Ran.UNKNOWN
+    scripted = ScriptedDispatch(full, full, full)
+    refused = scripted._try_endpoints(builders.request(), NoTrace(), None, None)
+    assert refused.err_value.ran is outcomes.Ran.NO
