Graceful shutdown: serve until the balancer has noticed, then close the port

Cause: a VM that shut down left as soon as no call was open, while the balancer still sent it new ones; these met a closed connection. Change: it says that it is not ready and goes on serving for unready_s (5 s), its answers close their connections; then it closes the port, waits until no call has been open for 0.3 s, and goes.

--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -19,6 +19,10 @@
 
 log = logbook.Logger("server")
 
+#: Time without a call after which a draining VM may stop, seconds; a call that
+#: is being read off a connection that stood open is served this way.
+QUIET_S = 0.3
+
 
 @plugins.register(plugins.PART, "server")
 class Server(kernel.Part):
@@ -48,9 +52,21 @@
         self.listener.start()
 
     def drain(self, deadline: float) -> None:
-        """Finish every call in flight; see :meth:`kernel.Part.drain`."""
-        while self.open_calls and time.monotonic() < deadline:
+        """Finish every call in flight; see :meth:`kernel.Part.drain`.
+
+        The balancer sends calls until it has seen that this VM is not ready.
+        Refusing them at once would break calls for no reason, so they are
+        served, and only then the port is closed.
+        """
+        unready_s = self.kernel.settings.limits.unready_s
+        gevent.sleep(max(0.0, min(unready_s, deadline - time.monotonic())))
+        self.listener.stop_accepting()
+        self.listener.close()
+        quiet_since = time.monotonic()
+        while time.monotonic() < min(deadline, quiet_since + QUIET_S):
             gevent.sleep(0.02)
+            if self.open_calls:
+                quiet_since = time.monotonic()
 
     def stop(self) -> None:
         """Close the listener and what is still open."""
@@ -67,6 +83,9 @@
             logs.set_request_id(call.id)
             reply = self._guarded(call)
             headers = _headers(reply, call.id)
+            if self.kernel.draining:
+                # The caller's next call goes to another VM.
+                headers.append(("Connection", "close"))
             start_response(calls.status_line(reply.status), headers)
             yield from reply.body
         except OSError as error:
--- a/packages/mothworks/src/mothworks/settings.py
+++ b/packages/mothworks/src/mothworks/settings.py
@@ -95,6 +95,8 @@
     :param upload_s: longest time for a request body to arrive, seconds.
     :param write_s: longest time a reader may stall an answer, seconds.
     :param drain_s: longest graceful shutdown, seconds.
+    :param unready_s: time that a VM which shuts down goes on accepting calls,
+        until the balancer has noticed that it is not ready, seconds.
     """
 
     body_bytes: int = attrs.field(default=4 << 20, validator=check_positive)
@@ -103,6 +105,7 @@
     upload_s: float = attrs.field(default=30.0, validator=check_positive)
     write_s: float = attrs.field(default=30.0, validator=check_positive)
     drain_s: float = attrs.field(default=60.0, validator=check_positive)
+    unready_s: float = attrs.field(default=5.0, validator=check_positive)
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/mothworks/tests/test_shutdown.py
@@ -0,0 +1,58 @@
+"""A node's graceful shutdown under load, between separate processes."""
+
+import time
+
+import gevent
+import pytest
+
+import builders
+from mothworks_fakes import arrivals, engine, history, load, processes
+
+NAMES = ("vm-1", "vm-2", "vm-3")
+SPEED = engine.Speed(step_s=0.02, batch=4)
+
+
+@pytest.fixture
+def deployment(bed):
+    endpoints = tuple(
+        bed.add_engine(builders.endpoint(name, slots=SPEED.batch), SPEED)
+        for name in ("engine-1", "engine-2")
+    )
+    for name in ("engine-1", "engine-2"):
+        bed.fake_by_endpoint[name].place("menu", 16_000)
+    for name in NAMES:
+        bed.add_node(name, "dc-1", "region-1")
+    bed.apply(builders.declared(endpoints=endpoints, services=()))
+    processes.wait_until(lambda: bed.all_open(["engine-1", "engine-2"]))
+    processes.wait_until(bed.all_know_all)
+    return bed
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_a_shutdown_under_load_cuts_nothing_off(deployment, name):
+    """A VM is replaced while it serves, owns endpoints and queues requests.
+
+    The balancer notices late, so calls still arrive while it shuts down. No
+    answer may be cut off, no call refused, and what waits in its queues must
+    get its slot from the next owner.
+    """
+    leaving = deployment.node_by_name[name]
+    sender = load.Load([node.url for node in deployment.node_by_name.values()])
+    traffic = arrivals.Traffic("bulk", builders.BULK_KEY, "menu", 1.0, tokens=20)
+    start = time.monotonic()
+    stopping = None
+    tasks = []
+    for number in range(90):
+        if number == 30:
+            stopping = gevent.spawn(leaving.stop)
+        if stopping is not None and not leaving.is_ready():
+            sender.client_by_url.pop(leaving.url, None)
+        arrival = arrivals.Arrival(number, time.monotonic() - start, traffic)
+        tasks.append(gevent.spawn(sender.send, arrival, start))
+        gevent.sleep(0.02)
+    gevent.joinall(tasks, timeout=60, raise_error=True)
+    assert stopping.get(timeout=60) == 0
+    assert [item.error for item in sender.records if not item.complete] == []
+    assert not history.check_answers(sender.records)
+    runs = [run for item in deployment.engines() for run in item.runs]
+    assert len(runs) == len(sender.records)
--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -91,6 +91,7 @@
             region=region,
             object_api=settings.ObjectApi(self.object_api.url),
             vm_list=settings.VmList(self.vm_list.url + "/vms", poll_s=0.5),
+            limits=settings.Limits(unready_s=1.0),
             operators=(
                 settings.Operator(
                     "demo", settings.Role.OPERATOR, key_hash(OPERATOR_KEY)
