Operators' moves: relocations by the planner; show moves

Cause: move was refused as not available, and orders under way could not be seen. Change: the asked VM hands the move to the region's planner (messages 82 and 83), which refuses with the numbers or loads the model and its adapters at the target and unloads the source only once they are resident. show moves and why model gather orders from the endpoints' owners.

--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -19,6 +19,7 @@
     objects_http,
     openai_calls,
     operator_calls,
+    operator_moves,
     orders,
     packing,
     peers,
--- a/packages/mothworks/src/mothworks/operator_calls.py
+++ b/packages/mothworks/src/mothworks/operator_calls.py
@@ -21,6 +21,7 @@
     documents,
     kernel,
     operator_commands,
+    operator_moves,
     outcomes,
     plugins,
     questions,
@@ -56,6 +57,7 @@
         self.operators = node_kernel.settings.operators
         self.configuration = node_kernel.get(configuration.Configuration)
         self.commands = node_kernel.get(operator_commands.Commands)
+        self.moves = node_kernel.get(operator_moves.OperatorMoves)
         self.questions = node_kernel.get(questions.Questions)
 
     def serve(self, call: calls.Call) -> calls.Reply:
@@ -95,13 +97,25 @@
             case _ if operator.role is not settings.Role.OPERATOR:
                 return _forbidden()
             case statements.Move():
-                message = "move can't be ordered by this version yet"
-                refusal = outcomes.invalid(message, "not_available", 501)
-                return calls.refuse(refusal)
+                return self._move(statement, operator)
             case _:
                 ran = self.commands.run(statement, operator.name)
                 return _changed(ran, _done)
 
+    def _move(
+        self, statement: statements.Move, operator: settings.Operator
+    ) -> calls.Reply:
+        match self.moves.order(statement, operator.name):
+            case result.Ok(vm):
+                note = (
+                    f"accepted by the planner {vm}; {statement.source} gives "
+                    f"{statement.model!r} up once {statement.target} has it"
+                )
+                answer = answers.Answer(self.configuration.revision, (), (note,))
+                return calls.json_reply(answer.plain())
+            case result.Err(refusal):
+                return calls.refuse(refusal)
+
     def _show(self, name: str) -> calls.Reply:
         if name not in list(statements.Collection):
             return calls.refuse(
--- a/packages/mothworks/src/mothworks/orders.py
+++ b/packages/mothworks/src/mothworks/orders.py
@@ -30,6 +30,7 @@
     ownership,
     peers,
     plugins,
+    row_classes,
     slots,
 )
 
@@ -201,6 +202,14 @@
             return ledger.Holding(name, version, adapter.memory_mb, base=adapter.model)
         return None
 
+    def under_way(self) -> list[row_classes.MoveRow]:
+        """Return the orders of owned endpoints that are sent or wait."""
+        return [
+            row
+            for _, work in sorted(self.work_by_endpoint.items())
+            for row in work.under_way()
+        ]
+
     def _takes_orders(self, name: str) -> bool:
         declared = self.configuration.index.endpoint_by_name.get(name)
         return declared is not None and declared.memory_mb > 0
@@ -272,6 +281,31 @@
             )
         )
 
+    def under_way(self) -> list[row_classes.MoveRow]:
+        """Return the order that was sent, and the moves that wait behind it."""
+        owner = self.orders.kernel.settings.name
+        rows = [
+            row_classes.MoveRow(
+                self.name, move.name, move.kind, "waiting", 0, owner, 0, move.why
+            )
+            for move in self.queue
+        ]
+        current = self.mover.current
+        if current is not None and current.intent is not None:
+            intent = current.intent
+            sent = row_classes.MoveRow(
+                self.name,
+                intent.holding.name,
+                intent.kind,
+                "sent",
+                intent.fence,
+                owner,
+                intent.holding.reserved_mb,
+                "",
+            )
+            rows.insert(0, sent)
+        return rows
+
     def _step(self) -> float:
         """Take one step; return the pause before the next, seconds."""
         self._follow_catalogue()
--- a/packages/mothworks/src/mothworks/planner.py
+++ b/packages/mothworks/src/mothworks/planner.py
@@ -10,6 +10,7 @@
 
 import attrs
 import logbook
+import result
 
 from mothworks import (
     audit,
@@ -26,6 +27,7 @@
     peers,
     placement,
     plugins,
+    relocations,
 )
 
 log = logbook.Logger("planner")
@@ -164,6 +166,8 @@
         self.endpoint_by_name: dict[str, catalogue.Endpoint] = {}
         self.allowance = Allowance(1.0, 1)
         self.policy: packing.Policy = packing.Packing(catalogue.Weights())
+        #: What operators ordered.
+        self.relocations = relocations.Relocations()
         self.fence_by_endpoint: dict[str, int] = {}
         #: Moves handed out and not reported yet, with the time of each.
         self.outstanding: dict[str, dict[orders.Move, float]] = collections.defaultdict(
@@ -207,6 +211,14 @@
             self.holdings_by_endpoint[holdings.endpoint] = holdings
             self.dirty.add(holdings.endpoint)
 
+    def relocate(self, wanted: relocations.Relocation) -> result.Result[None, str]:
+        """Begin a move that an operator ordered.
+
+        :param wanted: the move.
+        :returns: or why it can't be done.
+        """
+        return self.relocations.accept(self.fleet, wanted)
+
     def plan(
         self, now: float, book: demand.Book, open_endpoints: frozenset[str]
     ) -> list[orders.Move]:
@@ -229,7 +241,9 @@
         if now - self.began < LISTEN_S:
             return []
         loads = self.allowance.loads(self._running_loads())
-        moves = self.policy.plan(self.fleet, loads)
+        moves = self.relocations.plan(self.fleet, now, loads)
+        loads -= sum(move.kind == orders.MoveKind.LOAD for move in moves)
+        moves += self.policy.plan(self.fleet, loads)
         for move in moves:
             self.outstanding[move.endpoint][move] = now
             if move.kind == orders.MoveKind.LOAD:
--- a/packages/mothworks/src/mothworks/questions.py
+++ b/packages/mothworks/src/mothworks/questions.py
@@ -22,6 +22,7 @@
     inventory,
     kernel,
     membership,
+    orders,
     outcomes,
     placement,
     plugins,
@@ -61,11 +62,13 @@
         self.inventory = node_kernel.get(inventory.Inventory)
         self.membership = node_kernel.get(membership.Membership)
         self.placement = node_kernel.get(placement.Placement)
+        self.orders = node_kernel.get(orders.Orders)
         self.slots = node_kernel.get(slots.Slots)
         topics = fan_out.Topic
         serve = self.fan_out.serve
         serve(topics.WAITING, row_classes.WaitingRow, self._waiting)
         serve(topics.BATCHES, row_classes.BatchRow, self._batches)
+        serve(topics.MOVES, row_classes.MoveRow, self._moves)
         serve(topics.TRACE, row_classes.TraceRow, self._trace)
         serve(topics.STEPS, row_classes.StepRow, self._steps)
 
@@ -115,6 +118,8 @@
                 rows = self.inventory.peers()
             case statements.Collection.WAITING:
                 return result.Ok(self.fan_out.ask(fan_out.Topic.WAITING))
+            case statements.Collection.MOVES:
+                return result.Ok(self.fan_out.ask(fan_out.Topic.MOVES))
             case statements.Collection.AUDIT:
                 return self._audit(conditions)
             case _:
@@ -150,6 +155,7 @@
         batches = self.fan_out.ask(fan_out.Topic.BATCHES, name, owners)
         waiting = self.fan_out.ask(fan_out.Topic.WAITING, name, owners)
         batch_by_endpoint = {row.endpoint: row for row in batches.rows}
+        moves = self.fan_out.ask(fan_out.Topic.MOVES, name)
         replicas = [
             self._replica(endpoint, batch_by_endpoint, batches.unanswered)
             for endpoint in candidates
@@ -157,12 +163,13 @@
         tables = [
             answers.Table("replicas", row_classes.ReplicaRow, tuple(replicas)),
             answers.Table("waiting", row_classes.WaitingRow, waiting.rows),
+            answers.Table("moves", row_classes.MoveRow, moves.rows),
         ]
         if item is not None:
             row = self.inventory.model(item)
             tables.insert(0, answers.Table("model", row_classes.ModelRow, (row,)))
         notes = _replica_notes(name, replicas)
-        return result.Ok(self._answer(tables, [batches, waiting], notes))
+        return result.Ok(self._answer(tables, [batches, waiting, moves], notes))
 
     def _replica(
         self,
@@ -228,6 +235,10 @@
         names = frozenset(self.placement.candidates(target))
         return [row for row in slot_rows.running(self.slots) if row.endpoint in names]
 
+    def _moves(self, target: str) -> list[row_classes.MoveRow]:
+        """Return unfinished orders; the argument is empty or a model."""
+        return [row for row in self.orders.under_way() if target in ("", row.model)]
+
     def _trace(self, request_id: str) -> list[row_classes.TraceRow]:
         trace = self.decisions.find(request_id)
         if trace is None:
--- /dev/null
+++ b/packages/mothworks/src/mothworks/relocations.py
@@ -0,0 +1,150 @@
+"""Relocations: moves of models that operators ordered.
+
+A relocation loads the model, and the adapters that it has at its source, at
+the target; only when all are resident there, the source gives them up. So
+its callers always find a replica. A planner that dies in between leaves two
+replicas, of which the next planner keeps what demand needs.
+"""
+
+import attrs
+import result
+
+from mothworks import fleet, orders
+
+#: Time after which a relocation that makes no progress is given up, seconds.
+PATIENCE_S = 600.0
+
+
+@attrs.define
+class Relocation:
+    """A move of one model.
+
+    :param model: the model.
+    :param source: the endpoint that gives it up.
+    :param target: the endpoint that gets it.
+    :param why: the reason, for the audit trail.
+    :param until: monotonic time when it is given up, seconds.
+    """
+
+    model: str
+    source: str
+    target: str
+    why: str
+    until: float
+
+
+class Relocations:
+    """The relocations under way in one region."""
+
+    def __init__(self):
+        self.by_model: dict[str, Relocation] = {}
+
+    def accept(
+        self, planned: fleet.Fleet, wanted: Relocation
+    ) -> result.Result[None, str]:
+        """Begin a relocation.
+
+        :param planned: the region's fleet.
+        :param wanted: the relocation.
+        :returns: or why it can't be done, with the numbers.
+        """
+        problem = _problem(planned, wanted)
+        if problem is None and wanted.model in self.by_model:
+            problem = f"{wanted.model!r} is being moved already"
+        if problem is not None:
+            return result.Err(problem)
+        self.by_model[wanted.model] = wanted
+        return result.Ok(None)
+
+    def plan(self, planned: fleet.Fleet, now: float, loads: int) -> list[orders.Move]:
+        """Return the moves to begin now; they are entered into the fleet.
+
+        :param planned: the region's fleet.
+        :param now: monotonic time, seconds.
+        :param loads: most loads.
+        """
+        moves = []
+        for relocation in list(self.by_model.values()):
+            step = _step(planned, relocation, loads)
+            moves += step
+            loads -= sum(move.kind == orders.MoveKind.LOAD for move in step)
+            if now > relocation.until or _is_done(planned, relocation):
+                del self.by_model[relocation.model]
+        return moves
+
+
+def _problem(planned: fleet.Fleet, wanted: Relocation) -> str | None:
+    demanded = planned.demanded_by_name.get(wanted.model)
+    source = planned.site_by_name.get(wanted.source)
+    target = planned.site_by_name.get(wanted.target)
+    if demanded is None or demanded.need.base:
+        return f"no model is named {wanted.model!r}"
+    if source is None or target is None:
+        missing = wanted.source if source is None else wanted.target
+        return f"the planner has no report of an endpoint {missing!r} in its region"
+    key = demanded.need.key
+    if key not in source.memory_by_key or key in source.leaving | source.loading:
+        return f"{wanted.model!r} is not resident on {wanted.source!r}"
+    if key in target.memory_by_key:
+        return f"{wanted.target!r} has {wanted.model!r} already"
+    if not target.open:
+        return f"{wanted.target!r} takes no new work"
+    needed_mb = sum(need.memory_mb for need in _needs(planned, wanted))
+    if target.free_mb < needed_mb:
+        return (
+            f"{wanted.target!r} has {target.free_mb} MB free; {wanted.model!r} "
+            f"and its adapters there need {needed_mb} MB"
+        )
+    return None
+
+
+def _needs(planned: fleet.Fleet, relocation: Relocation) -> list[fleet.Need]:
+    """Return what must be resident at the target: the model goes first."""
+    source = planned.site_by_name[relocation.source]
+    adapters = planned.adapters_by_model.get(relocation.model, set())
+    names = [relocation.model, *sorted(adapters)]
+    needs = [planned.demanded_by_name[name].need for name in names]
+    return [needs[0], *(need for need in needs[1:] if need.key in source.memory_by_key)]
+
+
+def _step(
+    planned: fleet.Fleet, relocation: Relocation, loads: int
+) -> list[orders.Move]:
+    source = planned.site_by_name.get(relocation.source)
+    target = planned.site_by_name.get(relocation.target)
+    if (
+        source is None
+        or target is None
+        or relocation.model not in planned.demanded_by_name
+    ):
+        return []
+    needs = _needs(planned, relocation)
+    for need in needs:
+        if need.key in target.loading:
+            return []
+        if need.key not in target.memory_by_key:
+            if loads <= 0 or target.free_mb < need.memory_mb:
+                return []
+            planned.load(target, need)
+            return [_move(target, orders.MoveKind.LOAD, need, relocation)]
+    moves = []
+    for need in reversed(needs):
+        if need.key in source.memory_by_key and need.key not in source.leaving:
+            planned.unload(source, need.key)
+            moves.append(_move(source, orders.MoveKind.UNLOAD, need, relocation))
+    return moves
+
+
+def _move(
+    site: fleet.Site, kind: orders.MoveKind, need: fleet.Need, relocation: Relocation
+) -> orders.Move:
+    why = f"move from {relocation.source} to {relocation.target}: {relocation.why}"
+    return orders.Move(site.name, kind, need.name, need.version, why)
+
+
+def _is_done(planned: fleet.Fleet, relocation: Relocation) -> bool:
+    demanded = planned.demanded_by_name.get(relocation.model)
+    source = planned.site_by_name.get(relocation.source)
+    if demanded is None or source is None:
+        return True
+    return demanded.need.key not in source.memory_by_key
--- a/packages/mothworks/src/mothworks/row_classes.py
+++ b/packages/mothworks/src/mothworks/row_classes.py
@@ -111,22 +111,26 @@
 
 @attrs.frozen
 class MoveRow:
-    """A load, unload or relocation that is not finished.
+    """An order to an endpoint that is not finished.
 
     :param endpoint: the endpoint that has the order.
     :param model: the model or adapter.
-    :param order: what is ordered.
-    :param number: the order's fencing number.
+    :param order: load, unload or role.
+    :param state: sent, or waiting behind another order.
+    :param number: the order's fencing number; 0 while it waits.
     :param owner: the VM that gives the order.
-    :param reserved_mb: memory held for it, MB.
+    :param reserved_mb: memory held for it, MB; 0 while it waits.
+    :param why: the planner's reason, while it waits.
     """
 
     endpoint: str
     model: str
     order: str
+    state: str
     number: int
     owner: str
     reserved_mb: int
+    why: str
 
 
 @attrs.frozen
--- a/packages/mothworks/tests/test_placement_whole.py
+++ b/packages/mothworks/tests/test_placement_whole.py
@@ -4,7 +4,7 @@
 import orjson
 
 import builders
-from mothworks import catalogue
+from mothworks import catalogue, statements
 from mothworks_fakes import processes
 
 
@@ -50,3 +50,36 @@
             wait_for_answer(node.url, name)
     for engine in bed.fake_by_endpoint.values():
         assert engine.memory.peak_mb <= 50_000
+
+
+def resident_anywhere(bed, model):
+    return any(model in resident(bed, name) for name in bed.fake_by_endpoint)
+
+
+def test_an_operator_moves_a_model(bed):
+    for name in ("engine-1", "engine-2"):
+        bed.add_engine(builders.endpoint(name, memory_mb=50_000))
+    endpoints = tuple(
+        builders.endpoint(name, memory_mb=50_000, port=bed.fake_by_endpoint[name].port)
+        for name in bed.fake_by_endpoint
+    )
+    node = bed.add_node("vm-1", "dc-1", "region-1")
+    bed.add_node("vm-2", "dc-1", "region-1")
+    bed.apply(builders.declared(services=(), endpoints=endpoints))
+    # Requests that are refused until then would be demand for a second replica.
+    processes.wait_until(lambda: resident_anywhere(bed, "menu"), 30.0)
+    [source] = [name for name in bed.fake_by_endpoint if resident(bed, name)]
+    [target] = bed.fake_by_endpoint.keys() - {source}
+    operator = bed.operator(node)
+
+    def move(model, origin, destination):
+        order = statements.Move(model, origin, destination, "test")
+        return operator.post("ask", statements.plain(order))
+
+    assert move("menu", target, source).unwrap_err().status == 409
+    assert move("menu", source, "absent").unwrap_err().status == 404
+    # The planner answers once it has heard of both endpoints.
+    processes.wait_until(lambda: move("menu", source, target).is_ok(), 30.0)
+    processes.wait_until(lambda: resident(bed, target) == {"menu"}, 30.0)
+    processes.wait_until(lambda: not resident(bed, source), 30.0)
+    wait_for_answer(node.url, "menu")
