Broken streams resume at their offset; short whole answers are held until whole

Cause: an engine's death after the head but before the first token, or in a short whole answer, reached the caller although nothing was told to it yet; a broken stream was always lost, although from a seed another engine generates the same tokens.

A stream from a seed or without temperature goes on at another endpoint after the events that the caller has, if the endpoint's kind resumes and the engine confirms the offset. Everything is paid from the retry budget.

--- a/packages/mothworks/src/mothworks/application.py
+++ b/packages/mothworks/src/mothworks/application.py
@@ -17,7 +17,7 @@
         self.transport = transport.Transport()
 
     def send(
-        self, endpoint: catalogue.Endpoint, request: requests.Request
+        self, endpoint: catalogue.Endpoint, request: requests.Request, offset: int = 0
     ) -> result.Result[endpoints.Answer, endpoints.SendFailure]:
         """Send a call; see :meth:`endpoints.Adapter.send`.
 
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -5,10 +5,10 @@
 at another endpoint; afterwards the caller has part of the answer.
 """
 
-import collections.abc
 import time
 
 import attrs
+import logbook
 import result
 
 from mothworks import (
@@ -25,14 +25,16 @@
     outcomes,
     placement,
     plugins,
-    progress,
     recorded,
     requests,
     retries,
     routing,
+    running,
     slots,
 )
 
+log = logbook.Logger("dispatch")
+
 #: Endpoints that one request may try.
 MOST_ATTEMPTS = 3
 #: Hint to a caller where a model has no endpoint now, seconds.
@@ -59,74 +61,6 @@
     endpoint: str = ""
 
 
-class Running:
-    """A request whose answer has begun.
-
-    Iterating yields the answer's body; :meth:`close` must be called in any
-    case, cancels what has not arrived, and gives the slot back.
-
-    :param request: the request.
-    :param grant: the slot that it holds.
-    :param answer: the endpoint's answer.
-    :param dispatch: where the end is reported.
-    :param began: monotonic time at which it was sent, seconds.
-    """
-
-    def __init__(
-        self,
-        request: requests.Request,
-        grant: slots.Grant,
-        answer: endpoints.Answer,
-        dispatch: "Dispatch",
-        began: float,
-    ):
-        self.request = request
-        self.grant = grant
-        self.answer = answer
-        self.dispatch = dispatch
-        self.stream = request.stream and answer.status == 200
-        self.progress = progress.Progress(self.stream, began)
-        self.outcome = slots.Outcome.CANCELLED
-        self.closed = False
-        self._chunks = answer.chunks()
-        self._first = b""
-
-    def read_first(self) -> None:
-        """Wait for the body's first bytes; raises OSError where it breaks."""
-        for data in self._chunks:
-            self._first = self.progress.take(data)
-            if self._first:
-                return
-        self._check_complete()
-
-    def __iter__(self) -> collections.abc.Iterator[bytes]:
-        """Yield the body; raises OSError where the answer breaks off."""
-        take = self.progress.take
-        try:
-            if self._first:
-                yield self._first
-            for data in self._chunks:
-                yield take(data)
-            self._check_complete()
-        except OSError:
-            self.outcome = slots.Outcome.CRASHED
-            raise
-        self.outcome = slots.Outcome.OK
-
-    def close(self) -> None:
-        """Release the connection and the slot; further calls do nothing."""
-        if not self.closed:
-            self.closed = True
-            self.answer.close()
-            self.dispatch.finish(self)
-
-    def _check_complete(self) -> None:
-        # An engine that is stopped may end its stream cleanly. Without this
-        # check the caller would take the part that came for the whole.
-        if not self.progress.complete():
-            raise ConnectionResetError("the stream ended before its last event")
-
-
 @plugins.register(plugins.PART, "dispatch")
 class Dispatch(kernel.Part):
     """Runs requests.
@@ -192,8 +126,8 @@
         if claim.lost:
             return claim.wait().map(recorded.Replay)
         match begun:
-            case result.Ok(running):
-                return result.Ok(recorded.Recorded(running, claim, self.claims.tasks))
+            case result.Ok(answering):
+                return result.Ok(recorded.Recorded(answering, claim, self.claims.tasks))
             case result.Err(outcomes.Refusal(ran=outcomes.Ran.NO)):
                 claim.end(claim_records.State.RELEASED)
             case result.Err(_):
@@ -206,7 +140,7 @@
         trace: decisions.Trace,
         watch: caller_watch.Watch | None,
         claim: claims.Claim | None,
-    ) -> result.Result[Running, outcomes.Refusal]:
+    ) -> result.Result[running.Running, outcomes.Refusal]:
         tried: set[str] = set()
         refusal = _no_endpoint(request)
         while len(tried) < MOST_ATTEMPTS:
@@ -215,10 +149,10 @@
                 self._explain_closed(request, trace)
                 break
             match self._attempt(request, choice, watch, claim):
-                case result.Ok(running):
-                    grant = running.grant
+                case result.Ok(begun):
+                    grant = begun.grant
                     trace.add(grant.endpoint.name, f"granted by {grant.owner or '-'}")
-                    return result.Ok(running)
+                    return result.Ok(begun)
                 case result.Err(failed):
                     # An attempt that may have run is not undone by a later
                     # one that did not: the caller must not read "not run".
@@ -232,14 +166,60 @@
                 break
         return result.Err(refusal)
 
-    def finish(self, running: Running) -> None:
-        """Report the end of a request whose answer had begun.
+    def resume(self, stopped: running.Running) -> bool:
+        """Continue a broken stream at another endpoint, if one can.
+
+        :param stopped: the request, its slot given back.
+        :returns: whether another endpoint is attached.
+        """
+        request = stopped.request
+        if not (stopped.stream and request.resumable and self._may_repeat(request)):
+            return False
+        choice = [
+            endpoint
+            for endpoint in self._choose(request, stopped.tried)
+            if self.health.adapters.get(endpoint.kind).resumes
+        ]
+        if not choice:
+            return False
+        match self._acquire(request, choice):
+            case result.Ok(grant):
+                return self._resume_at(stopped, grant)
+            case _:
+                return False
+
+    def leave(self, left: running.Running, outcome: slots.Outcome) -> None:
+        """Give back the slot at the present endpoint of a request.
 
-        :param running: the request.
+        :param left: the request.
+        :param outcome: how it ended there.
         """
-        self.demand.ended(running.request.target, running.progress.sent)
-        self._release(running.grant, running.progress.end(running.outcome))
-        self.decisions.close(running.request.id, running.outcome.name.lower())
+        self.demand.ended(left.request.target, left.progress.sent)
+        self._release(left.grant, left.progress.end(outcome))
+
+    def finish(self, ended: running.Running) -> None:
+        """Note the end of a request whose answer had begun.
+
+        :param ended: the request.
+        """
+        self.decisions.close(ended.request.id, ended.outcome.name.lower())
+
+    def _resume_at(self, stopped: running.Running, grant: slots.Grant) -> bool:
+        adapter = self.health.adapters.get(grant.endpoint.kind)
+        sent = time.monotonic()
+        offset = stopped.progress.events
+        try:
+            resumed = adapter.send(grant.endpoint, stopped.request, offset)
+        except BaseException:
+            self._release(grant, slots.End(slots.Outcome.CANCELLED))
+            raise
+        if resumed.is_err():
+            outcome = _failed(resumed.err_value).outcome
+            self._release(grant, slots.End(outcome))
+            return False
+        log.info("resumed at {} after {} events", grant.endpoint.name, offset)
+        stopped.attach(grant, resumed.ok_value, sent)
+        return True
 
     def _explain_closed(
         self, request: requests.Request, trace: decisions.Trace
@@ -261,7 +241,7 @@
         choice: list[catalogue.Endpoint],
         watch: caller_watch.Watch | None,
         claim: claims.Claim | None,
-    ) -> result.Result[Running, Failed]:
+    ) -> result.Result[running.Running, Failed]:
         match self._acquire(request, choice):
             case result.Ok(grant):
                 pass
@@ -295,24 +275,24 @@
 
     def _send(
         self, request: requests.Request, grant: slots.Grant
-    ) -> result.Result[Running, Failed]:
+    ) -> result.Result[running.Running, Failed]:
         adapter = self.health.adapters.get(grant.endpoint.kind)
-        began = time.monotonic()
+        sent = time.monotonic()
         match adapter.send(grant.endpoint, request):
             case result.Ok(answer):
                 pass
             case result.Err(failure):
                 return result.Err(_failed(failure))
-        running = Running(request, grant, answer, self, began)
+        begun = running.Running(request, grant, answer, self, sent)
         try:
-            running.read_first()
+            begun.read_start()
         except OSError as error:
             answer.close()
             return result.Err(_failed(endpoints.SendFailure(str(error), sent=True)))
         except BaseException:
             answer.close()
             raise
-        return result.Ok(running)
+        return result.Ok(begun)
 
     def _release(self, grant: slots.Grant, end: slots.End) -> None:
         self.policy.running_by_endpoint[grant.endpoint.name] -= 1
@@ -324,9 +304,10 @@
             return False
         if failed.sent and not request.repeatable:
             return False
-        if time.monotonic() >= request.deadline:
-            return False
-        return not failed.counted or self.retries.take()
+        return not failed.counted or self._may_repeat(request)
+
+    def _may_repeat(self, request: requests.Request) -> bool:
+        return time.monotonic() < request.deadline and self.retries.take()
 
 
 def _no_endpoint(request: requests.Request) -> outcomes.Refusal:
--- a/packages/mothworks/src/mothworks/endpoints.py
+++ b/packages/mothworks/src/mothworks/endpoints.py
@@ -136,13 +136,18 @@
 class Adapter:
     """Interface of the plug-ins of kind :data:`plugins.ENDPOINT`."""
 
+    #: Whether endpoints of this kind can continue a stream at an offset.
+    resumes = False
+
     def send(
-        self, endpoint: catalogue.Endpoint, request: requests.Request
+        self, endpoint: catalogue.Endpoint, request: requests.Request, offset: int = 0
     ) -> result.Result[Answer, SendFailure]:
         """Send a request and wait for the answer's head.
 
         :param endpoint: where to.
         :param request: what to send, once.
+        :param offset: events of the stream that the caller has already; above
+            0 only where :attr:`resumes` is set.
         """
         raise NotImplementedError
 
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -16,6 +16,7 @@
     kernel,
     outcomes,
     plugins,
+    recorded,
     requests,
 )
 
@@ -34,11 +35,13 @@
     :param model: the model or adapter that is asked for.
     :param stream: whether the answer is streamed.
     :param tokens: most tokens to generate.
+    :param resumable: whether each run generates the same tokens.
     """
 
     model: str
     stream: bool
     tokens: int
+    resumable: bool
 
 
 @plugins.register(plugins.CALLER_PROTOCOL, "/v1/")
@@ -135,6 +138,7 @@
                 first_token_deadline=call.arrived + caller.first_token_ms / 1000,
                 tokens=fields.tokens,
                 idempotency_key=call.header("idempotency-key"),
+                resumable=fields.resumable,
             )
         )
 
@@ -160,7 +164,9 @@
         return result.Err(
             outcomes.invalid("'max_tokens' must be a whole number above 0")
         )
-    return result.Ok(Fields(model, bool(stream), tokens))
+    # Sampling is repeated exactly only from a seed or without temperature.
+    resumable = type(value.get("seed")) is int or value.get("temperature") == 0
+    return result.Ok(Fields(model, bool(stream), tokens, resumable))
 
 
 def _listed(name: str) -> dict:
@@ -185,7 +191,7 @@
     :param running: the running request.
     """
 
-    def __init__(self, running: dispatch.Running):
+    def __init__(self, running: recorded.Running):
         self.running = running
         self.close = running.close
 
--- a/packages/mothworks/src/mothworks/progress.py
+++ b/packages/mothworks/src/mothworks/progress.py
@@ -11,6 +11,8 @@
 
 #: The end of a server-sent event.
 EVENT_END = b"\n\n"
+#: Longest event of a stream, bytes.
+EVENT_BYTES = 4 << 20
 #: The last event of a complete stream.
 DONE = b"data: [DONE]\n\n"
 
@@ -32,6 +34,7 @@
         #: Whether the stream's last event has been seen.
         self.done = False
         self._held = b""
+        self._events_before = 0
 
     def take(self, data: bytes) -> bytes:
         """Note what arrived and return what may be passed on.
@@ -52,12 +55,24 @@
             end = end + 1 if end else 0
             self._held = data[end:]
             data = data[:end]
+            if len(self._held) > EVENT_BYTES:
+                raise ConnectionAbortedError("an event of the stream is too long")
         self.events += data.count(EVENT_END)
         if data.endswith(DONE):
             self.done = True
             self.events -= 1
         return data
 
+    def resume(self, sent: float) -> None:
+        """Go on with an answer that continues after :attr:`events`.
+
+        :param sent: monotonic time at which it was asked for, seconds.
+        """
+        self._held = b""
+        self._events_before = self.events
+        self.sent = sent
+        self.first = 0.0
+
     def complete(self) -> bool:
         """Return whether an answer that ended here is whole."""
         return self.done or not self.stream
@@ -70,6 +85,6 @@
         if not self.first:
             return slots.End(outcome)
         first_ms = (self.first - self.sent) * 1000
-        gaps = max(1, self.events - 1)
-        between_ms = (self.last - self.first) * 1000 / gaps
-        return slots.End(outcome, first_ms, between_ms, self.events)
+        tokens = self.events - self._events_before
+        between_ms = (self.last - self.first) * 1000 / max(1, tokens - 1)
+        return slots.End(outcome, first_ms, between_ms, tokens)
--- a/packages/mothworks/src/mothworks/requests.py
+++ b/packages/mothworks/src/mothworks/requests.py
@@ -26,6 +26,8 @@
     :param tokens: most tokens it may generate.
     :param idempotency_key: the caller's key for resends, or empty.
     :param deadline: monotonic time after which no answer is of use.
+    :param resumable: whether another run gives the same tokens, so that a
+        broken stream can be continued.
     """
 
     id: str
@@ -43,3 +45,4 @@
     tokens: int = 0
     idempotency_key: str = ""
     deadline: float = math.inf
+    resumable: bool = False
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -10,6 +10,9 @@
 
 from mothworks import catalogue, endpoints, plugins, requests, transport
 
+#: Header that asks an engine to leave out events that the caller has, and by
+#: which the engine confirms it.
+RESUME_OFFSET = "X-Resume-Offset"
 #: Statuses by which an engine refuses a request before running it: too busy,
 #: leaving, or the model was unloaded since the placement map was read.
 REFUSED_STATUSES = frozenset((404, 429, 503))
@@ -19,22 +22,29 @@
 class Vllm(endpoints.Adapter):
     """Speaks to vLLM-style engines."""
 
+    resumes = True
+
     def __init__(self):
         self.transport = transport.Transport()
 
     def send(
-        self, endpoint: catalogue.Endpoint, request: requests.Request
+        self, endpoint: catalogue.Endpoint, request: requests.Request, offset: int = 0
     ) -> result.Result[endpoints.Answer, endpoints.SendFailure]:
         """Send a request; see :meth:`endpoints.Adapter.send`."""
+        headers = [*request.headers, ("X-Request-Id", request.id)]
+        if offset:
+            headers.append((RESUME_OFFSET, str(offset)))
         sent = self.transport.exchange(
             (endpoint.address, endpoint.port),
             request.method,
             request.path,
-            (*request.headers, ("X-Request-Id", request.id)),
+            headers,
             request.body,
             fresh=not request.repeatable,
         )
-        return sent.and_then(_unless_refused)
+        return sent.and_then(_unless_refused).and_then(
+            lambda answer: _resumed(answer, offset)
+        )
 
     def report(
         self, endpoint: catalogue.Endpoint
@@ -69,6 +79,22 @@
     return result.Err(endpoints.SendFailure(reason, sent=True, refused=True))
 
 
+def _resumed(answer: transport.HttpAnswer, offset: int):
+    """Check that an engine that was asked to resume says that it does.
+
+    One that ignores the header begins anew, and the caller would read the
+    start of the answer twice.
+    """
+    if not offset:
+        return result.Ok(answer)
+    confirmed = dict(answer.headers).get(RESUME_OFFSET)
+    if answer.status == 200 and confirmed == str(offset):
+        return result.Ok(answer)
+    answer.close()
+    reason = "the endpoint cannot continue the stream"
+    return result.Err(endpoints.SendFailure(reason, sent=True, refused=True))
+
+
 def _report(answer: transport.HttpAnswer) -> result.Result[endpoints.Report, str]:
     try:
         body = b"".join(answer.chunks())
--- a/packages/mothworks/tests/served.py
+++ b/packages/mothworks/tests/served.py
@@ -175,10 +175,10 @@
 
 def stream_reply(*pieces: bytes | Exception) -> web.Reply:
     """Return a streamed reply; an exception among the pieces breaks it off."""
-    return web.Reply("200 OK", [("Content-Type", "text/event-stream")], _each(pieces))
+    return web.Reply("200 OK", [("Content-Type", "text/event-stream")], each(pieces))
 
 
-def _each(pieces):
+def each(pieces):
     for piece in pieces:
         if isinstance(piece, Exception):
             raise piece
--- /dev/null
+++ b/packages/mothworks/tests/test_answers.py
@@ -0,0 +1,258 @@
+"""Answers that break, and what the caller is told of them."""
+
+import itertools
+
+import gevent
+import gevent.server
+import orjson
+import pytest
+import result
+
+import served
+from mothworks import dispatch, retries, transport
+from mothworks_fakes import gates, processes, web
+
+EVENT = b'data: {"choices": []}\n\n'
+DONE = b"data: [DONE]\n\n"
+BREAK = web.BreakConnection()
+
+
+@pytest.fixture
+def serve():
+    made = []
+
+    def start(*engines, **options):
+        made.append(served.Served(engines=engines, **options))
+        return made[-1]
+
+    yield start
+    for each in made:
+        each.stop()
+
+
+def streams(*pieces):
+    return served.ScriptedEngine(lambda _: served.stream_reply(*pieces))
+
+
+def whole(length, *pieces):
+    headers = [("Content-Length", str(length)), ("Content-Type", "application/json")]
+    return served.ScriptedEngine(
+        lambda _: web.Reply("200 OK", headers, served.each(pieces))
+    )
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [(EVENT, BREAK), (EVENT, EVENT[:9], BREAK), (EVENT,), (EVENT, DONE[:-3])],
+    ids=["broken", "broken in an event", "ended without [DONE]", "half [DONE]"],
+)
+def test_a_stream_that_is_not_complete_ends_with_an_error(serve, pieces):
+    # The engine dies, or is stopped and ends its stream in good order. The
+    # guest would read half an answer as the whole one.
+    answered = serve(streams(*pieces)).chat(stream=True)
+    assert answered.events[0] + b"\n\n" == EVENT
+    assert DONE not in answered.body
+    assert len(answered.events) == 2
+    error = orjson.loads(answered.events[1].removeprefix(b"data: "))["error"]
+    assert (error["code"], error["ran"]) == ("broken_stream", "unknown")
+
+
+def test_a_whole_answer_that_breaks_off_is_not_complete(serve):
+    # Too long to be held back, so the caller has the start of it already.
+    piece = b"x" * 200_000
+    node = serve(whole(900_000, piece, piece, BREAK))
+    answered = node.chat()
+    assert answered.status == 200
+    assert not answered.complete
+    processes.wait_until(node.idle)
+
+
+def test_a_short_whole_answer_that_breaks_off_is_an_error(serve):
+    answered = serve(whole(100, b"half", BREAK)).chat()
+    assert (answered.status, answered.error["ran"]) == (502, "unknown")
+
+
+def test_a_short_whole_answer_is_had_from_another_engine(serve):
+    good = orjson.dumps({"choices": []})
+    broken, sound = whole(100, b"half", BREAK), whole(len(good), good)
+    node = serve(broken, sound)
+    answers = [node.chat() for _ in range(6)]
+    assert [(item.status, item.body) for item in answers] == [(200, good)] * 6
+    assert broken.bodies
+
+
+def test_an_engine_that_refuses_is_passed_over(serve):
+    busy = served.ScriptedEngine(lambda _: web.json_reply({}, "503 Busy"))
+    sound = served.ScriptedEngine(None)
+    node = serve(busy, sound)
+    assert [node.chat(max_tokens=1).status for _ in range(6)] == [200] * 6
+    assert len(sound.runs) == 6
+
+
+def test_an_engine_that_dies_before_the_first_event_is_passed_over(serve):
+    # Engines send the head at once and the first token later, so a death in
+    # between would reach the caller although nothing was told to it yet.
+    dead = streams(BREAK)
+    node = serve(dead, served.ScriptedEngine(None))
+    answers = [node.chat(stream=True, max_tokens=2) for _ in range(6)]
+    assert all(answered.events[-1] == DONE.strip() for answered in answers)
+    assert dead.bodies
+
+
+def test_retries_are_bounded_by_the_budget(serve):
+    # All engines of a model die on each request. Without a budget every
+    # caller's request is sent three times, just when capacity is short.
+    engines = [streams(BREAK) for _ in range(3)]
+    node = serve(*engines)
+    node.part(dispatch.Dispatch).retries.saved = 2.0
+    requests = 5
+    for _ in range(requests):
+        assert node.chat(stream=True).error["ran"] == "unknown"
+    sends = sum(len(engine.bodies) for engine in engines)
+    assert requests < sends <= requests + 2 + requests * retries.SHARE + 2
+
+
+@pytest.mark.parametrize("offset", [1, 3])
+def test_a_stream_from_a_seed_is_resumed_elsewhere(serve, offset):
+    # An engine dies in the middle of an answer. The caller has part of it,
+    # and with the same seed another engine generates the same tokens.
+    first, second = served.ScriptedEngine(None), served.ScriptedEngine(None)
+    node = serve(first, second)
+    expected = node.chat(stream=True, seed=7, max_tokens=6).events
+    gate_by_engine = {
+        engine: engine.gates.close(gates.Step.MID_ANSWER) for engine in (first, second)
+    }
+    sock = node.connect()
+    sock.sendall(served.chat(stream=True, seed=7, max_tokens=6))
+    processes.wait_until(
+        lambda: any(gate.reached.is_set() for gate in gate_by_engine.values())
+    )
+    for engine, gate in gate_by_engine.items():
+        if gate.reached.is_set():
+            engine.crash()
+        gate.reached.set()
+    answered = served.read_answer(sock)
+    assert texts(answered.events) == texts(expected)
+    assert answered.events[-1] == DONE.strip()
+    processes.wait_until(node.idle)
+
+
+def test_a_stream_without_a_seed_is_not_resumed(serve):
+    node = serve(streams(EVENT, BREAK), streams(EVENT, BREAK))
+    answered = node.chat(stream=True)
+    assert b"broken_stream" in answered.events[-1]
+    assert sum(len(engine.bodies) for engine in node.engines) == 1
+
+
+def test_an_engine_that_ignores_the_offset_is_not_used(serve):
+    # It would begin anew, and the caller read the start of the answer twice.
+    node = serve(streams(EVENT, BREAK), streams(EVENT, BREAK))
+    answered = node.chat(stream=True, seed=1)
+    assert len(answered.events) == 2
+    assert b"broken_stream" in answered.events[-1]
+
+
+def texts(events):
+    parsed = [orjson.loads(event[6:]) for event in events if b"[DONE]" not in event]
+    return [event["choices"][0]["delta"]["content"] for event in parsed]
+
+
+def test_an_order_is_sent_once_whatever_happens(serve):
+    # The kitchen's service breaks off after it took the order. Sent again,
+    # the guest gets two trays and two charges.
+    node = serve()
+    node.orders.faults.lost_reply = 1.0
+    node.orders.faults.only = "/confirm"
+    answered = node.send(served.post("/services/orders/confirm", b"two trays"))
+    assert (answered.status, answered.error["ran"]) == (502, "unknown")
+    assert node.orders.calls_by_body == {b"two trays": 1}
+
+
+def test_an_order_that_was_never_sent_says_so(serve):
+    node = serve()
+    node.orders.server.stop(timeout=0)
+    answered = node.send(served.post("/services/orders/confirm", b"two trays"))
+    assert (answered.status, answered.error["ran"]) == (503, "no")
+    assert answered.headers["retry-after"]
+
+
+def test_no_bytes_of_another_answer(serve):
+    # A caller leaves in the middle of an answer. If its connection to the
+    # engine went back to the pool, the next caller would read the rest.
+    marks = itertools.count()
+
+    def script(_):
+        mark = b"data: %d\n\n" % next(marks)
+        return served.stream_reply(*[mark] * 200, DONE)
+
+    node = serve(served.ScriptedEngine(script))
+    for round_ in range(10):
+        sock = node.connect()
+        sock.sendall(served.chat(stream=True))
+        sock.recv(1)
+        sock.close()
+        events = node.chat(stream=True).events
+        assert len(set(events[:-1])) == 1, round_
+        assert len(events) == 201
+
+
+class TestTransport:
+    """The wire itself, against a server of raw bytes."""
+
+    @pytest.fixture
+    def answer_of(self):
+        servers = []
+
+        def exchange(wire, stays_open=False):
+            def serve(sock, _):
+                sock.recv(65536)
+                sock.sendall(wire)
+                if stays_open:
+                    gevent.sleep(served.PATIENCE_S)
+                sock.close()
+
+            server = gevent.server.StreamServer(("127.0.0.1", 0), serve)
+            server.start()
+            servers.append(server)
+            address = ("127.0.0.1", server.server_port)
+            sender = transport.Transport(silence_s=0.2)
+            return sender.exchange(address, "POST", "/", (), b"{}")
+
+        yield exchange
+        for server in servers:
+            server.stop(timeout=0)
+
+    @pytest.mark.parametrize(
+        "wire",
+        [
+            b"Content-Length: 9\r\n\r\nhalf",
+            b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+            b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n",
+            b"\r\nhalf",
+        ],
+        ids=["length", "no last chunk", "half a chunk", "no chunk", "no length"],
+    )
+    @pytest.mark.parametrize("stays_open", [False, True], ids=["closed", "silent"])
+    def test_an_answer_that_is_not_complete_raises(self, answer_of, wire, stays_open):
+        match answer_of(b"HTTP/1.1 200 OK\r\n" + wire, stays_open):
+            case result.Ok(answer):
+                with pytest.raises(OSError):
+                    b"".join(answer.chunks())
+                answer.close()
+            case result.Err(failure):
+                # What is wrong came together with the head.
+                assert (failure.sent, failure.refused) == (True, False)
+
+    @pytest.mark.parametrize("wire", [b"", b"HTTP/1.1 200", b"\x00\x01"])
+    def test_no_head_is_an_unknown_outcome(self, answer_of, wire):
+        failure = answer_of(wire).unwrap_err()
+        assert (failure.sent, failure.refused) == (True, False)
+
+    def test_no_connection_means_nothing_was_sent(self):
+        listener = gevent.socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        address = listener.getsockname()
+        sent = transport.Transport().exchange(address, "POST", "/", (), b"{}")
+        assert not sent.unwrap_err().sent
+        listener.close()
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -177,11 +177,14 @@
         if POISON in body:
             self.crash()
         wanted = request.get("max_tokens") or 16
-        tokens = self._tokens(len(body) // BYTES_A_TOKEN, digest, wanted)
+        offset = int(environ.get("HTTP_X_RESUME_OFFSET", 0))
+        tokens = self._tokens(len(body) // BYTES_A_TOKEN, digest, wanted, offset)
         chat = path.endswith("chat/completions")
         if request.get("stream"):
             pieces = self._stream(tokens, request_id, model, chat, _usage(request))
-            return web.Reply("200 OK", [("Content-Type", "text/event-stream")], pieces)
+            headers = [("Content-Type", "text/event-stream")]
+            headers += [("X-Resume-Offset", str(offset))] if offset else []
+            return web.Reply("200 OK", headers, pieces)
         text = "".join(tokens)
         return web.json_reply(_whole(text, wanted, request_id, model, chat))
 
@@ -192,7 +195,7 @@
         gevent.sleep(0)
 
     def _tokens(
-        self, prompt_tokens: int, digest: str, wanted: int
+        self, prompt_tokens: int, digest: str, wanted: int, offset: int
     ) -> collections.abc.Iterator[str]:
         """Yield tokens that depend on the request, as the batch allows."""
         self.waiting += 1
@@ -202,7 +205,7 @@
             try:
                 with self.prefill:
                     gevent.sleep(prompt_tokens / self.speed.prefill_tokens_per_s)
-                for number in range(wanted):
+                for number in range(offset, wanted):
                     if number == wanted // 2:
                         self.gates.pass_by(gates.Step.MID_ANSWER)
                     extra = self.speed.step_s_per_request * (self.running - 1)
@@ -220,6 +223,7 @@
         usage: bool,
     ) -> collections.abc.Iterator[bytes]:
         count = 0
+        event = {"id": request_id, "created": 0, "model": model}
         for token in tokens:
             choice = {"index": 0, "finish_reason": None}
             choice.update({"delta": {"content": token}} if chat else {"text": token})
