--- a/packages/mothworks/src/mothworks/endpoints.py
+++ b/packages/mothworks/src/mothworks/endpoints.py
@@ -50,12 +50,14 @@
     :param running: requests in its batch.
     :param waiting: requests in its own queue.
     :param draining: it is leaving.
+    :param loading: models and adapters that take memory but do not answer yet.
     """
 
     residents: tuple[Resident, ...] = ()
     running: int = 0
     waiting: int = 0
     draining: bool = False
+    loading: tuple[Resident, ...] = ()
 
 
 class OrderKind(enum.StrEnum):
--- a/packages/mothworks/src/mothworks/ledger.py
+++ b/packages/mothworks/src/mothworks/ledger.py
@@ -16,6 +16,9 @@
 
 from mothworks import endpoints
 
+#: Wall time that never comes, seconds.
+NEVER = 1e12
+
 
 @attrs.frozen
 class Holding:
@@ -80,8 +83,13 @@
 class Late:
     """Memory that a copy of an earlier load may still take.
 
+    It counts until a report that was asked for after ``until`` shows whether
+    a copy came. An endpoint that honours fencing numbers needs no such time:
+    an unload with a new number makes it refuse every copy.
+
     :param holding: what the load would bring back.
-    :param until: wall time after which no copy can arrive, seconds.
+    :param until: wall time after which no copy can arrive, seconds;
+        :data:`NEVER` where only an unload ends it.
     """
 
     holding: Holding
@@ -116,17 +124,19 @@
         wanted = (name, version)
         return next((item for item in self.holdings if item.key == wanted), None)
 
-    def reserved_mb(self, now: float) -> int:
-        """Return the memory that is not free, MB.
+    def reserved_mb(self) -> int:
+        """Return the memory that is not free, MB."""
+        return sum(item.reserved_mb for item in self._reserved().values())
 
-        :param now: wall time, seconds.
-        """
-        return sum(item.reserved_mb for item in self._reserved(now).values())
+    def fenced_late(self) -> Holding | None:
+        """Return late memory that an unload can free, or None."""
+        waiting = [item.holding for item in self.late if item.until == NEVER]
+        return waiting[0] if waiting else None
 
-    def _reserved(self, now: float) -> dict[tuple[str, str], Holding]:
+    def _reserved(self) -> dict[tuple[str, str], Holding]:
         # A late copy of a load that is resident or pending brings back the
         # same weights and takes no further memory, hence one entry a key.
-        items = [late.holding for late in self.late if late.until > now]
+        items = [item.holding for item in self.late]
         items += self.holdings
         if self.intent is not None and self.intent.kind is endpoints.OrderKind.LOAD:
             items.append(self.intent.holding)
@@ -167,7 +177,6 @@
     holding: Holding,
     order_id: str,
     capacity_mb: int,
-    now: float,
 ) -> result.Result[Ledger, IntentError]:
     """Return the ledger with the intent of an order and its memory.
 
@@ -176,7 +185,6 @@
     :param holding: what is to be loaded or unloaded.
     :param order_id: the new order's id.
     :param capacity_mb: the endpoint's memory, MB.
-    :param now: wall time, seconds.
     """
     if ledger.intent is not None:
         return result.Err(Busy(ledger.intent.id))
@@ -184,16 +192,16 @@
     match kind:
         case endpoints.OrderKind.LOAD if resident is not None:
             return result.Err(Needless())
-        case endpoints.OrderKind.UNLOAD if resident is None:
-            return result.Err(Needless())
-        case endpoints.OrderKind.UNLOAD:
+        case endpoints.OrderKind.UNLOAD if resident is not None:
             holding = resident
+        case endpoints.OrderKind.UNLOAD:
+            late = [item.holding for item in ledger.late]
+            if holding.key not in {item.key for item in late}:
+                return result.Err(Needless())
     fence = ledger.fence + 1
     intent = Intent(order_id, kind, holding, fence)
-    intended = attrs.evolve(
-        ledger, fence=fence, intent=intent, late=_still_late(ledger, now)
-    )
-    missing_mb = intended.reserved_mb(now) - capacity_mb
+    intended = attrs.evolve(ledger, fence=fence, intent=intent)
+    missing_mb = intended.reserved_mb() - capacity_mb
     if kind is endpoints.OrderKind.LOAD and missing_mb > 0:
         return result.Err(NoRoom(missing_mb))
     return result.Ok(intended)
@@ -216,19 +224,24 @@
     """
     intent = ledger.intent
     holding = intent.holding
-    settled = attrs.evolve(ledger, intent=None, late=_still_late(ledger, now))
+    settled = attrs.evolve(ledger, intent=None)
     match (intent.kind, outcome):
         case (endpoints.OrderKind.LOAD, result.Ok(_)):
             resident = attrs.evolve(holding, since=now)
+            settled = _without_late(settled, holding)
             return attrs.evolve(settled, holdings=(*settled.holdings, resident))
         case (endpoints.OrderKind.LOAD, result.Err(refused)):
             # A copy of the refused load may still arrive and succeed, on a
             # fencing endpoint too, because nothing newer has reached it.
-            late = Late(holding, now + late_s)
+            until = NEVER if fencing else now + late_s
             fence = max(settled.fence, refused.highest_fence)
+            late = Late(holding, until)
             return attrs.evolve(settled, fence=fence, late=(*settled.late, late))
+        case (endpoints.OrderKind.UNLOAD, result.Ok(_)) if fencing:
+            settled = _without_late(settled, holding)
+            return attrs.evolve(settled, holdings=_holdings_without(settled, holding))
         case (endpoints.OrderKind.UNLOAD, result.Ok(_)):
-            return _drop(settled, holding, fencing, late_s)
+            return _drop(settled, holding, holding.since + late_s)
         case (_, result.Err(refused)):
             fence = max(settled.fence, refused.highest_fence)
             return attrs.evolve(settled, fence=fence)
@@ -238,8 +251,9 @@
 def reconcile(
     ledger: Ledger,
     residents: collections.abc.Sequence[Holding],
+    fencing: bool,
     late_s: float,
-    now: float,
+    asked: float,
 ) -> Ledger:
     """Return the ledger as the endpoint's own report corrects it.
 
@@ -248,41 +262,46 @@
     between.
 
     :param ledger: a ledger without an intent.
-    :param residents: what the endpoint says is in its memory.
+    :param residents: what the endpoint says is in its memory, or being loaded.
+    :param fencing: whether it refuses orders with an old fencing number.
     :param late_s: longest delay of a copy of an order, seconds.
-    :param now: wall time, seconds.
+    :param asked: wall time at which the report was asked for, seconds.
     """
     reported = {item.key: item for item in residents}
     for holding in ledger.holdings:
         if holding.key not in reported:
-            # The endpoint restarted, or a late copy of an unload arrived.
-            # It may have forgotten its fencing number, so that a late copy
-            # of the load counts here for both kinds of endpoints.
-            ledger = _drop(ledger, holding, False, late_s)
+            # The endpoint restarted, or a late copy of an unload arrived. A
+            # copy of the load may arrive as well, on a fencing endpoint too,
+            # because no order with a newer number has reached it.
+            until = NEVER if fencing else holding.since + late_s
+            ledger = _drop(ledger, holding, until)
     known = {item.key for item in ledger.holdings}
     found = [
-        attrs.evolve(item, since=now)
+        attrs.evolve(item, since=asked)
         for key, item in reported.items()
         if key not in known
     ]
     holdings = (*ledger.holdings, *found)
-    return attrs.evolve(ledger, holdings=holdings, late=_still_late(ledger, now))
+    late = tuple(item for item in ledger.late if item.until > asked)
+    return attrs.evolve(ledger, holdings=holdings, late=late)
 
 
-def _drop(ledger: Ledger, holding: Holding, fencing: bool, late_s: float) -> Ledger:
-    """Return the ledger without a resident.
+def _drop(ledger: Ledger, holding: Holding, until: float) -> Ledger:
+    """Return the ledger without a resident whose load may come again.
 
-    On an endpoint that ignores fencing, a copy of the load that was sent
-    before its outcome was known may still come and load the model again:
-    memory would then be overcommitted by whatever took its place. The last
-    copy left before ``since``, so its longest delay counts from there.
+    A copy of the load that was sent before its outcome was known may still
+    arrive and load the model once more; memory would be overcommitted by
+    whatever took its place. The last copy left before ``since``, so its
+    longest delay counts from there.
     """
-    holdings = tuple(item for item in ledger.holdings if item.key != holding.key)
-    late = ledger.late
-    if not fencing:
-        late = (*late, Late(holding, holding.since + late_s))
-    return attrs.evolve(ledger, holdings=holdings, late=late)
+    late = (*ledger.late, Late(holding, until))
+    return attrs.evolve(ledger, holdings=_holdings_without(ledger, holding), late=late)
+
+
+def _holdings_without(ledger: Ledger, holding: Holding) -> tuple[Holding, ...]:
+    return tuple(item for item in ledger.holdings if item.key != holding.key)
 
 
-def _still_late(ledger: Ledger, now: float) -> tuple[Late, ...]:
-    return tuple(item for item in ledger.late if item.until > now)
+def _without_late(ledger: Ledger, holding: Holding) -> Ledger:
+    late = tuple(item for item in ledger.late if item.holding.key != holding.key)
+    return attrs.evolve(ledger, late=late)
--- a/packages/mothworks/src/mothworks/moves.py
+++ b/packages/mothworks/src/mothworks/moves.py
@@ -84,7 +84,6 @@
             holding,
             uuid.uuid4().hex,
             self.endpoint.memory_mb,
-            self.clock.wall(),
         )
         return intended.and_then(self._write)
 
@@ -142,15 +141,21 @@
         """
         if self.current is None or self.current.intent is not None:
             return result.Ok(None)
+        asked = self.clock.wall()
         match self.adapter.report(self.endpoint):
             case result.Ok(report):
                 residents = [
-                    _found(item, working_mb_by_name) for item in report.residents
+                    _found(item, working_mb_by_name)
+                    for item in (*report.residents, *report.loading)
                 ]
             case result.Err(reason):
                 return result.Err(reason)
         corrected = ledger.reconcile(
-            self.current, residents, self.late_order_s, self.clock.wall()
+            self.current,
+            residents,
+            self.endpoint.fencing,
+            self.late_order_s,
+            asked,
         )
         if corrected == self.current and self.kept.version is not None:
             return result.Ok(None)
--- a/packages/mothworks/src/mothworks/orders.py
+++ b/packages/mothworks/src/mothworks/orders.py
@@ -265,7 +265,7 @@
         if current is None:
             return
         capacity_mb = self.mover.endpoint.memory_mb
-        free_mb = capacity_mb - current.reserved_mb(self.mover.clock.wall())
+        free_mb = capacity_mb - current.reserved_mb()
         intent = current.intent
         self.orders.report(
             Holdings(
@@ -314,10 +314,13 @@
         if self.mover.current.intent is not None:
             return self._resolve()
         now = self.mover.clock.monotonic()
-        if now - self.reconciled_at > RECONCILE_S:
+        if now - self.reconciled_at > RECONCILE_S or self._late_is_over():
             return self._reconcile(now)
         if self.queue:
             return self._begin(self.queue.popleft())
+        late = self.mover.current.fenced_late()
+        if late is not None:
+            return self._free_late(late)
         return RECONCILE_S
 
     def _follow_catalogue(self) -> None:
@@ -346,6 +349,19 @@
                 self._offer_all()
         return self._pause_after(step)
 
+    def _late_is_over(self) -> bool:
+        now = self.mover.clock.wall()
+        return any(item.until <= now for item in self.mover.current.late)
+
+    def _free_late(self, late: ledger.Holding) -> float:
+        """Make a fencing endpoint refuse late copies of a load."""
+        kind = endpoints.OrderKind.UNLOAD
+        step = self.mover.intend(kind, late)
+        if step.is_ok():
+            why = "a copy of its load may be late"
+            self._record(kind, late, why, self.mover.current.fence)
+        return self._pause_after(step)
+
     def _begin(self, move: Move) -> float:
         kind = endpoints.OrderKind(move.kind)
         match kind:
@@ -401,9 +417,12 @@
     def _quiesce(self, holding: ledger.Holding) -> None:
         """Wait until no request in flight needs a resident any more.
 
+        Memory of a late load needs no wait: nothing can be running there.
         Where another version stays resident, new requests go to that one and
         only the requests of this moment are waited for.
         """
+        if self.mover.current.holding(*holding.key) is None:
+            return
         stays = any(
             item.name == holding.name and item.version != holding.version
             for item in self.mover.current.holdings
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -104,19 +104,26 @@
         return result.Err(f"status {answer.status}")
     try:
         state = orjson.loads(body)
-        residents = tuple(
-            endpoints.Resident(item["name"], item["version"], item["memory_mb"])
-            for item in state["residents"]
-        )
         return result.Ok(
             endpoints.Report(
-                residents, state["running"], state["waiting"], state["draining"]
+                _residents(state["residents"]),
+                state["running"],
+                state["waiting"],
+                state["draining"],
+                _residents(state.get("loading", [])),
             )
         )
     except (ValueError, KeyError, TypeError) as error:
         return result.Err(f"the endpoint's state is not understood: {error!r}")
 
 
+def _residents(items: list[dict]) -> tuple[endpoints.Resident, ...]:
+    return tuple(
+        endpoints.Resident(item["name"], item["version"], item["memory_mb"])
+        for item in items
+    )
+
+
 def _order_outcome(
     answer: transport.HttpAnswer,
 ) -> result.Result[None, endpoints.OrderFailure]:
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -125,6 +125,9 @@
             "residents": [
                 attrs.asdict(item) for item in self.memory.resident_by_key.values()
             ],
+            "loading": [
+                attrs.asdict(item) for item in self.memory.loading_by_key.values()
+            ],
             "running": self.running,
             "waiting": self.waiting,
             "draining": self.draining,
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine_memory.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine_memory.py
@@ -100,6 +100,7 @@
                 return self._load(order)
             case "unload":
                 self.resident_by_key.pop(order.item.key, None)
+                self.loading_by_key.pop(order.item.key, None)
             case "role":
                 self.role = order.item.name
         self.done_ids.add(order.id)
