Orders in the fault matrix; a node that cannot read claims does not say 'not run'

Cause: with the entry killed after the order ran and the object API down, a resend on another VM was refused with ran: no (2 cells of 105). The claim that would have told it could not be read. Ruled out: a second run (the service counted one), a lost claim (it was there after the outage).

Change: refused with ran: unknown and Retry-After, to be sent again with the same key. test_resends fixed the former word and is replaced by a stricter story. The engine stand-in's crash no longer sends a 500 before it closes, which was replayed as the order's outcome (4 further cells).

--- a/packages/mothworks/src/mothworks/claims.py
+++ b/packages/mothworks/src/mothworks/claims.py
@@ -515,5 +515,16 @@
 
 
 def _down() -> outcomes.Refusal:
-    message = "the object API, which keeps work from running twice, does not answer"
-    return outcomes.overloaded(message, DOWN_RETRY_S, "object_api")
+    """Return the refusal of a request whose claim can be neither read nor made.
+
+    This sending was not run, but an earlier one with the same key may have
+    been: a caller who read "no" might order anew under another key, and get
+    two.
+    """
+    message = (
+        "the object API, which keeps work from running twice, does not answer; "
+        "this sending was not run, send it again with the same Idempotency-Key"
+    )
+    return outcomes.Refusal(
+        503, "object_api", message, outcomes.Ran.UNKNOWN, DOWN_RETRY_S
+    )
--- a/packages/mothworks/tests/test_faults.py
+++ b/packages/mothworks/tests/test_faults.py
@@ -13,6 +13,7 @@
 Fault = trial.Fault
 Step = gates.Step
 
+ORDER_STEPS = (Step.BEFORE_CLAIM, Step.AFTER_CLAIM, Step.SENT, Step.MID_ANSWER)
 STREAM_STEPS = (Step.SENT, Step.MID_ANSWER, Step.BEFORE_END)
 
 SINGLE = tuple((fault,) for fault in Fault)
@@ -26,7 +27,10 @@
 
 CELLS = [
     (kind, step, faults)
-    for kind, steps in ((callers.Kind.STREAM, STREAM_STEPS),)
+    for kind, steps in (
+        (callers.Kind.ORDER, ORDER_STEPS),
+        (callers.Kind.STREAM, STREAM_STEPS),
+    )
     for step in steps
     for faults in (*SINGLE, *DOUBLE)
 ]
--- a/packages/mothworks/tests/test_resends.py
+++ b/packages/mothworks/tests/test_resends.py
@@ -135,9 +135,14 @@
 
 
 def test_an_outage_of_the_object_api_refuses_what_may_run_once(bed):
+    # The kitchen got the order, and the guest's app sends it again during an
+    # outage. A node that cannot read claims must not say that the order was
+    # not run: the app would order anew under another key, and two trays come.
     bed.object_api.faults.outage = True
     body = b"one tray, outage"
-    assert error(send(bed, "vm-1", body, "outage")) == (503, "object_api", "no")
+    answer = send(bed, "vm-1", body, "outage")
+    assert error(answer) == (503, "object_api", "unknown")
+    assert runs(bed, body) == 0
     chat = orjson.dumps({"model": "menu", "messages": [], "max_tokens": 1})
     answer = send(bed, "vm-1", chat, "outage-chat", "/v1/chat/completions")
     assert answer[0] == 200
--- a/packages/mothworks_fakes/src/mothworks_fakes/callers.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/callers.py
@@ -83,12 +83,14 @@
     :param status: the HTTP status; 0 where the connection broke.
     :param ran: what a refusal said about running.
     :param body: the body as far as it came.
+    :param retry: whether a refusal said when to send the request again.
     :param runs: runs of the request that the endpoints had seen by then.
     """
 
     url: str
     status: int = 0
     ran: str = ""
+    retry: bool = False
     body: bytes = b""
     runs: int = 0
 
@@ -110,7 +112,7 @@
             return False
         last = self.answers[-1]
         if self.ask.kind is Kind.ORDER:
-            return last.status == 200 or last.ran == "unknown"
+            return last.status == 200 or (last.ran == "unknown" and not last.retry)
         return last.status == 200 and last.body.endswith(b"[DONE]\n\n")
 
     def check(self) -> list[str]:
@@ -199,6 +201,7 @@
         try:
             reply = http.post(ask.path, ask.body, headers)
             answer.ran = reply.get("mothworks-ran", "")
+            answer.retry = "retry-after" in reply
             answer.body = bytes(reply.read())
             answer.status = reply.status_code
         except _BROKEN:
--- a/packages/mothworks_fakes/src/mothworks_fakes/web.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/web.py
@@ -71,7 +71,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def handle_error(self, kind, value, trace):
-        if isinstance(value, BreakConnection):
+        # The server would send a 500 before it closes; a process that dies
+        # sends nothing.
+        if isinstance(value, (BreakConnection, gevent.GreenletExit)):
             self.close_connection = True
             return
         super().handle_error(kind, value, trace)
