Attainment: counts by class and verdict, show attainment, metrics

Cause: the measure that users weigh most could not be asked for. Change: each VM counts ended requests (met, late, failed, refused, cancelled) in buckets of the last minute; show attainment sums all VMs and divides by the accelerators that take work; requests_total carries the totals. Traces of replayed requests are closed now; they would have stayed for ever. Steps name the endpoints that were considered.

--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -2,6 +2,7 @@
 
 from mothworks import (  # noqa: F401
     application,
+    attainment,
     audit,
     claims,
     configuration,
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -12,6 +12,7 @@
 import result
 
 from mothworks import (
+    attainment,
     caller_watch,
     catalogue,
     claim_records,
@@ -76,6 +77,7 @@
         self.demand = node_kernel.get(demand.Demand)
         self.slots = node_kernel.get(slots.Slots)
         self.claims = node_kernel.get(claims.Claims)
+        self.attainment = node_kernel.get(attainment.Attainment)
         self.decisions = node_kernel.get(decisions.Decisions)
         chosen = node_kernel.settings.routing
         self.policy: routing.Policy = plugins.find(plugins.ROUTING, chosen)()
@@ -103,8 +105,13 @@
         except BaseException:
             self.decisions.close(request.id, "cancelled")
             raise
-        if begun.is_err():
-            self.decisions.close(request.id, f"refused: {begun.err_value.code}")
+        match begun:
+            case result.Err(refusal):
+                self.decisions.close(request.id, f"refused: {refusal.code}")
+                ran = refusal.ran is outcomes.Ran.UNKNOWN
+                self.attainment.refused(request, ran)
+            case result.Ok(recorded.Replay()):
+                self.decisions.close(request.id, "answered from its claim")
         return begun
 
     def _try_claimed(
@@ -148,6 +155,8 @@
             if not choice:
                 self._explain_closed(request, trace)
                 break
+            names = ", ".join(endpoint.name for endpoint in choice)
+            trace.add("", f"considered, best first: {names}")
             match self._attempt(request, choice, watch, claim):
                 case result.Ok(begun):
                     grant = begun.grant
@@ -202,6 +211,7 @@
 
         :param ended: the request.
         """
+        self.attainment.ended(ended.request, ended.outcome, ended.progress)
         self.decisions.close(ended.request.id, ended.outcome.name.lower())
 
     def _resume_at(self, stopped: running.Running, grant: slots.Grant) -> bool:
--- a/packages/mothworks/src/mothworks/fan_out.py
+++ b/packages/mothworks/src/mothworks/fan_out.py
@@ -32,6 +32,7 @@
     STEPS = "steps"
     BATCHES = "batches"
     MOVES = "moves"
+    ATTAINMENT = "attainment"
 
 
 @messages.message(80)
--- a/packages/mothworks/src/mothworks/inventory.py
+++ b/packages/mothworks/src/mothworks/inventory.py
@@ -117,3 +117,11 @@
             )
             for member in self.membership.live()
         ]
+
+    def accelerators(self) -> int:
+        """Return the accelerators of the endpoints that take work."""
+        return sum(
+            item.accelerators
+            for item in self.configuration.index.catalogue.endpoints
+            if not self.placement.why_closed(item.name)
+        )
--- a/packages/mothworks/src/mothworks/progress.py
+++ b/packages/mothworks/src/mothworks/progress.py
@@ -29,6 +29,8 @@
         self.sent = sent
         self.first = 0.0
         self.last = 0.0
+        #: Time of the caller's first bytes, before any resumption.
+        self.begun = 0.0
         #: Whole events passed on, ``[DONE]`` not among them.
         self.events = 0
         #: Whether the stream's last event has been seen.
@@ -45,6 +47,7 @@
         self.last = time.monotonic()
         if not self.first:
             self.first = self.last
+            self.begun = self.begun or self.last
         if not self.stream:
             return data
         if self._held:
--- a/packages/mothworks/src/mothworks/questions.py
+++ b/packages/mothworks/src/mothworks/questions.py
@@ -7,11 +7,14 @@
 import datetime
 import time
 
+import attrs
 import gevent
 import result
 
 from mothworks import (
     answers,
+    attainment,
+    attainment_rows,
     audit,
     audit_reading,
     catalogue,
@@ -54,6 +57,7 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
+        self.attainment = node_kernel.get(attainment.Attainment)
         self.audit = node_kernel.get(audit.Audit)
         self.configuration = node_kernel.get(configuration.Configuration)
         self.decisions = node_kernel.get(decisions.Decisions)
@@ -68,6 +72,7 @@
         serve = self.fan_out.serve
         serve(topics.WAITING, row_classes.WaitingRow, self._waiting)
         serve(topics.BATCHES, row_classes.BatchRow, self._batches)
+        serve(topics.ATTAINMENT, row_classes.CountRow, self._counts)
         serve(topics.MOVES, row_classes.MoveRow, self._moves)
         serve(topics.TRACE, row_classes.TraceRow, self._trace)
         serve(topics.STEPS, row_classes.StepRow, self._steps)
@@ -118,6 +123,8 @@
                 rows = self.inventory.peers()
             case statements.Collection.WAITING:
                 return result.Ok(self.fan_out.ask(fan_out.Topic.WAITING))
+            case statements.Collection.ATTAINMENT:
+                return result.Ok(self._attainment())
             case statements.Collection.MOVES:
                 return result.Ok(self.fan_out.ask(fan_out.Topic.MOVES))
             case statements.Collection.AUDIT:
@@ -140,6 +147,18 @@
                 message = f"the object API does not answer: {unavailable.reason}"
                 return result.Err(outcomes.overloaded(message, 5.0, "object_api"))
 
+    def _attainment(self) -> fan_out.Gathered:
+        gathered = self.fan_out.ask(fan_out.Topic.ATTAINMENT)
+        rows = attainment_rows.summed(gathered.rows, self.inventory.accelerators())
+        return attrs.evolve(gathered, rows=rows)
+
+    def _counts(self, _: str) -> list[row_classes.CountRow]:
+        counts = self.attainment.last_minute()
+        return [
+            row_classes.CountRow(urgency, verdict.value, count)
+            for (urgency, verdict), count in sorted(counts.items())
+        ]
+
     def _why_model(self, name: str) -> Outcome:
         index = self.configuration.index
         item = index.model_by_name.get(name) or index.adapter_by_name.get(name)
--- a/packages/mothworks/src/mothworks/row_classes.py
+++ b/packages/mothworks/src/mothworks/row_classes.py
@@ -171,6 +171,48 @@
     state: str
 
 
+@attrs.frozen
+class CountRow:
+    """How many requests of one class ended in one way, on one VM.
+
+    :param urgency: the class.
+    :param verdict: an :class:`attainment.Verdict`.
+    :param count: requests of the last minute.
+    """
+
+    urgency: str
+    verdict: str
+    count: int
+
+
+@attrs.frozen
+class AttainmentRow:
+    """What became of a class' requests in the last minute, over all VMs.
+
+    :param urgency: the class, or all.
+    :param requests: requests that ended.
+    :param met: whole answers within the caller's targets.
+    :param late: whole answers later than a target.
+    :param failed: answers that broke off, and requests that may have run.
+    :param refused: requests refused without having run.
+    :param cancelled: requests whose caller left.
+    :param in_target: share of met requests, cancelled ones aside, 0 to 1.
+    :param accelerators: accelerators of the endpoints that take work.
+    :param met_a_minute: met requests a minute and accelerator.
+    """
+
+    urgency: str
+    requests: int
+    met: int
+    late: int
+    failed: int
+    refused: int
+    cancelled: int
+    in_target: float
+    accelerators: int
+    met_a_minute: float
+
+
 @attrs.frozen
 class TraceRow:
     """A request at the VM that it reached.
@@ -263,6 +305,7 @@
     statements.Collection.PEERS: PeerRow,
     statements.Collection.AUDIT: audit.Entry,
     statements.Collection.QUARANTINE: QuarantineRow,
+    statements.Collection.ATTAINMENT: AttainmentRow,
 }
 
 
--- a/packages/mothworks/src/mothworks/statements.py
+++ b/packages/mothworks/src/mothworks/statements.py
@@ -24,6 +24,7 @@
     PEERS = "peers"
     AUDIT = "audit"
     QUARANTINE = "quarantine"
+    ATTAINMENT = "attainment"
 
 
 class Section(enum.StrEnum):
