--- a/packages/mothworks/tests/test_shutdown.py
+++ b/packages/mothworks/tests/test_shutdown.py
@@ -56,3 +56,25 @@
     assert not history.check_answers(sender.records)
     runs = [run for item in deployment.engines() for run in item.runs]
     assert len(runs) == len(sender.records)
+
+
+def test_a_quiet_vm_serves_what_the_balancer_still_sends(deployment):
+    """A VM with nothing in flight is told to stop.
+
+    The balancer looks only now and then and goes on sending calls to it for
+    a while; they would meet a closed port.
+    """
+    leaving = deployment.node_by_name["vm-1"]
+    sender = load.Load([leaving.url])
+    traffic = arrivals.Traffic("bulk", builders.BULK_KEY, "menu", 1.0, tokens=2)
+    start = time.monotonic()
+    stopping = gevent.spawn(leaving.stop)
+    processes.wait_until(lambda: not leaving.is_ready())
+    tasks = []
+    for number in range(20):
+        arrival = arrivals.Arrival(number, time.monotonic() - start, traffic)
+        tasks.append(gevent.spawn(sender.send, arrival, start))
+        gevent.sleep(0.02)
+    gevent.joinall(tasks, timeout=60, raise_error=True)
+    assert [item.error for item in sender.records if not item.complete] == []
+    assert stopping.get(timeout=60) == 0
