--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -35,6 +35,8 @@
 RETRY_S = 0.5
 #: Longest time that sent bytes stay without an acknowledgement, milliseconds.
 UNACKED_MS = 5_000
+#: Seconds between updates of the metrics.
+REPORT_S = 1.0
 #: Bytes taken from a socket at once.
 RECEIVE_BYTES = 64 << 10
 
@@ -158,10 +160,14 @@
         #: The port that the kernel chose where the setting is 0.
         self.port = owned_ports.port
         self.membership.on_change.append(self._close_dead)
+        self.control_bytes = node_kernel.metrics.counter(
+            "control_bytes", "Bytes exchanged with other VMs, by transport."
+        )
 
     def start(self) -> None:
         """Listen to peers."""
         self.listener.start()
+        self.tasks.every(REPORT_S, self._report)
 
     def stop(self) -> None:
         """Close all connections."""
@@ -323,6 +329,12 @@
 
         handler(link.vm, message, answer)
 
+    def _report(self) -> None:
+        swim = self.membership.swim
+        datagram_bytes = swim.sent_bytes + swim.received_bytes
+        self.control_bytes.set({"transport": "tcp"}, self.total_bytes())
+        self.control_bytes.set({"transport": "udp"}, datagram_bytes)
+
     def _close_dead(self) -> None:
         for vm, link in list(self.link_by_vm.items()):
             record = self.membership.table.find(vm)
