Peers write at once; queues are swept only while something waits

Cause: a message to a peer cost a turn of the event loop in the writing task, and every node swept its queues ten times a second though none waited. Measured with 3 VMs in one process, a slot asked, granted and given back 3,000 times in a row: 212 us a request at both ends before, 185 us after. Between 4 processes at 40 requests/s the idle share went from 6.2 to 5.9 ms/s, within the noise of the clock ticks; asking the owner there costs about 650 us a request more than routing at random, which is above the 400 us aimed at.

--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -76,15 +76,21 @@
         self.sock = sock
         self.vm = vm
         self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LENGTH)
+        self.writing = False
         self.sent_bytes = 0
         self.received_bytes = 0
 
     def send(self, frame: bytes) -> bool:
-        """Queue a frame.
+        """Write a frame at once where the socket takes it, else queue it.
 
         :param frame: a packed message.
         :returns: whether there was room.
         """
+        if not self.writing and self.queue.empty():
+            # Through the writing task a message costs a turn of the loop.
+            frame = frame[self._send_now(frame) :]
+            if not frame:
+                return True
         try:
             self.queue.put_nowait(frame)
         except gevent.queue.Full:
@@ -92,13 +98,10 @@
         return True
 
     def write_all(self) -> None:
-        """Write queued frames until the connection breaks.
-
-        All that waits is written by one call, so that the messages of one
-        turn of the event loop share a packet.
-        """
+        """Write queued frames, all that wait at once, until the end."""
         while True:
             frames = [self.queue.get()]
+            self.writing = True
             while not self.queue.empty():
                 frames.append(self.queue.get_nowait())
             data = b"".join(frames)
@@ -107,6 +110,16 @@
             except OSError:
                 return
             self.sent_bytes += len(data)
+            self.writing = False
+
+    def _send_now(self, frame: bytes) -> int:
+        try:
+            sent = self.sock.send(frame, 0, 0.0)
+        except OSError:
+            # The socket is full, or broken, which the reading task notices.
+            return 0
+        self.sent_bytes += sent
+        return sent
 
     def read_all(self) -> collections.abc.Iterator[list]:
         """Yield received arrays until the connection ends."""
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -13,6 +13,7 @@
 
 import attrs
 import gevent
+import gevent.event
 import gevent.queue
 import logbook
 import result
@@ -166,6 +167,7 @@
         self.former_until_by_endpoint: dict[str, float] = {}
         self.place_by_number: dict[int, Place] = {}
         self.numbers = itertools.count(1)
+        self.has_queue = gevent.event.Event()
         self.waiting_bytes = 0
         self.peers.handle(slot_messages.AskSlot, self._serve_ask)
         self.peers.handle(slot_messages.SlotAnswer, self._serve_answer)
@@ -179,7 +181,7 @@
 
     def start(self) -> None:
         """Start to look after the queues."""
-        self.tasks.every(SWEEP_S, self.sweep)
+        self.tasks.spawn(self._sweep_on)
         self.tasks.every(CHECK_S, self.check)
 
     # -- entry ----------------------------------------------------------
@@ -231,6 +233,7 @@
         if not place.owner:
             guard = self._guard(place.endpoint)
             guard.ask(place.ask, self.name, self._take_answer)
+            self._note_queue(guard)
         elif place.owner == self.name:
             self._ask_here(self.name, place.ask, self._take_answer)
         elif not self.peers.send(place.owner, place.ask):
@@ -315,13 +318,25 @@
         self.health.withhold(endpoint, models)
         self._batch(endpoint).sweep(time.monotonic())
 
-    def sweep(self) -> None:
-        """Refuse what waited too long or may not run any more."""
+    def sweep(self) -> bool:
+        """Refuse what waited too long or may not run any more.
+
+        :returns: whether anything still waits.
+        """
         now = time.monotonic()
-        for held in (self.batch_by_endpoint, self.guard_by_endpoint):
-            for batch in held.values():
-                if len(batch.queue):
-                    batch.sweep(now)
+        held = (*self.batch_by_endpoint.values(), *self.guard_by_endpoint.values())
+        queued = [batch for batch in held if len(batch.queue)]
+        for batch in queued:
+            batch.sweep(now)
+        return any(len(batch.queue) for batch in queued)
+
+    def _sweep_on(self) -> None:
+        while True:
+            self.has_queue.wait()
+            gevent.sleep(SWEEP_S)
+            self.has_queue.clear()
+            if self.sweep():
+                self.has_queue.set()
 
     def check(self) -> None:
         """Ask entries for slots that they do not know any more.
@@ -358,7 +373,13 @@
                 self.endpoint_by_key.pop((entry, ask.number), None)
             answer(reply)
 
-        self._batch(ask.endpoint).ask(ask, entry, keep_known)
+        batch = self._batch(ask.endpoint)
+        batch.ask(ask, entry, keep_known)
+        self._note_queue(batch)
+
+    def _note_queue(self, batch: batches.Batch) -> None:
+        if len(batch.queue):
+            self.has_queue.set()
 
     def _done_here(self, entry: str, done: slot_messages.SlotDone) -> None:
         key = (entry, done.number)
