Poison requests: suspects run alone, two crashes quarantine everywhere

Cause: a request that crashes the engine was retried on the next one at once, and its caller could send it again through every node. Change: an entry tells the endpoint's owner of a stream that broke; several at once, or an endpoint that does not answer, are a crash, and what was in flight is suspect.

--- a/packages/mothworks/src/mothworks/batches.py
+++ b/packages/mothworks/src/mothworks/batches.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from mothworks import limits, queues, slot_messages
+from mothworks import alone, limits, queues, slot_messages
 
 #: Weight of a new sample in running means.
 WEIGHT = 0.1
@@ -64,6 +64,7 @@
         self.share = share
         self.reported = reported
         self.queue = queues.Queue()
+        self.alone = alone.Alone()
         self.held_by_key: dict[queues.Key, Held] = {}
         self.hold_s = 0.0
         self.first_token_s = 0.0
@@ -95,6 +96,7 @@
             answer(_answer(ask, slot_messages.Verdict.GRANTED))
             return
         waiting = self.queue.waiting_by_key.get(key)
+        waiting = waiting or self.alone.waiting_by_key.get(key)
         if waiting is None:
             waiting = queues.Waiting(ask, entry, now, self._deadline(ask, now), answer)
             if not self._admit(waiting, now):
@@ -110,6 +112,7 @@
         :param first_token_ms: from sending to the first token; 0 for unknown.
         """
         self.queue.remove(key)
+        self.alone.remove(key)
         held = self.held_by_key.pop(key, None)
         now = time.monotonic()
         if held is not None and first_token_ms:
@@ -134,6 +137,9 @@
 
         :param now: monotonic seconds.
         """
+        lone = self.alone.next()
+        if lone is not None and self._empty(now):
+            self._grant_alone(lone, now)
         while len(self.queue) and self._free(0, now):
             waiting = self.queue.pop(self._free(queues.BULK, now), now)
             if waiting is None:
@@ -149,24 +155,28 @@
 
         :param now: monotonic seconds.
         """
-        for waiting in list(self.queue.waiting_by_key.values()):
+        waits = (*self.queue.waiting_by_key.values(), *self.alone.take_all())
+        for waiting in waits:
             reason = self.why_closed(waiting.ask)
             if not reason and waiting.deadline <= now:
                 reason = "waited_too_long"
             if reason:
                 self.queue.remove(waiting.key)
                 self._refuse(waiting, reason)
+            elif waiting.ask.alone:
+                self.alone.waiting_by_key[waiting.key] = waiting
         self.pump(now)
 
     def hand_over(self) -> None:
         """Send all that waits to the endpoint's new owner."""
-        for waiting in self.queue.ordered():
+        for waiting in (*self.queue.ordered(), *self.alone.take_all()):
             self.queue.remove(waiting.key)
             waiting.answer(_answer(waiting.ask, slot_messages.Verdict.MOVED))
 
     def asks(self) -> list[queues.Key]:
         """Return what names the asks that are granted or wait."""
-        return [*self.held_by_key, *self.queue.waiting_by_key]
+        waiting = (*self.queue.waiting_by_key, *self.alone.waiting_by_key)
+        return [*self.held_by_key, *waiting]
 
     def running(self) -> int:
         """Return how many requests the endpoint runs, as far as is known.
@@ -202,6 +212,8 @@
         if reason:
             self._refuse(waiting, reason)
             return False
+        if ask.alone:
+            return self._admit_alone(waiting, now)
         if self._free(ask.rank, now) and not self.queue.ahead(ask.rank):
             self._grant(waiting, now)
             return False
@@ -220,8 +232,22 @@
             self._refuse(evicted, "queue_full")
         return True
 
+    def _admit_alone(self, waiting: queues.Waiting, now: float) -> bool:
+        if self._empty(now) and not self.alone.waiting_by_key:
+            self._grant_alone(waiting, now)
+            return False
+        self.alone.add(waiting)
+        return True
+
+    def _grant_alone(self, waiting: queues.Waiting, now: float) -> None:
+        self.alone.start(waiting)
+        self._grant(waiting, now)
+
+    def _empty(self, now: float) -> bool:
+        return now >= self.paused_until and not self.running()
+
     def _free(self, rank: int, now: float) -> bool:
-        if now < self.paused_until:
+        if now < self.paused_until or self.alone.blocks():
             return False
         limit = self.limit.value
         if rank == queues.BULK:
--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -32,6 +32,7 @@
     server,
     service_calls,
     slots,
+    suspects,
     vllm,
     vm_list,
 )
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -32,6 +32,7 @@
     routing,
     running,
     slots,
+    suspects,
 )
 
 log = logbook.Logger("dispatch")
@@ -78,6 +79,7 @@
         self.slots = node_kernel.get(slots.Slots)
         self.claims = node_kernel.get(claims.Claims)
         self.attainment = node_kernel.get(attainment.Attainment)
+        self.suspects = node_kernel.get(suspects.Suspects)
         self.decisions = node_kernel.get(decisions.Decisions)
         chosen = node_kernel.settings.routing
         self.policy: routing.Policy = plugins.find(plugins.ROUTING, chosen)()
@@ -124,6 +126,7 @@
         """Run a request with a key, unless another copy of it did or does."""
         repeated = claim.find()
         if repeated is not None:
+            self.decisions.close(request.id, "resend")
             return repeated.map(recorded.Replay)
         try:
             begun = self._try_endpoints(request, trace, watch, claim)
@@ -171,7 +174,10 @@
                     refusal = attrs.evolve(failed.refusal, ran=ran)
                     trace.add(failed.endpoint, refusal.message)
             tried.add(failed.endpoint)
-            if (claim and claim.lost) or not self._may_retry(request, failed):
+            lost = claim is not None and claim.lost
+            may_retry = not lost and self._may_retry(request, failed)
+            self._accuse(request, failed, may_retry)
+            if not may_retry:
                 break
         return result.Err(refusal)
 
@@ -191,7 +197,13 @@
         ]
         if not choice:
             return False
-        match self._acquire(request, choice):
+        # The verdict comes first: a poison request would crash the next
+        # endpoint too.
+        self.suspects.broke(request, stopped.grant.endpoint)
+        acquired = self.suspects.check(request).and_then(
+            lambda lone: self._acquire(request, choice, lone)
+        )
+        match acquired:
             case result.Ok(grant):
                 return self._resume_at(stopped, grant)
             case _:
@@ -205,6 +217,11 @@
         """
         self.demand.ended(left.request.target, left.progress.sent)
         self._release(left.grant, left.progress.end(outcome))
+        match outcome:
+            case slots.Outcome.OK:
+                self.suspects.ran_well(left.request)
+            case slots.Outcome.CRASHED:
+                self.suspects.report(left.request, left.grant.endpoint)
 
     def finish(self, ended: running.Running) -> None:
         """Note the end of a request whose answer had begun.
@@ -226,11 +243,28 @@
         if resumed.is_err():
             outcome = _failed(resumed.err_value).outcome
             self._release(grant, slots.End(outcome))
+            if outcome is slots.Outcome.CRASHED:
+                self.suspects.report(stopped.request, grant.endpoint)
             return False
         log.info("resumed at {} after {} events", grant.endpoint.name, offset)
         stopped.attach(grant, resumed.ok_value, sent)
         return True
 
+    def _accuse(
+        self, request: requests.Request, failed: Failed, may_retry: bool
+    ) -> None:
+        """Report a connection that broke, and wait for the verdict if needed."""
+        if failed.outcome is not slots.Outcome.CRASHED:
+            return
+        endpoint = self.configuration.index.endpoint_by_name.get(failed.endpoint)
+        if endpoint is None:
+            return
+        if may_retry:
+            # A poison request would crash the next endpoint too.
+            self.suspects.broke(request, endpoint)
+        else:
+            self.suspects.report(request, endpoint)
+
     def _explain_closed(
         self, request: requests.Request, trace: decisions.Trace
     ) -> None:
@@ -252,7 +286,10 @@
         watch: caller_watch.Watch | None,
         claim: claims.Claim | None,
     ) -> result.Result[running.Running, Failed]:
-        match self._acquire(request, choice):
+        acquired = self.suspects.check(request).and_then(
+            lambda lone: self._acquire(request, choice, lone)
+        )
+        match acquired:
             case result.Ok(grant):
                 pass
             case result.Err(refusal):
@@ -273,10 +310,10 @@
         return sent.map_err(lambda failed: attrs.evolve(failed, endpoint=name))
 
     def _acquire(
-        self, request: requests.Request, choice: list[catalogue.Endpoint]
+        self, request: requests.Request, choice: list[catalogue.Endpoint], lone: bool
     ) -> result.Result[slots.Grant, outcomes.Refusal]:
         if self.policy.asks_owner:
-            acquired = self.slots.acquire(request, *choice)
+            acquired = self.slots.acquire(request, *choice, lone=lone)
         else:
             acquired = result.Ok(slots.Grant(request.id, choice[0], ""))
         if acquired.is_ok():
--- a/packages/mothworks/src/mothworks/slot_messages.py
+++ b/packages/mothworks/src/mothworks/slot_messages.py
@@ -40,6 +40,7 @@
     :param tokens: most tokens the request may generate.
     :param number: the entry's number for this ask.
     :param held: the request runs already; the owner only counts it.
+    :param alone: it may crash the endpoint and must not share it.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     tokens: int = 0
     number: int = 0
     held: bool = False
+    alone: bool = False
 
 
 @messages.message(11)
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -19,6 +19,7 @@
 import result
 
 from mothworks import (
+    alone,
     batches,
     catalogue,
     configuration,
@@ -187,12 +188,16 @@
     # -- entry ----------------------------------------------------------
 
     def acquire(
-        self, request: requests.Request, *endpoints: catalogue.Endpoint
+        self,
+        request: requests.Request,
+        *endpoints: catalogue.Endpoint,
+        lone: bool = False,
     ) -> result.Result[Grant, outcomes.Refusal]:
         """Get a slot for a request at one of some endpoints.
 
         :param request: the request.
         :param endpoints: where it may run, the best first.
+        :param lone: whether it must not share the endpoint.
         :returns: the slot, to be given back by :meth:`release`; or the final
             refusal, as soon as it is known.
         """
@@ -200,7 +205,7 @@
             message = "too many bytes wait for slots on this VM"
             return result.Err(outcomes.overloaded(message, RETRY_S))
         self.waiting_bytes += len(request.body)
-        search = _Search(self, request, list(endpoints[:MOST_ASKED]))
+        search = _Search(self, request, list(endpoints[:MOST_ASKED]), lone)
         try:
             return search.run()
         finally:
@@ -502,6 +507,7 @@
     :param slots: the part that sends its asks.
     :param request: the request.
     :param endpoints: where it may run, the best first.
+    :param lone: whether it must not share the endpoint.
     """
 
     def __init__(
@@ -509,10 +515,12 @@
         slots: Slots,
         request: requests.Request,
         endpoints: list[catalogue.Endpoint],
+        lone: bool,
     ):
         self.slots = slots
         self.request = request
         self.endpoints = endpoints
+        self.lone = lone
         self.inbox: gevent.queue.SimpleQueue = gevent.queue.SimpleQueue()
         self.open: list[Place] = []
         self.unreachable: list[catalogue.Endpoint] = []
@@ -558,6 +566,8 @@
         if self.request.caller.urgency.rank == queues.BULK:
             patience = time.monotonic() + PATIENCE_S
             return min(patience, self.request.deadline)
+        if self.lone:
+            return time.monotonic() + alone.PATIENCE_S + ANSWER_S
         # The owner refuses by its own clock; this is for the case that it
         # falls silent.
         return max(self.request.first_token_deadline, time.monotonic()) + ANSWER_S
@@ -596,6 +606,7 @@
             self.request.caller.name,
             self.request.tokens,
             next(self.slots.numbers),
+            alone=self.lone,
         )
         place = Place(ask, endpoint, owner, self.inbox)
         self.open.append(place)
@@ -611,7 +622,9 @@
 
     def _wait(self, place: Place) -> None:
         place.queued = True
-        if len(self.open) < MOST_WAITING:
+        # A request that waits to run alone keeps all others waiting, which is
+        # enough at one endpoint.
+        if len(self.open) < MOST_WAITING and not self.lone:
             self._ask_next()
 
     def _drop(self, place: Place) -> None:
--- /dev/null
+++ b/packages/mothworks/src/mothworks/suspects.py
@@ -0,0 +1,355 @@
+"""Suspects: requests that may crash the endpoint that runs them.
+
+Now and then one request crashes every endpoint that runs it, and its caller
+sends it again. What was in flight when an endpoint crashed is a suspect and
+from then on runs alone, so that another crash convicts it and nothing else
+is lost; running well once clears it. After two crashes it is quarantined:
+refused on every VM for a while.
+
+An entry that sees a stream break tells the endpoint's owner. Several streams
+that break at once, or an endpoint that does not answer its owner, make a
+crash; one broken connection alone counts half.
+"""
+
+import random
+import time
+
+import attrs
+import gevent
+import gevent.event
+import logbook
+import result
+import xxhash
+
+from mothworks import (
+    catalogue,
+    configuration,
+    health,
+    kernel,
+    membership,
+    messages,
+    outcomes,
+    peers,
+    plugins,
+    requests,
+)
+
+log = logbook.Logger("suspects")
+
+#: Points for a connection that broke alone, and for a crash.
+LONE_BREAK = 1
+CRASH = 2
+#: Points from which a request runs alone, and from which it is refused.
+SUSPECT_AT = 2
+QUARANTINE_AT = 4
+#: Time in which streams that break count as broken at once, seconds.
+WINDOW_S = 0.2
+#: Streams that break at once where the endpoint has crashed.
+SEVERAL = 2
+#: Longest wait for the owner's verdict, seconds.
+VERDICT_S = 2.0
+#: Mean time between exchanges with a random peer, seconds.
+REPAIR_S = 10.0
+#: Most requests remembered; the oldest are forgotten first.
+MOST = 2000
+
+
+@messages.message(60)
+@attrs.frozen
+class Broke:
+    """An entry tells an endpoint's owner of a connection that broke.
+
+    :param endpoint: the endpoint's name.
+    :param fingerprint: the request's.
+    :param request_id: the request's id.
+    :param caller: the caller's name.
+    :param target: the model, adapter or service.
+    """
+
+    endpoint: str
+    fingerprint: bytes
+    request_id: str
+    caller: str
+    target: str
+
+
+@messages.message(61)
+@attrs.frozen
+class Judged:
+    """Answers :class:`Broke`, once the owner has judged.
+
+    :param points: the request's points now.
+    """
+
+    points: int
+
+
+@messages.message(62)
+@attrs.frozen
+class SuspectNews:
+    """What the sender knows of some requests.
+
+    :param rows: fields of :class:`Suspect`, in order.
+    """
+
+    rows: tuple = attrs.field(converter=tuple)
+
+
+@attrs.frozen
+class Suspect:
+    """A request that endpoints crashed on.
+
+    :param fingerprint: hash of caller, target and body.
+    :param points: see :data:`SUSPECT_AT`; 0 for one that was cleared.
+    :param when_ms: wall time of the last change, milliseconds.
+    :param caller: the caller's name.
+    :param target: the model, adapter or service.
+    """
+
+    fingerprint: bytes
+    points: int
+    when_ms: int
+    caller: str
+    target: str
+
+    @property
+    def quarantined(self) -> bool:
+        """Return whether it is refused."""
+        return self.points >= QUARANTINE_AT
+
+
+@attrs.frozen
+class _Case:
+    """Connections to one endpoint that broke at once."""
+
+    breaks: list[Broke]
+    judged: gevent.event.Event
+
+
+@plugins.register(plugins.PART, "suspects")
+class Suspects(kernel.Part):
+    """Judges crashes of owned endpoints and keeps what all VMs know.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.configuration = node_kernel.get(configuration.Configuration)
+        self.health = node_kernel.get(health.Health)
+        self.membership = node_kernel.get(membership.Membership)
+        self.peers = node_kernel.get(peers.Peers)
+        self.suspect_by_fingerprint: dict[bytes, Suspect] = {}
+        self.case_by_endpoint: dict[str, _Case] = {}
+        self.peers.handle(Broke, self._serve_broke)
+        self.peers.handle(SuspectNews, self._serve_news)
+
+    def start(self) -> None:
+        """Start to repair what gossip missed."""
+        self.tasks.every(REPAIR_S, self._repair)
+
+    # -- entry ----------------------------------------------------------
+
+    def check(self, request: requests.Request) -> result.Result[bool, outcomes.Refusal]:
+        """Return whether a request has to run alone.
+
+        :param request: the request.
+        :returns: an error where it is quarantined.
+        """
+        if not self.suspect_by_fingerprint:
+            return result.Ok(False)
+        suspect = self._current(fingerprint(request))
+        if suspect is None or suspect.points < SUSPECT_AT:
+            return result.Ok(False)
+        if not suspect.quarantined:
+            return result.Ok(True)
+        message = "this request crashed the endpoints that ran it and is refused now"
+        return result.Err(outcomes.invalid(message, "quarantined", 422))
+
+    def broke(self, request: requests.Request, endpoint: catalogue.Endpoint) -> None:
+        """Tell of a connection that broke, and wait for the verdict.
+
+        :param request: the request that it carried.
+        :param endpoint: where it ran.
+        """
+        broke = Broke(
+            endpoint.name,
+            fingerprint(request),
+            request.id,
+            request.caller.name,
+            request.target,
+        )
+        owner = self.health.owner(endpoint)
+        mine = owner is None or owner.name == self.kernel.settings.name
+        if mine or self.peers.call(owner.name, broke, VERDICT_S).is_err():
+            self._judge(broke)
+
+    def report(self, request: requests.Request, endpoint: catalogue.Endpoint) -> None:
+        """Tell of a connection that broke, without waiting.
+
+        :param request: the request that it carried.
+        :param endpoint: where it ran.
+        """
+        self.tasks.spawn(self.broke, request, endpoint)
+
+    def ran_well(self, request: requests.Request) -> None:
+        """Clear a request that ran to its end.
+
+        :param request: the request.
+        """
+        if not self.suspect_by_fingerprint:
+            return
+        suspect = self._current(fingerprint(request))
+        if suspect is not None and 0 < suspect.points < QUARANTINE_AT:
+            self._change((_cleared(suspect),))
+
+    # -- operators ------------------------------------------------------
+
+    def listed(self) -> list[Suspect]:
+        """Return suspects and quarantined requests, the newest first."""
+        current = [
+            suspect
+            for key in list(self.suspect_by_fingerprint)
+            if (suspect := self._current(key)) is not None and suspect.points
+        ]
+        return sorted(current, key=lambda item: item.when_ms, reverse=True)
+
+    def lift(self, name: str) -> bool:
+        """Clear a request on every VM, quarantined or not.
+
+        :param name: its fingerprint, in hex.
+        :returns: whether there was one.
+        """
+        for suspect in self.listed():
+            if suspect.fingerprint.hex() == name:
+                self._change((_cleared(suspect),))
+                return True
+        return False
+
+    # -- owner ----------------------------------------------------------
+
+    def _judge(self, broke: Broke) -> int:
+        """Judge a broken connection with others of the same moment."""
+        case = self.case_by_endpoint.get(broke.endpoint)
+        if case is None:
+            case = _Case([broke], gevent.event.Event())
+            self.case_by_endpoint[broke.endpoint] = case
+            self.tasks.spawn(self._close_case, broke.endpoint)
+        else:
+            case.breaks.append(broke)
+        case.judged.wait()
+        suspect = self._current(broke.fingerprint)
+        return suspect.points if suspect else 0
+
+    def _close_case(self, endpoint: str) -> None:
+        gevent.sleep(WINDOW_S)
+        case = self.case_by_endpoint.pop(endpoint)
+        streams = {broke.request_id for broke in case.breaks}
+        crashed = len(streams) >= SEVERAL or not self._answers(endpoint)
+        if crashed:
+            log.warning("{} crashed with {} in flight", endpoint, len(streams))
+        broke_by_fingerprint = {broke.fingerprint: broke for broke in case.breaks}
+        self._change(
+            tuple(
+                self._accuse(broke, crashed) for broke in broke_by_fingerprint.values()
+            )
+        )
+        case.judged.set()
+
+    def _accuse(self, broke: Broke, crashed: bool) -> Suspect:
+        known = self._current(broke.fingerprint)
+        points = known.points if known else 0
+        # A suspect runs alone: where its connection breaks, no other request
+        # can have been the cause.
+        points += CRASH if crashed or points >= SUSPECT_AT else LONE_BREAK
+        suspect = Suspect(
+            broke.fingerprint, points, _after(known), broke.caller, broke.target
+        )
+        if suspect.quarantined:
+            log.warning(
+                "request {} of {} to {} is quarantined",
+                broke.fingerprint.hex(),
+                broke.caller,
+                broke.target,
+            )
+        return suspect
+
+    def _answers(self, name: str) -> bool:
+        endpoint = self.configuration.index.endpoint_by_name.get(name)
+        if endpoint is None:
+            return True
+        return self.health.adapters.get(endpoint.kind).report(endpoint).is_ok()
+
+    # -- gossip ---------------------------------------------------------
+
+    def _change(self, suspects: tuple[Suspect, ...]) -> None:
+        self._take(suspects)
+        self.peers.send_all(_news(suspects))
+
+    def _take(self, suspects: tuple[Suspect, ...]) -> None:
+        for suspect in suspects:
+            known = self.suspect_by_fingerprint.get(suspect.fingerprint)
+            if known is None or _order(known) < _order(suspect):
+                self.suspect_by_fingerprint.pop(suspect.fingerprint, None)
+                self.suspect_by_fingerprint[suspect.fingerprint] = suspect
+        while len(self.suspect_by_fingerprint) > MOST:
+            self.suspect_by_fingerprint.pop(next(iter(self.suspect_by_fingerprint)))
+
+    def _current(self, key: bytes) -> Suspect | None:
+        suspect = self.suspect_by_fingerprint.get(key)
+        if suspect is None:
+            return None
+        kept_s = self.configuration.index.catalogue.retention.quarantine_s
+        if suspect.when_ms < _now_ms() - kept_s * 1000:
+            del self.suspect_by_fingerprint[key]
+            return None
+        return suspect
+
+    def _repair(self) -> None:
+        # News is lost on a VM that starts later or was cut off: it would let
+        # a quarantined request crash further endpoints.
+        for key in list(self.suspect_by_fingerprint):
+            self._current(key)
+        known = tuple(self.suspect_by_fingerprint.values())
+        others = self.membership.peers()
+        if known and others:
+            self.peers.send(random.choice(others).name, _news(known))
+
+    def _serve_broke(self, _: str, broke: Broke, answer: peers.Answer) -> None:
+        self.tasks.spawn(lambda: answer(Judged(self._judge(broke))))
+
+    def _serve_news(self, _: str, news: SuspectNews, __: peers.Answer) -> None:
+        self._take(tuple(Suspect(*row) for row in news.rows))
+
+
+def fingerprint(request: requests.Request) -> bytes:
+    """Return the hash that tells a request from others, also when sent again.
+
+    :param request: the request.
+    """
+    digest = xxhash.xxh3_64()
+    for part in (request.caller.name.encode(), request.target.encode()):
+        digest.update(part + b"\0")
+    digest.update(request.body)
+    return digest.digest()
+
+
+def _news(suspects: tuple[Suspect, ...]) -> SuspectNews:
+    return SuspectNews(attrs.astuple(suspect) for suspect in suspects)
+
+
+def _order(suspect: Suspect) -> tuple[int, int]:
+    return suspect.when_ms, suspect.points
+
+
+def _cleared(suspect: Suspect) -> Suspect:
+    return attrs.evolve(suspect, points=0, when_ms=_after(suspect))
+
+
+def _after(known: Suspect | None) -> int:
+    """Return a time later than what is known, also where clocks differ."""
+    return max(_now_ms(), known.when_ms + 1 if known else 0)
+
+
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/packages/mothworks/tests/test_slots.py
+++ b/packages/mothworks/tests/test_slots.py
@@ -6,6 +6,7 @@
 
 import builders
 from mothworks import (
+    alone,
     batches,
     kernel,
     limits,
@@ -245,3 +246,27 @@
     first = rows[0]
     assert (first.queued, first.running, first.slots) == (3, 1, 1)
     assert (first.urgency, first.caller, first.owner) == ("urgent", "guest", "vm-7")
+
+
+def test_a_request_that_runs_alone_shares_the_endpoint_with_nobody():
+    # A request may crash the endpoint; whatever runs beside it would be lost.
+    owner = Owner(places=4)
+    owner.ask("first")
+    assert owner.ask("suspect", alone=True) is slot_messages.Verdict.QUEUED
+    assert owner.ask("second") is slot_messages.Verdict.QUEUED
+    owner.done("first")
+    assert owner.granted() == ["first", "suspect"]
+    assert owner.ask("third") is slot_messages.Verdict.QUEUED
+    owner.done("suspect")
+    assert owner.granted() == ["first", "suspect", "second", "third"]
+
+
+def test_a_request_that_never_finds_the_endpoint_empty_is_refused():
+    owner = Owner(places=4)
+    owner.ask("long")
+    owner.ask("suspect", alone=True)
+    owner.ask("other")
+    owner.batch.sweep(time.monotonic() + alone.PATIENCE_S + 1)
+    assert owner.last("suspect") is slot_messages.Verdict.REFUSED
+    owner.batch.pump(time.monotonic())
+    assert not owner.batch.alone.blocks()
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import hashlib
+import time
 
 import attrs
 import gevent
@@ -81,6 +82,9 @@
         self.draining = False
         self.runs: list[Run] = []
         self.crashes = 0
+        #: Time that a crashed engine takes to come back, seconds.
+        self.restart_s = 0.0
+        self.down_until = 0.0
 
     def immune(self, path: str) -> bool:
         """Return whether faults spare a path; see :meth:`web.Fake.immune`."""
@@ -88,6 +92,8 @@
 
     def serve(self, method: str, path: str, environ: dict) -> web.Reply:
         """Answer one call; see :meth:`web.Fake.serve`."""
+        if time.monotonic() < self.down_until:
+            raise web.BreakConnection
         match (method, path):
             case ("GET", "/health"):
                 return web.json_reply({})
@@ -194,6 +200,7 @@
     def crash(self) -> None:
         """Break every connection, as when the engine's process dies."""
         self.crashes += 1
+        self.down_until = time.monotonic() + self.restart_s
         self.break_connections()
         gevent.sleep(0)
 
