Refuse a catalogue whose models do not all fit, saying by how much

Cause: the check looked at each model alone; a catalogue of models that fit one by one was accepted, and some could never become resident. Models with working room and adapters are now packed for each region when a change is applied (not when one is read, so that nothing in force is ever rejected).

--- a/packages/mothworks/src/mothworks/catalogue.py
+++ b/packages/mothworks/src/mothworks/catalogue.py
@@ -13,7 +13,7 @@
 import attrs
 import result
 
-from mothworks import documents, plugins, settings
+from mothworks import capacity, documents, plugins, settings
 
 
 class Urgency(enum.StrEnum):
@@ -317,17 +317,74 @@
 
 def _sizes(catalogue: Catalogue) -> collections.abc.Iterator[str]:
     largest = max((item.memory_mb for item in catalogue.endpoints), default=0)
-    largest_adapter_by_model: dict[str, int] = collections.defaultdict(int)
-    for adapter in catalogue.adapters:
-        largest_adapter_by_model[adapter.model] = max(
-            adapter.memory_mb, largest_adapter_by_model[adapter.model]
-        )
-    for place, model in enumerate(catalogue.models):
-        needed = model.memory_mb + model.working_mb
-        needed += largest_adapter_by_model[model.name]
-        if needed > largest:
+    for place, item in enumerate(_items(catalogue)):
+        if item.memory_mb > largest:
             yield (
-                f"$.models[{place}]: {model.name!r} needs {needed} MB with its "
-                f"working room and largest adapter, but the largest endpoint has "
-                f"{largest} MB; {needed - largest} MB are missing"
+                f"$.models[{place}]: {item.name!r} needs {item.memory_mb} MB with its "
+                f"working room and adapters, but the largest endpoint has "
+                f"{largest} MB; {item.memory_mb - largest} MB are missing"
             )
+
+
+def fit(
+    catalogue: Catalogue, source: str
+) -> result.Result[Catalogue, documents.DocumentError]:
+    """Check that all models have room at the same time, in each region.
+
+    Endpoints that are being drained do not count: a drain that left a model
+    without memory would make it unreachable. This is asked when a change is
+    applied and not when one is read, so that a version of the program that
+    packs otherwise never rejects what is in force.
+
+    :param catalogue: a checked catalogue.
+    :param source: its name in errors.
+    """
+    items = _items(catalogue)
+    problems = []
+    for region, memories_mb in _memories_by_region(catalogue).items():
+        most = len(memories_mb)
+        copied = [attrs.evolve(item, copies=min(item.copies, most)) for item in items]
+        left = capacity.unplaced(copied, memories_mb)
+        if left:
+            problems.append(_does_not_fit(region, left, memories_mb))
+    if problems:
+        return result.Err(documents.DocumentError(source, tuple(problems)))
+    return result.Ok(catalogue)
+
+
+def _items(catalogue: Catalogue) -> list[capacity.Item]:
+    """Return each model with its weights, working room and adapters."""
+    adapters_mb: dict[str, int] = collections.Counter()
+    for adapter in catalogue.adapters:
+        adapters_mb[adapter.model] += adapter.memory_mb
+    return [
+        capacity.Item(
+            model.name,
+            model.memory_mb + model.working_mb + adapters_mb[model.name],
+            model.replicas,
+        )
+        for model in catalogue.models
+    ]
+
+
+def _memories_by_region(catalogue: Catalogue) -> dict[str, list[int]]:
+    region_by_data_centre = {item.name: item.region for item in catalogue.data_centres}
+    memories_mb = collections.defaultdict(list)
+    for endpoint in catalogue.endpoints:
+        region = region_by_data_centre.get(endpoint.data_centre)
+        if region is not None and endpoint.memory_mb and not endpoint.drain:
+            memories_mb[region].append(endpoint.memory_mb)
+    return memories_mb
+
+
+def _does_not_fit(
+    region: str, left: list[capacity.Item], memories_mb: list[int]
+) -> str:
+    missing_mb = sum(item.memory_mb * item.copies for item in left)
+    names = ", ".join(repr(item.name) for item in left[:5])
+    more = f" and {len(left) - 5} more" if len(left) > 5 else ""
+    return (
+        f"$.models: {missing_mb} MB are missing in region {region!r}: beside the "
+        f"other models, {names}{more} find no room on its {len(memories_mb)} "
+        f"endpoints with {sum(memories_mb)} MB"
+    )
--- a/packages/mothworks/src/mothworks/changes.py
+++ b/packages/mothworks/src/mothworks/changes.py
@@ -152,7 +152,10 @@
 
 
 def _check(changed: catalogue.Catalogue):
-    return catalogue.check(changed, "catalogue").map_err(
+    checked = catalogue.check(changed, "catalogue").and_then(
+        lambda sound: catalogue.fit(sound, "catalogue")
+    )
+    return checked.map_err(
         lambda problem: outcomes.invalid(str(problem), "invalid_catalogue", 422)
     )
 
--- a/packages/mothworks/src/mothworks/operator_calls.py
+++ b/packages/mothworks/src/mothworks/operator_calls.py
@@ -215,8 +215,10 @@
 
 def _change(value) -> result.Result[Change, outcomes.Refusal]:
     checked = documents.structure(value, Change, "change").and_then(
-        lambda change: catalogue.check(change.catalogue, "catalogue").map(
-            lambda _: change
+        lambda change: (
+            catalogue.check(change.catalogue, "catalogue")
+            .and_then(lambda sound: catalogue.fit(sound, "catalogue"))
+            .map(lambda _: change)
         )
     )
     return checked.map_err(
