Soak: a stream's refusal is judged by the runs of its own sending

Cause: the soak reported 'ran: no after 1 runs' for 2 streams of 4590 requests. A stream without an Idempotency-Key is a new request each time it is sent; the run that was counted belonged to an earlier sending that had broken off with an error. Ruled out: a refusal of work that ran (request ids differ).

Change: streams are counted by the request id of the sending, orders by body.

--- a/packages/mothworks_fakes/src/mothworks_fakes/callers.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/callers.py
@@ -84,13 +84,16 @@
     :param ran: what a refusal said about running.
     :param body: the body as far as it came.
     :param retry: whether a refusal said when to send the request again.
-    :param runs: runs of the request that the endpoints had seen by then.
+    :param request_id: the id that the node gave this sending.
+    :param runs: runs that the endpoints had seen by then: of an order, of all
+        its sendings; of a stream, which has no key, of this sending.
     """
 
     url: str
     status: int = 0
     ran: str = ""
     retry: bool = False
+    request_id: str = ""
     body: bytes = b""
     runs: int = 0
 
@@ -168,17 +171,17 @@
         self,
         story: Story,
         next_url: collections.abc.Callable[[], str],
-        count_runs: collections.abc.Callable[[Ask], int],
+        count_runs: collections.abc.Callable[[Ask, str], int],
     ) -> None:
         """Send a request until it has a final answer.
 
         :param story: the request; its answers are added here.
         :param next_url: returns the node for the next sending.
-        :param count_runs: returns how often a request began to run.
+        :param count_runs: returns the runs of a request, see :class:`Answer`.
         """
         for _ in range(MOST_SENDS):
             answer = self.send(story.ask, next_url())
-            answer.runs = count_runs(story.ask)
+            answer.runs = count_runs(story.ask, answer.request_id)
             story.answers.append(answer)
             if story.is_over():
                 return
@@ -202,6 +205,7 @@
             reply = http.post(ask.path, ask.body, headers)
             answer.ran = reply.get("mothworks-ran", "")
             answer.retry = "retry-after" in reply
+            answer.request_id = reply.get("x-request-id", "")
             answer.body = bytes(reply.read())
             answer.status = reply.status_code
         except _BROKEN:
--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -175,19 +175,21 @@
                 return False
         return True
 
-    def count_runs(self, ask: callers.Ask) -> int:
+    def count_runs(self, ask: callers.Ask, request_id: str) -> int:
         """Return how often a request began to run, at all endpoints.
 
-        :param ask: the request.
+        :param ask: the request; orders are counted by their body.
+        :param request_id: the id of one sending; streams are counted by it.
         """
-        count = 0
-        for fake in self.fake_by_endpoint.values():
-            match fake:
-                case application.Application():
-                    count += fake.calls_by_body[ask.body]
-                case engine.Engine():
-                    count += sum(run.body_hash == ask.digest for run in fake.runs)
-        return count
+        if ask.kind is callers.Kind.ORDER:
+            return sum(
+                fake.calls_by_body[ask.body]
+                for fake in self.fake_by_endpoint.values()
+                if isinstance(fake, application.Application)
+            )
+        return sum(
+            run.request_id == request_id for fake in self.engines() for run in fake.runs
+        )
 
     def all_resident(self, declared: catalogue.Catalogue) -> bool:
         """Return whether every node knows an endpoint for each model.
