Metrics of a request's way; callers may name a timeout

Cause: the node counted nothing of its callers' requests, refusals left no line in the log, a retry was paid for even where no other endpoint was left, and no request had the deadline that retries respect.

--- a/packages/mothworks/src/mothworks/calls.py
+++ b/packages/mothworks/src/mothworks/calls.py
@@ -3,6 +3,7 @@
 import collections.abc
 import hashlib
 import hmac
+import math
 import time
 import typing
 import uuid
@@ -40,6 +41,8 @@
     504: "Gateway Timeout",
 }
 
+#: Most digits of a timeout that a caller names.
+TIMEOUT_DIGITS = 6
 JSON = ("Content-Type", "application/json")
 #: Name in the WSGI environment of the connection that carries the call.
 CONNECTION = "mothworks.connection"
@@ -59,11 +62,13 @@
     :param status: the HTTP status.
     :param headers: its headers.
     :param body: the body's pieces, which may be produced as they are sent.
+    :param refusal: the refusal that it carries, for logs and metrics.
     """
 
     status: int
     headers: list[tuple[str, str]]
     body: collections.abc.Iterable[bytes]
+    refusal: outcomes.Refusal | None = None
 
 
 @attrs.define
@@ -122,6 +127,20 @@
             return None
         return hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
 
+    def deadline(self) -> result.Result[float, outcomes.Refusal]:
+        """Return the monotonic time after which no answer is of use.
+
+        Callers may name it by the header ``Request-Timeout``, in seconds.
+        """
+        value = self.header("request-timeout")
+        if not value:
+            return result.Ok(math.inf)
+        number = value.isascii() and value.isdecimal() and len(value) <= TIMEOUT_DIGITS
+        if not (number and int(value)):
+            message = "Request-Timeout must be a whole number of seconds above 0"
+            return result.Err(outcomes.invalid(message))
+        return result.Ok(self.arrived + int(value))
+
     def body(self) -> result.Result[bytes, outcomes.Refusal]:
         """Read the whole body, bounded in bytes and time."""
         most = self.limits.body_bytes
@@ -173,7 +192,7 @@
     headers = [JSON, ("Mothworks-Ran", refusal.ran)]
     if refusal.retry_after is not None:
         headers.append(("Retry-After", str(max(1, round(refusal.retry_after)))))
-    return Reply(refusal.status, headers, [refusal.body()])
+    return Reply(refusal.status, headers, [refusal.body()], refusal)
 
 
 def raw(reply: Reply, request_id: str) -> bytes:
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -24,6 +24,7 @@
     health,
     kernel,
     outcomes,
+    path_metrics,
     placement,
     plugins,
     recorded,
@@ -84,6 +85,7 @@
         chosen = node_kernel.settings.routing
         self.policy: routing.Policy = plugins.find(plugins.ROUTING, chosen)()
         self.retries = retries.Budget()
+        self.metrics = path_metrics.PathMetrics(node_kernel.metrics)
 
     def begin(
         self, request: requests.Request, watch: caller_watch.Watch | None = None
@@ -175,10 +177,12 @@
                     trace.add(failed.endpoint, refusal.message)
             tried.add(failed.endpoint)
             lost = claim is not None and claim.lost
-            may_retry = not lost and self._may_retry(request, failed)
+            elsewhere = not lost and bool(self._choose(request, tried))
+            may_retry = elsewhere and self._may_retry(request, failed)
             self._accuse(request, failed, may_retry)
             if not may_retry:
                 break
+            self.metrics.repeated("retried")
         return result.Err(refusal)
 
     def resume(self, stopped: running.Running) -> bool:
@@ -216,7 +220,10 @@
         :param outcome: how it ended there.
         """
         self.demand.ended(left.request.target, left.progress.sent)
-        self._release(left.grant, left.progress.end(outcome))
+        end = left.progress.end(outcome)
+        waited_s = left.progress.first - left.request.arrived
+        self.metrics.ended(left.request.caller.urgency, waited_s, end)
+        self._release(left.grant, end)
         match outcome:
             case slots.Outcome.OK:
                 self.suspects.ran_well(left.request)
@@ -246,6 +253,7 @@
             if outcome is slots.Outcome.CRASHED:
                 self.suspects.report(stopped.request, grant.endpoint)
             return False
+        self.metrics.repeated("resumed")
         log.info("resumed at {} after {} events", grant.endpoint.name, offset)
         stopped.attach(grant, resumed.ok_value, sent)
         return True
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -122,8 +122,8 @@
         model = adapter.model if adapter else fields.model
         if model not in index.model_by_name or not _allowed(caller, fields.model):
             return result.Err(_no_model(fields.model))
-        return result.Ok(
-            requests.Request(
+        return call.deadline().map(
+            lambda deadline: requests.Request(
                 id=call.id,
                 caller=caller,
                 target=fields.model,
@@ -138,6 +138,7 @@
                 first_token_deadline=call.arrived + caller.first_token_ms / 1000,
                 tokens=fields.tokens,
                 idempotency_key=call.header("idempotency-key"),
+                deadline=deadline,
                 resumable=fields.resumable,
             )
         )
--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -14,6 +14,7 @@
     kernel,
     logs,
     outcomes,
+    path_metrics,
     plugins,
 )
 
@@ -46,6 +47,7 @@
         #: The port that the kernel chose where the setting is 0.
         self.port = self.listener.socket.getsockname()[1]
         self.open_calls = 0
+        self.metrics = path_metrics.PathMetrics(node_kernel.metrics)
 
     def start(self) -> None:
         """Accept connections."""
@@ -82,6 +84,7 @@
             call = calls.Call(environ, self.kernel.settings.limits)
             logs.set_request_id(call.id)
             reply = self._guarded(call)
+            self._note(call, reply)
             headers = _headers(reply, call.id)
             if self.kernel.draining:
                 # The caller's next call goes to another VM.
@@ -99,6 +102,14 @@
                 call.stop_watch()
             self.open_calls -= 1
 
+    def _note(self, call: calls.Call, reply: calls.Reply) -> None:
+        self.metrics.replied(reply.status, reply.refusal)
+        if reply.refusal is not None and reply.status >= 500:
+            refusal = reply.refusal
+            log.info("{} {}: {}", reply.status, refusal.code, refusal.message)
+        else:
+            log.debug("{} {}: {}", call.method, call.path, reply.status)
+
     def _guarded(self, call: calls.Call) -> calls.Reply:
         """Answer a call even where our own code fails on it.
 
@@ -122,6 +133,7 @@
             case "/readyz":
                 return self._ready()
             case "/metrics":
+                self.metrics.note_connections(self.listener.connections)
                 body, headers = self.kernel.metrics.render()
                 return calls.Reply(200, list(headers.items()), [body])
         for prefix, protocol in self.protocol_by_prefix.items():
--- a/packages/mothworks/src/mothworks/service_calls.py
+++ b/packages/mothworks/src/mothworks/service_calls.py
@@ -81,8 +81,8 @@
             return result.Err(outcomes.invalid(message, "service_not_found", 404))
         query = call.environ.get("QUERY_STRING")
         path = f"/{rest}?{query}" if query else f"/{rest}"
-        return result.Ok(
-            requests.Request(
+        return call.deadline().map(
+            lambda deadline: requests.Request(
                 id=call.id,
                 caller=caller,
                 target=name,
@@ -96,6 +96,7 @@
                 arrived=call.arrived,
                 first_token_deadline=call.arrived + caller.first_token_ms / 1000,
                 idempotency_key=call.header("idempotency-key"),
+                deadline=deadline,
             )
         )
 
--- a/packages/mothworks/tests/test_callers.py
+++ b/packages/mothworks/tests/test_callers.py
@@ -139,6 +139,16 @@
         431,
         "head_too_long",
     ),
+    "timeout not a number": (
+        served.post(served.CHAT, b'{"model": "menu"}', Request_Timeout="soon"),
+        400,
+        "invalid_request",
+    ),
+    "timeout too long": (
+        served.post(served.CHAT, b'{"model": "menu"}', Request_Timeout="9" * 1_900),
+        400,
+        "invalid_request",
+    ),
     "long path": (served.head("GET", "/" + "x" * 10_000), 414, "head_too_long"),
     "no HTTP": (b"hello\r\n\r\n", 400, "invalid_head"),
     "service path not ASCII": (
@@ -274,3 +284,20 @@
         wire += sock.recv(65536)
     assert wire.index(b'"completion_tokens":2') < wire.index(b'"completion_tokens":3')
     sock.close()
+
+
+def test_metrics_tell_replies_refusals_and_tokens(shared):
+    shared.chat(stream=True, max_tokens=4)
+    shared.send(served.post(served.CHAT, b"{"))
+    processes.wait_until(shared.idle)
+    page = shared.send(served.head("GET", "/metrics")).body.decode()
+    for line in (
+        'mothworks_replies_total{status="200"}',
+        'mothworks_refusals_total{code="invalid_json",ran="no"}',
+        'mothworks_tokens_total{urgency="urgent"}',
+        'mothworks_ends_total{outcome="ok"}',
+        'mothworks_first_token_seconds_count{urgency="urgent"}',
+        'mothworks_between_tokens_seconds_count{urgency="urgent"}',
+        "mothworks_connections ",
+    ):
+        assert line in page
