Dashboard: one page of plain HTML on every node, and show queues

Cause: people had no page to look at. Change: /dashboard shows attainment, queues by endpoint, moves, models, endpoints and VMs, the rows of show, every 5 s. It asks for an operator's key by basic authentication (any role), since a summary already tells callers' names and load; it holds no key hashes. Test: test_operator_calls.py.

--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -9,6 +9,7 @@
     configuration_following,
     configuration_garbage,
     configuration_gossip,
+    dashboard,
     deferred,
     deferred_calls,
     demand,
--- a/packages/mothworks/src/mothworks/operator_calls.py
+++ b/packages/mothworks/src/mothworks/operator_calls.py
@@ -7,7 +7,6 @@
 """
 
 import collections.abc
-import hmac
 
 import attrs
 import orjson
@@ -21,6 +20,7 @@
     documents,
     kernel,
     operator_commands,
+    operator_keys,
     operator_moves,
     outcomes,
     plugins,
@@ -65,7 +65,7 @@
 
         :param call: the call.
         """
-        operator = authenticate(call, self.operators)
+        operator = operator_keys.find(self.operators, call.bearer_hash() or "")
         if operator is None:
             refusal = outcomes.invalid(
                 "a valid operator's key is needed", "invalid_api_key", 401
@@ -147,25 +147,6 @@
                 return calls.refuse(refusal)
 
 
-def authenticate(
-    call: calls.Call, operators: tuple[settings.Operator, ...]
-) -> settings.Operator | None:
-    """Return the operator whose key a call carries, or None.
-
-    Every key is compared, in constant time, so that the time of the answer
-    says neither how much of a key was right nor whose it was.
-
-    :param call: the call.
-    :param operators: who may query and command.
-    """
-    key_hash = call.bearer_hash() or ""
-    found = None
-    for operator in operators:
-        if hmac.compare_digest(operator.key_sha256, key_hash):
-            found = operator
-    return found
-
-
 def _reply(outcome: questions.Outcome) -> calls.Reply:
     match outcome:
         case result.Ok(answer):
--- a/packages/mothworks/src/mothworks/questions.py
+++ b/packages/mothworks/src/mothworks/questions.py
@@ -40,10 +40,12 @@
 AUDIT_DAYS = 2
 #: Most days of the audit trail read for one question.
 MOST_AUDIT_DAYS = 31
+#: Waiting requests that ``why model`` lists.
+FIRST_WAITING = 10
 #: What a batch row says of an endpoint that nobody asked its owner for.
-IDLE = row_classes.BatchRow("", "", 0, 0, 0, 0)
+IDLE = row_classes.BatchRow("", "", 0, 0, 0, 0, 0, 0, 0)
 #: What a batch row says of an endpoint whose owner did not answer.
-UNKNOWN = row_classes.BatchRow("", "", -1, -1, -1, -1)
+UNKNOWN = row_classes.BatchRow("", "", -1, -1, -1, -1, -1, -1, -1)
 
 Outcome = result.Result[answers.Answer, outcomes.Refusal]
 
@@ -123,6 +125,8 @@
                 rows = self.inventory.peers()
             case statements.Collection.WAITING:
                 return result.Ok(self.fan_out.ask(fan_out.Topic.WAITING))
+            case statements.Collection.QUEUES:
+                return result.Ok(self.fan_out.ask(fan_out.Topic.BATCHES))
             case statements.Collection.ATTAINMENT:
                 return result.Ok(self._attainment())
             case statements.Collection.MOVES:
@@ -175,19 +179,24 @@
         waiting = self.fan_out.ask(fan_out.Topic.WAITING, name, owners)
         batch_by_endpoint = {row.endpoint: row for row in batches.rows}
         moves = self.fan_out.ask(fan_out.Topic.MOVES, name)
+        in_order = sorted(waiting.rows, key=lambda row: (row.position, row.endpoint))
+        first = tuple(in_order[:FIRST_WAITING])
         replicas = [
             self._replica(endpoint, batch_by_endpoint, batches.unanswered)
             for endpoint in candidates
         ]
         tables = [
             answers.Table("replicas", row_classes.ReplicaRow, tuple(replicas)),
-            answers.Table("waiting", row_classes.WaitingRow, waiting.rows),
+            answers.Table("waiting", row_classes.WaitingRow, first),
             answers.Table("moves", row_classes.MoveRow, moves.rows),
         ]
         if item is not None:
             row = self.inventory.model(item)
             tables.insert(0, answers.Table("model", row_classes.ModelRow, (row,)))
         notes = _replica_notes(name, replicas)
+        if len(first) < len(waiting.rows):
+            more = len(waiting.rows) - len(first)
+            notes = (*notes, f"{more} more wait: show waiting where model = {name}")
         return result.Ok(self._answer(tables, [batches, waiting, moves], notes))
 
     def _replica(
@@ -251,8 +260,12 @@
         ]
 
     def _batches(self, target: str) -> list[row_classes.BatchRow]:
+        """Return endpoints' queues; the argument is empty or a model."""
+        rows = slot_rows.running(self.slots)
+        if not target:
+            return rows
         names = frozenset(self.placement.candidates(target))
-        return [row for row in slot_rows.running(self.slots) if row.endpoint in names]
+        return [row for row in rows if row.endpoint in names]
 
     def _moves(self, target: str) -> list[row_classes.MoveRow]:
         """Return unfinished orders; the argument is empty or a model."""
--- a/packages/mothworks/src/mothworks/row_classes.py
+++ b/packages/mothworks/src/mothworks/row_classes.py
@@ -91,8 +91,7 @@
     :param caller: the caller's name.
     :param model: the model, adapter or service asked for.
     :param waited_ms: time in the queue, milliseconds.
-    :param deadline_ms: time left to the first token's target, milliseconds;
-        below 0 where it has passed.
+    :param deadline_ms: time left until the queue gives it up, milliseconds.
     """
 
     request: str
@@ -261,7 +260,10 @@
     :param running: requests in its batch.
     :param slots: most requests in the batch now.
     :param queued: requests that wait for it.
-    :param longest_ms: how long the first of them has waited, milliseconds.
+    :param urgent: of these, the urgent ones.
+    :param standard: the standard ones.
+    :param bulk: the bulk ones.
+    :param longest_ms: longest wait of them, milliseconds.
     """
 
     endpoint: str
@@ -269,6 +271,9 @@
     running: int
     slots: int
     queued: int
+    urgent: int
+    standard: int
+    bulk: int
     longest_ms: int
 
 
@@ -283,7 +288,7 @@
     :param running: requests in its batch; -1 where its owner did not answer.
     :param slots: most requests in the batch now.
     :param queued: requests that wait for it.
-    :param longest_ms: how long the first of them has waited, milliseconds.
+    :param longest_ms: longest wait of them, milliseconds.
     """
 
     endpoint: str
@@ -306,6 +311,7 @@
     statements.Collection.AUDIT: audit.Entry,
     statements.Collection.QUARANTINE: QuarantineRow,
     statements.Collection.ATTAINMENT: AttainmentRow,
+    statements.Collection.QUEUES: BatchRow,
 }
 
 
--- a/packages/mothworks/src/mothworks/slot_rows.py
+++ b/packages/mothworks/src/mothworks/slot_rows.py
@@ -29,6 +29,9 @@
             running=batch.running(),
             slots=batch.limit.value,
             queued=len(batch.queue),
+            urgent=batch.queue.count_by_rank[0],
+            standard=batch.queue.count_by_rank[1],
+            bulk=batch.queue.count_by_rank[2],
             longest_ms=_longest_ms(batch),
         )
         for endpoint, batch in sorted(owner.batch_by_endpoint.items())
@@ -44,7 +47,6 @@
 ) -> row_classes.WaitingRow:
     now = time.monotonic()
     ask = item.ask
-    target = item.since + ask.target_ms / 1000
     return row_classes.WaitingRow(
         request=ask.request_id,
         endpoint=endpoint,
@@ -57,7 +59,7 @@
         caller=ask.caller,
         model=ask.target,
         waited_ms=round((now - item.since) * 1000),
-        deadline_ms=round((target - now) * 1000),
+        deadline_ms=round((item.deadline - now) * 1000),
     )
 
 
--- a/packages/mothworks/src/mothworks/statements.py
+++ b/packages/mothworks/src/mothworks/statements.py
@@ -25,6 +25,7 @@
     AUDIT = "audit"
     QUARANTINE = "quarantine"
     ATTAINMENT = "attainment"
+    QUEUES = "queues"
 
 
 class Section(enum.StrEnum):
--- a/packages/mothworks/tests/test_operator_calls.py
+++ b/packages/mothworks/tests/test_operator_calls.py
@@ -1,5 +1,7 @@
 """Operators' statements against separate nodes: roles, fan-out, reasons."""
 
+import base64
+
 import gevent
 import geventhttpclient
 import orjson
@@ -126,3 +128,25 @@
     finally:
         paused.send_signal(processes.RESUME)
     assert answer["unanswered"] == ["vm-2"]
+
+
+def page(bed, authorization):
+    http = geventhttpclient.HTTPClient.from_url(bed.node_by_name["vm-1"].url)
+    headers = {"Authorization": authorization} if authorization else {}
+    reply = http.get("/dashboard", headers)
+    return reply.status_code, reply.read().decode()
+
+
+def test_the_dashboard_needs_a_key_and_shows_what_show_does(deployment):
+    wrong = base64.b64encode(b"any:wrong").decode()
+    for authorization in ("", f"Basic {wrong}", "Basic ?", "Bearer wrong"):
+        status, text = page(deployment, authorization)
+        assert status == 401
+        assert "engine-1" not in text
+    right = base64.b64encode(f"any:{VIEWER_KEY}".encode()).decode()
+    status, text = page(deployment, f"Basic {right}")
+    assert status == 200
+    assert "engine-1" in text
+    assert "Attainment of the last minute" in text
+    assert testbed.key_hash(VIEWER_KEY) not in text
+    assert testbed.key_hash(builders.CALLER_KEY) not in text
