--- a/packages/mothworks_fakes/src/mothworks_fakes/experiment.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/experiment.py
@@ -40,7 +40,8 @@
     :param bulk_per_s: bulk requests a second.
     :param burst: factor of the urgent rate in the burst.
     :param seconds: length of the schedule.
-    :param tokens: tokens that each request generates.
+    :param tokens: tokens that each urgent request generates.
+    :param bulk_tokens: tokens that each bulk request generates.
     :param batch: the engines' batch.
     :param seed: seed of the schedule.
     """
@@ -53,6 +54,7 @@
     burst: float
     seconds: float
     tokens: int
+    bulk_tokens: int
     batch: int
     seed: int
 
@@ -64,7 +66,7 @@
             "urgent", URGENT_KEY, MODEL, self.urgent_per_s, self.tokens, bursts=(burst,)
         )
         bulk = arrivals.Traffic(
-            "bulk", BULK_KEY, MODEL, self.bulk_per_s, 2 * self.tokens
+            "bulk", BULK_KEY, MODEL, self.bulk_per_s, self.bulk_tokens
         )
         return (urgent, bulk) if self.bulk_per_s else (urgent,)
 
@@ -123,6 +125,7 @@
     burst: float = 10.0,
     seconds: float = 30.0,
     tokens: int = 16,
+    bulk_tokens: int = 32,
     batch: int = 8,
     seed: int = 1,
     plot: pathlib.Path | None = None,
@@ -136,7 +139,8 @@
     :param bulk: bulk requests a second.
     :param burst: factor of the urgent rate in the burst.
     :param seconds: length of the schedule.
-    :param tokens: tokens of an urgent request; bulk has twice as many.
+    :param tokens: tokens of an urgent request.
+    :param bulk_tokens: tokens of a bulk request.
     :param batch: the engines' batch.
     :param seed: seed of the schedule.
     :param plot: file for a picture of the urgent requests' first tokens.
@@ -145,7 +149,17 @@
     for count in engines:
         for name in policy:
             plan = Plan(
-                name, count, nodes, urgent, bulk, burst, seconds, tokens, batch, seed
+                name,
+                count,
+                nodes,
+                urgent,
+                bulk,
+                burst,
+                seconds,
+                tokens,
+                bulk_tokens,
+                batch,
+                seed,
             )
             with tempfile.TemporaryDirectory() as folder:
                 outcome = perform(plan, pathlib.Path(folder))
