--- a/packages/mothworks/src/mothworks/batches.py
+++ b/packages/mothworks/src/mothworks/batches.py
@@ -50,6 +50,7 @@
     :param share: returns the largest share of the queue for a caller.
     :param reported: returns the requests that the engine itself reports; None
         before its first report.
+    :param preempts: whether the engine lets urgent work take the place of bulk.
     """
 
     def __init__(
@@ -58,15 +59,19 @@
         why_closed: collections.abc.Callable[[slot_messages.AskSlot], str],
         share: collections.abc.Callable[[str], float] = lambda caller: 1.0,
         reported: collections.abc.Callable[[], int | None] = lambda: None,
+        preempts: bool = False,
     ):
         self.limit = limits.Limit(slots)
         self.why_closed = why_closed
         self.share = share
         self.reported = reported
+        self.preempts = preempts
         self.queue = queues.Queue()
         self.alone = alone.Alone()
         self.held_by_key: dict[queues.Key, Held] = {}
-        self.hold_s = 0.0
+        #: Mean time that a request holds its slot, by rank, seconds.
+        self.hold_s_by_rank = [0.0] * (queues.BULK + 1)
+        self.preempted_at = 0.0
         self.first_token_s = 0.0
         self.paused_until = 0.0
         self.created = time.monotonic()
@@ -102,7 +107,7 @@
             if not self._admit(waiting, now):
                 return
         others = self.queue.ahead(ask.rank) - 1
-        wait_ms = math.ceil(self._wait_s(others) * 1000)
+        wait_ms = math.ceil(self._wait_s(ask.rank, others) * 1000)
         answer(_answer(ask, slot_messages.Verdict.QUEUED, wait_ms))
 
     def done(self, key: queues.Key, first_token_ms: float = 0.0) -> None:
@@ -116,17 +121,23 @@
         held = self.held_by_key.pop(key, None)
         now = time.monotonic()
         if held is not None and first_token_ms:
-            self.hold_s = _mean(self.hold_s, now - held.since)
+            known = self.hold_s_by_rank[held.ask.rank]
+            self.hold_s_by_rank[held.ask.rank] = _mean(known, now - held.since)
             self.first_token_s = _mean(self.first_token_s, first_token_ms / 1000)
         self.pump(now)
 
-    def observe(self, between_ms: float, target_ms: float) -> None:
+    def observe(self, held: Held, between_ms: float, target_ms: float) -> None:
         """Adapt the limit to how fast a request's tokens came.
 
+        A request that may have lost its place for a while says nothing of
+        the batch; taken as a sample it would shrink the limit for nothing.
+
+        :param held: the request.
         :param between_ms: mean time between its tokens, milliseconds.
         :param target_ms: its caller's target, milliseconds.
         """
-        self.limit.observe(between_ms, target_ms)
+        if not held.ask.rank or held.since > self.preempted_at:
+            self.limit.observe(between_ms, target_ms)
 
     def pause(self) -> None:
         """Grant nothing for a moment, since the endpoint refused a request."""
@@ -178,13 +189,16 @@
         waiting = (*self.queue.waiting_by_key, *self.alone.waiting_by_key)
         return [*self.held_by_key, *waiting]
 
-    def running(self) -> int:
+    def running(self, rank: int = queues.BULK) -> int:
         """Return how many requests the endpoint runs, as far as is known.
 
         A new owner has not yet heard from all entries what they have running;
         granting all slots would fill the endpoint's batch twice over.
+
+        :param rank: only requests of this rank or a more urgent one.
         """
-        return len(self.held_by_key) + self._unheard()
+        held = self.held_by_key.values()
+        return sum(item.ask.rank <= rank for item in held) + self._unheard()
 
     def reserve(self) -> int:
         """Return how many slots are kept free of bulk work.
@@ -193,8 +207,10 @@
         full of bulk work waits little, and nothing is kept. Where bulk work
         holds its slots long, as many are kept as urgent work has used lately.
         """
+        if self.preempts:
+            return 0
         self._note_urgent(time.monotonic())
-        if not self.urgent_peak or self._next_free_s() <= TOLERATED_WAIT_S:
+        if not self.urgent_peak or self._next_free_s(0) <= TOLERATED_WAIT_S:
             return 0
         return min(math.ceil(self.urgent_peak) + 1, self.limit.value - 1)
 
@@ -221,7 +237,8 @@
         reason = self.queue.why_not(ask, self.share(ask.caller))
         if (
             not reason
-            and now + self._wait_s(self.queue.ahead(ask.rank)) > waiting.deadline
+            and now + self._wait_s(ask.rank, self.queue.ahead(ask.rank))
+            > waiting.deadline
         ):
             reason = "deadline"
         if reason:
@@ -252,7 +269,9 @@
         limit = self.limit.value
         if rank == queues.BULK:
             limit -= self.reserve()
-        return self.running() < limit
+        # An engine with priorities takes back places of less urgent work, so
+        # that only work as urgent stands in the way.
+        return self.running(rank if self.preempts else queues.BULK) < limit
 
     def _grant(self, waiting: queues.Waiting, now: float) -> None:
         self._hold(waiting.ask, waiting.entry, now)
@@ -264,13 +283,16 @@
         if key not in self.held_by_key:
             self.held_by_key[key] = Held(ask, entry, now)
             self.adopted += ask.held
+        if len(self.held_by_key) > self.limit.value:
+            self.preempted_at = now
         if ask.rank < queues.BULK:
             self._note_urgent(now)
 
     def _refuse(self, waiting: queues.Waiting, reason: str) -> None:
         # Asked again when the queue is short enough, the request would get
         # its slot in time; earlier it would only be refused again.
-        wait_s = self._wait_s(self.queue.ahead(waiting.ask.rank))
+        rank = waiting.ask.rank
+        wait_s = self._wait_s(rank, self.queue.ahead(rank))
         late_s = time.monotonic() + wait_s - waiting.deadline
         wait_ms = max(LEAST_RETRY_MS, math.ceil(late_s * 1000))
         refused = slot_messages.Verdict.REFUSED
@@ -281,11 +303,15 @@
             return now + ask.wait_ms / 1000
         return now + ask.target_ms / 1000 - self.first_token_s
 
-    def _wait_s(self, ahead: int) -> float:
-        return (ahead + 1) * self._next_free_s()
+    def _wait_s(self, rank: int, ahead: int) -> float:
+        return (ahead + 1) * self._next_free_s(rank)
 
-    def _next_free_s(self) -> float:
-        return self.hold_s / self.limit.value
+    def _next_free_s(self, rank: int) -> float:
+        """Return the mean time until a slot for a rank becomes free, seconds."""
+        highest = rank if self.preempts else queues.BULK
+        held = [item.ask.rank for item in self.held_by_key.values()]
+        times = [self.hold_s_by_rank[item] for item in held if item <= highest]
+        return sum(times) / len(times) / self.limit.value if times else 0.0
 
     def _note_urgent(self, now: float) -> None:
         urgent = sum(item.ask.rank < queues.BULK for item in self.held_by_key.values())
--- a/packages/mothworks/src/mothworks/endpoints.py
+++ b/packages/mothworks/src/mothworks/endpoints.py
@@ -140,6 +140,8 @@
 
     #: Whether endpoints of this kind can continue a stream at an offset.
     resumes = False
+    #: Whether urgent work takes the place of bulk work in a full batch.
+    preempts = False
 
     def send(
         self, endpoint: catalogue.Endpoint, request: requests.Request, offset: int = 0
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -395,7 +395,7 @@
         held = batch.held_by_key.get(key)
         if held is not None and done.between_tokens_us:
             target_ms = self._between_target_ms(held.ask.caller)
-            batch.observe(done.between_tokens_us / 1000, target_ms)
+            batch.observe(held, done.between_tokens_us / 1000, target_ms)
         if done.outcome == Outcome.FAILED:
             batch.pause()
         batch.done(key, done.first_token_ms)
@@ -405,8 +405,13 @@
         if batch is None:
             endpoint = self.configuration.index.endpoint_by_name.get(name)
             slots = endpoint.slots if endpoint else 1
+            kind = self.health.adapters.get(endpoint.kind) if endpoint else None
             batch = batches.Batch(
-                slots, self._why_closed, self._share, lambda: self._reported(name)
+                slots,
+                self._why_closed,
+                self._share,
+                lambda: self._reported(name),
+                kind is not None and kind.preempts,
             )
             self.batch_by_endpoint[name] = batch
         return batch
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -23,6 +23,7 @@
     """Speaks to vLLM-style engines."""
 
     resumes = True
+    preempts = True
 
     def __init__(self):
         self.transport = transport.Transport()
@@ -39,7 +40,7 @@
             request.method,
             request.path,
             headers,
-            request.body,
+            _with_priority(request),
             fresh=not request.repeatable,
         )
         return sent.and_then(_unless_refused).and_then(
@@ -71,6 +72,16 @@
         ).and_then(_order_outcome)
 
 
+def _with_priority(request: requests.Request) -> bytes:
+    """Return the body with the class of the work as the engine's priority.
+
+    It goes last, where it also overrides one that the caller has written.
+    """
+    rank = request.caller.urgency.rank
+    body = request.body.rstrip()
+    return body.removesuffix(b"}") + b',"priority":%d}' % rank
+
+
 def _unless_refused(answer: transport.HttpAnswer):
     if answer.status not in REFUSED_STATUSES:
         return result.Ok(answer)
--- a/packages/mothworks/tests/test_slots.py
+++ b/packages/mothworks/tests/test_slots.py
@@ -23,11 +23,14 @@
 class Owner:
     """A batch and what it answered to each ask."""
 
-    def __init__(self, places=1, closed="", share=1.0):
+    def __init__(self, places=1, closed="", share=1.0, preempts=False):
         self.closed = closed
         self.answers_by_request = {}
         self.batch = batches.Batch(
-            places, lambda ask: self.closed, lambda caller: share
+            places,
+            lambda ask: self.closed,
+            lambda caller: share,
+            preempts=preempts,
         )
         self.number_by_request = {}
 
@@ -86,7 +89,7 @@
     would only learn so when it is too late to go elsewhere.
     """
     owner = Owner()
-    owner.batch.hold_s = 2.0
+    owner.batch.hold_s_by_rank = [2.0] * 3
     owner.ask("running")
     assert owner.ask("urgent", target_ms=1600) is slot_messages.Verdict.REFUSED
     refusal = owner.answers_by_request["urgent"][-1]
@@ -161,16 +164,49 @@
     owner = Owner(places=8)
     owner.ask("urgent-1")
     owner.done("urgent-1")
-    owner.batch.hold_s = 60.0
+    owner.batch.hold_s_by_rank = [60.0] * 3
     for number in range(10):
         owner.ask(f"bulk-{number}", BULK)
     assert len(owner.granted()) == 1 + 6
     assert owner.ask("urgent-2") is slot_messages.Verdict.GRANTED
-    owner.batch.hold_s = 0.5
+    owner.batch.hold_s_by_rank = [0.5] * 3
     owner.batch.pump(time.monotonic())
     assert owner.batch.running() == 8
 
 
+def test_bulk_in_an_engine_with_priorities_does_not_hold_urgent_work_up():
+    """Bulk fills the batch; a burst of urgent requests comes.
+
+    The engine takes places back for them, so they are granted at once, up to
+    the limit; bulk waits until they are done.
+    """
+    owner = Owner(places=4, preempts=True)
+    for number in range(6):
+        owner.ask(f"bulk-{number}", BULK)
+    urgent = [owner.ask(f"urgent-{number}") for number in range(5)]
+    assert urgent.count(slot_messages.Verdict.GRANTED) == 4
+    assert owner.ask("standard", STANDARD) is slot_messages.Verdict.QUEUED
+    for number in range(4):
+        owner.done(f"bulk-{number}")
+    assert owner.last("bulk-4") is slot_messages.Verdict.QUEUED
+    for number in range(4):
+        owner.done(f"urgent-{number}")
+    assert owner.last("urgent-4") is slot_messages.Verdict.GRANTED
+    assert owner.last("bulk-5") is slot_messages.Verdict.GRANTED
+
+
+def test_preempted_bulk_does_not_shrink_the_limit():
+    """Bulk that lost its place for a while sees slow tokens."""
+    owner = Owner(places=2, preempts=True)
+    owner.ask("bulk", BULK)
+    owner.ask("bulk-2", BULK)
+    owner.ask("urgent")
+    held = owner.batch.held_by_key[("vm-1", 1)]
+    for _ in range(10):
+        owner.batch.observe(held, 500.0, 35.0)
+    assert owner.batch.limit.value == 2
+
+
 def test_a_closed_endpoint_gets_nothing_new_not_even_from_the_queue():
     """An endpoint starts to leave while requests wait for it."""
     owner = Owner()
--- a/packages/mothworks_fakes/src/mothworks_fakes/engine.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/engine.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import hashlib
+import re
 import time
 
 import attrs
@@ -14,12 +15,14 @@
 import gevent.lock
 import orjson
 
-from mothworks_fakes import engine_memory, gates, web
+from mothworks_fakes import engine_batch, engine_memory, gates, web
 
 #: Bytes of a prompt that count as one token.
 BYTES_A_TOKEN = 4
 #: A prompt with this text crashes the engine that runs it.
 POISON = b"poison"
+#: The priority that a node adds to a caller's body.
+PRIORITY = re.compile(rb',"priority":\d+}$')
 
 
 @attrs.define
@@ -75,10 +78,8 @@
         #: Holds one place of the weight store during a load; None for no limit.
         self.store_places: gevent.lock.BoundedSemaphore | None = None
         self.order_ids: list[str] = []
-        self.places = gevent.lock.BoundedSemaphore(self.speed.batch)
+        self.batch = engine_batch.Batch(self.speed.batch)
         self.prefill = gevent.lock.BoundedSemaphore(1)
-        self.running = 0
-        self.waiting = 0
         self.draining = False
         self.runs: list[Run] = []
         self.crashes = 0
@@ -121,6 +122,11 @@
         """Return the most memory ever taken, MB."""
         return self.memory.peak_mb
 
+    @property
+    def running(self) -> int:
+        """Return the requests in the batch."""
+        return len(self.batch.running)
+
     def restart(self) -> None:
         """Break every connection and lose all memory, as a new process does."""
         self.memory.restart()
@@ -135,7 +141,7 @@
                 attrs.asdict(item) for item in self.memory.loading_by_key.values()
             ],
             "running": self.running,
-            "waiting": self.waiting,
+            "waiting": len(self.batch.waiting),
             "draining": self.draining,
             "memory_mb": self.memory_mb,
             "highest_fence": self.memory.highest_fence,
@@ -145,7 +151,7 @@
     def _metrics(self) -> bytes:
         return (
             f"vllm:num_requests_running {self.running}\n"
-            f"vllm:num_requests_waiting {self.waiting}\n"
+            f"vllm:num_requests_waiting {len(self.batch.waiting)}\n"
         ).encode()
 
     def _order(self, fields: dict) -> web.Reply:
@@ -180,6 +186,8 @@
             message = f"{model} is not loaded"
             return web.json_reply({"error": message}, "404 Not Found")
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        # The caller's own body, without what the node added to it.
+        body = PRIORITY.sub(b"}", body)
         digest = hashlib.sha256(body).hexdigest()[:12]
         self.gates.pass_by(gates.Step.SENT)
         self.runs.append(Run(request_id, digest))
@@ -187,7 +195,9 @@
             self.crash()
         wanted = request.get("max_tokens") or 16
         offset = int(environ.get("HTTP_X_RESUME_OFFSET", 0))
-        tokens = self._tokens(len(body) // BYTES_A_TOKEN, digest, wanted, offset)
+        prompt_tokens = len(body) // BYTES_A_TOKEN
+        priority = request.get("priority") or 0
+        tokens = self._tokens(prompt_tokens, digest, wanted, offset, priority)
         chat = path.endswith("chat/completions")
         if request.get("stream"):
             pieces = self._stream(tokens, request_id, model, chat, _usage(request))
@@ -205,24 +215,37 @@
         gevent.sleep(0)
 
     def _tokens(
-        self, prompt_tokens: int, digest: str, wanted: int, offset: int
+        self,
+        prompt_tokens: int,
+        digest: str,
+        wanted: int,
+        offset: int,
+        priority: int,
     ) -> collections.abc.Iterator[str]:
         """Yield tokens that depend on the request, as the batch allows."""
-        self.waiting += 1
-        with self.places:
-            self.waiting -= 1
-            self.running += 1
-            try:
-                with self.prefill:
-                    gevent.sleep(prompt_tokens / self.speed.prefill_tokens_per_s)
-                for number in range(offset, wanted):
-                    if number == wanted // 2:
-                        self.gates.pass_by(gates.Step.MID_ANSWER)
-                    extra = self.speed.step_s_per_request * (self.running - 1)
-                    gevent.sleep(self.speed.step_s + extra)
-                    yield f"{digest}-{number} "
-            finally:
-                self.running -= 1
+        seat = self.batch.enter(priority)
+        try:
+            seat.runs.wait()
+            self._prefill(prompt_tokens)
+            for number in range(offset, wanted):
+                if number == wanted // 2:
+                    self.gates.pass_by(gates.Step.MID_ANSWER)
+                self._step(seat, prompt_tokens + number)
+                yield f"{digest}-{number} "
+        finally:
+            self.batch.leave(seat)
+
+    def _prefill(self, tokens: int) -> None:
+        with self.prefill:
+            gevent.sleep(tokens / self.speed.prefill_tokens_per_s)
+
+    def _step(self, seat: engine_batch.Seat, context_tokens: int) -> None:
+        seat.runs.wait()
+        if seat.preempted:
+            seat.preempted = False
+            self._prefill(context_tokens)
+        others = max(0, self.running - 1)
+        gevent.sleep(self.speed.step_s + self.speed.step_s_per_request * others)
 
     def _stream(
         self,
