Packing fills free memory, gives an endpoint one load at a time, moves adapters

Cause, found with the new trial of traces (mothworks_fakes.measure_placement): moves waited behind long loads, were taken for lost and planned again; a model with adapters could never leave an endpoint, so that a hot model found no room; memory stayed free while models had one replica. Change: an endpoint gets one load at a time and reports its queue; two replicas hold a model's adapters, which go with it; free memory holds standby replicas where a move weighs less than a request a second.

--- a/packages/mothworks/src/mothworks/fleet.py
+++ b/packages/mothworks/src/mothworks/fleet.py
@@ -131,8 +131,7 @@
         :param site: the endpoint.
         """
         self.site_by_name[site.name] = site
-        for name in self._find_replicas(site):
-            self.split(name)
+        self.refresh(site)
 
     def remove(self, name: str) -> None:
         """Forget an endpoint.
@@ -148,8 +147,8 @@
 
         :param site: an endpoint of this fleet.
         """
-        changed = self._find_replicas(site)
-        for name in changed:
+        # In a fixed order, so that the same reports give the same plan.
+        for name in sorted(self._find_replicas(site)):
             self.split(name)
 
     def load(self, site: Site, need: Need) -> None:
@@ -262,7 +261,7 @@
         for name in gone:
             self._give_up(site, name)
         new = held - site.names
-        for name in new:
+        for name in sorted(new):
             self.demanded_by_name[name].share_by_site[site.name] = 0.0
         site.names = held
         return (gone & self.demanded_by_name.keys()) | new
@@ -272,7 +271,7 @@
             self._give_up(site, name)
         changed = site.names & self.demanded_by_name.keys()
         site.names = set()
-        for name in changed:
+        for name in sorted(changed):
             self.split(name)
 
     def _give_up(self, site: Site, name: str) -> None:
--- a/packages/mothworks/src/mothworks/orders.py
+++ b/packages/mothworks/src/mothworks/orders.py
@@ -93,6 +93,7 @@
     :param pending_kind: kind of the order under way; empty for none.
     :param pending_name: the model or adapter that it loads or unloads.
     :param pending_version: its version.
+    :param queued: moves that wait for it.
     """
 
     endpoint: str
@@ -104,6 +105,7 @@
     pending_kind: str = ""
     pending_name: str = ""
     pending_version: str = ""
+    queued: int = 0
 
 
 @plugins.register(plugins.PART, "orders")
@@ -278,6 +280,7 @@
                 intent.kind if intent else "",
                 intent.holding.name if intent else "",
                 intent.holding.version if intent else "",
+                len(self.queue),
             )
         )
 
--- a/packages/mothworks/src/mothworks/packing.py
+++ b/packages/mothworks/src/mothworks/packing.py
@@ -16,6 +16,10 @@
 
 #: Endpoints that are looked at for one load; in a larger fleet a sample.
 CANDIDATES = 64
+#: Replicas of a model that hold its adapters even if nobody asks for them.
+ADAPTER_REPLICAS = 2
+#: Places that a model must fill to be given free memory.
+LEAST_PLACES = 0.05
 #: Endpoints whose residents are looked at for one load that needs room.
 ROOM_CANDIDATES = 8
 
@@ -108,16 +112,22 @@
     def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
         """Return the moves to begin now; see :meth:`Policy.plan`."""
         batch = Batch(planned, loads)
-        self._restore(batch)
+        all_resident = self._restore(batch)
         self._complete(batch)
         self._relieve(batch)
-        self._spread(batch)
         self._place_adapters(batch)
+        if all_resident:
+            # Else free memory may be what a lost model waits for.
+            self._spread(batch)
+            self._fill(batch)
         self._clean(batch)
         return batch.moves
 
-    def _restore(self, batch: Batch) -> None:
-        """Load the models that are resident nowhere, the most wanted first."""
+    def _restore(self, batch: Batch) -> bool:
+        """Load the models that are resident nowhere, the most wanted first.
+
+        :returns: whether each model is resident, or being loaded, by now.
+        """
         lost = [
             item
             for item in batch.fleet.demanded_by_name.values()
@@ -127,10 +137,11 @@
         lost.sort(key=lambda item: (item.places > 0, item.need.room_mb), reverse=True)
         for item in lost:
             if batch.full:
-                return
+                break
             found = self._find(batch.fleet, item) or self._make_room(batch, item)
             if found is not None:
                 self._place(batch, found, item.need, "resident nowhere")
+        return all(item.share_by_site for item in lost)
 
     def _complete(self, batch: Batch) -> None:
         """Load the replicas that the declaration asks for."""
@@ -183,8 +194,34 @@
             if found is not None:
                 self._place(batch, found, item.need, "a second data centre")
 
+    def _fill(self, batch: Batch) -> None:
+        """Use free memory for more replicas of what is asked for most.
+
+        A surge then finds room at once; a replica that stands by is the first
+        to go when its memory is needed. Where a move weighs more than a
+        request a second, memory stays free instead.
+        """
+        if batch.moves or self.weights.moves > self.weights.attainment:
+            return
+        waiting = [
+            item
+            for item in batch.fleet.demanded_by_name.values()
+            if item.places > LEAST_PLACES and not item.need.base
+        ]
+        waiting.sort(key=lambda item: -item.places / (1 + len(item.share_by_site)))
+        for item in waiting:
+            if batch.full:
+                return
+            found = self._find(batch.fleet, item)
+            if found is not None:
+                self._place(batch, found, item.need, "stands by in free memory")
+
     def _place_adapters(self, batch: Batch) -> None:
-        """Load adapters beside their models, further ones where asked for."""
+        """Load adapters beside their models, further ones where asked for.
+
+        Two replicas of a model hold its adapters, so that one of them may go
+        without an adapter becoming unreachable.
+        """
         for item in batch.fleet.demanded_by_name.values():
             if batch.full:
                 return
@@ -193,8 +230,12 @@
                 continue
             bases = batch.fleet.ready(base.need.name)
             lacks = [site for site in bases if site.name not in item.share_by_site]
-            wanted = item.places > 0 or not item.share_by_site
-            fitting = [site for site in lacks if site.free_mb >= item.need.memory_mb]
+            wanted = item.places > 0 or len(item.share_by_site) < ADAPTER_REPLICAS
+            fitting = [
+                site
+                for site in lacks
+                if site.free_mb >= item.need.memory_mb and not site.loading
+            ]
             if wanted and fitting:
                 emptiest = max(fitting, key=lambda site: site.spare)
                 batch.load(emptiest, item.need, f"adapter of {item.need.base}")
@@ -202,7 +243,7 @@
     def _clean(self, batch: Batch) -> None:
         """Unload what is not declared any more, or in an old version."""
         for site in batch.fleet.site_by_name.values():
-            for key in list(site.memory_by_key.keys() - site.leaving - site.loading):
+            for key in sorted(site.memory_by_key.keys() - site.leaving - site.loading):
                 if self._is_stale(batch.fleet, key):
                     batch.unload(site, key, "not declared any more")
 
@@ -290,8 +331,10 @@
             return True
         if item.need.version != key[1]:
             return bool(planned.ready(key[0]))
-        adapters = planned.adapters_by_model.get(key[0], ())
-        if any(name in site.names for name in adapters):
+        for name in planned.adapters_by_model.get(key[0], ()):
+            if name in site.names and planned.ready(name) == [site]:
+                return False
+        if item.need.base:
             return False
         others = [other for other in planned.ready(key[0]) if other is not site]
         return len(others) >= item.need.replicas
@@ -323,7 +366,8 @@
         """
         found = []
         for site in batch.fleet.site_by_name.values():
-            if not site.open or item.need.key in site.memory_by_key:
+            busy = bool(site.loading or site.leaving)
+            if not site.open or busy or item.need.key in site.memory_by_key:
                 continue
             victims = self._victims(batch.fleet, site, item.need)
             if victims is not None:
@@ -379,15 +423,23 @@
             copies.append((place, other.need))
         return copies if missing_mb <= 0 else []
 
-    def _place(self, batch: Batch, found: Site, need: fleet.Need, why: str) -> None:
+    def _place(self, batch: Batch, found: Site, need: fleet.Need, reason: str) -> None:
+        why = f"room for {need.name}"
         for key in found.victims:
-            batch.unload(found.site, key, f"room for {need.name}")
-        batch.load(found.site, need, why)
+            for name in batch.fleet.adapters_by_model.get(key[0], ()):
+                adapter = batch.fleet.demanded_by_name[name].need
+                if name in found.site.names:
+                    batch.unload(found.site, adapter.key, why)
+            batch.unload(found.site, key, why)
+        batch.load(found.site, need, reason)
 
     def _candidates(
         self, planned: fleet.Fleet, item: fleet.Demanded
     ) -> list[fleet.Site]:
-        """Return open endpoints without a replica; of many, a sample.
+        """Return open endpoints without a replica or a load; of many, a sample.
+
+        An endpoint gets one load at a time: a second would only wait there,
+        while what is most urgent may change or another endpoint be free.
 
         Looking at every endpoint for every load would make a pass quadratic
         in the fleet; a sample of this size holds one of the best fiftieth
@@ -407,6 +459,7 @@
             site
             for site in sites
             if site.open
+            and not site.loading
             and site.memory_mb >= item.need.room_mb
             and item.need.key not in site.memory_by_key
         ]
--- a/packages/mothworks/src/mothworks/planner.py
+++ b/packages/mothworks/src/mothworks/planner.py
@@ -36,8 +36,10 @@
 PERIOD_S = 1.0
 #: Time a new planner listens to owners before it plans, seconds.
 LISTEN_S = 4.0
-#: Time after which a move that its owner does not report is forgotten, seconds.
-FORGOTTEN_S = 15.0
+#: Time after which a move is forgotten if its owner reports no work, seconds.
+FORGOTTEN_S = 10.0
+#: Time after which a move is forgotten whatever its owner reports, seconds.
+LONGEST_S = 600.0
 
 
 @attrs.define
@@ -265,9 +267,13 @@
             self.fleet.set_demand(name, places[name], seconds)
 
     def _forget(self, now: float) -> None:
+        """Forget moves that were lost on the way or that an owner dropped."""
         for name, moves in self.outstanding.items():
+            holdings = self.holdings_by_endpoint.get(name)
+            idle = holdings is None or not (holdings.pending_kind or holdings.queued)
+            longest_s = FORGOTTEN_S if idle else LONGEST_S
             for move, since in list(moves.items()):
-                if now - since > FORGOTTEN_S:
+                if now - since > longest_s:
                     del moves[move]
                     self.dirty.add(name)
 
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/measure_placement.py
@@ -0,0 +1,208 @@
+"""Measures placement: ``python -m mothworks_fakes.measure_placement``.
+
+Prints attainment per accelerator, moves, and times to restore for each
+policy, deployment and trace; then the planner's processor time as models and
+endpoints grow.
+"""
+
+import datetime
+import pathlib
+import time
+
+import attrs
+import defopt
+import orjson
+
+from mothworks import builtin, catalogue, demand, orders, planner  # noqa: F401
+from mothworks_fakes import (
+    demand_traces,
+    placement_baselines,  # noqa: F401
+    placement_trial,
+)
+
+POLICIES = ("packing", "static", "lru", "recomputed")
+SIZE_BY_NAME = {
+    size.name: size
+    for size in (demand_traces.SIAMCREST, demand_traces.BANDEJA, demand_traces.TENFOLD)
+}
+#: Models and endpoints for which passes are timed.
+GROWTH = ((30, 9), (180, 1175), (360, 2350), (720, 4700))
+
+
+@attrs.frozen
+class Row:
+    """Totals of one policy over all traces of a deployment.
+
+    :param policy: the policy.
+    :param trace: the trace, or ``all``.
+    :param share: share of requests that met their target.
+    :param per_accelerator: requests that met their target, for each accelerator.
+    :param moves: loads and unloads of models.
+    :param adapter_loads: loads of adapters.
+    :param restored: models that were resident nowhere and came back.
+    :param longest_restore_s: the longest time that took, seconds.
+    :param planner_s: processor time of all passes, seconds.
+    :param overcommitted: engines whose memory ever was too small.
+    """
+
+    policy: str
+    trace: str
+    share: float
+    per_accelerator: float
+    moves: int
+    adapter_loads: int
+    restored: int
+    longest_restore_s: float
+    planner_s: float
+    overcommitted: int
+
+
+def main(
+    *,
+    size: list[str] = ("siamcrest", "bandeja"),
+    seeds: int = 2,
+    growth: bool = True,
+    slopes: pathlib.Path | None = None,
+) -> None:
+    """Measure placement.
+
+    :param size: deployments: siamcrest, bandeja, bandeja-x10.
+    :param seeds: traces of each shape.
+    :param growth: also time passes as models and endpoints grow.
+    :param slopes: file that gets the planner's figures as JSON.
+    """
+    for name in size:
+        measure_size(SIZE_BY_NAME[name], seeds)
+    if growth:
+        figures = [measure_passes(*counts) for counts in GROWTH]
+        if slopes is not None:
+            flat = [figure for group in figures for figure in group]
+            slopes.write_bytes(orjson.dumps(flat, option=orjson.OPT_INDENT_2) + b"\n")
+
+
+def measure_size(size: demand_traces.Size, seeds: int) -> None:
+    """Run every policy over every trace of a deployment and print the totals.
+
+    :param size: the deployment.
+    :param seeds: traces of each shape.
+    """
+    print(f"\n{size.name}: {size.engines} engines, {size.models} models")
+    print(
+        f"{'policy':12}{'trace':18}{'in target':>10}{'per accel.':>11}{'moves':>7}"
+        f"{'adapters':>9}{'restored':>9}{'longest s':>10}{'cpu s':>7}{'over':>5}"
+    )
+    for policy in POLICIES:
+        outcomes = []
+        for shape in demand_traces.Shape:
+            runs = [
+                placement_trial.Trial(
+                    demand_traces.Trace(size, shape, seed), policy
+                ).run()
+                for seed in range(seeds)
+            ]
+            outcomes += runs
+            show(row(policy, shape, size, runs))
+        show(row(policy, "all", size, outcomes))
+
+
+def row(
+    policy: str,
+    trace: str,
+    size: demand_traces.Size,
+    outcomes: list[placement_trial.Outcome],
+) -> Row:
+    """Return the totals of some runs.
+
+    :param policy: the policy.
+    :param trace: the trace.
+    :param size: the deployment.
+    :param outcomes: what the runs measured.
+    """
+    accelerators = size.engines * demand_traces.ACCELERATORS
+    attained = sum(item.attained for item in outcomes)
+    restores = [seconds for item in outcomes for seconds in item.restore_s]
+    return Row(
+        policy,
+        trace,
+        attained / sum(item.arrived for item in outcomes),
+        attained / accelerators,
+        sum(item.moves for item in outcomes),
+        sum(item.adapter_loads for item in outcomes),
+        len(restores),
+        max(restores, default=0.0),
+        sum(item.planner_s for item in outcomes),
+        sum(item.overcommitted for item in outcomes),
+    )
+
+
+def show(item: Row) -> None:
+    """Print one row of the table.
+
+    :param item: the row.
+    """
+    print(
+        f"{item.policy:12}{item.trace:18}{item.share:10.4f}"
+        f"{item.per_accelerator:11.1f}{item.moves:7}{item.adapter_loads:9}"
+        f"{item.restored:9}{item.longest_restore_s:10.0f}{item.planner_s:7.2f}"
+        f"{item.overcommitted:5}",
+        flush=True,
+    )
+
+
+def measure_passes(models: int, engines: int) -> list[dict]:
+    """Time the first pass on an empty fleet, and later ones.
+
+    :param models: models.
+    :param engines: endpoints.
+    :returns: figures for the slopes' file.
+    """
+    weights = catalogue.Weights(1.0, 0.5, 1e6, 1_000_000)
+    size = demand_traces.Size("growth", engines, 5, models, models * 3, weights)
+    declared = demand_traces.deployment(size, 0)
+    trace = demand_traces.Trace(size, demand_traces.Shape.TENFOLD, 0)
+    region = planner.Region("region", -planner.LISTEN_S)
+    region.follow(1, catalogue.Index(declared))
+    names = [item.name for item in declared.models]
+    open_endpoints = frozenset(item.name for item in declared.endpoints)
+    for endpoint in declared.endpoints:
+        report = orders.Holdings(endpoint.name, 1, (), (), (), endpoint.memory_mb)
+        region.take(report)
+    book = demand.Book()
+    rates = list(trace.rates(-1.0))
+    seconds = []
+    loads = 0
+    for number in range(12):
+        if number == 6:
+            rates = list(trace.rates(400.0))
+        arrivals = [round(rate) for rate in rates]
+        held_ms = [round(count * 2000) for count in arrivals]
+        book.take(demand.Counts(names, arrivals, arrivals, held_ms))
+        began = time.thread_time()
+        moves = region.plan(float(number), book, open_endpoints)
+        seconds.append(time.thread_time() - began)
+        loads += len(moves)
+        for move in moves:
+            region.outstanding[move.endpoint][move] = 1e9
+    later = sorted(seconds[1:])[len(seconds) // 2]
+    print(
+        f"{models} models, {engines} endpoints: first pass {seconds[0]:.3f} s, "
+        f"later {later:.3f} s (longest {max(seconds[1:]):.3f} s), {loads} moves"
+    )
+    command = "python -m mothworks_fakes.measure_placement"
+    date = datetime.date.today().isoformat()
+    note = f"{models} models, {engines} endpoints, processor time"
+    return [
+        {
+            "name": f"planner.{kind}_pass.{models}x{engines}",
+            "value": round(value, 4),
+            "unit": "s",
+            "command": command,
+            "date": date,
+            "note": note,
+        }
+        for kind, value in (("first", seconds[0]), ("later", later))
+    ]
+
+
+if __name__ == "__main__":
+    defopt.run(main)
