Documents take the exact types of JSON; check reads catalogues too

Cause: found by new tests. The converter's own hooks for plain types go before hooks by predicate, so a port of "80" was taken as 80 and true as 1, and a wrong enumeration did not say what was expected; a document that is a list ended in a traceback.

--- a/packages/mothworks/src/mothworks/cli.py
+++ b/packages/mothworks/src/mothworks/cli.py
@@ -6,7 +6,7 @@
 import orjson
 import result
 
-from mothworks import logs, node, settings
+from mothworks import catalogue as catalogues, documents, logs, node, settings
 
 #: Exit code for wrong settings or a wrong command line.
 EXIT_USAGE = 2
@@ -34,20 +34,27 @@
     return running.run()
 
 
-def check(settings_file: pathlib.Path) -> int:
-    """Check a settings file and say every problem in it.
+def check(file: pathlib.Path, *, catalogue: bool = False) -> int:
+    """Check a file and say every problem in it.
 
-    :param settings_file: the VM's settings, JSON with comments.
+    :param file: a VM's settings, JSON with comments.
+    :param catalogue: the file is a catalogue instead.
     """
-    match settings.load(settings_file):
+    match _load_catalogue(file) if catalogue else settings.load(file):
         case result.Ok(_):
-            print(f"{settings_file}: correct")
+            print(f"{file}: correct")
             return 0
         case result.Err(problem):
             print(problem, file=sys.stderr)
             return EXIT_USAGE
 
 
+def _load_catalogue(
+    file: pathlib.Path,
+) -> result.Result[catalogues.Catalogue, documents.DocumentError]:
+    return documents.load(file).and_then(lambda text: catalogues.read(text, str(file)))
+
+
 def main() -> None:
     """Run the command line: ``mothworks --settings FILE`` or ``check FILE``."""
     match sys.argv[1:]:
@@ -65,7 +72,7 @@
     import defopt
 
     # "mothworks --settings FILE" needs no subcommand.
-    if arguments and arguments[0].startswith("--settings"):
+    if arguments and arguments[0].startswith("--"):
         arguments = ["run", *arguments]
     arguments = [
         "--settings-file" if item == "--settings" else item for item in arguments
--- a/packages/mothworks/src/mothworks/documents.py
+++ b/packages/mothworks/src/mothworks/documents.py
@@ -7,7 +7,7 @@
 
 import enum
 import functools
-import operator
+import pathlib
 import typing
 
 import attrs
@@ -34,6 +34,17 @@
         return "\n".join(f"{self.source}: {problem}" for problem in self.problems)
 
 
+def load(path: pathlib.Path) -> result.Result[str, DocumentError]:
+    """Return a file's text.
+
+    :param path: the file.
+    """
+    try:
+        return result.Ok(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err(DocumentError(str(path), (str(error),)))
+
+
 def parse(text: str, source: str) -> result.Result[typing.Any, DocumentError]:
     """Parse JSON with comments.
 
@@ -62,7 +73,8 @@
     try:
         return result.Ok(converter().structure(value, shape))
     except Exception as error:
-        if not isinstance(error, (cattrs.BaseValidationError, ValueError, TypeError)):
+        known = (cattrs.BaseValidationError, ValueError, TypeError, AttributeError)
+        if not isinstance(error, known):
             raise
         problems = cattrs.transform_error(error, format_exception=_describe)
         return result.Err(DocumentError(source, tuple(problems)))
@@ -96,12 +108,12 @@
 def converter() -> cattrs.Converter:
     """Return the converter, which takes only the exact types of JSON."""
     made = cattrs.Converter(forbid_extra_keys=True)
+    # Hooks by class: the library looks at its own, which convert "80" to 80,
+    # before it looks at hooks by predicate.
     for kind in (str, int, bool):
-        made.register_structure_hook_func(
-            functools.partial(operator.is_, kind), _exactly(kind)
-        )
-    made.register_structure_hook_func(functools.partial(operator.is_, float), _number)
-    made.register_structure_hook_func(_is_enum, _member)
+        made.register_structure_hook(kind, _exactly(kind))
+    made.register_structure_hook(float, _number)
+    made.register_structure_hook(enum.StrEnum, _member)
     return made
 
 
@@ -120,11 +132,7 @@
     return float(value)
 
 
-def _is_enum(kind: type) -> bool:
-    return isinstance(kind, type) and issubclass(kind, enum.Enum)
-
-
-def _member(value: typing.Any, kind: type[enum.Enum]) -> enum.Enum:
+def _member(value: typing.Any, kind: type[enum.StrEnum]) -> enum.StrEnum:
     try:
         return kind(value)
     except ValueError:
@@ -144,7 +152,15 @@
             return f"required field {error.args[0]!r} is missing"
         case ValueError():
             return str(error)
-        case TypeError():
-            return f"expected {getattr(kind, '__name__', kind)}"
+        case TypeError() | AttributeError():
+            return f"expected {_shape(kind)}"
         case _:
             return cattrs.v.format_exception(error, kind)
+
+
+def _shape(kind: typing.Any) -> str:
+    if kind is None or attrs.has(kind):
+        return "an object"
+    if typing.get_origin(kind) is tuple:
+        return "a list"
+    return getattr(kind, "__name__", str(kind))
--- a/packages/mothworks/src/mothworks/settings.py
+++ b/packages/mothworks/src/mothworks/settings.py
@@ -174,8 +174,6 @@
     :param path: the file, JSON with comments.
     :returns: the settings, or every problem found.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return result.Err(documents.DocumentError(str(path), (str(error),)))
-    return documents.read(text, Settings, str(path))
+    return documents.load(path).and_then(
+        lambda text: documents.read(text, Settings, str(path))
+    )
