Quarantine for operators: show, lift, audit; questions split by job

Change: show quarantine and lift quarantine; a quarantine is recorded with points before and after. questions.py keeps show, explanations.py has why, local_facts.py what a VM tells others, reason_rows.py their rows. No behaviour of the rest changed. Tests: test_operator_calls.py, test_language.py.

--- a/packages/mothctl/src/mothctl/language.py
+++ b/packages/mothctl/src/mothctl/language.py
@@ -243,6 +243,9 @@
         names = [_text(item) for item in items[:3]]
         return statements.Move(*names, **_options(items[3:]))
 
+    def lift(self, items: list) -> statements.Lift:
+        return statements.Lift(_text(items[0]), **_options(items[1:]))
+
     def diff(self, items: list) -> Diff:
         return Diff(_text(items[0]))
 
--- a/packages/mothctl/tests/test_language.py
+++ b/packages/mothctl/tests/test_language.py
@@ -53,6 +53,7 @@
     "move model menu from engine-1 to engine-2": statements.Move(
         "menu", "engine-1", "engine-2"
     ),
+    "lift quarantine 0af3 because fixed": statements.Lift("0af3", "fixed"),
     "diff ./catalogue.json": language.Diff("./catalogue.json"),
     "apply catalogue.json because growth at revision 2": language.Apply(
         "catalogue.json", "growth", 2
--- a/packages/mothworks/src/mothworks/answers.py
+++ b/packages/mothworks/src/mothworks/answers.py
@@ -1,10 +1,12 @@
 """Answers to operators' statements: tables, and what is missing in them."""
 
+import collections.abc
 import typing
 
 import attrs
+import result
 
-from mothworks import documents
+from mothworks import documents, fan_out, outcomes
 
 
 @attrs.frozen
@@ -50,3 +52,28 @@
             "notes": list(self.notes),
             "unanswered": list(self.unanswered),
         }
+
+
+#: What a question brings.
+Outcome = result.Result[Answer, outcomes.Refusal]
+
+
+def gathered(
+    revision: int,
+    tables: collections.abc.Iterable[Table],
+    parts: collections.abc.Iterable[fan_out.Gathered],
+    notes: tuple[str, ...] = (),
+) -> Answer:
+    """Return an answer that says what is missing in it.
+
+    :param revision: the configuration's revision on the asked VM.
+    :param tables: what was asked for.
+    :param parts: what other VMs said.
+    :param notes: sentences for people.
+    """
+    parts = list(parts)
+    unanswered = sorted({vm for part in parts for vm in part.unanswered})
+    left_out = sum(part.left_out for part in parts)
+    if left_out:
+        notes = (*notes, f"{left_out} more were left out; narrow the question")
+    return Answer(revision, tuple(tables), notes, tuple(unanswered))
--- a/packages/mothworks/src/mothworks/attainment_rows.py
+++ b/packages/mothworks/src/mothworks/attainment_rows.py
@@ -3,14 +3,14 @@
 import collections
 import collections.abc
 
-from mothworks import attainment, catalogue, row_classes
+from mothworks import attainment, catalogue, reason_rows, row_classes
 
 #: Name of the row over all classes.
 ALL = "all"
 
 
 def summed(
-    counts: collections.abc.Iterable[row_classes.CountRow], accelerators: int
+    counts: collections.abc.Iterable[reason_rows.CountRow], accelerators: int
 ) -> tuple[row_classes.AttainmentRow, ...]:
     """Return one row for each class and one for all.
 
--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -17,6 +17,7 @@
     exchange,
     fan_out,
     health,
+    local_facts,
     membership,
     objects_http,
     openai_calls,
--- a/packages/mothworks/src/mothworks/operator_calls.py
+++ b/packages/mothworks/src/mothworks/operator_calls.py
@@ -14,6 +14,7 @@
 
 from mothworks import (
     answers,
+    audit,
     calls,
     catalogue,
     configuration,
@@ -27,6 +28,7 @@
     questions,
     settings,
     statements,
+    suspects,
 )
 
 SHOW_PREFIX = "/operate/show/"
@@ -59,6 +61,8 @@
         self.commands = node_kernel.get(operator_commands.Commands)
         self.moves = node_kernel.get(operator_moves.OperatorMoves)
         self.questions = node_kernel.get(questions.Questions)
+        self.suspects = node_kernel.get(suspects.Suspects)
+        self.audit = node_kernel.get(audit.Audit)
 
     def serve(self, call: calls.Call) -> calls.Reply:
         """Answer one call.
@@ -98,6 +102,8 @@
                 return _forbidden()
             case statements.Move():
                 return self._move(statement, operator)
+            case statements.Lift():
+                return self._lift(statement, operator)
             case _:
                 ran = self.commands.run(statement, operator.name)
                 return _changed(ran, _done)
@@ -116,6 +122,23 @@
             case result.Err(refusal):
                 return calls.refuse(refusal)
 
+    def _lift(
+        self, statement: statements.Lift, operator: settings.Operator
+    ) -> calls.Reply:
+        if not self.suspects.lift(statement.suspect):
+            message = f"nothing in quarantine has the hash {statement.suspect!r:.80}"
+            return calls.refuse(outcomes.invalid(message, "not_found", 404))
+        self.audit.record(
+            audit.Kind.QUARANTINE,
+            statement.suspect,
+            "lift quarantine",
+            statement.why,
+            who=operator.name,
+        )
+        note = f"{statement.suspect} may run again on every VM"
+        answer = answers.Answer(self.configuration.revision, (), (note,))
+        return calls.json_reply(answer.plain())
+
     def _show(self, name: str) -> calls.Reply:
         if name not in list(statements.Collection):
             return calls.refuse(
@@ -147,7 +170,7 @@
                 return calls.refuse(refusal)
 
 
-def _reply(outcome: questions.Outcome) -> calls.Reply:
+def _reply(outcome: answers.Outcome) -> calls.Reply:
     match outcome:
         case result.Ok(answer):
             return calls.json_reply(answer.plain())
--- a/packages/mothworks/src/mothworks/row_classes.py
+++ b/packages/mothworks/src/mothworks/row_classes.py
@@ -158,30 +158,22 @@
 
 @attrs.frozen
 class QuarantineRow:
-    """A request that is kept from endpoints because it crashed some.
+    """A request that endpoints crashed on.
 
-    :param suspect: hash of caller, model and body.
-    :param crashes: endpoints that ended while they ran it.
-    :param state: suspect or quarantined.
+    :param suspect: hash of caller, model and body, as ``lift`` takes it.
+    :param state: suspect (runs alone) or quarantined (refused).
+    :param points: 2 for a crash, 1 for a connection that broke alone.
+    :param caller: the caller's name.
+    :param model: the model, adapter or service.
+    :param at: ISO time of the last change, UTC.
     """
 
     suspect: str
-    crashes: int
     state: str
-
-
-@attrs.frozen
-class CountRow:
-    """How many requests of one class ended in one way, on one VM.
-
-    :param urgency: the class.
-    :param verdict: an :class:`attainment.Verdict`.
-    :param count: requests of the last minute.
-    """
-
-    urgency: str
-    verdict: str
-    count: int
+    points: int
+    caller: str
+    model: str
+    at: str
 
 
 @attrs.frozen
@@ -212,45 +204,6 @@
     met_a_minute: float
 
 
-@attrs.frozen
-class TraceRow:
-    """A request at the VM that it reached.
-
-    :param request: its id.
-    :param entry: the VM that it reached.
-    :param caller: the caller's name.
-    :param urgency: class of the request.
-    :param model: the model, adapter or service asked for.
-    :param state: running, or how it ended.
-    :param age_ms: time since it arrived, milliseconds.
-    :param deadline_ms: time left to the first token's target, milliseconds;
-        below 0 where it has passed.
-    """
-
-    request: str
-    entry: str
-    caller: str
-    urgency: str
-    model: str
-    state: str
-    age_ms: int
-    deadline_ms: int
-
-
-@attrs.frozen
-class StepRow:
-    """A step of a request, or an endpoint that it may yet go to.
-
-    :param at_ms: time since the request arrived, milliseconds.
-    :param endpoint: the endpoint concerned; empty for none.
-    :param what: what happened or was decided there.
-    """
-
-    at_ms: int
-    endpoint: str
-    what: str
-
-
 @attrs.frozen
 class BatchRow:
     """An endpoint's batch and queue, at its owner.
@@ -277,30 +230,6 @@
     longest_ms: int
 
 
-@attrs.frozen
-class ReplicaRow:
-    """An endpoint that has a model, and why it takes work or not.
-
-    :param endpoint: the endpoint.
-    :param data_centre: where it runs.
-    :param owner: the VM that owns it.
-    :param takes_work: ``yes``, or why not.
-    :param running: requests in its batch; -1 where its owner did not answer.
-    :param slots: most requests in the batch now.
-    :param queued: requests that wait for it.
-    :param longest_ms: longest wait of them, milliseconds.
-    """
-
-    endpoint: str
-    data_centre: str
-    owner: str
-    takes_work: str
-    running: int
-    slots: int
-    queued: int
-    longest_ms: int
-
-
 _class_by_collection = {
     statements.Collection.MODELS: ModelRow,
     statements.Collection.ENDPOINTS: EndpointRow,
--- a/packages/mothworks/src/mothworks/statements.py
+++ b/packages/mothworks/src/mothworks/statements.py
@@ -195,12 +195,24 @@
     why: str = ""
 
 
+@attrs.frozen
+class Lift:
+    """``lift quarantine S``: let a request run again on every VM.
+
+    :param suspect: its hash, as ``show quarantine`` lists it.
+    :param why: the reason, for the audit trail.
+    """
+
+    suspect: str
+    why: str = ""
+
+
 #: Statements that read; the role viewer is enough.
 Question = Show | WhyModel | WhyRequest
 #: Statements that change the catalogue.
 Change = Add | Retire | Drain | Resume | Reprioritise
 #: Every statement that a node takes.
-Statement = Question | Change | Move
+Statement = Question | Change | Move | Lift
 
 _class_by_name = {kind.__name__: kind for kind in typing.get_args(Statement)}
 
--- a/packages/mothworks/src/mothworks/suspects.py
+++ b/packages/mothworks/src/mothworks/suspects.py
@@ -22,6 +22,7 @@
 import xxhash
 
 from mothworks import (
+    audit,
     catalogue,
     configuration,
     health,
@@ -135,6 +136,7 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
+        self.audit = node_kernel.get(audit.Audit)
         self.configuration = node_kernel.get(configuration.Configuration)
         self.health = node_kernel.get(health.Health)
         self.membership = node_kernel.get(membership.Membership)
@@ -272,6 +274,14 @@
                 broke.caller,
                 broke.target,
             )
+            self.audit.record(
+                audit.Kind.QUARANTINE,
+                broke.fingerprint.hex(),
+                f"quarantine a request of {broke.caller} to {broke.target}",
+                f"{points} points after {broke.endpoint}",
+                before=known.points if known else 0,
+                after=points,
+            )
         return suspect
 
     def _answers(self, name: str) -> bool:
--- a/packages/mothworks/tests/test_attainment.py
+++ b/packages/mothworks/tests/test_attainment.py
@@ -10,7 +10,7 @@
     attainment_rows,
     kernel,
     progress,
-    row_classes,
+    reason_rows,
     slots,
 )
 
@@ -60,11 +60,11 @@
 def test_sums_over_vms_and_classes():
     rows = attainment_rows.summed(
         [
-            row_classes.CountRow("urgent", V.MET, 30),
-            row_classes.CountRow("urgent", V.MET, 60),
-            row_classes.CountRow("urgent", V.LATE, 10),
-            row_classes.CountRow("urgent", V.CANCELLED, 5),
-            row_classes.CountRow("bulk", V.MET, 10),
+            reason_rows.CountRow("urgent", V.MET, 30),
+            reason_rows.CountRow("urgent", V.MET, 60),
+            reason_rows.CountRow("urgent", V.LATE, 10),
+            reason_rows.CountRow("urgent", V.CANCELLED, 5),
+            reason_rows.CountRow("bulk", V.MET, 10),
         ],
         accelerators=4,
     )
--- a/packages/mothworks/tests/test_operator_calls.py
+++ b/packages/mothworks/tests/test_operator_calls.py
@@ -150,3 +150,25 @@
     assert "Attainment of the last minute" in text
     assert testbed.key_hash(VIEWER_KEY) not in text
     assert testbed.key_hash(builders.CALLER_KEY) not in text
+
+
+def test_quarantine_is_shown_and_lifted(deployment):
+    """A caller whose request was judged wrongly would go on being refused.
+
+    It is in flight when its endpoint crashes and becomes a suspect; an
+    operator lifts it through another VM.
+    """
+    engine_fake = deployment.fake_by_endpoint["engine-1"]
+    crashing = gevent.spawn(chat, deployment, "vm-1", 50)
+    processes.wait_until(lambda: engine_fake.running)
+    engine_fake.restart_s = 2.0
+    engine_fake.crash()
+    crashing.join()
+    processes.wait_until(lambda: rows(deployment, "show quarantine", "vm-3"))
+    [row] = rows(deployment, "show quarantine", "vm-3")
+    assert (row["state"], row["caller"], row["model"]) == ("suspect", "guest", "menu")
+    lift = f"lift quarantine {row['suspect']} because test"
+    assert ask(deployment, lift, key=VIEWER_KEY).unwrap_err().status == 403
+    assert ask(deployment, "lift quarantine 00").unwrap_err().status == 404
+    ask(deployment, lift, "vm-2").unwrap()
+    processes.wait_until(lambda: not rows(deployment, "show quarantine"))
