Fault matrix: cuts between VMs, by a node whose network a test can cut

The stand-in node is the ordinary one with a plug-in more, which loses datagrams and refuses connections with the VMs it is told. One more test shows that a cut is a cut: the isolated VM is declared dead by the others, and comes back when the network is mended.

--- a/packages/mothworks/tests/test_faults.py
+++ b/packages/mothworks/tests/test_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mothworks_fakes import callers, gates, testbed, trial
+from mothworks_fakes import callers, gates, processes, testbed, trial
 
 Fault = trial.Fault
 Step = gates.Step
@@ -23,6 +23,7 @@
     (Fault.PAUSE_ENTRY, Fault.KILL_OWNER),
     (Fault.CRASH_ENDPOINT, Fault.KILL_OWNER),
     (Fault.STOP_ENTRY, Fault.OBJECT_API_LOST_REPLY),
+    (Fault.ISOLATE_OWNER, Fault.KILL_ENTRY),
 )
 
 CELLS = [
@@ -50,3 +51,23 @@
 )
 def test_cell(deployment, kind, step, faults):
     assert deployment.play(kind, step, faults).check() == []
+
+
+def test_an_isolated_vm_is_declared_dead_and_comes_back(deployment):
+    # A switch fails: one VM reaches no other, while its process runs on. The
+    # others must route around it, and take it back when the switch is mended.
+    nodes = deployment.bed.node_by_name
+    others = [trial.ENTRY, trial.OTHER]
+    nodes[trial.OWNER].cut(others)
+    for name in others:
+        nodes[name].cut([trial.OWNER])
+
+    def is_known(name, to):
+        rows = deployment.bed.operator(nodes[to]).get("show/peers").unwrap()
+        return name in {row["vm"] for row in rows}
+
+    processes.wait_until(lambda: not is_known(trial.OWNER, to=trial.ENTRY), 60.0)
+    processes.wait_until(lambda: not is_known(trial.ENTRY, to=trial.OWNER), 60.0)
+    for node in nodes.values():
+        node.cut([])
+    deployment.settle()
--- a/packages/mothworks_fakes/src/mothworks_fakes/processes.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/processes.py
@@ -28,15 +28,21 @@
 
     :param checked: its settings; the kernel chooses ports that are 0.
     :param folder: where its settings file and log go.
+    :param module: the program, ``mothworks`` or one that adds plug-ins to it.
     """
 
-    def __init__(self, checked: settings.Settings, folder: pathlib.Path):
+    def __init__(
+        self,
+        checked: settings.Settings,
+        folder: pathlib.Path,
+        module: str = "mothworks",
+    ):
         self.settings = checked
         path = folder / f"{checked.name}.json"
         path.write_bytes(orjson.dumps(documents.plain(checked)))
         self.log_path = folder / f"{checked.name}.log"
         self.log = self.log_path.open("ab")
-        command = [sys.executable, "-m", "mothworks", "--settings", str(path)]
+        command = [sys.executable, "-m", module, "--settings", str(path)]
         # The node imports the same sources as this process, also where
         # another checkout is installed.
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
@@ -62,6 +68,16 @@
         except OSError:
             return False
 
+    def cut(self, vms: list[str]) -> None:
+        """Cut the network between this node and others, and only these.
+
+        :param vms: the other nodes' names; an empty list heals the network.
+            The node must run ``mothworks_fakes.cut_node``.
+        """
+        client = geventhttpclient.HTTPClient.from_url(self.url)
+        if client.request("PUT", "/cuts", orjson.dumps(vms)).status_code != 200:
+            raise RuntimeError(f"{self.settings.name} did not take the cut")
+
     def is_running(self) -> bool:
         """Return whether the process has not ended."""
         return self.process.poll() is None
--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -73,13 +73,19 @@
         return self._add_fake(declared, application.Application())
 
     def add_node(
-        self, name: str, data_centre: str, region: str, **changes
+        self,
+        name: str,
+        data_centre: str,
+        region: str,
+        module: str = "mothworks",
+        **changes,
     ) -> processes.NodeProcess:
         """Start a node and put it on the VM list.
 
         :param name: the VM's name.
         :param data_centre: where it runs.
         :param region: that data centre's region.
+        :param module: the program, see :class:`processes.NodeProcess`.
         :param changes: further fields of :class:`settings.Settings`.
         """
         checked = settings.Settings(
@@ -99,7 +105,7 @@
             ),
         )
         checked = attrs.evolve(checked, **changes)
-        node = processes.NodeProcess(checked, self.folder)
+        node = processes.NodeProcess(checked, self.folder, module)
         self.node_by_name[name] = node
         self.vm_list.put(
             vm_list.Vm(
--- a/packages/mothworks_fakes/src/mothworks_fakes/trial.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/trial.py
@@ -19,6 +19,7 @@
 MODEL = "menu"
 SERVICE = "orders"
 REGION = "region-1"
+MODULE = "mothworks_fakes.cut_node"
 ENTRY = "vm-entry"
 OWNER = "vm-owner"
 OTHER = "vm-other"
@@ -31,6 +32,8 @@
 SETTLE_S = 60.0
 #: Time that a paused VM stays paused, and an outage lasts, seconds.
 FAULT_S = 1.5
+#: Time that a cut lasts, seconds: enough for a VM to be declared dead.
+CUT_S = 6.0
 
 Mend = collections.abc.Callable[[], object]
 
@@ -44,6 +47,10 @@
     PAUSE_OWNER = "pause owner"
     STOP_ENTRY = "stop entry"
     STOP_OWNER = "stop owner"
+    #: Entry and owner cannot reach each other; both reach the third VM.
+    CUT_ENTRY_OWNER = "cut entry from owner"
+    #: The owner reaches no other VM, but endpoints and object API.
+    ISOLATE_OWNER = "isolate owner"
     CRASH_ENDPOINT = "crash endpoint"
     OBJECT_API_OUTAGE = "object api outage"
     OBJECT_API_LOST_REPLY = "object api lost reply"
@@ -153,6 +160,10 @@
                 return gevent.spawn(node_by_name[ENTRY].stop).get
             case Fault.STOP_OWNER:
                 return gevent.spawn(node_by_name[OWNER].stop).get
+            case Fault.CUT_ENTRY_OWNER:
+                return self._cut(OWNER, [ENTRY])
+            case Fault.ISOLATE_OWNER:
+                return self._cut(OWNER, [ENTRY, OTHER])
             case Fault.CRASH_ENDPOINT:
                 for fake in self.bed.fake_by_endpoint.values():
                     fake.break_connections()
@@ -165,6 +176,20 @@
                 api.faults.delay_s = 0.5
         return self._mend_api
 
+    def _cut(self, vm: str, others: list[str]) -> Mend:
+        node_by_name = self.bed.node_by_name
+        node_by_name[vm].cut(others)
+        for other in others:
+            node_by_name[other].cut([vm])
+
+        def mend() -> None:
+            gevent.sleep(CUT_S)
+            for name in (vm, *others):
+                if node_by_name[name].is_running():
+                    node_by_name[name].cut([])
+
+        return mend
+
     def _mend_api(self) -> None:
         gevent.sleep(FAULT_S)
         self.bed.object_api.faults = attrs.evolve(
@@ -177,7 +202,7 @@
                 self._start(name)
 
     def _start(self, name: str) -> None:
-        self.bed.add_node(name, DATA_CENTRE_BY_VM[name], REGION)
+        self.bed.add_node(name, DATA_CENTRE_BY_VM[name], REGION, module=MODULE)
 
     def _engine(self, name: str) -> catalogue.Endpoint:
         started = self.bed.add_engine(
