--- a/packages/mothworks/src/mothworks/changes.py
+++ b/packages/mothworks/src/mothworks/changes.py
@@ -9,15 +9,6 @@
 
 from mothworks import catalogue, documents, outcomes, statements
 
-#: Sections whose items have names, in the order of the catalogue.
-NAMED_SECTIONS = (
-    "data_centres",
-    "models",
-    "adapters",
-    "services",
-    "callers",
-    "endpoints",
-)
 #: Fields that hold secrets, though only hashes; differences leave them out.
 HIDDEN_FIELDS = frozenset(("key_sha256",))
 
@@ -87,15 +78,17 @@
     :param after: the second catalogue.
     """
     found = []
-    for section in NAMED_SECTIONS:
-        first = {item.name: item for item in getattr(before, section)}
-        second = {item.name: item for item in getattr(after, section)}
-        for name in sorted(first.keys() | second.keys()):
-            found += _item_difference(section, name, first.get(name), second.get(name))
-    for section in ("weights", "retention"):
-        found += _item_difference(
-            section, "", getattr(before, section), getattr(after, section)
-        )
+    for section in (field.name for field in attrs.fields(catalogue.Catalogue)):
+        first, second = getattr(before, section), getattr(after, section)
+        if not isinstance(first, tuple):
+            found += _item_difference(section, "", first, second)
+            continue
+        first_by_name = {item.name: item for item in first}
+        second_by_name = {item.name: item for item in second}
+        for name in sorted(first_by_name.keys() | second_by_name.keys()):
+            found += _item_difference(
+                section, name, first_by_name.get(name), second_by_name.get(name)
+            )
     return tuple(found)
 
 
--- a/packages/mothworks/tests/test_operator_commands.py
+++ b/packages/mothworks/tests/test_operator_commands.py
@@ -1,5 +1,6 @@
 """Commands of operators: conditional, each refusal leaves nothing changed."""
 
+import attrs
 import pytest
 
 import builders
@@ -156,3 +157,16 @@
     )
     assert [item.field for item in difference] == ["key_sha256"]
     assert "0000" not in str(difference)
+
+
+def test_a_difference_covers_every_section():
+    """An operator would not see that a file changes how moves are weighed."""
+    before = builders.declared()
+    for field in catalogue.Catalogue.__attrs_attrs__:
+        value = getattr(before, field.name)
+        if not isinstance(value, tuple):
+            name = value.__attrs_attrs__[0].name
+            changed = attrs.evolve(value, **{name: getattr(value, name) + 1})
+            after = attrs.evolve(before, **{field.name: changed})
+            [found] = changes.difference(before, after)
+            assert (found.section, found.field) == (field.name, name)
