Adaptive limit: on trial first, cut by what ran, bulk leaves room for urgent

Cause, seen with 2 engines of 32 slots whose tokens take 20 ms + 1 ms for each further request, 20 urgent and 12 bulk requests/s, 6 nodes, 25 s: the batch began with all 32 slots full of bulk, late samples cut the limit again and again for one overload, urgent work came on top of a batch full of bulk, and the mean was steered to the edge of the target. Change: a new limit is on trial (bulk gets a quarter of the slots, doubling); samples from before the last decision are dropped; a cut starts from what ran; slots that urgent work used lately are kept free of bulk while the limit is below the engine's slots; the mean is steered to 82% of the target.

--- a/packages/mothworks/src/mothworks/batches.py
+++ b/packages/mothworks/src/mothworks/batches.py
@@ -23,7 +23,7 @@
 #: work, seconds; a quarter of the first token's target.
 TOLERATED_WAIT_S = 0.4
 #: Time in which the count of urgent requests in flight fades, seconds.
-FADE_S = 60.0
+FADE_S = 20.0
 #: Time for which a new owner believes the engine's own count, seconds.
 TAKEOVER_S = 5.0
 
@@ -137,7 +137,9 @@
         :param target_ms: its caller's target, milliseconds.
         """
         if not held.ask.rank or held.since > self.preempted_at:
-            self.limit.observe(between_ms, target_ms)
+            ratio = between_ms / target_ms
+            running = len(self.held_by_key)
+            self.limit.observe(ratio, running, held.since, time.monotonic())
 
     def pause(self) -> None:
         """Grant nothing for a moment, since the endpoint refused a request."""
@@ -203,16 +205,21 @@
     def reserve(self) -> int:
         """Return how many slots are kept free of bulk work.
 
-        While slots become free often, an urgent request that finds the batch
-        full of bulk work waits little, and nothing is kept. Where bulk work
-        holds its slots long, as many are kept as urgent work has used lately.
+        An engine with priorities takes places back where its own slots are
+        full; below them, urgent work beside a batch full of bulk would make
+        every token late. Without priorities an urgent request waits for the
+        next free slot, which is short while these become free often.
         """
+        now = time.monotonic()
+        self._note_urgent(now)
         if self.preempts:
+            needed = self.limit.value < self.limit.most
+        else:
+            needed = self._next_free_s(0) > TOLERATED_WAIT_S
+        if not needed or not self.urgent_peak:
             return 0
-        self._note_urgent(time.monotonic())
-        if not self.urgent_peak or self._next_free_s(0) <= TOLERATED_WAIT_S:
-            return 0
-        return min(math.ceil(self.urgent_peak) + 1, self.limit.value - 1)
+        kept = math.ceil(self.urgent_peak) + 1 - self.running(queues.BULK - 1)
+        return max(0, min(kept, self.limit.value - 1))
 
     def _unheard(self) -> int:
         if time.monotonic() - self.created > TAKEOVER_S:
@@ -266,7 +273,7 @@
     def _free(self, rank: int, now: float) -> bool:
         if now < self.paused_until or self.alone.blocks():
             return False
-        limit = self.limit.value
+        limit = self.limit.value_for(rank < queues.BULK)
         if rank == queues.BULK:
             limit -= self.reserve()
         # An engine with priorities takes back places of less urgent work, so
@@ -283,7 +290,7 @@
         if key not in self.held_by_key:
             self.held_by_key[key] = Held(ask, entry, now)
             self.adopted += ask.held
-        if len(self.held_by_key) > self.limit.value:
+        if len(self.held_by_key) > self.limit.most:
             self.preempted_at = now
         if ask.rank < queues.BULK:
             self._note_urgent(now)
@@ -311,7 +318,11 @@
         highest = rank if self.preempts else queues.BULK
         held = [item.ask.rank for item in self.held_by_key.values()]
         times = [self.hold_s_by_rank[item] for item in held if item <= highest]
-        return sum(times) / len(times) / self.limit.value if times else 0.0
+        return (
+            sum(times) / len(times) / self.limit.value_for(rank < queues.BULK)
+            if times
+            else 0.0
+        )
 
     def _note_urgent(self, now: float) -> None:
         urgent = sum(item.ask.rank < queues.BULK for item in self.held_by_key.values())
