--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -4,6 +4,7 @@
     application,
     attainment,
     audit,
+    audit_retention,
     claims,
     configuration,
     configuration_following,
--- a/packages/mothworks/src/mothworks/catalogue.py
+++ b/packages/mothworks/src/mothworks/catalogue.py
@@ -167,6 +167,7 @@
         fetched, seconds.
     :param quarantine_s: time for which a request that crashed endpoints is
         refused, seconds.
+    :param audit_s: time for which the audit trail is kept, seconds.
     """
 
     claims_s: float = attrs.field(default=86_400.0, validator=settings.check_positive)
@@ -174,6 +175,9 @@
     quarantine_s: float = attrs.field(
         default=3_600.0, validator=settings.check_positive
     )
+    audit_s: float = attrs.field(
+        default=90 * 86_400.0, validator=settings.check_positive
+    )
 
 
 @attrs.frozen
--- a/packages/mothworks/tests/test_audit.py
+++ b/packages/mothworks/tests/test_audit.py
@@ -1,10 +1,20 @@
 """The audit trail: batches, rotation, lost replies, outages and gaps."""
 
+import datetime
+
 import gevent
 import pytest
 
 import builders
-from mothworks import audit, audit_reading, kernel, membership
+import stored
+from mothworks import (
+    audit,
+    audit_reading,
+    audit_retention,
+    kernel,
+    membership,
+    objects,
+)
 from mothworks_fakes import object_api, processes
 
 
@@ -175,3 +185,20 @@
     with gevent.Timeout(2.0):
         for number in range(1000):
             change(trail, number)
+
+
+def test_old_objects_are_deleted_and_others_kept():
+    made = builders.kernel_with_objects(stored.MemoryApi())
+    api = made.get(objects.Objects).api
+    retention = made.get(audit_retention.AuditRetention)
+    today = datetime.date(2026, 6, 30)
+    keys = [
+        f"{audit.PREFIX}{today - datetime.timedelta(days=back)}/vm-1/1-000001"
+        for back in (0, 89, 90, 91, 100)
+    ]
+    for key in keys:
+        api.put(key, b"", None)
+    assert retention.clean(today) == 2
+    assert sorted(api.list(audit.PREFIX).unwrap()) == sorted(keys[:3])
+    api.down = True
+    assert retention.clean(today) == 0
