Moves hardened: last replicas kept, drains that refuse nobody, unreadable ledgers

Causes, each with a test that failed first: - Two planners could each give up one replica of the same model; an owner now looks, after it has withheld the model, whether anybody else answers. - A move that waited for the object API kept its model withheld; it is dropped and decided anew. - A new planner's first pass saw every endpoint closed (states were followed before the endpoints were known). - A drained endpoint's last replica refused callers until it was loaded elsewhere; it now answers until then, if there is anywhere else to load. - A ledger of a later version stopped the VM; it is left alone.

--- a/packages/mothworks/src/mothworks/health.py
+++ b/packages/mothworks/src/mothworks/health.py
@@ -163,8 +163,7 @@
 
     def _announce(self, name: str, report: endpoints.Report) -> None:
         state = placement.EndpointState.OPEN
-        declared = self.configuration.index.endpoint_by_name.get(name)
-        if report.draining or (declared is not None and declared.drain):
+        if report.draining:
             state = placement.EndpointState.DRAINING
         withheld = self.withheld_by_endpoint.get(name, frozenset())
         resident = {item.name for item in report.residents}
--- a/packages/mothworks/src/mothworks/ledger_store.py
+++ b/packages/mothworks/src/mothworks/ledger_store.py
@@ -33,7 +33,21 @@
     """Another owner wrote the ledger; it must be read again."""
 
 
-StoreError = Lost | objects.Unavailable
+@attrs.frozen
+class Unreadable:
+    """What is stored is not a ledger that this version understands.
+
+    A later version may have stored more than this one knows; a write from
+    here would drop that, so the ledger is left alone.
+
+    :param reason: what is not understood.
+    """
+
+    reason: str
+
+
+ReadError = objects.Unavailable | Unreadable
+StoreError = Lost | ReadError
 
 
 class LedgerStore:
@@ -47,16 +61,14 @@
         self.api = api
         self.patience_s = patience_s
 
-    def read(self, endpoint: str) -> result.Result[Kept, objects.Unavailable]:
+    def read(self, endpoint: str) -> result.Result[Kept, ReadError]:
         """Read an endpoint's ledger; an empty one where there is none.
 
         :param endpoint: the endpoint's name.
         """
         match self.api.get(PREFIX + endpoint):
             case result.Ok(stored):
-                value = orjson.loads(stored.body)
-                found = documents.structure(value, ledger.Ledger, stored.key).unwrap()
-                return result.Ok(Kept(found, stored.version))
+                return _parse(stored)
             case result.Err(objects.Missing()):
                 return result.Ok(Kept(ledger.Ledger(endpoint), None))
             case error:
@@ -86,3 +98,14 @@
         # Also where this write may have taken effect: then the ledger that is
         # read next holds its intent, and whoever reads it goes on from there.
         return result.Err(Lost())
+
+
+def _parse(stored: objects.Stored) -> result.Result[Kept, Unreadable]:
+    try:
+        value = orjson.loads(stored.body)
+    except orjson.JSONDecodeError as error:
+        return result.Err(Unreadable(f"{stored.key}: {error}"))
+    read = documents.structure(value, ledger.Ledger, stored.key)
+    return read.map(lambda found: Kept(found, stored.version)).map_err(
+        lambda problem: Unreadable(str(problem))
+    )
--- a/packages/mothworks/src/mothworks/moves.py
+++ b/packages/mothworks/src/mothworks/moves.py
@@ -13,7 +13,7 @@
 import attrs
 import result
 
-from mothworks import catalogue, endpoints, ledger, ledger_store, objects
+from mothworks import catalogue, endpoints, ledger, ledger_store
 
 #: Longest time between a look at the ledger and the sending of an order,
 #: seconds. A VM that was paused for longer looks again before it sends.
@@ -63,7 +63,7 @@
         """Return the ledger as last read or written, or None before."""
         return self.kept.ledger if self.kept else None
 
-    def look(self) -> result.Result[None, objects.Unavailable]:
+    def look(self) -> result.Result[None, ledger_store.ReadError]:
         """Read the ledger."""
         now = self.clock.monotonic()
         return self.store.read(self.endpoint.name).map(
--- a/packages/mothworks/src/mothworks/orders.py
+++ b/packages/mothworks/src/mothworks/orders.py
@@ -29,6 +29,7 @@
     objects,
     ownership,
     peers,
+    placement,
     plugins,
     row_classes,
     slots,
@@ -42,6 +43,8 @@
 REPORT_S = 3.0
 #: Pause after a step that failed, seconds.
 RETRY_S = 0.5
+#: Pause before a ledger that is not understood is read again, seconds.
+UNREADABLE_S = 30.0
 #: Pause before an order of unknown outcome is repeated, seconds.
 REPEAT_S = 0.3
 #: Time that entries need to hear that a model is not offered any more, seconds.
@@ -120,6 +123,7 @@
         self.configuration = node_kernel.get(configuration.Configuration)
         self.membership = node_kernel.get(membership.Membership)
         self.health = node_kernel.get(health.Health)
+        self.placement = node_kernel.get(placement.Placement)
         self.slots = node_kernel.get(slots.Slots)
         self.peers = node_kernel.get(peers.Peers)
         self.audit = node_kernel.get(audit.Audit)
@@ -256,7 +260,7 @@
     def run(self) -> None:
         """Take steps until this VM no longer owns the endpoint."""
         while True:
-            pause_s = self._step()
+            pause_s = self.take_step()
             if pause_s:
                 self.changed.wait(pause_s)
                 self.changed.clear()
@@ -309,7 +313,7 @@
             rows.insert(0, sent)
         return rows
 
-    def _step(self) -> float:
+    def take_step(self) -> float:
         """Take one step; return the pause before the next, seconds."""
         self._follow_catalogue()
         if self.mover.current is None:
@@ -338,6 +342,9 @@
                 return 0.0
             case result.Err(ledger_store.Lost()):
                 return 0.0
+            case result.Err(ledger_store.Unreadable(reason)):
+                log.warning("{}: no moves, {}", self.name, reason)
+                return UNREADABLE_S
             case result.Err(problem):
                 log.debug("{}: {}", self.name, problem)
                 return RETRY_S
@@ -378,21 +385,42 @@
             return 0.0
         if kind is endpoints.OrderKind.UNLOAD:
             self._quiesce(holding)
+            if self._is_last(holding):
+                log.info("{}: {} is the last replica now", self.name, holding.name)
+                self._offer_all()
+                return 0.0
         step = self.mover.intend(kind, holding)
         match step:
-            case result.Err(ledger.NoRoom() | ledger.Needless() as problem):
+            case result.Ok(_):
+                self._record(kind, holding, move.why, self.mover.current.fence)
+            case result.Err(problem):
+                # The planner decides anew from the next report. Kept here, the
+                # move would withhold its model while the object API is down.
                 log.debug("{}: {} not begun: {}", self.name, move, problem)
                 self._offer_all()
-                return 0.0
-            case result.Err(objects.Unavailable()):
-                # The move pauses with the object API; the planner's later
-                # moves may differ, so that this one is not kept for ever.
-                self.queue.appendleft(move)
-            case result.Ok(_):
-                fence = self.mover.current.fence
-                self._record(kind, holding, move.why, fence)
         return self._pause_after(step)
 
+    def _is_last(self, holding: ledger.Holding) -> bool:
+        """Return whether a declared model would answer nowhere without this.
+
+        Two planners, in a partition that just ended, may each have given up
+        the other's replica. Both owners have withheld the model by now and
+        heard of each other, so that both see it here and keep it.
+        """
+        index = self.orders.configuration.index
+        if holding.name not in index.model_by_name | index.adapter_by_name:
+            return False
+        if self._has_other_version(holding):
+            return False
+        answering = self.orders.placement.open_endpoints(holding.name)
+        return not set(answering) - {self.name}
+
+    def _has_other_version(self, holding: ledger.Holding) -> bool:
+        return any(
+            item.name == holding.name and item.version != holding.version
+            for item in self.mover.current.holdings
+        )
+
     def _resolve(self) -> float:
         intent = self.mover.current.intent
         if intent.kind is endpoints.OrderKind.UNLOAD and self.quiet_for != intent.id:
@@ -426,10 +454,7 @@
         """
         if self.mover.current.holding(*holding.key) is None:
             return
-        stays = any(
-            item.name == holding.name and item.version != holding.version
-            for item in self.mover.current.holdings
-        )
+        stays = self._has_other_version(holding)
         names = self._needing(holding)
         if stays:
             waited_for = self._running(names)
--- a/packages/mothworks/src/mothworks/packing.py
+++ b/packages/mothworks/src/mothworks/packing.py
@@ -181,12 +181,13 @@
 
     def _spread(self, batch: Batch) -> None:
         """Give models a second data centre where memory is free."""
+        most_mb = _most_free_mb(batch.fleet)
         for item in batch.fleet.demanded_by_name.values():
             if batch.full:
                 return
-            sites = batch.fleet.replicas(item.need.name)
-            if item.need.base or not sites:
+            if item.need.base or item.need.room_mb > most_mb:
                 continue
+            sites = batch.fleet.replicas(item.need.name)
             used = {site.data_centre for site in sites}
             if len(used) > 1:
                 continue
@@ -203,10 +204,13 @@
         """
         if batch.moves or self.weights.moves > self.weights.attainment:
             return
+        most_mb = _most_free_mb(batch.fleet)
         waiting = [
             item
             for item in batch.fleet.demanded_by_name.values()
-            if item.places > LEAST_PLACES and not item.need.base
+            if item.places > LEAST_PLACES
+            and item.need.room_mb <= most_mb
+            and not item.need.base
         ]
         waiting.sort(key=lambda item: -item.places / (1 + len(item.share_by_site)))
         for item in waiting:
@@ -463,3 +467,9 @@
             and site.memory_mb >= item.need.room_mb
             and item.need.key not in site.memory_by_key
         ]
+
+
+def _most_free_mb(planned: fleet.Fleet) -> int:
+    """Return the most free memory of any endpoint that could load now, MB."""
+    sites = planned.site_by_name.values()
+    return max((s.free_mb for s in sites if s.open and not s.loading), default=0)
--- a/packages/mothworks/src/mothworks/placement.py
+++ b/packages/mothworks/src/mothworks/placement.py
@@ -161,7 +161,7 @@
         :param target: a model, adapter or service.
         """
         names = self.candidates(target)
-        return [name for name in names if not self.why_closed(name)]
+        return [name for name in names if not self.why_closed(name, target)]
 
     def candidates(self, target: str) -> list[str]:
         """Return the endpoints that have a target, open or not.
@@ -173,16 +173,18 @@
             return [endpoint.name for endpoint in by_service[target]]
         return sorted(self.endpoints_by_model.get(target, ()))
 
-    def why_closed(self, name: str) -> str:
+    def why_closed(self, name: str, target: str = "") -> str:
         """Return why an endpoint takes no new work; empty where it does.
 
         :param name: the endpoint's name.
+        :param target: a model or adapter; an endpoint that an operator drains
+            takes work for it until it is loaded elsewhere.
         """
         status = self.status_by_endpoint.get(name)
         declared = self.configuration.index.endpoint_by_name.get(name)
         if declared is None:
             return "not declared"
-        if declared.drain:
+        if declared.drain and not self._is_last(name, target):
             return "drained by an operator"
         if name in self.membership.leaving_endpoints:
             return "its VM is leaving"
@@ -192,6 +194,22 @@
             return status.state
         return ""
 
+    def _is_last(self, name: str, target: str) -> bool:
+        """Return whether a model waits to be loaded elsewhere.
+
+        That is so while no other endpoint answers for it, and one is open that
+        could load it. Where none is, a drain closes the endpoint all the same.
+        A service cannot be loaded; its drained instances take nothing.
+        """
+        if not self.endpoints_by_model.get(target):
+            return False
+        holding = self.candidates(target)
+        if any(not self.why_closed(other) for other in holding if other != name):
+            return False
+        declared = self.configuration.index.catalogue.endpoints
+        engines = [item.name for item in declared if item.memory_mb]
+        return any(not self.why_closed(other) for other in engines)
+
     def _forget(self, status: EndpointStatus) -> None:
         del self.status_by_endpoint[status.endpoint]
         self.digest.change(status)
--- a/packages/mothworks/src/mothworks/planner.py
+++ b/packages/mothworks/src/mothworks/planner.py
@@ -131,13 +131,8 @@
 
     def _open_endpoints(self) -> frozenset[str]:
         """Return the endpoints that may get loads and whose replicas count."""
-        statuses = self.placement.status_by_endpoint
-        return frozenset(
-            name
-            for name, status in statuses.items()
-            if status.state == placement.EndpointState.OPEN
-            and name not in self.membership.leaving_endpoints
-        )
+        names = self.placement.status_by_endpoint
+        return frozenset(name for name in names if not self.placement.why_closed(name))
 
     def _hand_out(self, move: orders.Move) -> None:
         endpoint = self.configuration.index.endpoint_by_name.get(move.endpoint)
@@ -235,10 +230,10 @@
         book.update(seconds)
         self._set_demand(book)
         self._forget(now)
-        self._follow_states(open_endpoints)
-        for name in self.dirty & self.endpoint_by_name.keys():
+        for name in sorted(self.dirty & self.endpoint_by_name.keys()):
             self._sync(name)
         self.dirty.clear()
+        self._follow_states(open_endpoints)
         self.allowance.refill(seconds)
         if now - self.began < LISTEN_S:
             return []
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -435,7 +435,7 @@
         withheld = self.health.withheld_by_endpoint.get(ask.endpoint, frozenset())
         if ask.target in withheld:
             return "not_offered"
-        return self.placement.why_closed(ask.endpoint)
+        return self.placement.why_closed(ask.endpoint, ask.target)
 
     def _share(self, name: str) -> float:
         caller = self.configuration.index.caller_by_name.get(name)
--- a/packages/mothworks/tests/test_moves.py
+++ b/packages/mothworks/tests/test_moves.py
@@ -288,3 +288,17 @@
     assert owner.due() is None
     owner.look()
     assert owner.due() is not None
+
+
+@pytest.mark.parametrize("body", [b'{"endpoint": "engine-1", "added": 1}', b"{"])
+def test_a_ledger_of_a_later_version_is_left_alone(body):
+    """During an upgrade a newer VM owned the endpoint and stored more than this
+    version knows. Reading it must not stop the VM, nor may it be written over.
+    """
+    world = movers.World(fencing=True)
+    key = ledger_store.PREFIX + "engine-1"
+    world.api.put(key, body, None)
+    owner = world.owner()
+    assert isinstance(owner.look().err(), ledger_store.Unreadable)
+    assert owner.current is None
+    assert world.api.bodies_by_key[key] == [body]
--- /dev/null
+++ b/packages/mothworks/tests/test_orders.py
@@ -0,0 +1,73 @@
+"""An owner's task: what it refuses to do, and what it offers afterwards."""
+
+import types
+import unittest.mock
+
+import gevent
+import pytest
+
+import builders
+import movers
+from mothworks import catalogue, endpoints, ledger_store, orders
+
+UNLOAD = orders.Move("engine-1", orders.MoveKind.UNLOAD, "menu", "1")
+
+
+@pytest.fixture
+def work(monkeypatch):
+    """The task of an endpoint that holds the model ``menu``."""
+    monkeypatch.setattr(gevent, "sleep", lambda seconds: None)
+    world = movers.World(fencing=True)
+    owner = world.ready_owner()
+    movers.run(owner, world, endpoints.OrderKind.LOAD, movers.holding())
+    part = unittest.mock.Mock()
+    declared = builders.declared(endpoints=(world.endpoint,), services=())
+    index = catalogue.Index(declared)
+    part.configuration = types.SimpleNamespace(index=index)
+    part.health = unittest.mock.Mock()
+    part.health.adapters.get.return_value = world.adapter
+    part.health.withheld_by_endpoint = {"engine-1": frozenset(["menu"])}
+    part.placement = unittest.mock.Mock()
+    part.slots = unittest.mock.Mock()
+    part.slots.running.return_value = frozenset()
+    part.audit = unittest.mock.Mock()
+    part.moves_total = unittest.mock.Mock()
+    part.store = ledger_store.LedgerStore(world.api, patience_s=0.0)
+    made = orders.Work(part, "engine-1")
+    made.mover = owner
+    made.reconciled_at = owner.clock.monotonic()
+    made.world = world
+    return made
+
+
+def step(work, answering):
+    work.orders.placement.open_endpoints.return_value = answering
+    work.add(UNLOAD)
+    work.take_step()
+
+
+def test_an_unload_withholds_the_model_before_its_order(work):
+    step(work, answering=["engine-2"])
+    work.orders.slots.withhold.assert_called_with("engine-1", frozenset(["menu"]))
+    assert work.mover.current.intent.kind is endpoints.OrderKind.UNLOAD
+    work.take_step()
+    assert work.world.engine.resident_by_key == {}
+
+
+def test_the_last_replica_is_kept_and_offered_again(work):
+    """Two planners, each with half of the region, gave up one replica each.
+    Both owners withheld the model; if both went on, nobody would answer.
+    """
+    step(work, answering=[])
+    assert work.mover.current.intent is None
+    work.orders.slots.withhold.assert_called_with("engine-1", frozenset())
+
+
+def test_an_outage_does_not_leave_a_model_withheld(work):
+    """The object API goes down when an unload begins. The model is resident
+    and must go on answering; the planner decides anew later.
+    """
+    work.world.api.down = True
+    step(work, answering=["engine-2"])
+    work.orders.slots.withhold.assert_called_with("engine-1", frozenset())
+    assert not work.queue
--- /dev/null
+++ b/packages/mothworks/tests/test_planner.py
@@ -0,0 +1,147 @@
+"""The planner: demand, the weight store's limits, lost moves, two planners."""
+
+import attrs
+
+import builders
+import movers
+from mothworks import catalogue, demand, endpoints, orders, planner
+
+LOAD = orders.MoveKind.LOAD
+
+
+def declared(**changes):
+    fields = {
+        "services": (),
+        "models": tuple(builders.model(f"model-{n}") for n in range(6)),
+        "endpoints": tuple(
+            builders.endpoint(f"engine-{n}", memory_mb=100_000) for n in range(6)
+        ),
+        "weights": catalogue.Weights(loads_per_s=2.0, parallel_loads=3),
+    }
+    return builders.declared(**{**fields, **changes})
+
+
+def holdings(endpoint, fence=1, names=(), **changes):
+    versions = ["1"] * len(names)
+    reserved_mb = [20_000] * len(names)
+    free_mb = 100_000 - sum(reserved_mb)
+    made = orders.Holdings(endpoint, fence, names, versions, reserved_mb, free_mb)
+    return attrs.evolve(made, **changes)
+
+
+class Planning:
+    """A region's plan whose time the test advances."""
+
+    def __init__(self, **changes):
+        self.declared = declared(**changes)
+        self.open = frozenset(item.name for item in self.declared.endpoints)
+        self.region = planner.Region("region-1", 0.0)
+        self.region.follow(1, catalogue.Index(self.declared))
+        self.book = demand.Book()
+        self.now = planner.LISTEN_S
+
+    def report(self, *reports):
+        for report in reports:
+            self.region.take(report)
+
+    def report_empty(self):
+        self.report(*(holdings(name) for name in sorted(self.open)))
+
+    def plan(self, seconds=1.0):
+        self.now += seconds
+        return self.region.plan(self.now, self.book, self.open)
+
+
+def test_a_new_planner_listens_before_it_plans():
+    """A planner that begins before owners have reported would take every
+    endpoint for empty and load what is resident already.
+    """
+    planning = Planning()
+    planning.now = 0.0
+    assert planning.plan() == []
+    for number in range(6):
+        planning.report(holdings(f"engine-{number}", names=[f"model-{number}"]))
+    moves = planning.plan(planner.LISTEN_S)
+    assert all(move.why != "resident nowhere" for move in moves)
+
+
+def test_loads_keep_to_the_weight_stores_rate_and_number():
+    planning = Planning()
+    planning.report_empty()
+    first = planning.plan()
+    second = planning.plan()
+    assert [len(first), len(second)] == [2, 1]
+    assert planning.plan(4.0) == []
+
+
+def test_a_lost_move_is_planned_again():
+    """The message with a move is lost. The owner's report shows no work, and
+    after a while the planner decides anew; before that it does not repeat it.
+    """
+    planning = Planning(models=(builders.model("model-0"),))
+    planning.report_empty()
+    (lost,) = planning.plan()
+    assert planning.plan() == []
+    again = planning.plan(planner.FORGOTTEN_S + 1)
+    assert [(move.kind, move.name) for move in again] == [(LOAD, lost.name)]
+
+
+def test_a_move_that_its_owner_works_on_is_not_planned_again():
+    planning = Planning(models=(builders.model("model-0"),))
+    planning.report_empty()
+    (move,) = planning.plan()
+    pending = holdings(
+        move.endpoint,
+        fence=2,
+        free_mb=80_000,
+        pending_kind="load",
+        pending_name="model-0",
+        pending_version="1",
+    )
+    planning.report(pending)
+    assert planning.plan(planner.FORGOTTEN_S + 60) == []
+
+
+def test_an_older_report_is_left():
+    planning = Planning(models=(builders.model("model-0"),))
+    planning.report(holdings("engine-0", fence=5, names=["model-0"]))
+    planning.report(holdings("engine-0", fence=4))
+    assert planning.region.holdings_by_endpoint["engine-0"].fence == 5
+
+
+def test_demand_rises_at_once_and_falls_slowly():
+    book = demand.Book()
+    for _ in range(30):
+        book.take(demand.Counts(["menu"], [10], [10], [5000]))
+        book.update(1.0)
+    averages = book.averages_by_name["menu"]
+    assert averages.rate > 9.0
+    assert abs(averages.service_s - 0.5) < 0.1
+    for _ in range(60):
+        book.update(1.0)
+    assert 0.1 < averages.rate < 2.0
+    for _ in range(5000):
+        book.update(1.0)
+    assert book.averages_by_name == {}
+
+
+def test_requests_without_an_endpoint_count_as_demand():
+    book = demand.Book()
+    book.take(demand.Counts(["menu"], [20], [0], [0]))
+    book.update(1.0)
+    assert book.averages_by_name["menu"].places > 0
+
+
+def test_two_planners_cannot_overcommit():
+    """A partition leaves two planners. Both give the same endpoint a load;
+    both fit alone, together they do not.
+    """
+    world = movers.World(fencing=False)
+    first, second = world.ready_owner(), world.ready_owner()
+    menu, tickets = movers.holding("menu", 60), movers.holding("tickets", 60)
+    assert first.intend(endpoints.OrderKind.LOAD, menu).is_ok()
+    assert second.intend(endpoints.OrderKind.LOAD, tickets).is_err()
+    movers.resolve(first, world)
+    second.look()
+    assert second.intend(endpoints.OrderKind.LOAD, tickets).is_err()
+    assert world.engine.peak_mb <= movers.CAPACITY_MB
