Orders, planner and packing in small modules; policy by setting; placement measured

orders.py (503 lines), packing.py (475) and planner.py (364) each did several jobs: now move_messages, endpoint_task, offering, region_plan, placement_policy and room stand beside them.

--- a/packages/mothworks/src/mothworks/packing.py
+++ b/packages/mothworks/src/mothworks/packing.py
@@ -10,9 +10,7 @@
 import collections.abc
 import random
 
-import attrs
-
-from mothworks import catalogue, fleet, orders, plugins
+from mothworks import catalogue, fleet, move_messages, placement_policy, plugins, room
 
 #: Endpoints that are looked at for one load; in a larger fleet a sample.
 CANDIDATES = 64
@@ -24,82 +22,8 @@
 ROOM_CANDIDATES = 8
 
 
-@attrs.frozen
-class Site:
-    """A place for a load, with what must leave it first.
-
-    :param site: the endpoint.
-    :param victims: keys to unload before the load.
-    :param gain: requests a second that come into their target.
-    """
-
-    site: fleet.Site
-    victims: tuple[tuple[str, str], ...] = ()
-    gain: float = 0.0
-
-
-class Policy:
-    """Interface of the plug-ins of kind :data:`plugins.PLACEMENT`.
-
-    :param weights: how the deployment weighs attainment against moves.
-    """
-
-    def __init__(self, weights: catalogue.Weights):
-        self.weights = weights
-
-    def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
-        """Return the moves to begin now, the most urgent first.
-
-        :param planned: the fleet; the moves are entered into it.
-        :param loads: most loads, as the weight store allows.
-        """
-        raise NotImplementedError
-
-
-class Batch:
-    """The moves of one pass.
-
-    :param planned: the fleet; moves are entered into it.
-    :param loads: most loads.
-    """
-
-    def __init__(self, planned: fleet.Fleet, loads: int):
-        self.fleet = planned
-        self.loads = loads
-        self.moves: list[orders.Move] = []
-
-    @property
-    def full(self) -> bool:
-        """Return whether the weight store allows no further load."""
-        return self.loads <= 0
-
-    def load(self, site: fleet.Site, need: fleet.Need, why: str) -> None:
-        """Add a load.
-
-        :param site: where to.
-        :param need: what is loaded.
-        :param why: the reason, for the audit trail.
-        """
-        self.loads -= 1
-        self.fleet.load(site, need)
-        move = orders.Move(
-            site.name, orders.MoveKind.LOAD, need.name, need.version, why
-        )
-        self.moves.append(move)
-
-    def unload(self, site: fleet.Site, key: tuple[str, str], why: str) -> None:
-        """Add an unload.
-
-        :param site: where.
-        :param key: name and version.
-        :param why: the reason, for the audit trail.
-        """
-        self.fleet.unload(site, key)
-        self.moves.append(orders.Move(site.name, orders.MoveKind.UNLOAD, *key, why))
-
-
 @plugins.register(plugins.PLACEMENT, "packing")
-class Packing(Policy):
+class Packing(placement_policy.Policy):
     """Packs by urgency, see the module.
 
     :param weights: how the deployment weighs attainment against moves.
@@ -109,9 +33,9 @@
         super().__init__(weights)
         self.random = random.Random(0)
 
-    def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
+    def plan(self, planned: fleet.Fleet, loads: int) -> list[move_messages.Move]:
         """Return the moves to begin now; see :meth:`Policy.plan`."""
-        batch = Batch(planned, loads)
+        batch = placement_policy.Batch(planned, loads)
         all_resident = self._restore(batch)
         self._complete(batch)
         self._relieve(batch)
@@ -123,7 +47,7 @@
         self._clean(batch)
         return batch.moves
 
-    def _restore(self, batch: Batch) -> bool:
+    def _restore(self, batch: placement_policy.Batch) -> bool:
         """Load the models that are resident nowhere, the most wanted first.
 
         :returns: whether each model is resident, or being loaded, by now.
@@ -143,7 +67,7 @@
                 self._place(batch, found, item.need, "resident nowhere")
         return all(item.share_by_site for item in lost)
 
-    def _complete(self, batch: Batch) -> None:
+    def _complete(self, batch: placement_policy.Batch) -> None:
         """Load the replicas that the declaration asks for."""
         for item in batch.fleet.demanded_by_name.values():
             if batch.full:
@@ -156,22 +80,27 @@
                 why = f"{count} of {item.need.replicas} replicas"
                 self._place(batch, found, item.need, why)
 
-    def _relieve(self, batch: Batch) -> None:
+    def _relieve(self, batch: placement_policy.Batch) -> None:
         """Load replicas for demand that is not served, the largest first."""
-        least = self.weights.moves / self.weights.attainment
         waiting = []
         for name, item in batch.fleet.demanded_by_name.items():
-            lacking = batch.fleet.excess(name) / item.service_s
-            if lacking > least and item.share_by_site and not item.need.base:
-                waiting.append((lacking, name))
+            lacking = batch.fleet.excess(name)
+            if self._is_short(item, lacking):
+                waiting.append((lacking / item.service_s, name))
         waiting.sort(reverse=True)
         for _, name in waiting:
-            self._relieve_one(batch, batch.fleet.demanded_by_name[name], least)
+            self._relieve_one(batch, batch.fleet.demanded_by_name[name])
 
-    def _relieve_one(self, batch: Batch, item: fleet.Demanded, least: float) -> None:
+    def _is_short(self, item: fleet.Demanded, lacking: float) -> bool:
+        """Return whether a model lacks more places than one move is worth."""
+        if item.need.base or not item.share_by_site:
+            return False
+        return lacking / item.service_s * self.weights.attainment > self.weights.moves
+
+    def _relieve_one(self, batch: placement_policy.Batch, item: fleet.Demanded) -> None:
         while not batch.full:
             lacking = batch.fleet.excess(item.need.name)
-            if lacking / item.service_s <= least:
+            if not self._is_short(item, lacking):
                 return
             found = self._worthwhile(batch.fleet, item, lacking)
             if found is None:
@@ -179,7 +108,7 @@
             why = f"{lacking / item.service_s:.1f} requests/s too many"
             self._place(batch, found, item.need, why)
 
-    def _spread(self, batch: Batch) -> None:
+    def _spread(self, batch: placement_policy.Batch) -> None:
         """Give models a second data centre where memory is free."""
         most_mb = _most_free_mb(batch.fleet)
         for item in batch.fleet.demanded_by_name.values():
@@ -195,7 +124,7 @@
             if found is not None:
                 self._place(batch, found, item.need, "a second data centre")
 
-    def _fill(self, batch: Batch) -> None:
+    def _fill(self, batch: placement_policy.Batch) -> None:
         """Use free memory for more replicas of what is asked for most.
 
         A surge then finds room at once; a replica that stands by is the first
@@ -220,7 +149,7 @@
             if found is not None:
                 self._place(batch, found, item.need, "stands by in free memory")
 
-    def _place_adapters(self, batch: Batch) -> None:
+    def _place_adapters(self, batch: placement_policy.Batch) -> None:
         """Load adapters beside their models, further ones where asked for.
 
         Two replicas of a model hold its adapters, so that one of them may go
@@ -244,7 +173,7 @@
                 emptiest = max(fitting, key=lambda site: site.spare)
                 batch.load(emptiest, item.need, f"adapter of {item.need.base}")
 
-    def _clean(self, batch: Batch) -> None:
+    def _clean(self, batch: placement_policy.Batch) -> None:
         """Unload what is not declared any more, or in an old version."""
         for site in batch.fleet.site_by_name.values():
             for key in sorted(site.memory_by_key.keys() - site.leaving - site.loading):
@@ -263,7 +192,7 @@
         planned: fleet.Fleet,
         item: fleet.Demanded,
         avoided: collections.abc.Set[str] = frozenset(),
-    ) -> Site | None:
+    ) -> room.Place | None:
         """Return the best endpoint with free memory for a load, or None."""
         others = {site.data_centre for site in planned.replicas(item.need.name)}
         fitting = [
@@ -276,11 +205,11 @@
             key=lambda site: (site.data_centre not in others, site.spare),
             default=None,
         )
-        return None if best is None else Site(best)
+        return None if best is None else room.Place(best)
 
     def _worthwhile(
         self, planned: fleet.Fleet, item: fleet.Demanded, lacking: float
-    ) -> Site | None:
+    ) -> room.Place | None:
         """Return the place for one more replica that is worth its moves most."""
         candidates = self._candidates(planned, item)
         candidates = [site for site in candidates if site.spare > 0]
@@ -289,79 +218,23 @@
         looked_at = 0
         for site in candidates:
             gain = min(lacking, site.spare) / item.service_s
-            victims = self._victims(planned, site, item.need)
+            victims = room.victims(planned, site, item.need)
             if victims is None:
                 continue
-            loss = sum(self._loss(planned, site, key) for key in victims)
+            loss = sum(room.loss(planned, site, key) for key in victims)
             gain -= loss
             price = self.weights.moves * (1 + len(victims))
             worth = self.weights.attainment * gain - price
             if worth > best_worth:
-                best, best_worth = Site(site, victims, gain), worth
+                best, best_worth = room.Place(site, victims, gain), worth
             looked_at += 1
             if looked_at >= ROOM_CANDIDATES:
                 break
         return best
 
-    def _victims(
-        self, planned: fleet.Fleet, site: fleet.Site, need: fleet.Need
-    ) -> tuple[tuple[str, str], ...] | None:
-        """Return residents that make room for a load without harm, or None."""
-        missing_mb = need.room_mb - site.free_mb
-        if missing_mb <= 0:
-            return ()
-        surplus = [
-            key for key in site.memory_by_key if self._may_go(planned, site, key)
-        ]
-        surplus.sort(key=lambda key: (self._share(planned, site, key), key))
-        victims = []
-        for key in surplus:
-            if missing_mb <= 0:
-                break
-            victims.append(key)
-            missing_mb -= site.memory_by_key[key]
-        if missing_mb > 0:
-            return None
-        return tuple(victims)
-
-    def _may_go(
-        self, planned: fleet.Fleet, site: fleet.Site, key: tuple[str, str]
-    ) -> bool:
-        """Return whether a resident has enough replicas elsewhere."""
-        if key in site.leaving or key in site.loading:
-            return False
-        item = planned.demanded_by_name.get(key[0])
-        if item is None:
-            return True
-        if item.need.version != key[1]:
-            return bool(planned.ready(key[0]))
-        for name in planned.adapters_by_model.get(key[0], ()):
-            if name in site.names and planned.ready(name) == [site]:
-                return False
-        if item.need.base:
-            return False
-        others = [other for other in planned.ready(key[0]) if other is not site]
-        return len(others) >= item.need.replicas
-
-    def _share(
-        self, planned: fleet.Fleet, site: fleet.Site, key: tuple[str, str]
-    ) -> float:
-        item = planned.demanded_by_name.get(key[0])
-        return 0.0 if item is None else item.share_by_site.get(site.name, 0.0)
-
-    def _loss(
-        self, planned: fleet.Fleet, site: fleet.Site, key: tuple[str, str]
-    ) -> float:
-        """Return the requests a second that an unload leaves unserved."""
-        share = self._share(planned, site, key)
-        if not share:
-            return 0.0
-        others = [other for other in planned.replicas(key[0]) if other is not site]
-        spare = sum(max(0.0, other.spare) for other in others)
-        service_s = planned.demanded_by_name[key[0]].service_s
-        return max(0.0, share - spare) / service_s
-
-    def _make_room(self, batch: Batch, item: fleet.Demanded) -> Site | None:
+    def _make_room(
+        self, batch: placement_policy.Batch, item: fleet.Demanded
+    ) -> room.Place | None:
         """Return the endpoint where fewest unloads make room, or None.
 
         Where surplus replicas alone do not free enough memory on any
@@ -373,16 +246,16 @@
             busy = bool(site.loading or site.leaving)
             if not site.open or busy or item.need.key in site.memory_by_key:
                 continue
-            victims = self._victims(batch.fleet, site, item.need)
+            victims = room.victims(batch.fleet, site, item.need)
             if victims is not None:
-                loss = sum(self._loss(batch.fleet, site, key) for key in victims)
-                found.append(Site(site, victims, -loss))
+                loss = sum(room.loss(batch.fleet, site, key) for key in victims)
+                found.append(room.Place(site, victims, -loss))
         if found:
             return max(found, key=lambda place: (place.gain, -len(place.victims)))
         self._copy_away(batch, item)
         return None
 
-    def _copy_away(self, batch: Batch, item: fleet.Demanded) -> None:
+    def _copy_away(self, batch: placement_policy.Batch, item: fleet.Demanded) -> None:
         sites = [
             site
             for site in batch.fleet.site_by_name.values()
@@ -390,44 +263,19 @@
         ]
         sites.sort(key=lambda site: site.free_mb, reverse=True)
         for site in sites[:ROOM_CANDIDATES]:
-            copied = self._copies(batch, site, item)
-            if copied:
-                for place, need in copied:
-                    batch.load(place, need, f"room for {item.need.name}")
+            copies = room.copies(batch.fleet, site, item.need, self._candidates)
+            if copies and len(copies) <= batch.loads:
+                for copy in copies:
+                    batch.load(copy.site, copy.need, f"room for {item.need.name}")
                 return
 
-    def _copies(
-        self, batch: Batch, site: fleet.Site, item: fleet.Demanded
-    ) -> list[tuple[fleet.Site, fleet.Need]]:
-        """Return loads elsewhere after which a site can make room, or none."""
-        missing_mb = item.need.room_mb - site.free_mb
-        taken_mb: dict[str, int] = {}
-        copies = []
-        for key in sorted(site.memory_by_key, key=site.memory_by_key.get):
-            if missing_mb <= 0:
-                break
-            other = batch.fleet.demanded_by_name.get(key[0])
-            if other is None or other.need.base or key in site.leaving | site.loading:
-                continue
-            if other.need.version != key[1]:
-                continue
-            missing_mb -= site.memory_by_key[key]
-            if self._may_go(batch.fleet, site, key):
-                continue
-            places = [
-                place
-                for place in self._candidates(batch.fleet, other)
-                if place is not site
-                and place.free_mb - taken_mb.get(place.name, 0) >= other.need.room_mb
-            ]
-            if not places or len(copies) >= batch.loads:
-                return []
-            place = min(places, key=lambda place: place.free_mb)
-            taken_mb[place.name] = taken_mb.get(place.name, 0) + other.need.room_mb
-            copies.append((place, other.need))
-        return copies if missing_mb <= 0 else []
-
-    def _place(self, batch: Batch, found: Site, need: fleet.Need, reason: str) -> None:
+    def _place(
+        self,
+        batch: placement_policy.Batch,
+        found: room.Place,
+        need: fleet.Need,
+        reason: str,
+    ) -> None:
         why = f"room for {need.name}"
         for key in found.victims:
             for name in batch.fleet.adapters_by_model.get(key[0], ()):
--- /dev/null
+++ b/packages/mothworks/src/mothworks/placement_policy.py
@@ -0,0 +1,65 @@
+"""What placement policies share: their interface and the moves of one pass."""
+
+from mothworks import catalogue, fleet, move_messages
+
+
+class Policy:
+    """Interface of the plug-ins of kind :data:`plugins.PLACEMENT`.
+
+    :param weights: how the deployment weighs attainment against moves.
+    """
+
+    def __init__(self, weights: catalogue.Weights):
+        self.weights = weights
+
+    def plan(self, planned: fleet.Fleet, loads: int) -> list[move_messages.Move]:
+        """Return the moves to begin now, the most urgent first.
+
+        :param planned: the fleet; the moves are entered into it.
+        :param loads: most loads, as the weight store allows.
+        """
+        raise NotImplementedError
+
+
+class Batch:
+    """The moves of one pass.
+
+    :param planned: the fleet; moves are entered into it.
+    :param loads: most loads.
+    """
+
+    def __init__(self, planned: fleet.Fleet, loads: int):
+        self.fleet = planned
+        self.loads = loads
+        self.moves: list[move_messages.Move] = []
+
+    @property
+    def full(self) -> bool:
+        """Return whether the weight store allows no further load."""
+        return self.loads <= 0
+
+    def load(self, site: fleet.Site, need: fleet.Need, why: str) -> None:
+        """Add a load.
+
+        :param site: where to.
+        :param need: what is loaded.
+        :param why: the reason, for the audit trail.
+        """
+        self.loads -= 1
+        self.fleet.load(site, need)
+        move = move_messages.Move(
+            site.name, move_messages.MoveKind.LOAD, need.name, need.version, why
+        )
+        self.moves.append(move)
+
+    def unload(self, site: fleet.Site, key: tuple[str, str], why: str) -> None:
+        """Add an unload.
+
+        :param site: where.
+        :param key: name and version.
+        :param why: the reason, for the audit trail.
+        """
+        self.fleet.unload(site, key)
+        self.moves.append(
+            move_messages.Move(site.name, move_messages.MoveKind.UNLOAD, *key, why)
+        )
--- a/packages/mothworks/src/mothworks/relocations.py
+++ b/packages/mothworks/src/mothworks/relocations.py
@@ -9,7 +9,7 @@
 import attrs
 import result
 
-from mothworks import fleet, orders
+from mothworks import fleet, move_messages
 
 #: Time after which a relocation that makes no progress is given up, seconds.
 PATIENCE_S = 600.0
@@ -56,7 +56,9 @@
         self.by_model[wanted.model] = wanted
         return result.Ok(None)
 
-    def plan(self, planned: fleet.Fleet, now: float, loads: int) -> list[orders.Move]:
+    def plan(
+        self, planned: fleet.Fleet, now: float, loads: int
+    ) -> list[move_messages.Move]:
         """Return the moves to begin now; they are entered into the fleet.
 
         :param planned: the region's fleet.
@@ -67,7 +69,7 @@
         for relocation in list(self.by_model.values()):
             step = _step(planned, relocation, loads)
             moves += step
-            loads -= sum(move.kind == orders.MoveKind.LOAD for move in step)
+            loads -= sum(move.kind == move_messages.MoveKind.LOAD for move in step)
             if now > relocation.until or _is_done(planned, relocation):
                 del self.by_model[relocation.model]
         return moves
@@ -109,7 +111,7 @@
 
 def _step(
     planned: fleet.Fleet, relocation: Relocation, loads: int
-) -> list[orders.Move]:
+) -> list[move_messages.Move]:
     source = planned.site_by_name.get(relocation.source)
     target = planned.site_by_name.get(relocation.target)
     if (
@@ -126,20 +128,23 @@
             if loads <= 0 or target.free_mb < need.memory_mb:
                 return []
             planned.load(target, need)
-            return [_move(target, orders.MoveKind.LOAD, need, relocation)]
+            return [_move(target, move_messages.MoveKind.LOAD, need, relocation)]
     moves = []
     for need in reversed(needs):
         if need.key in source.memory_by_key and need.key not in source.leaving:
             planned.unload(source, need.key)
-            moves.append(_move(source, orders.MoveKind.UNLOAD, need, relocation))
+            moves.append(_move(source, move_messages.MoveKind.UNLOAD, need, relocation))
     return moves
 
 
 def _move(
-    site: fleet.Site, kind: orders.MoveKind, need: fleet.Need, relocation: Relocation
-) -> orders.Move:
+    site: fleet.Site,
+    kind: move_messages.MoveKind,
+    need: fleet.Need,
+    relocation: Relocation,
+) -> move_messages.Move:
     why = f"move from {relocation.source} to {relocation.target}: {relocation.why}"
-    return orders.Move(site.name, kind, need.name, need.version, why)
+    return move_messages.Move(site.name, kind, need.name, need.version, why)
 
 
 def _is_done(planned: fleet.Fleet, relocation: Relocation) -> bool:
--- a/packages/mothworks/src/mothworks/settings.py
+++ b/packages/mothworks/src/mothworks/settings.py
@@ -150,6 +150,7 @@
     :param vm_list: the platform's list of VMs.
     :param operators: who may query and command.
     :param routing: the routing policy's name.
+    :param placement: the placement policy's name, used while the VM plans.
     :param limits: bounds that protect the VM.
     :param logs: how it logs.
     """
@@ -164,6 +165,7 @@
     vm_list: VmList
     operators: tuple[Operator, ...] = ()
     routing: str = "owner"
+    placement: str = "packing"
     limits: Limits = Limits()
     logs: Logs = Logs()
 
--- a/packages/mothworks/tests/test_orders.py
+++ b/packages/mothworks/tests/test_orders.py
@@ -1,6 +1,5 @@
 """An owner's task: what it refuses to do, and what it offers afterwards."""
 
-import types
 import unittest.mock
 
 import gevent
@@ -8,9 +7,19 @@
 
 import builders
 import movers
-from mothworks import catalogue, endpoints, ledger_store, orders
+from mothworks import (
+    catalogue,
+    configuration,
+    endpoint_task,
+    endpoints,
+    health,
+    ledger_store,
+    move_messages,
+    placement,
+    slots,
+)
 
-UNLOAD = orders.Move("engine-1", orders.MoveKind.UNLOAD, "menu", "1")
+UNLOAD = move_messages.Move("engine-1", move_messages.MoveKind.UNLOAD, "menu", "1")
 
 
 @pytest.fixture
@@ -20,20 +29,21 @@
     world = movers.World(fencing=True)
     owner = world.ready_owner()
     movers.run(owner, world, endpoints.OrderKind.LOAD, movers.holding())
-    part = unittest.mock.Mock()
     declared = builders.declared(endpoints=(world.endpoint,), services=())
-    index = catalogue.Index(declared)
-    part.configuration = types.SimpleNamespace(index=index)
-    part.health = unittest.mock.Mock()
+    part = unittest.mock.Mock()
+    part.configuration.index = catalogue.Index(declared)
     part.health.adapters.get.return_value = world.adapter
     part.health.withheld_by_endpoint = {"engine-1": frozenset(["menu"])}
-    part.placement = unittest.mock.Mock()
-    part.slots = unittest.mock.Mock()
     part.slots.running.return_value = frozenset()
-    part.audit = unittest.mock.Mock()
-    part.moves_total = unittest.mock.Mock()
     part.store = ledger_store.LedgerStore(world.api, patience_s=0.0)
-    made = orders.Work(part, "engine-1")
+    stub_by_class = {
+        configuration.Configuration: part.configuration,
+        health.Health: part.health,
+        placement.Placement: part.placement,
+        slots.Slots: part.slots,
+    }
+    part.kernel.get.side_effect = stub_by_class.get
+    made = endpoint_task.EndpointTask(part, "engine-1")
     made.mover = owner
     made.reconciled_at = owner.clock.monotonic()
     made.world = world
@@ -41,14 +51,14 @@
 
 
 def step(work, answering):
-    work.orders.placement.open_endpoints.return_value = answering
+    work.part.placement.open_endpoints.return_value = answering
     work.add(UNLOAD)
     work.take_step()
 
 
 def test_an_unload_withholds_the_model_before_its_order(work):
     step(work, answering=["engine-2"])
-    work.orders.slots.withhold.assert_called_with("engine-1", frozenset(["menu"]))
+    work.part.slots.withhold.assert_called_with("engine-1", frozenset(["menu"]))
     assert work.mover.current.intent.kind is endpoints.OrderKind.UNLOAD
     work.take_step()
     assert work.world.engine.resident_by_key == {}
@@ -60,7 +70,7 @@
     """
     step(work, answering=[])
     assert work.mover.current.intent is None
-    work.orders.slots.withhold.assert_called_with("engine-1", frozenset())
+    work.part.slots.withhold.assert_called_with("engine-1", frozenset())
 
 
 def test_an_outage_does_not_leave_a_model_withheld(work):
@@ -69,5 +79,5 @@
     """
     work.world.api.down = True
     step(work, answering=["engine-2"])
-    work.orders.slots.withhold.assert_called_with("engine-1", frozenset())
+    work.part.slots.withhold.assert_called_with("engine-1", frozenset())
     assert not work.queue
--- a/packages/mothworks/tests/test_packing.py
+++ b/packages/mothworks/tests/test_packing.py
@@ -4,10 +4,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from mothworks import catalogue, fleet, orders, packing
+from mothworks import catalogue, fleet, move_messages, packing
 
-LOAD = orders.MoveKind.LOAD
-UNLOAD = orders.MoveKind.UNLOAD
+LOAD = move_messages.MoveKind.LOAD
+UNLOAD = move_messages.MoveKind.UNLOAD
 
 
 def need(name="menu", memory_mb=40, **changes):
@@ -87,6 +87,13 @@
     assert shown(settle(planned, policy(moves=5.0))) == [(LOAD, "menu")]
 
 
+def test_a_deployment_that_weighs_only_moves_keeps_its_models_resident():
+    planned = made([need("menu", 90)])
+    planned.set_demand("menu", 40.0, 1.0)
+    settle(planned, policy(attainment=0.0))
+    assert len(holders(planned, "menu")) == 2
+
+
 def test_demand_that_goes_again_moves_nothing():
     """Demand rises and falls every hour. Unloading in each lull would load
     the model again in each rise.
--- a/packages/mothworks/tests/test_planner.py
+++ b/packages/mothworks/tests/test_planner.py
@@ -4,9 +4,9 @@
 
 import builders
 import movers
-from mothworks import catalogue, demand, endpoints, orders, planner
+from mothworks import catalogue, demand, endpoints, move_messages, packing, region_plan
 
-LOAD = orders.MoveKind.LOAD
+LOAD = move_messages.MoveKind.LOAD
 
 
 def declared(**changes):
@@ -25,7 +25,9 @@
     versions = ["1"] * len(names)
     reserved_mb = [20_000] * len(names)
     free_mb = 100_000 - sum(reserved_mb)
-    made = orders.Holdings(endpoint, fence, names, versions, reserved_mb, free_mb)
+    made = move_messages.Holdings(
+        endpoint, fence, names, versions, reserved_mb, free_mb
+    )
     return attrs.evolve(made, **changes)
 
 
@@ -35,10 +37,12 @@
     def __init__(self, **changes):
         self.declared = declared(**changes)
         self.open = frozenset(item.name for item in self.declared.endpoints)
-        self.region = planner.Region("region-1", 0.0)
+        self.region = region_plan.RegionPlan(
+            "region-1", 0.0, packing.Packing(self.declared.weights)
+        )
         self.region.follow(1, catalogue.Index(self.declared))
         self.book = demand.Book()
-        self.now = planner.LISTEN_S
+        self.now = region_plan.LISTEN_S
 
     def report(self, *reports):
         for report in reports:
@@ -61,7 +65,7 @@
     assert planning.plan() == []
     for number in range(6):
         planning.report(holdings(f"engine-{number}", names=[f"model-{number}"]))
-    moves = planning.plan(planner.LISTEN_S)
+    moves = planning.plan(region_plan.LISTEN_S)
     assert all(move.why != "resident nowhere" for move in moves)
 
 
@@ -82,7 +86,7 @@
     planning.report_empty()
     (lost,) = planning.plan()
     assert planning.plan() == []
-    again = planning.plan(planner.FORGOTTEN_S + 1)
+    again = planning.plan(region_plan.FORGOTTEN_S + 1)
     assert [(move.kind, move.name) for move in again] == [(LOAD, lost.name)]
 
 
@@ -99,7 +103,7 @@
         pending_version="1",
     )
     planning.report(pending)
-    assert planning.plan(planner.FORGOTTEN_S + 60) == []
+    assert planning.plan(region_plan.FORGOTTEN_S + 60) == []
 
 
 def test_an_older_report_is_left():
--- a/packages/mothworks/tests/test_relocations.py
+++ b/packages/mothworks/tests/test_relocations.py
@@ -1,7 +1,7 @@
 """Relocations: the source gives a model up only after the target has it."""
 
 import builders
-from mothworks import catalogue, fleet, orders, planner, relocations
+from mothworks import catalogue, fleet, move_messages, region_plan, relocations
 
 MENU = ("menu", "1")
 SPANISH = ("menu-es", "1")
@@ -11,7 +11,7 @@
     """Return a fleet whose model and adapter are on engine-1."""
     made = fleet.Fleet()
     declared = builders.declared(adapters=(catalogue.Adapter("menu-es", "menu", 200),))
-    made.declare(planner.needs(declared))
+    made.declare(region_plan.needs(declared))
     first = fleet.Site("engine-1", "dc-1", 50_000, 8.0, free_mb=29_800)
     first.memory_by_key = {MENU: 20_000, SPANISH: 200}
     made.add(first)
@@ -33,7 +33,7 @@
     """A caller would meet a model without any replica in between."""
     planned, made = region(), relocations.Relocations()
     made.accept(planned, move()).unwrap()
-    load, unload = orders.MoveKind.LOAD, orders.MoveKind.UNLOAD
+    load, unload = move_messages.MoveKind.LOAD, move_messages.MoveKind.UNLOAD
     steps = []
     for _ in range(5):
         for item in made.plan(planned, 0.0, loads=1):
--- a/packages/mothworks_fakes/src/mothworks_fakes/demand_traces.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/demand_traces.py
@@ -110,11 +110,13 @@
     :param size: the deployment's size.
     :param shape: how demand goes over time.
     :param seed: seed of all randomness.
+    :param load: share of all places that demand fills before it rises.
     """
 
     size: Size
     shape: Shape
     seed: int
+    load: float = 0.3
     base: list[float] = attrs.field(init=False)
     surging: list[int] = attrs.field(init=False)
 
@@ -125,7 +127,7 @@
         source.shuffle(ranks)
         weights = [1 / (rank + 1) for rank in ranks]
         capacity = self.size.engines * SLOTS / SERVICE_S
-        total = 0.3 * capacity
+        total = self.load * capacity
         self.base = [total * weight / sum(weights) for weight in weights]
         middle = sorted(range(self.size.models), key=lambda n: ranks[n])
         third = self.size.models // 3
--- a/packages/mothworks_fakes/src/mothworks_fakes/measure_placement.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/measure_placement.py
@@ -13,7 +13,14 @@
 import defopt
 import orjson
 
-from mothworks import builtin, catalogue, demand, orders, planner  # noqa: F401
+from mothworks import (
+    builtin,  # noqa: F401
+    catalogue,
+    demand,
+    move_messages,
+    packing,
+    region_plan,
+)
 from mothworks_fakes import (
     demand_traces,
     placement_baselines,  # noqa: F401
@@ -61,6 +68,7 @@
     *,
     size: list[str] = ("siamcrest", "bandeja"),
     seeds: int = 2,
+    load: float = 0.3,
     growth: bool = True,
     slopes: pathlib.Path | None = None,
 ) -> None:
@@ -68,11 +76,12 @@
 
     :param size: deployments: siamcrest, bandeja, bandeja-x10.
     :param seeds: traces of each shape.
+    :param load: share of all places that demand fills before it rises.
     :param growth: also time passes as models and endpoints grow.
     :param slopes: file that gets the planner's figures as JSON.
     """
     for name in size:
-        measure_size(SIZE_BY_NAME[name], seeds)
+        measure_size(SIZE_BY_NAME[name], seeds, load)
     if growth:
         figures = [measure_passes(*counts) for counts in GROWTH]
         if slopes is not None:
@@ -80,13 +89,17 @@
             slopes.write_bytes(orjson.dumps(flat, option=orjson.OPT_INDENT_2) + b"\n")
 
 
-def measure_size(size: demand_traces.Size, seeds: int) -> None:
+def measure_size(size: demand_traces.Size, seeds: int, load: float) -> None:
     """Run every policy over every trace of a deployment and print the totals.
 
     :param size: the deployment.
     :param seeds: traces of each shape.
+    :param load: see :func:`main`.
     """
-    print(f"\n{size.name}: {size.engines} engines, {size.models} models")
+    print(
+        f"\n{size.name}: {size.engines} engines, {size.models} models, "
+        f"load {load:g}, {seeds} seeds"
+    )
     print(
         f"{'policy':12}{'trace':18}{'in target':>10}{'per accel.':>11}{'moves':>7}"
         f"{'adapters':>9}{'restored':>9}{'longest s':>10}{'cpu s':>7}{'over':>5}"
@@ -96,7 +109,7 @@
         for shape in demand_traces.Shape:
             runs = [
                 placement_trial.Trial(
-                    demand_traces.Trace(size, shape, seed), policy
+                    demand_traces.Trace(size, shape, seed, load), policy
                 ).run()
                 for seed in range(seeds)
             ]
@@ -160,12 +173,16 @@
     size = demand_traces.Size("growth", engines, 5, models, models * 3, weights)
     declared = demand_traces.deployment(size, 0)
     trace = demand_traces.Trace(size, demand_traces.Shape.TENFOLD, 0)
-    region = planner.Region("region", -planner.LISTEN_S)
+    region = region_plan.RegionPlan(
+        "region", -region_plan.LISTEN_S, packing.Packing(weights)
+    )
     region.follow(1, catalogue.Index(declared))
     names = [item.name for item in declared.models]
     open_endpoints = frozenset(item.name for item in declared.endpoints)
     for endpoint in declared.endpoints:
-        report = orders.Holdings(endpoint.name, 1, (), (), (), endpoint.memory_mb)
+        report = move_messages.Holdings(
+            endpoint.name, 1, (), (), (), endpoint.memory_mb
+        )
         region.take(report)
     book = demand.Book()
     rates = list(trace.rates(-1.0))
--- a/packages/mothworks_fakes/src/mothworks_fakes/placement_baselines.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/placement_baselines.py
@@ -2,14 +2,20 @@
 
 import collections
 
-from mothworks import catalogue, fleet, orders, packing, plugins
+from mothworks import (
+    catalogue,
+    fleet,
+    move_messages,
+    placement_policy,
+    plugins,
+)
 
 #: Passes between two plans of ``recomputed``.
 RECOMPUTE_PASSES = 10
 
 
 @plugins.register(plugins.PLACEMENT, "static")
-class Static(packing.Policy):
+class Static(placement_policy.Policy):
     """The same number of replicas for each model, decided once.
 
     :param weights: how the deployment weighs attainment against moves.
@@ -19,11 +25,11 @@
         super().__init__(weights)
         self.wanted: dict[str, list[fleet.Need]] = {}
 
-    def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
+    def plan(self, planned: fleet.Fleet, loads: int) -> list[move_messages.Move]:
         """Load what the split gives each endpoint; see the base class."""
         if not self.wanted and all(s.open for s in planned.site_by_name.values()):
             self.wanted = self._split(planned)
-        batch = packing.Batch(planned, loads)
+        batch = placement_policy.Batch(planned, loads)
         for name, needs in self.wanted.items():
             site = planned.site_by_name[name]
             for need in needs:
@@ -57,7 +63,7 @@
 
 
 @plugins.register(plugins.PLACEMENT, "lru")
-class Lru(packing.Policy):
+class Lru(placement_policy.Policy):
     """Load on demand, and a further copy where places lack; evict the least
     recently used resident.
 
@@ -76,10 +82,10 @@
         """
         self.used_at[name] = self.clock
 
-    def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
+    def plan(self, planned: fleet.Fleet, loads: int) -> list[move_messages.Move]:
         """Load what was asked for; see the base class."""
         self.clock += 1
-        batch = packing.Batch(planned, loads)
+        batch = placement_policy.Batch(planned, loads)
         for name, item in planned.demanded_by_name.items():
             asked = self.used_at[name] >= self.clock - 1
             lacking = planned.excess(name) > 0
@@ -88,7 +94,7 @@
             self._load(batch, item)
         return batch.moves
 
-    def _load(self, batch: packing.Batch, item: fleet.Demanded) -> None:
+    def _load(self, batch: placement_policy.Batch, item: fleet.Demanded) -> None:
         sites = [
             site
             for site in batch.fleet.site_by_name.values()
@@ -120,7 +126,7 @@
 
 
 @plugins.register(plugins.PLACEMENT, "recomputed")
-class Recomputed(packing.Policy):
+class Recomputed(placement_policy.Policy):
     """A new plan for the demand of the moment, whatever its moves.
 
     :param weights: how the deployment weighs attainment against moves.
@@ -131,12 +137,12 @@
         self.passes = 0
         self.wanted: dict[str, list[fleet.Need]] = {}
 
-    def plan(self, planned: fleet.Fleet, loads: int) -> list[orders.Move]:
+    def plan(self, planned: fleet.Fleet, loads: int) -> list[move_messages.Move]:
         """Move towards the newest plan; see the base class."""
         if self.passes % RECOMPUTE_PASSES == 0:
             self.wanted = self._recompute(planned)
         self.passes += 1
-        batch = packing.Batch(planned, loads)
+        batch = placement_policy.Batch(planned, loads)
         for site in planned.site_by_name.values():
             needs = self.wanted.get(site.name, [])
             keys = {need.key for need in needs}
--- a/packages/mothworks_fakes/src/mothworks_fakes/placement_trial.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/placement_trial.py
@@ -18,9 +18,9 @@
     demand,
     endpoints,
     ledger,
-    orders,
-    planner,
+    move_messages,
     plugins,
+    region_plan,
 )
 from mothworks_fakes import demand_traces, engine_memory
 
@@ -73,7 +73,7 @@
         self.declared = declared
         self.memory = engine_memory.EngineMemory(declared.memory_mb)
         self.ledger = ledger.Ledger(declared.name)
-        self.queue: collections.deque[orders.Move] = collections.deque()
+        self.queue: collections.deque[move_messages.Move] = collections.deque()
         self.left = 0.0
         self.backlog = 0.0
         self.lost = False
@@ -96,7 +96,7 @@
         self.ledger = ledger.Ledger(self.declared.name, self.ledger.fence + 1)
         self.changed = True
 
-    def begin(self, holdings: dict[str, ledger.Holding]) -> orders.Move | None:
+    def begin(self, holdings: dict[str, ledger.Holding]) -> move_messages.Move | None:
         """Begin the next move, if none is under way.
 
         :param holdings: what each model or adapter takes.
@@ -142,11 +142,11 @@
         self.ledger = ledger.settle(self.ledger, result.Ok(None), True, 0.0, 0.0)
         self.changed = True
 
-    def holdings(self) -> orders.Holdings:
+    def holdings(self) -> move_messages.Holdings:
         """Return the owner's report to the planner."""
         current = self.ledger
         intent = current.intent
-        return orders.Holdings(
+        return move_messages.Holdings(
             self.declared.name,
             current.fence,
             [item.name for item in current.holdings],
@@ -181,11 +181,10 @@
         self.engines = [SimulatedEngine(item) for item in self.declared.endpoints]
         self.names = [item.name for item in self.declared.models]
         self.holdings = _holdings(self.declared)
-        self.region = planner.Region(
-            "region", -demand_traces.WARM_UP_S - planner.LISTEN_S
-        )
-        self.region.policy = plugins.find(plugins.PLACEMENT, policy)(
-            self.declared.weights
+        self.region = region_plan.RegionPlan(
+            "region",
+            -demand_traces.WARM_UP_S - region_plan.LISTEN_S,
+            plugins.find(plugins.PLACEMENT, policy)(self.declared.weights),
         )
         self.region.follow(1, catalogue.Index(self.declared))
         self.book = demand.Book()
@@ -277,11 +276,11 @@
             if move is None:
                 continue
             match move.kind:
-                case orders.MoveKind.LOAD if move.name in models:
+                case move_messages.MoveKind.LOAD if move.name in models:
                     self.outcome.loads += 1
-                case orders.MoveKind.LOAD:
+                case move_messages.MoveKind.LOAD:
                     self.outcome.adapter_loads += 1
-                case orders.MoveKind.UNLOAD if move.name in models:
+                case move_messages.MoveKind.UNLOAD if move.name in models:
                     self.outcome.unloads += 1
         running = sum(1 for engine in self.engines if engine.memory.loading_by_key)
         parallel = self.declared.weights.parallel_loads
