--- a/packages/mothworks/src/mothworks/builtin.py
+++ b/packages/mothworks/src/mothworks/builtin.py
@@ -34,6 +34,7 @@
     routing,
     server,
     service_calls,
+    slot_owner,
     slots,
     suspects,
     vllm,
--- a/packages/mothworks/src/mothworks/limits.py
+++ b/packages/mothworks/src/mothworks/limits.py
@@ -41,6 +41,7 @@
         self.samples = 0
         self.ratios = 0.0
         self.running = 0
+        self.unseen = 0
         self.was_full = False
         self.decided_at = -math.inf
 
@@ -79,6 +80,17 @@
             self.was_full = False
             self.decided_at = now
 
+    def miss(self) -> None:
+        """Note a request whose tokens were not seen one by one.
+
+        Where all answers come whole, nothing speaks against the engine's own
+        slots, and a trial must not last for good.
+        """
+        self.unseen += 1
+        if self.trial and self.was_full and self.unseen >= MOST_SAMPLES:
+            self.value = min(self.most, self.value * 2)
+            self.unseen = 0
+
     def _decide(self, ratio: float, running: float) -> None:
         if ratio > CUT_ABOVE:
             # The batch that was too slow may have been below the limit, or
--- a/packages/mothworks/src/mothworks/local_facts.py
+++ b/packages/mothworks/src/mothworks/local_facts.py
@@ -17,8 +17,8 @@
     plugins,
     reason_rows,
     row_classes,
+    slot_owner,
     slot_rows,
-    slots,
 )
 
 
@@ -36,7 +36,7 @@
         self.dispatch = node_kernel.get(dispatch.Dispatch)
         self.orders = node_kernel.get(orders.Orders)
         self.placement = node_kernel.get(placement.Placement)
-        self.slots = node_kernel.get(slots.Slots)
+        self.slots = node_kernel.get(slot_owner.SlotOwner)
         topics = fan_out.Topic
         serve = node_kernel.get(fan_out.FanOut).serve
         serve(topics.WAITING, row_classes.WaitingRow, self._waiting)
--- a/packages/mothworks/src/mothworks/slot_messages.py
+++ b/packages/mothworks/src/mothworks/slot_messages.py
@@ -25,6 +25,19 @@
     MOVED = 3
 
 
+class Outcome(enum.IntEnum):
+    """How a request that had a slot ended."""
+
+    #: The endpoint's answer is complete.
+    OK = 0
+    #: The endpoint refused, or answered with an error of its own.
+    FAILED = 1
+    #: The connection to the endpoint broke off.
+    CRASHED = 2
+    #: The caller went away.
+    CANCELLED = 3
+
+
 @messages.message(10)
 @attrs.frozen
 class AskSlot:
@@ -80,7 +93,7 @@
     """An entry reports the end of an ask, granted or not.
 
     :param number: the ask's number.
-    :param outcome: see ``slots.Outcome``.
+    :param outcome: an :class:`Outcome`.
     :param first_token_ms: see ``slots.End``, whole milliseconds.
     :param between_tokens_us: see ``slots.End``, whole microseconds.
     :param tokens: see ``slots.End``.
--- a/packages/mothworks/src/mothworks/slot_rows.py
+++ b/packages/mothworks/src/mothworks/slot_rows.py
@@ -2,10 +2,10 @@
 
 import time
 
-from mothworks import batches, catalogue, queues, row_classes, slots
+from mothworks import batches, catalogue, queues, row_classes, slot_owner
 
 
-def waiting(owner: slots.Slots) -> list[row_classes.WaitingRow]:
+def waiting(owner: slot_owner.SlotOwner) -> list[row_classes.WaitingRow]:
     """Return the requests in a VM's queues, in their order of service.
 
     :param owner: the VM's slots.
@@ -17,7 +17,7 @@
     ]
 
 
-def running(owner: slots.Slots) -> list[row_classes.BatchRow]:
+def running(owner: slot_owner.SlotOwner) -> list[row_classes.BatchRow]:
     """Return the batch and queue of each endpoint that a VM was asked for.
 
     :param owner: the VM's slots.
--- a/packages/mothworks/tests/test_callers.py
+++ b/packages/mothworks/tests/test_callers.py
@@ -4,7 +4,7 @@
 import pytest
 
 import served
-from mothworks import slot_rows, slots
+from mothworks import slot_owner, slot_rows
 from mothworks_fakes import gates, processes
 
 MANY = 150
@@ -253,7 +253,7 @@
     first.sendall(served.chat(stream=True))
     gate.reached.wait()
     second.sendall(served.chat(stream=True, max_tokens=99))
-    part = node.part(slots.Slots)
+    part = node.part(slot_owner.SlotOwner)
     processes.wait_until(lambda: len(slot_rows.waiting(part)) == 1)
     second.close()
     processes.wait_until(lambda: len(slot_rows.waiting(part)) == 0)
--- a/packages/mothworks/tests/test_slot_moves.py
+++ b/packages/mothworks/tests/test_slot_moves.py
@@ -13,11 +13,18 @@
     endpoints,
     health,
     placement,
+    slot_owner,
     slots,
 )
 from mothworks_fakes import processes
 
-PARTS = (*groups.MEMBERSHIP, placement.Placement, health.Health, slots.Slots)
+PARTS = (
+    *groups.MEMBERSHIP,
+    placement.Placement,
+    health.Health,
+    slot_owner.SlotOwner,
+    slots.Slots,
+)
 SLOTS = 2
 
 
@@ -87,7 +94,7 @@
         return [task.get(timeout=10).unwrap() for task in tasks]
 
     def batch(self, endpoint):
-        return self.vm_by_name[self.owner(endpoint)].slots._batch(endpoint.name)
+        return self.vm_by_name[self.owner(endpoint)].slots.owner.batch(endpoint.name)
 
 
 @pytest.fixture
@@ -179,8 +186,8 @@
         entry.slots.place_by_number.pop(grant.number)
     batch = group.batch(endpoint)
     for held in batch.held_by_key.values():
-        held.since -= slots.CHECK_S
-    group.vm_by_name[group.owner(endpoint)].slots.check()
+        held.since -= slot_owner.CHECK_S
+    group.vm_by_name[group.owner(endpoint)].slots.owner.check()
     processes.wait_until(lambda: batch.running() == 0)
 
 
@@ -242,7 +249,7 @@
     first = group.acquire(entry, endpoint).get(timeout=10).unwrap()
     assert first.owner == ""
     second = group.acquire(entry, endpoint)
-    guard = entry.slots.guard_by_endpoint[endpoint.name]
+    guard = entry.slots.owner.guard_by_endpoint[endpoint.name]
     processes.wait_until(lambda: len(guard.queue) == 1)
     entry.slots.release(first, slots.End())
     assert second.get(timeout=10).is_ok()
--- a/packages/mothworks/tests/test_slots.py
+++ b/packages/mothworks/tests/test_slots.py
@@ -13,8 +13,8 @@
     queues,
     row_classes,
     slot_messages,
+    slot_owner,
     slot_rows,
-    slots,
 )
 
 URGENT, STANDARD, BULK = range(3)
@@ -277,6 +277,18 @@
     assert limit.value > 16
 
 
+def test_a_trial_ends_where_all_answers_come_whole():
+    """Services, and callers that do not stream, show no single tokens.
+
+    Bulk work would be kept to a quarter of the slots for good.
+    """
+    limit = limits.Limit(32)
+    for _ in range(3 * limits.MOST_SAMPLES):
+        limit.note_full()
+        limit.miss()
+    assert limit.value == 32
+
+
 def test_a_new_limit_lets_urgent_work_in_but_only_some_bulk():
     owner = Owner(places=8)
     owner.batch.limit = limits.Limit(8)
@@ -289,7 +301,7 @@
 
 
 def test_rows_are_in_the_order_of_service():
-    owner = slots.Slots.__new__(slots.Slots)
+    owner = slot_owner.SlotOwner.__new__(slot_owner.SlotOwner)
     owner.kernel = kernel.Kernel(builders.settings("vm-7"))
     held = Owner()
     owner.batch_by_endpoint = {"engine-1": held.batch}
