A planner waits for every owner's report; adapters' demand counted once

Cause of the first plan loading everything on the planner's own endpoints (seen in the demo): the planner listened only after it had become planner, not after a catalogue declared endpoints, and its own VM's reports come first. It now waits for each declared endpoint's owner, 8 s at most, and owners report to a new planner at once. Found while reading: an adapter's requests filled its model's places twice; every look at an endpoint sent an unchanged report (now only changes, and all every 6 s); a changed late_order_s, slots or memory did not reach what was already running; late_order_s under 5 s is refused.

--- a/packages/mothworks/src/mothworks/catalogue.py
+++ b/packages/mothworks/src/mothworks/catalogue.py
@@ -15,6 +15,10 @@
 
 from mothworks import capacity, documents, plugins, settings
 
+#: Least longest delay of an order, seconds: an owner's pause between its last
+#: look at a ledger and its order is part of it.
+LEAST_LATE_ORDER_S = 5.0
+
 
 class Urgency(enum.StrEnum):
     """Class of a caller's work; a lower rank goes first."""
@@ -154,7 +158,14 @@
     moves: float = 1.0
     loads_per_s: float = attrs.field(default=2.0, validator=settings.check_positive)
     parallel_loads: int = attrs.field(default=8, validator=settings.check_positive)
-    late_order_s: float = attrs.field(default=30.0, validator=settings.check_positive)
+    late_order_s: float = attrs.field(default=30.0)
+
+    @late_order_s.validator
+    def _covers_a_pause(self, attribute: attrs.Attribute, value: float) -> None:
+        if value < LEAST_LATE_ORDER_S:
+            raise ValueError(
+                f"late_order_s: expected at least {LEAST_LATE_ORDER_S:g}, found {value}"
+            )
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/endpoint_task.py
+++ b/packages/mothworks/src/mothworks/endpoint_task.py
@@ -58,7 +58,9 @@
         self.queue: collections.deque[move_messages.Move] = collections.deque()
         self.changed = gevent.event.Event()
         self.reconciled_at = float("-inf")
+        #: The unload that requests in flight were waited for, by its id.
         self.quiet_for = ""
+        self.reported: move_messages.Holdings | None = None
 
     def add(self, move: move_messages.Move) -> None:
         """Queue a move, unless it is queued or the queue is full.
@@ -77,27 +79,34 @@
                 self.changed.wait(pause_s)
                 self.changed.clear()
 
-    def report(self) -> None:
-        """Tell the planner what the ledger holds, if it is known."""
+    def report(self, again: bool = True) -> None:
+        """Tell the planner what the ledger holds, if it is known.
+
+        :param again: also where nothing changed since the last report.
+        """
         current = self.mover.current
         if current is None:
             return
+        holdings = self._holdings(current)
+        if again or holdings != self.reported:
+            self.reported = holdings
+            self.part.report(holdings)
+
+    def _holdings(self, current: ledger.Ledger) -> move_messages.Holdings:
         capacity_mb = self.mover.endpoint.memory_mb
         free_mb = capacity_mb - current.reserved_mb()
         intent = current.intent
-        self.part.report(
-            move_messages.Holdings(
-                self.name,
-                current.fence,
-                [item.name for item in current.holdings],
-                [item.version for item in current.holdings],
-                [item.reserved_mb for item in current.holdings],
-                free_mb,
-                intent.kind if intent else "",
-                intent.holding.name if intent else "",
-                intent.holding.version if intent else "",
-                len(self.queue),
-            )
+        return move_messages.Holdings(
+            self.name,
+            current.fence,
+            [item.name for item in current.holdings],
+            [item.version for item in current.holdings],
+            [item.reserved_mb for item in current.holdings],
+            free_mb,
+            intent.kind if intent else "",
+            intent.holding.name if intent else "",
+            intent.holding.version if intent else "",
+            len(self.queue),
         )
 
     def under_way(self) -> list[row_classes.MoveRow]:
@@ -143,14 +152,16 @@
         return RECONCILE_S
 
     def _follow_catalogue(self) -> None:
-        declared = self.part.configuration.index.endpoint_by_name.get(self.name)
+        index = self.part.configuration.index
+        declared = index.endpoint_by_name.get(self.name)
         if declared is not None:
             self.mover.endpoint = declared
+            self.mover.late_order_s = index.catalogue.weights.late_order_s
 
     def _pause_after(self, step: result.Result) -> float:
         match step:
             case result.Ok(_):
-                self.report()
+                self.report(again=False)
                 return 0.0
             case result.Err(ledger_store.Lost()):
                 return 0.0
--- a/packages/mothworks/src/mothworks/fleet.py
+++ b/packages/mothworks/src/mothworks/fleet.py
@@ -223,7 +223,8 @@
         """
         demanded = self.demanded_by_name[name]
         shares = demanded.share_by_site
-        if not shares:
+        # The places of an adapter's requests are counted with its model's.
+        if not shares or demanded.need.base:
             return
         sites = [self.site_by_name[site] for site in shares]
         for site in sites:
--- a/packages/mothworks/src/mothworks/orders.py
+++ b/packages/mothworks/src/mothworks/orders.py
@@ -25,8 +25,9 @@
     row_classes,
 )
 
-#: Seconds between reports to the planner where nothing changed.
-REPORT_S = 3.0
+#: Seconds between reports to the planner where nothing changed. At the target
+#: size a VM owns 14 endpoints and sends some 250 bytes for each.
+REPORT_S = 6.0
 
 
 @plugins.register(plugins.PART, "orders")
@@ -51,7 +52,9 @@
         self.moves_total = node_kernel.metrics.counter(
             "moves_total", "Orders carried out, by kind and outcome."
         )
+        self.planner_name = ""
         self.health.on_owned.append(self.assign)
+        self.membership.on_change.append(self._follow_planner)
         self.peers.handle(move_messages.Move, self._receive)
 
     def start(self) -> None:
@@ -139,6 +142,15 @@
     def _receive(self, _: str, move: move_messages.Move, __: peers.Answer) -> None:
         self.take(move)
 
+    def _follow_planner(self) -> None:
+        """Report to a new planner at once, so that it need not wait long."""
+        region = self.kernel.settings.region
+        planner = ownership.planner_of(region, self.membership.live())
+        name = planner.name if planner is not None else ""
+        if name != self.planner_name:
+            self.planner_name = name
+            self._report_all()
+
     def _report_all(self) -> None:
         for work in list(self.work_by_endpoint.values()):
             work.report()
--- a/packages/mothworks/src/mothworks/planner.py
+++ b/packages/mothworks/src/mothworks/planner.py
@@ -57,12 +57,24 @@
         """Start to plan whenever this VM is the planner."""
         self.tasks.every(region_plan.PERIOD_S, self._pass)
 
+    def _follow_role(self) -> bool:
+        """Begin or end to plan with the membership; return whether this VM plans."""
+        region = self.kernel.settings.region
+        planner = ownership.planner_of(region, self.membership.live())
+        if planner is None or planner.name != self.kernel.settings.name:
+            self.state = None
+        elif self.state is None:
+            now = time.monotonic()
+            self.state = region_plan.RegionPlan(region, now, self._policy())
+            self.demand.book = demand.Book()
+        return self.state is not None
+
     def take(self, holdings: move_messages.Holdings) -> None:
         """Take an owner's report.
 
         :param holdings: what an endpoint's ledger holds.
         """
-        if self.state is not None:
+        if self._follow_role():
             self.state.take(holdings)
 
     def _receive(
@@ -71,18 +83,10 @@
         self.take(holdings)
 
     def _pass(self) -> None:
-        region = self.kernel.settings.region
-        planner = ownership.planner_of(region, self.membership.live())
-        if planner is None or planner.name != self.kernel.settings.name:
-            self.state = None
+        if not self._follow_role():
             return
         index = self.configuration.index
-        if self.state is None:
-            self.state = region_plan.RegionPlan(
-                region, time.monotonic(), self._policy()
-            )
-            self.demand.book = demand.Book()
-        self.state.follow(self.configuration.revision, index)
+        self.state.follow(self.configuration.revision, index, time.monotonic())
         began = time.thread_time()
         moves = self.state.plan(
             time.monotonic(), self.demand.book, self._open_endpoints()
--- a/packages/mothworks/src/mothworks/region_plan.py
+++ b/packages/mothworks/src/mothworks/region_plan.py
@@ -16,8 +16,10 @@
 
 #: Seconds between passes.
 PERIOD_S = 1.0
-#: Time a new planner listens to owners before it plans, seconds.
+#: Shortest and longest time that a new planner listens before it plans, seconds;
+#: the longest covers the owners' regular reports.
 LISTEN_S = 4.0
+LISTEN_LONGEST_S = 8.0
 #: Time after which a move is forgotten if its owner reports no work, seconds.
 FORGOTTEN_S = 10.0
 #: Time after which a move is forgotten whatever its owner reports, seconds.
@@ -68,6 +70,8 @@
         self.revision = -1
         self.fleet = fleet.Fleet()
         self.endpoint_by_name: dict[str, catalogue.Endpoint] = {}
+        #: Monotonic time since which each endpoint is known, seconds.
+        self.declared_at: dict[str, float] = {}
         self.allowance = Allowance(1.0, 1)
         self.policy = policy
         #: What operators ordered.
@@ -79,11 +83,12 @@
         self.holdings_by_endpoint: dict[str, move_messages.Holdings] = {}
         self.dirty: set[str] = set()
 
-    def follow(self, revision: int, index: catalogue.Index) -> None:
+    def follow(self, revision: int, index: catalogue.Index, now: float) -> None:
         """Follow the catalogue in force.
 
         :param revision: its revision.
         :param index: its items.
+        :param now: monotonic time, seconds.
         """
         if revision == self.revision:
             return
@@ -97,11 +102,21 @@
             if item.memory_mb
             and self.name == index.region_by_data_centre[item.data_centre]
         }
+        self.declared_at = {
+            name: self.declared_at.get(name, now) for name in self.endpoint_by_name
+        }
         for name in self.fleet.site_by_name.keys() - self.endpoint_by_name.keys():
             self.fleet.remove(name)
+        for name, site in self.fleet.site_by_name.items():
+            self._follow_endpoint(site, self.endpoint_by_name[name])
         self.fleet.declare(needs(index.catalogue))
         self.dirty.update(self.holdings_by_endpoint)
 
+    def _follow_endpoint(self, site: fleet.Site, declared: catalogue.Endpoint) -> None:
+        site.data_centre = declared.data_centre
+        site.memory_mb = declared.memory_mb
+        site.places = declared.slots * fleet.UTILISATION
+
     def take(self, holdings: move_messages.Holdings) -> None:
         """Take an owner's report, unless a newer one is known.
 
@@ -141,7 +156,7 @@
         self.dirty.clear()
         self._follow_states(open_endpoints)
         self.allowance.refill(seconds)
-        if now - self.began < LISTEN_S:
+        if self._must_listen(now):
             return []
         loads = self.allowance.loads(self._running_loads())
         moves = self.relocations.plan(self.fleet, now, loads)
@@ -153,6 +168,19 @@
                 self.allowance.tokens -= 1
         return moves
 
+    def _must_listen(self, now: float) -> bool:
+        """Return whether owners may still have to say what is resident.
+
+        Models of an endpoint that was not heard of look as if they were
+        resident nowhere, and would be loaded a second time; and while only
+        this VM's own endpoints are known, everything would be loaded there.
+        """
+        if now - self.began < LISTEN_S:
+            return True
+        unheard = self.endpoint_by_name.keys() - self.holdings_by_endpoint.keys()
+        declared = (self.declared_at[name] for name in unheard)
+        return any(now - at < LISTEN_LONGEST_S for at in declared)
+
     def _set_demand(self, book: demand.Book) -> None:
         places = collections.Counter()
         service_s = {}
@@ -190,11 +218,8 @@
         holdings = self.holdings_by_endpoint[name]
         site = self.fleet.site_by_name.get(name)
         if site is None:
-            declared = self.endpoint_by_name[name]
-            places = declared.slots * fleet.UTILISATION
-            site = fleet.Site(
-                name, declared.data_centre, declared.memory_mb, places, open=False
-            )
+            site = fleet.Site(name, "", 0, 1.0, open=False)
+            self._follow_endpoint(site, self.endpoint_by_name[name])
             self.fleet.add(site)
         keys = zip(holdings.names, holdings.versions, strict=True)
         site.memory_by_key = dict(zip(keys, holdings.reserved_mb, strict=True))
--- a/packages/mothworks/tests/test_capacity.py
+++ b/packages/mothworks/tests/test_capacity.py
@@ -51,6 +51,12 @@
     assert problems(models=models, endpoints=engines) == ()
 
 
+def test_a_late_order_time_that_no_pause_fits_into_is_refused():
+    text = '{"weights": {"late_order_s": 1}}'
+    (problem,) = catalogue.read(text, "test").err().problems
+    assert "expected at least 5" in problem
+
+
 def test_a_feasible_catalogue_of_the_target_size_is_taken():
     random_source = random.Random(7)
     items = [
--- a/packages/mothworks/tests/test_packing.py
+++ b/packages/mothworks/tests/test_packing.py
@@ -175,6 +175,15 @@
     assert holders(planned, "menu-es") == holders(planned, "menu")
 
 
+def test_an_adapters_demand_fills_its_models_places_once():
+    needs = [need("menu", spare_mb=5), need("menu-es", 5, base="menu")]
+    planned = made(needs, memories=(100,))
+    settle(planned, policy())
+    planned.set_demand("menu", 4.0, 1.0)
+    planned.set_demand("menu-es", 4.0, 1.0)
+    assert planned.site_by_name["engine-0"].load == 4.0
+
+
 def test_loads_respect_the_weight_store():
     planned = made([need(f"model-{n}", 10) for n in range(9)])
     assert len(policy().plan(planned, 2)) == 2
--- a/packages/mothworks/tests/test_planner.py
+++ b/packages/mothworks/tests/test_planner.py
@@ -40,7 +40,7 @@
         self.region = region_plan.RegionPlan(
             "region-1", 0.0, packing.Packing(self.declared.weights)
         )
-        self.region.follow(1, catalogue.Index(self.declared))
+        self.region.follow(1, catalogue.Index(self.declared), 0.0)
         self.book = demand.Book()
         self.now = region_plan.LISTEN_S
 
@@ -63,12 +63,35 @@
     planning = Planning()
     planning.now = 0.0
     assert planning.plan() == []
-    for number in range(6):
+    for number in range(5):
         planning.report(holdings(f"engine-{number}", names=[f"model-{number}"]))
-    moves = planning.plan(region_plan.LISTEN_S)
+    assert planning.plan(region_plan.LISTEN_S) == []
+    planning.report(holdings("engine-5", names=["model-5"]))
+    moves = planning.plan()
     assert all(move.why != "resident nowhere" for move in moves)
 
 
+def test_a_first_catalogue_is_planned_once_all_owners_reported():
+    """Nodes have run for a while when the first catalogue is applied. The
+    planner hears its own endpoints first; planned at once, every model would
+    be loaded on those while the others stay empty.
+    """
+    planning = Planning()
+    planning.now = 1000.0
+    planning.region.follow(2, catalogue.Index(builders.declared()), 990.0)
+    planning.region.follow(3, catalogue.Index(planning.declared), 1000.0)
+    planning.report(holdings("engine-0"))
+    assert planning.plan() == []
+    planning.report_empty()
+    assert planning.plan()
+
+
+def test_an_endpoint_whose_owner_never_reports_stops_nothing():
+    planning = Planning()
+    planning.report(holdings("engine-0"))
+    assert planning.plan(region_plan.LISTEN_LONGEST_S)
+
+
 def test_loads_keep_to_the_weight_stores_rate_and_number():
     planning = Planning()
     planning.report_empty()
--- a/packages/mothworks_fakes/src/mothworks_fakes/measure_placement.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/measure_placement.py
@@ -176,7 +176,7 @@
     region = region_plan.RegionPlan(
         "region", -region_plan.LISTEN_S, packing.Packing(weights)
     )
-    region.follow(1, catalogue.Index(declared))
+    region.follow(1, catalogue.Index(declared), region.began)
     names = [item.name for item in declared.models]
     open_endpoints = frozenset(item.name for item in declared.endpoints)
     for endpoint in declared.endpoints:
--- a/packages/mothworks_fakes/src/mothworks_fakes/placement_trial.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/placement_trial.py
@@ -186,7 +186,7 @@
             -demand_traces.WARM_UP_S - region_plan.LISTEN_S,
             plugins.find(plugins.PLACEMENT, policy)(self.declared.weights),
         )
-        self.region.follow(1, catalogue.Index(self.declared))
+        self.region.follow(1, catalogue.Index(self.declared), self.region.began)
         self.book = demand.Book()
         self.outcome = Outcome()
         self.lost_since: dict[str, int] = {}
