--- a/packages/mothworks/src/mothworks/endpoint_task.py
+++ b/packages/mothworks/src/mothworks/endpoint_task.py
@@ -196,6 +196,7 @@
         return self._pause_after(step)
 
     def _begin(self, move: move_messages.Move) -> float:
+        # The wire brings the kind as text.
         kind = endpoints.OrderKind(move.kind)
         match kind:
             case endpoints.OrderKind.LOAD:
--- a/packages/mothworks/src/mothworks/move_messages.py
+++ b/packages/mothworks/src/mothworks/move_messages.py
@@ -1,27 +1,17 @@
 """Messages between the planner and the owners of endpoints."""
 
-import enum
-
 import attrs
 
 from mothworks import messages
 
 
-class MoveKind(enum.StrEnum):
-    """What a move does."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-    ROLE = "role"
-
-
 @messages.message(72)
 @attrs.frozen
 class Move:
     """The planner asks an endpoint's owner for a load, an unload or a role.
 
     :param endpoint: the endpoint's name.
-    :param kind: a :class:`MoveKind`.
+    :param kind: a :class:`endpoints.OrderKind`.
     :param name: the model or adapter, or the new role.
     :param version: the model's version; empty for a role.
     :param why: the reason, for the audit trail.
--- a/packages/mothworks/src/mothworks/placement_policy.py
+++ b/packages/mothworks/src/mothworks/placement_policy.py
@@ -1,6 +1,6 @@
 """What placement policies share: their interface and the moves of one pass."""
 
-from mothworks import catalogue, fleet, move_messages
+from mothworks import catalogue, endpoints, fleet, move_messages
 
 
 class Policy:
@@ -48,7 +48,7 @@
         self.loads -= 1
         self.fleet.load(site, need)
         move = move_messages.Move(
-            site.name, move_messages.MoveKind.LOAD, need.name, need.version, why
+            site.name, endpoints.OrderKind.LOAD, need.name, need.version, why
         )
         self.moves.append(move)
 
@@ -61,5 +61,5 @@
         """
         self.fleet.unload(site, key)
         self.moves.append(
-            move_messages.Move(site.name, move_messages.MoveKind.UNLOAD, *key, why)
+            move_messages.Move(site.name, endpoints.OrderKind.UNLOAD, *key, why)
         )
--- a/packages/mothworks/src/mothworks/region_plan.py
+++ b/packages/mothworks/src/mothworks/region_plan.py
@@ -8,6 +8,7 @@
 from mothworks import (
     catalogue,
     demand,
+    endpoints,
     fleet,
     move_messages,
     placement_policy,
@@ -160,11 +161,11 @@
             return []
         loads = self.allowance.loads(self._running_loads())
         moves = self.relocations.plan(self.fleet, now, loads)
-        loads -= sum(move.kind == move_messages.MoveKind.LOAD for move in moves)
+        loads -= sum(move.kind == endpoints.OrderKind.LOAD for move in moves)
         moves += self.policy.plan(self.fleet, loads)
         for move in moves:
             self.outstanding[move.endpoint][move] = now
-            if move.kind == move_messages.MoveKind.LOAD:
+            if move.kind == endpoints.OrderKind.LOAD:
                 self.allowance.tokens -= 1
         return moves
 
@@ -234,25 +235,25 @@
     def _add_pending(self, site: fleet.Site, holdings: move_messages.Holdings) -> None:
         key = (holdings.pending_name, holdings.pending_version)
         match holdings.pending_kind:
-            case move_messages.MoveKind.LOAD:
+            case endpoints.OrderKind.LOAD:
                 site.loading.add(key)
                 site.memory_by_key[key] = self._memory_mb(holdings.pending_name)
-            case move_messages.MoveKind.UNLOAD if key in site.memory_by_key:
+            case endpoints.OrderKind.UNLOAD if key in site.memory_by_key:
                 site.leaving.add(key)
 
     def _add_outstanding(self, site: fleet.Site, move: move_messages.Move) -> None:
         key = (move.name, move.version)
         match move.kind:
-            case move_messages.MoveKind.LOAD if key in site.memory_by_key:
+            case endpoints.OrderKind.LOAD if key in site.memory_by_key:
                 del self.outstanding[site.name][move]
-            case move_messages.MoveKind.LOAD:
+            case endpoints.OrderKind.LOAD:
                 memory_mb = self._memory_mb(move.name)
                 site.memory_by_key[key] = memory_mb
                 site.loading.add(key)
                 site.free_mb -= memory_mb
-            case move_messages.MoveKind.UNLOAD if key not in site.memory_by_key:
+            case endpoints.OrderKind.UNLOAD if key not in site.memory_by_key:
                 del self.outstanding[site.name][move]
-            case move_messages.MoveKind.UNLOAD if key not in site.leaving:
+            case endpoints.OrderKind.UNLOAD if key not in site.leaving:
                 site.leaving.add(key)
                 site.free_mb += site.memory_by_key[key]
 
--- a/packages/mothworks/src/mothworks/relocations.py
+++ b/packages/mothworks/src/mothworks/relocations.py
@@ -9,7 +9,7 @@
 import attrs
 import result
 
-from mothworks import fleet, move_messages
+from mothworks import endpoints, fleet, move_messages
 
 #: Time after which a relocation that makes no progress is given up, seconds.
 PATIENCE_S = 600.0
@@ -69,7 +69,7 @@
         for relocation in list(self.by_model.values()):
             step = _step(planned, relocation, loads)
             moves += step
-            loads -= sum(move.kind == move_messages.MoveKind.LOAD for move in step)
+            loads -= sum(move.kind == endpoints.OrderKind.LOAD for move in step)
             if now > relocation.until or _is_done(planned, relocation):
                 del self.by_model[relocation.model]
         return moves
@@ -128,18 +128,18 @@
             if loads <= 0 or target.free_mb < need.memory_mb:
                 return []
             planned.load(target, need)
-            return [_move(target, move_messages.MoveKind.LOAD, need, relocation)]
+            return [_move(target, endpoints.OrderKind.LOAD, need, relocation)]
     moves = []
     for need in reversed(needs):
         if need.key in source.memory_by_key and need.key not in source.leaving:
             planned.unload(source, need.key)
-            moves.append(_move(source, move_messages.MoveKind.UNLOAD, need, relocation))
+            moves.append(_move(source, endpoints.OrderKind.UNLOAD, need, relocation))
     return moves
 
 
 def _move(
     site: fleet.Site,
-    kind: move_messages.MoveKind,
+    kind: endpoints.OrderKind,
     need: fleet.Need,
     relocation: Relocation,
 ) -> move_messages.Move:
--- a/packages/mothworks/tests/test_moves.py
+++ b/packages/mothworks/tests/test_moves.py
@@ -280,6 +280,16 @@
     assert world.engine.highest_fence > 40
 
 
+def test_a_change_of_role_goes_through_the_ledger():
+    world = movers.World(fencing=True)
+    owner = world.ready_owner()
+    role = ledger.Holding("prefill", "", 0)
+    movers.run(owner, world, endpoints.OrderKind.ROLE, role)
+    assert world.engine.role == "prefill"
+    assert owner.current.holdings == ()
+    assert owner.current.fence == world.engine.highest_fence
+
+
 def test_an_order_is_sent_only_shortly_after_a_look():
     world = movers.World(fencing=True)
     owner = world.ready_owner()
--- a/packages/mothworks/tests/test_orders.py
+++ b/packages/mothworks/tests/test_orders.py
@@ -19,7 +19,7 @@
     slots,
 )
 
-UNLOAD = move_messages.Move("engine-1", move_messages.MoveKind.UNLOAD, "menu", "1")
+UNLOAD = move_messages.Move("engine-1", endpoints.OrderKind.UNLOAD, "menu", "1")
 
 
 @pytest.fixture
--- a/packages/mothworks/tests/test_packing.py
+++ b/packages/mothworks/tests/test_packing.py
@@ -4,10 +4,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from mothworks import catalogue, fleet, move_messages, packing
+from mothworks import catalogue, endpoints, fleet, packing
 
-LOAD = move_messages.MoveKind.LOAD
-UNLOAD = move_messages.MoveKind.UNLOAD
+LOAD = endpoints.OrderKind.LOAD
+UNLOAD = endpoints.OrderKind.UNLOAD
 
 
 def need(name="menu", memory_mb=40, **changes):
--- a/packages/mothworks/tests/test_planner.py
+++ b/packages/mothworks/tests/test_planner.py
@@ -6,7 +6,7 @@
 import movers
 from mothworks import catalogue, demand, endpoints, move_messages, packing, region_plan
 
-LOAD = move_messages.MoveKind.LOAD
+LOAD = endpoints.OrderKind.LOAD
 
 
 def declared(**changes):
--- a/packages/mothworks/tests/test_relocations.py
+++ b/packages/mothworks/tests/test_relocations.py
@@ -1,7 +1,13 @@
 """Relocations: the source gives a model up only after the target has it."""
 
 import builders
-from mothworks import catalogue, fleet, move_messages, region_plan, relocations
+from mothworks import (
+    catalogue,
+    endpoints,
+    fleet,
+    region_plan,
+    relocations,
+)
 
 MENU = ("menu", "1")
 SPANISH = ("menu-es", "1")
@@ -33,7 +39,7 @@
     """A caller would meet a model without any replica in between."""
     planned, made = region(), relocations.Relocations()
     made.accept(planned, move()).unwrap()
-    load, unload = move_messages.MoveKind.LOAD, move_messages.MoveKind.UNLOAD
+    load, unload = endpoints.OrderKind.LOAD, endpoints.OrderKind.UNLOAD
     steps = []
     for _ in range(5):
         for item in made.plan(planned, 0.0, loads=1):
--- a/packages/mothworks_fakes/src/mothworks_fakes/placement_trial.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/placement_trial.py
@@ -276,11 +276,11 @@
             if move is None:
                 continue
             match move.kind:
-                case move_messages.MoveKind.LOAD if move.name in models:
+                case endpoints.OrderKind.LOAD if move.name in models:
                     self.outcome.loads += 1
-                case move_messages.MoveKind.LOAD:
+                case endpoints.OrderKind.LOAD:
                     self.outcome.adapter_loads += 1
-                case move_messages.MoveKind.UNLOAD if move.name in models:
+                case endpoints.OrderKind.UNLOAD if move.name in models:
                     self.outcome.unloads += 1
         running = sum(1 for engine in self.engines if engine.memory.loading_by_key)
         parallel = self.declared.weights.parallel_loads
