Late memory counts at its larger declared size; unknown placement policy refused

Cause, found while reading: the ledger took one entry for each name and version, the last; a lowered memory_mb hid the memory that a late copy would take. The new test fails without the change. An unknown setting placement stopped a VM only when it began to plan.

--- a/packages/mothworks/src/mothworks/ledger.py
+++ b/packages/mothworks/src/mothworks/ledger.py
@@ -125,22 +125,28 @@
         return next((item for item in self.holdings if item.key == wanted), None)
 
     def reserved_mb(self) -> int:
-        """Return the memory that is not free, MB."""
-        return sum(item.reserved_mb for item in self._reserved().values())
+        """Return the memory that is not free, MB.
+
+        A late copy of a load that is resident or pending brings back the same
+        weights, so that each model counts once; where the declared size has
+        changed in between, the larger one counts.
+        """
+        most_by_key: dict[tuple[str, str], int] = {}
+        for item in self._reserved():
+            most = max(item.reserved_mb, most_by_key.get(item.key, 0))
+            most_by_key[item.key] = most
+        return sum(most_by_key.values())
 
     def fenced_late(self) -> Holding | None:
         """Return late memory that an unload can free, or None."""
         waiting = [item.holding for item in self.late if item.until == NEVER]
         return waiting[0] if waiting else None
 
-    def _reserved(self) -> dict[tuple[str, str], Holding]:
-        # A late copy of a load that is resident or pending brings back the
-        # same weights and takes no further memory, hence one entry a key.
-        items = [item.holding for item in self.late]
-        items += self.holdings
+    def _reserved(self) -> collections.abc.Iterator[Holding]:
+        yield from self.holdings
+        yield from (item.holding for item in self.late)
         if self.intent is not None and self.intent.kind is endpoints.OrderKind.LOAD:
-            items.append(self.intent.holding)
-        return {item.key: item for item in items}
+            yield self.intent.holding
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/planner.py
+++ b/packages/mothworks/src/mothworks/planner.py
@@ -46,6 +46,7 @@
         self.orders = node_kernel.get(orders.Orders)
         self.peers = node_kernel.get(peers.Peers)
         self.audit = node_kernel.get(audit.Audit)
+        self.policy_class = _policy_class(node_kernel.settings.placement)
         self.state: region_plan.RegionPlan | None = None
         self.pass_seconds = node_kernel.metrics.seconds(
             "planner_pass_seconds", "Processor time of one pass."
@@ -64,8 +65,8 @@
         if planner is None or planner.name != self.kernel.settings.name:
             self.state = None
         elif self.state is None:
-            now = time.monotonic()
-            self.state = region_plan.RegionPlan(region, now, self._policy())
+            policy = self.policy_class(self.configuration.index.catalogue.weights)
+            self.state = region_plan.RegionPlan(region, time.monotonic(), policy)
             self.demand.book = demand.Book()
         return self.state is not None
 
@@ -95,11 +96,6 @@
         for move in moves:
             self._hand_out(move)
 
-    def _policy(self) -> placement_policy.Policy:
-        chosen = self.kernel.settings.placement
-        made = plugins.find(plugins.PLACEMENT, chosen)
-        return made(self.configuration.index.catalogue.weights)
-
     def _open_endpoints(self) -> frozenset[str]:
         """Return the endpoints that may get loads and whose replicas count."""
         names = self.placement.status_by_endpoint
@@ -116,3 +112,11 @@
             self.orders.take(move)
         else:
             self.peers.send(owner.name, move)
+
+
+def _policy_class(name: str) -> type[placement_policy.Policy]:
+    found = plugins.find(plugins.PLACEMENT, name)
+    if found is None:
+        known = ", ".join(plugins.keys(plugins.PLACEMENT))
+        raise ValueError(f"placement: expected one of {known}, found {name!r}")
+    return found
--- a/packages/mothworks/tests/test_moves.py
+++ b/packages/mothworks/tests/test_moves.py
@@ -228,6 +228,15 @@
     assert set(world.engine.resident_by_key) == {MENU.key}
 
 
+def test_the_larger_of_two_declared_sizes_counts():
+    """An operator lowers a model's declared memory while a copy of its load is
+    late. The copy loads what was ordered, so the old size has to be kept.
+    """
+    late = ledger.Late(movers.holding(memory_mb=60), until=ledger.NEVER)
+    resident = movers.holding(memory_mb=40)
+    assert ledger.Ledger("e", holdings=(resident,), late=(late,)).reserved_mb() == 60
+
+
 def test_a_late_load_under_way_counts():
     """The late copy of a load begins just before its time is over. The engine
     does not list the model as resident yet; its memory must count all the same.
