Equally idle endpoints: the one with the most free memory gets the load

Cause, seen in the demo: before any demand all endpoints are equally idle, and the first in order got every load, so that 15 models stood on 3 of 6 engines. The new test fails without the change.

--- a/packages/mothworks/src/mothworks/packing.py
+++ b/packages/mothworks/src/mothworks/packing.py
@@ -202,7 +202,11 @@
         ]
         best = max(
             fitting,
-            key=lambda site: (site.data_centre not in others, site.spare),
+            key=lambda site: (
+                site.data_centre not in others,
+                site.spare,
+                site.free_mb,
+            ),
             default=None,
         )
         return None if best is None else room.Place(best)
--- a/packages/mothworks/tests/test_packing.py
+++ b/packages/mothworks/tests/test_packing.py
@@ -77,6 +77,19 @@
     assert settle(planned, policy()) == []
 
 
+def test_models_nobody_asks_for_yet_are_spread_over_all_endpoints():
+    """A first catalogue, and loads that take no time: each load finds the first
+    endpoint free again. All models would come to stand on a few endpoints,
+    and the first requests would queue there while others are empty.
+    """
+    planned = made([need(f"model-{number}", 20) for number in range(3)])
+    chosen = policy()
+    for _ in range(3):
+        chosen.plan(planned, 1)
+        finish(planned)
+    assert all(len(site.names) == 1 for site in planned.site_by_name.values())
+
+
 def test_a_replica_is_loaded_only_if_it_is_worth_its_moves():
     planned = made([need("menu", 90)])
     settle(planned, policy())
