--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -99,6 +99,9 @@
         self.wsgi_input = _Unread(self.wsgi_input, self)
         return environ
 
+    def log_request(self) -> None:
+        """Do nothing: the base class formats a line that nobody reads."""
+
     def process_result(self) -> None:
         """Send the reply's pieces; gevent's base class calls this."""
         try:
