Bodies bounded together; no bytes after an answer; upgrades left alone

Cause: by reading. Each body was bounded, their sum was not; the parser adds the body of an unasked second answer to the first, and the connection was back in the pool by then; with an Upgrade header the body was read from the bare connection, the next request included.

Change: uploads.py reserves room for bodies that arrive, 32 MB of a VM, and refuses beyond it with ran: no; bytes after an answer break it and close the connection; the body's reader is always the bounded one. Tests of each.

--- a/packages/mothworks/src/mothworks/calls.py
+++ b/packages/mothworks/src/mothworks/calls.py
@@ -13,7 +13,7 @@
 import orjson
 import result
 
-from mothworks import caller_watch, catalogue, outcomes, settings
+from mothworks import caller_watch, catalogue, outcomes, settings, uploads
 
 StartResponse = collections.abc.Callable[[str, list[tuple[str, str]]], typing.Any]
 
@@ -41,6 +41,8 @@
     504: "Gateway Timeout",
 }
 
+#: Hint to a caller whose body finds no room, seconds.
+UPLOADS_RETRY_S = 1.0
 #: Most digits of a timeout that a caller names.
 TIMEOUT_DIGITS = 6
 JSON = ("Content-Type", "application/json")
@@ -77,6 +79,7 @@
 
     :param environ: the WSGI environment.
     :param limits: bounds of this VM.
+    :param uploads: room for bodies that arrive.
     :param id: the request's id.
     :param arrived: monotonic time of arrival, seconds.
     :param watch: notices when the caller leaves, once started.
@@ -84,6 +87,7 @@
 
     environ: dict[str, typing.Any]
     limits: settings.Limits
+    uploads: uploads.Uploads
     id: str = attrs.field(factory=new_id)
     arrived: float = attrs.field(factory=time.monotonic)
     watch: caller_watch.Watch | None = None
@@ -144,11 +148,19 @@
     def body(self) -> result.Result[bytes, outcomes.Refusal]:
         """Read the whole body, bounded in bytes and time."""
         most = self.limits.body_bytes
-        declared = self.environ.get("CONTENT_LENGTH") or "0"
-        if not declared.isdecimal():
-            return result.Err(outcomes.invalid("Content-Length is not a number"))
-        if int(declared) > most:
+        length = int(self.environ.get("CONTENT_LENGTH") or 0)
+        if length > most:
             return result.Err(_too_long(most))
+        reserved = most if self.environ["wsgi.input"].chunked_input else length
+        if not self.uploads.reserve(reserved):
+            message = "too many bodies arrive at this node"
+            return result.Err(outcomes.overloaded(message, UPLOADS_RETRY_S, "uploads"))
+        try:
+            return self._read(most)
+        finally:
+            self.uploads.free(reserved)
+
+    def _read(self, most: int) -> result.Result[bytes, outcomes.Refusal]:
         try:
             with gevent.Timeout(self.limits.upload_s):
                 body = self.environ["wsgi.input"].read(most + 1)
@@ -160,8 +172,6 @@
             return result.Err(outcomes.invalid("the body broke off", "truncated_body"))
         if len(body) > most:
             return result.Err(_too_long(most))
-        if len(body) < int(declared):
-            return result.Err(outcomes.invalid("the body broke off", "truncated_body"))
         return result.Ok(body)
 
 
--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -96,6 +96,9 @@
         """Return the WSGI environment, with this connection in it."""
         environ = super().get_environ()
         environ[calls.CONNECTION] = self
+        # Where an upgrade is asked for, the base class puts the bare
+        # connection here, and the body would take in the next request.
+        environ["wsgi.input"] = self.wsgi_input
         self.wsgi_input = _Unread(self.wsgi_input, self)
         return environ
 
--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -16,6 +16,7 @@
     outcomes,
     path_metrics,
     plugins,
+    uploads,
 )
 
 log = logbook.Logger("server")
@@ -47,6 +48,7 @@
         #: The port that the kernel chose where the setting is 0.
         self.port = self.listener.socket.getsockname()[1]
         self.open_calls = 0
+        self.uploads = uploads.Uploads(chosen.limits.uploads_bytes)
         self.metrics = path_metrics.PathMetrics(node_kernel.metrics)
 
     def start(self) -> None:
@@ -81,7 +83,8 @@
         self.open_calls += 1
         call = reply = None
         try:
-            call = calls.Call(environ, self.kernel.settings.limits)
+            limits = self.kernel.settings.limits
+            call = calls.Call(environ, limits, self.uploads)
             logs.set_request_id(call.id)
             reply = self._guarded(call)
             self._note(call, reply)
--- a/packages/mothworks/src/mothworks/settings.py
+++ b/packages/mothworks/src/mothworks/settings.py
@@ -97,6 +97,8 @@
     :param drain_s: longest graceful shutdown, seconds.
     :param unready_s: time that a VM which shuts down goes on accepting calls,
         until the balancer has noticed that it is not ready, seconds.
+    :param uploads_bytes: most bytes of bodies that arrive at a time; a body
+        without a declared length counts as the longest one.
     """
 
     body_bytes: int = attrs.field(default=4 << 20, validator=check_positive)
@@ -106,6 +108,7 @@
     write_s: float = attrs.field(default=30.0, validator=check_positive)
     drain_s: float = attrs.field(default=60.0, validator=check_positive)
     unready_s: float = attrs.field(default=5.0, validator=check_positive)
+    uploads_bytes: int = attrs.field(default=32 << 20, validator=check_positive)
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -29,6 +29,9 @@
 #: Bytes taken from a socket at once.
 RECEIVE_BYTES = 16 << 10
 
+#: Lowest status of an answer that is not interim.
+FINAL_STATUS = 200
+
 #: What a broken connection or answer raises.
 FAILURES = (OSError, geventhttpclient.response.HTTPParseError)
 
@@ -118,6 +121,17 @@
             watcher.close()
         super().release()
 
+    def _on_message_begin(self) -> None:
+        # The parser would add the body of a second answer to the first.
+        if self.message_complete and self.get_code() >= FINAL_STATUS:
+            raise geventhttpclient.response.HTTPParseError("bytes after the answer")
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        # The library returns the connection to the pool here, before it is
+        # known whether more bytes follow.
+        self.message_complete = True
+
     def _fall_silent(self) -> None:
         # The waiting task then sees the answer break off.
         self._sock.shutdown(gevent.socket.SHUT_RD)
--- a/packages/mothworks/tests/test_answers.py
+++ b/packages/mothworks/tests/test_answers.py
@@ -244,6 +244,25 @@
                 # What is wrong came together with the head.
                 assert (failure.sent, failure.refused) == (True, False)
 
+    def test_bytes_after_an_answer_are_not_added_to_it(self, answer_of):
+        # An endpoint sends a second answer that nobody asked for. Its body
+        # would follow the first one's, or be the next caller's answer.
+        one = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+        match answer_of(one + b"two" + one + b"six", stays_open=True):
+            case result.Ok(answer):
+                with pytest.raises(OSError):
+                    b"".join(answer.chunks())
+                answer.close()
+                assert answer.response.should_close()
+            case result.Err(failure):
+                assert (failure.sent, failure.refused) == (True, False)
+
+    def test_an_interim_answer_comes_before_the_answer(self, answer_of):
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        final = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"
+        answer = answer_of(interim + final).unwrap()
+        assert (answer.status, b"".join(answer.chunks())) == (200, b"two")
+
     @pytest.mark.parametrize("wire", [b"", b"HTTP/1.1 200", b"\x00\x01"])
     def test_no_head_is_an_unknown_outcome(self, answer_of, wire):
         failure = answer_of(wire).unwrap_err()
--- a/packages/mothworks/tests/test_callers.py
+++ b/packages/mothworks/tests/test_callers.py
@@ -201,6 +201,22 @@
     assert (answered.status, answered.error["code"]) == (408, code)
 
 
+def test_bodies_that_arrive_are_bounded_together(serve):
+    # Many callers send long bodies slowly; each is within its own bound, and
+    # together they would fill the VM's memory.
+    node = serve(body_bytes=10_000, uploads_bytes=15_000)
+    slow = node.connect()
+    slow.sendall(served.head("POST", served.CHAT, Content_Length=8_000))
+    room = node.node.server.uploads
+    processes.wait_until(lambda: room.reserved == 8_000)
+    answered = node.send(served.head("POST", served.CHAT, Content_Length=8_000))
+    assert (answered.status, answered.error["code"]) == (503, "uploads")
+    assert answered.error["ran"] == "no"
+    slow.close()
+    processes.wait_until(lambda: room.reserved == 0)
+    assert node.chat(max_tokens=1).status == 200
+
+
 def test_a_connection_too_many_is_told_so(serve):
     # A pool that just stops accepting leaves callers in the kernel's queue:
     # they see neither an answer nor a refusal until their own timeout.
@@ -286,6 +302,14 @@
     sock.close()
 
 
+def test_an_upgrade_is_not_taken_up(shared):
+    sock = shared.connect()
+    body = b'{"model": "menu", "max_tokens": 1}'
+    sock.sendall(served.post(served.CHAT, body, Upgrade="websocket"))
+    assert served.read_answer(sock).status == 200
+    sock.close()
+
+
 def test_metrics_tell_replies_refusals_and_tokens(shared):
     shared.chat(stream=True, max_tokens=4)
     shared.send(served.post(served.CHAT, b"{"))
