--- a/packages/mothworks/src/mothworks/uploads.py
+++ b/packages/mothworks/src/mothworks/uploads.py
@@ -8,7 +8,7 @@
 class Uploads:
     """The room for bodies that arrive.
 
-    :param most: bytes of all of them.
+    :param most: bytes of all of them together.
 
     >>> room = Uploads(10)
     >>> room.reserve(8), room.reserve(8)
