Dispatch split by job; an engine's own error is an unknown outcome, not an answer

Change: attempts.py (how an attempt failed), resumption.py, caller_protocol.py. Statuses of 500 and above by an engine are failures after the send, retried elsewhere if the work may run twice, else ran: unknown; they do not count as crashes. Tests of both.

--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -8,11 +8,11 @@
 import time
 
 import attrs
-import logbook
 import result
 
 from mothworks import (
     attainment,
+    attempts,
     caller_watch,
     catalogue,
     claim_records,
@@ -29,6 +29,7 @@
     plugins,
     recorded,
     requests,
+    resumption,
     retries,
     routing,
     running,
@@ -36,32 +37,8 @@
     suspects,
 )
 
-log = logbook.Logger("dispatch")
-
 #: Endpoints that one request may try.
 MOST_ATTEMPTS = 3
-#: Hint to a caller where a model has no endpoint now, seconds.
-NO_ENDPOINT_RETRY_S = 2.0
-#: Hint to a caller whose request an endpoint refused, seconds.
-REFUSED_RETRY_S = 1.0
-
-
-@attrs.frozen
-class Failed:
-    """An attempt that gave no answer.
-
-    :param refusal: what the caller is told, unless another attempt succeeds.
-    :param sent: whether the endpoint may have run the request.
-    :param counted: whether a further attempt is paid from the retry budget.
-    :param outcome: what the endpoint's owner is told.
-    :param endpoint: where it was tried; empty where no endpoint gave a slot.
-    """
-
-    refusal: outcomes.Refusal
-    sent: bool
-    counted: bool
-    outcome: slots.Outcome
-    endpoint: str = ""
 
 
 @plugins.register(plugins.PART, "dispatch")
@@ -86,6 +63,7 @@
         self.policy: routing.Policy = plugins.find(plugins.ROUTING, chosen)()
         self.retries = retries.Budget()
         self.metrics = path_metrics.PathMetrics(node_kernel.metrics)
+        self.resumption = resumption.Resumption(self)
 
     def begin(
         self, request: requests.Request, watch: caller_watch.Watch | None = None
@@ -154,9 +132,9 @@
         claim: claims.Claim | None,
     ) -> result.Result[running.Running, outcomes.Refusal]:
         tried: set[str] = set()
-        refusal = _no_endpoint(request)
+        refusal = attempts.no_endpoint(request)
         while len(tried) < MOST_ATTEMPTS:
-            choice = self._choose(request, tried)
+            choice = self.choose(request, tried)
             if not choice:
                 self._explain_closed(request, trace)
                 break
@@ -177,7 +155,7 @@
                     trace.add(failed.endpoint, refusal.message)
             tried.add(failed.endpoint)
             lost = claim is not None and claim.lost
-            elsewhere = not lost and bool(self._choose(request, tried))
+            elsewhere = not lost and bool(self.choose(request, tried))
             may_retry = elsewhere and self._may_retry(request, failed)
             self._accuse(request, failed, may_retry)
             if not may_retry:
@@ -186,32 +164,8 @@
         return result.Err(refusal)
 
     def resume(self, stopped: running.Running) -> bool:
-        """Continue a broken stream at another endpoint, if one can.
-
-        :param stopped: the request, its slot given back.
-        :returns: whether another endpoint is attached.
-        """
-        request = stopped.request
-        if not (stopped.stream and request.resumable and self._may_repeat(request)):
-            return False
-        choice = [
-            endpoint
-            for endpoint in self._choose(request, stopped.tried)
-            if self.health.adapters.get(endpoint.kind).resumes
-        ]
-        if not choice:
-            return False
-        # The verdict comes first: a poison request would crash the next
-        # endpoint too.
-        self.suspects.broke(request, stopped.grant.endpoint)
-        acquired = self.suspects.check(request).and_then(
-            lambda lone: self._acquire(request, choice, lone)
-        )
-        match acquired:
-            case result.Ok(grant):
-                return self._resume_at(stopped, grant)
-            case _:
-                return False
+        """Continue a broken stream elsewhere; see :mod:`resumption`."""
+        return self.resumption.resume(stopped)
 
     def leave(self, left: running.Running, outcome: slots.Outcome) -> None:
         """Give back the slot at the present endpoint of a request.
@@ -221,9 +175,8 @@
         """
         self.demand.ended(left.request.target, left.progress.sent)
         end = left.progress.end(outcome)
-        waited_s = left.progress.first - left.request.arrived
-        self.metrics.ended(left.request.caller.urgency, waited_s, end)
-        self._release(left.grant, end)
+        self.metrics.ended(left.request.caller.urgency, end)
+        self.release(left.grant, end)
         match outcome:
             case slots.Outcome.OK:
                 self.suspects.ran_well(left.request)
@@ -235,31 +188,14 @@
 
         :param ended: the request.
         """
-        self.attainment.ended(ended.request, ended.outcome, ended.progress)
-        self.decisions.close(ended.request.id, ended.outcome.name.lower())
-
-    def _resume_at(self, stopped: running.Running, grant: slots.Grant) -> bool:
-        adapter = self.health.adapters.get(grant.endpoint.kind)
-        sent = time.monotonic()
-        offset = stopped.progress.events
-        try:
-            resumed = adapter.send(grant.endpoint, stopped.request, offset)
-        except BaseException:
-            self._release(grant, slots.End(slots.Outcome.CANCELLED))
-            raise
-        if resumed.is_err():
-            outcome = _failed(resumed.err_value).outcome
-            self._release(grant, slots.End(outcome))
-            if outcome is slots.Outcome.CRASHED:
-                self.suspects.report(stopped.request, grant.endpoint)
-            return False
-        self.metrics.repeated("resumed")
-        log.info("resumed at {} after {} events", grant.endpoint.name, offset)
-        stopped.attach(grant, resumed.ok_value, sent)
-        return True
+        request = ended.request
+        waited_s = ended.progress.begun - request.arrived
+        self.metrics.answered(request.caller.urgency, waited_s)
+        self.attainment.ended(request, ended.outcome, ended.progress)
+        self.decisions.close(request.id, ended.outcome.name.lower())
 
     def _accuse(
-        self, request: requests.Request, failed: Failed, may_retry: bool
+        self, request: requests.Request, failed: attempts.Failed, may_retry: bool
     ) -> None:
         """Report a connection that broke, and wait for the verdict if needed."""
         if failed.outcome is not slots.Outcome.CRASHED:
@@ -279,9 +215,14 @@
         for name in self.placement.candidates(request.target):
             trace.add(name, self.placement.why_closed(name) or "tried already")
 
-    def _choose(
+    def choose(
         self, request: requests.Request, tried: set[str]
     ) -> list[catalogue.Endpoint]:
+        """Return the open endpoints of a request, the best first.
+
+        :param request: the request.
+        :param tried: names of endpoints to leave out.
+        """
         names = self.placement.open_endpoints(request.target)
         names = [name for name in names if name not in tried]
         by_name = self.configuration.index.endpoint_by_name
@@ -293,33 +234,39 @@
         choice: list[catalogue.Endpoint],
         watch: caller_watch.Watch | None,
         claim: claims.Claim | None,
-    ) -> result.Result[running.Running, Failed]:
+    ) -> result.Result[running.Running, attempts.Failed]:
         acquired = self.suspects.check(request).and_then(
-            lambda lone: self._acquire(request, choice, lone)
+            lambda lone: self.acquire(request, choice, lone)
         )
         match acquired:
             case result.Ok(grant):
                 pass
             case result.Err(refusal):
-                return result.Err(_not_sent(refusal))
+                return result.Err(attempts.not_sent(refusal))
         if watch is not None and (claim or not request.repeatable):
             watch.stop()
         try:
             claimed = claim.take() if claim else result.Ok(None)
-            sent = claimed.map_err(_not_sent).and_then(
+            sent = claimed.map_err(attempts.not_sent).and_then(
                 lambda _: self._send(request, grant)
             )
         except BaseException:
-            self._release(grant, slots.End(slots.Outcome.CANCELLED))
+            self.release(grant, slots.End(slots.Outcome.CANCELLED))
             raise
         if sent.is_err():
-            self._release(grant, slots.End(sent.err_value.outcome))
+            self.release(grant, slots.End(sent.err_value.outcome))
         name = grant.endpoint.name
         return sent.map_err(lambda failed: attrs.evolve(failed, endpoint=name))
 
-    def _acquire(
+    def acquire(
         self, request: requests.Request, choice: list[catalogue.Endpoint], lone: bool
     ) -> result.Result[slots.Grant, outcomes.Refusal]:
+        """Get a slot, to be given back by :meth:`release`.
+
+        :param request: the request.
+        :param choice: where it may run, the best first.
+        :param lone: whether it has to run with no other beside it.
+        """
         if self.policy.asks_owner:
             acquired = self.slots.acquire(request, *choice, lone=lone)
         else:
@@ -330,54 +277,47 @@
 
     def _send(
         self, request: requests.Request, grant: slots.Grant
-    ) -> result.Result[running.Running, Failed]:
+    ) -> result.Result[running.Running, attempts.Failed]:
         adapter = self.health.adapters.get(grant.endpoint.kind)
         sent = time.monotonic()
         match adapter.send(grant.endpoint, request):
             case result.Ok(answer):
                 pass
             case result.Err(failure):
-                return result.Err(_failed(failure))
+                return result.Err(attempts.failed(failure))
         begun = running.Running(request, grant, answer, self, sent)
         try:
             begun.read_start()
         except OSError as error:
             answer.close()
-            return result.Err(_failed(endpoints.SendFailure(str(error), sent=True)))
+            return result.Err(
+                attempts.failed(endpoints.SendFailure(str(error), sent=True))
+            )
         except BaseException:
             answer.close()
             raise
         return result.Ok(begun)
 
-    def _release(self, grant: slots.Grant, end: slots.End) -> None:
+    def release(self, grant: slots.Grant, end: slots.End) -> None:
+        """Give back a slot.
+
+        :param grant: what :meth:`acquire` returned.
+        :param end: how the request ended there.
+        """
         self.policy.running_by_endpoint[grant.endpoint.name] -= 1
         self.slots.release(grant, end)
 
-    def _may_retry(self, request: requests.Request, failed: Failed) -> bool:
+    def _may_retry(self, request: requests.Request, failed: attempts.Failed) -> bool:
         if not failed.endpoint:
             # The owners of all endpoints worth asking have refused.
             return False
         if failed.sent and not request.repeatable:
             return False
-        return not failed.counted or self._may_repeat(request)
-
-    def _may_repeat(self, request: requests.Request) -> bool:
-        return time.monotonic() < request.deadline and self.retries.take()
-
-
-def _no_endpoint(request: requests.Request) -> outcomes.Refusal:
-    message = f"no endpoint takes work for {request.target!r} now"
-    return outcomes.overloaded(message, NO_ENDPOINT_RETRY_S, "no_endpoint")
+        return not failed.counted or self.may_repeat(request)
 
+    def may_repeat(self, request: requests.Request) -> bool:
+        """Return whether there is time and budget to send a request again.
 
-def _not_sent(refusal: outcomes.Refusal) -> Failed:
-    return Failed(refusal, False, False, slots.Outcome.CANCELLED)
-
-
-def _failed(failure: endpoints.SendFailure) -> Failed:
-    if failure.sent and not failure.refused:
-        message = f"the endpoint gave no answer: {failure.reason}"
-        return Failed(outcomes.unknown(message), True, True, slots.Outcome.CRASHED)
-    message = f"the endpoint did not take the request: {failure.reason}"
-    refusal = outcomes.overloaded(message, REFUSED_RETRY_S)
-    return Failed(refusal, False, True, slots.Outcome.FAILED)
+        :param request: the request; the budget is spent.
+        """
+        return time.monotonic() < request.deadline and self.retries.take()
--- a/packages/mothworks/src/mothworks/endpoints.py
+++ b/packages/mothworks/src/mothworks/endpoints.py
@@ -21,11 +21,14 @@
     :param reason: what failed.
     :param sent: whether the first byte may have left this VM.
     :param refused: the endpoint itself refused before running it.
+    :param answered: the endpoint answered with an error of its own, so its
+        process lives.
     """
 
     reason: str
     sent: bool
     refused: bool = False
+    answered: bool = False
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -7,13 +7,9 @@
 import result
 
 from mothworks import (
+    caller_protocol,
     calls,
     catalogue,
-    configuration,
-    deferred,
-    deferred_calls,
-    dispatch,
-    kernel,
     outcomes,
     plugins,
     recorded,
@@ -45,34 +41,18 @@
 
 
 @plugins.register(plugins.CALLER_PROTOCOL, "/v1/")
-class OpenAi:
-    """Serves the paths below ``/v1/``.
+class OpenAi(caller_protocol.CallerProtocol):
+    """Serves the paths below ``/v1/``."""
 
-    :param node_kernel: the node's kernel.
-    """
-
-    def __init__(self, node_kernel: kernel.Kernel):
-        self.configuration = node_kernel.get(configuration.Configuration)
-        self.dispatch = node_kernel.get(dispatch.Dispatch)
-        self.deferred = node_kernel.get(deferred.Deferred)
-
-    def serve(self, call: calls.Call) -> calls.Reply:
-        """Answer one call.
-
-        :param call: the call.
-        """
-        match calls.authenticate(call, self.configuration.index):
-            case result.Ok(caller):
-                pass
-            case result.Err(refusal):
-                return calls.refuse(refusal)
+    def answer(self, call: calls.Call, caller: catalogue.Caller) -> calls.Reply:
+        """Answer one call; see :meth:`caller_protocol.CallerProtocol.answer`."""
         match (call.method, call.path):
             case ("GET", "/v1/models"):
                 return self._models(caller)
             case ("GET", path) if path.startswith(MODEL_PATH):
                 return self._model(caller, path.removeprefix(MODEL_PATH))
             case ("POST", path) if path in GENERATING_PATHS:
-                return self._generate(call, caller)
+                return self.run(call, caller)
             case (_, path) if path in GENERATING_PATHS or path == "/v1/models":
                 return calls.refuse(
                     outcomes.invalid("method not allowed", "method_not_allowed", 405)
@@ -95,23 +75,16 @@
             return calls.refuse(_no_model(name))
         return calls.json_reply(_listed(name))
 
-    def _generate(self, call: calls.Call, caller: catalogue.Caller) -> calls.Reply:
-        read = call.body().and_then(lambda body: self._request(call, caller, body))
-        if read.is_ok() and deferred_calls.wanted(call):
-            return deferred_calls.accept(self.deferred, read.ok_value)
-        match read.and_then(
-            lambda request: self.dispatch.begin(request, call.start_watch())
-        ):
-            case result.Ok(running):
-                body = _EndedStream(running) if running.stream else running
-                answer = running.answer
-                return calls.Reply(answer.status, answer.headers, body)
-            case result.Err(refusal):
-                return calls.refuse(refusal)
-
-    def _request(
+    def body_of(
+        self, running: recorded.Running
+    ) -> collections.abc.Iterable[bytes] | recorded.Running:
+        """Return an answer; a stream that breaks off ends with an error event."""
+        return _EndedStream(running) if running.stream else running
+
+    def read(
         self, call: calls.Call, caller: catalogue.Caller, body: bytes
     ) -> result.Result[requests.Request, outcomes.Refusal]:
+        """Return a call's request, checked as far as its way depends on it."""
         match _fields(body):
             case result.Ok(fields):
                 pass
--- a/packages/mothworks/src/mothworks/path_metrics.py
+++ b/packages/mothworks/src/mothworks/path_metrics.py
@@ -49,19 +49,24 @@
         if refusal is not None:
             self.refusals_total.inc({"code": refusal.code, "ran": refusal.ran.value})
 
-    def ended(
-        self, urgency: catalogue.Urgency, waited_s: float, end: slots.End
-    ) -> None:
+    def answered(self, urgency: catalogue.Urgency, waited_s: float) -> None:
+        """Count an answer that the caller got, or the start of one.
+
+        :param urgency: the caller's.
+        :param waited_s: from arrival to the first bytes, seconds; below 0
+            where none came.
+        """
+        if waited_s > 0:
+            self.first_token_seconds.observe({"urgency": urgency.value}, waited_s)
+
+    def ended(self, urgency: catalogue.Urgency, end: slots.End) -> None:
         """Count the end of an answer at an endpoint.
 
         :param urgency: the caller's.
-        :param waited_s: from arrival to the first bytes, seconds.
         :param end: what was measured.
         """
         self.ends_total.inc({"outcome": end.outcome.name.lower()})
         by_urgency = {"urgency": urgency.value}
-        if waited_s > 0:
-            self.first_token_seconds.observe(by_urgency, waited_s)
         if end.tokens:
             self.tokens_total.add(by_urgency, end.tokens)
         if end.tokens > 1:
--- a/packages/mothworks/src/mothworks/progress.py
+++ b/packages/mothworks/src/mothworks/progress.py
@@ -54,8 +54,8 @@
             data = self._held + data
             self._held = b""
         if not data.endswith(EVENT_END):
-            end = data.rfind(EVENT_END) + 1
-            end = end + 1 if end else 0
+            last = data.rfind(EVENT_END)
+            end = last + len(EVENT_END) if last >= 0 else 0
             self._held = data[end:]
             data = data[:end]
             if len(self._held) > EVENT_BYTES:
--- a/packages/mothworks/src/mothworks/service_calls.py
+++ b/packages/mothworks/src/mothworks/service_calls.py
@@ -3,13 +3,9 @@
 import result
 
 from mothworks import (
+    caller_protocol,
     calls,
     catalogue,
-    configuration,
-    deferred,
-    deferred_calls,
-    dispatch,
-    kernel,
     outcomes,
     plugins,
     requests,
@@ -33,42 +29,17 @@
 
 
 @plugins.register(plugins.CALLER_PROTOCOL, "/services/")
-class Services:
-    """Serves ``/services/<name>/<path>``.
+class Services(caller_protocol.CallerProtocol):
+    """Serves ``/services/<name>/<path>``."""
 
-    :param node_kernel: the node's kernel.
-    """
+    def answer(self, call: calls.Call, caller: catalogue.Caller) -> calls.Reply:
+        """Answer one call; see :meth:`caller_protocol.CallerProtocol.answer`."""
+        return self.run(call, caller)
 
-    def __init__(self, node_kernel: kernel.Kernel):
-        self.configuration = node_kernel.get(configuration.Configuration)
-        self.dispatch = node_kernel.get(dispatch.Dispatch)
-        self.deferred = node_kernel.get(deferred.Deferred)
-
-    def serve(self, call: calls.Call) -> calls.Reply:
-        """Answer one call.
-
-        :param call: the call.
-        """
-        match calls.authenticate(call, self.configuration.index):
-            case result.Ok(caller):
-                pass
-            case result.Err(refusal):
-                return calls.refuse(refusal)
-        read = call.body().and_then(lambda body: self._request(call, caller, body))
-        if read.is_ok() and deferred_calls.wanted(call):
-            return deferred_calls.accept(self.deferred, read.ok_value)
-        match read.and_then(
-            lambda request: self.dispatch.begin(request, call.start_watch())
-        ):
-            case result.Ok(running):
-                answer = running.answer
-                return calls.Reply(answer.status, answer.headers, running)
-            case result.Err(refusal):
-                return calls.refuse(refusal)
-
-    def _request(
+    def read(
         self, call: calls.Call, caller: catalogue.Caller, body: bytes
     ) -> result.Result[requests.Request, outcomes.Refusal]:
+        """Return a call's request to its service."""
         # The path goes on as it came: decoded, a line break inside it would
         # start a request of its own at the service.
         raw = call.raw_path
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -16,6 +16,8 @@
 #: Statuses by which an engine refuses a request before running it: too busy,
 #: leaving, or the model was unloaded since the placement map was read.
 REFUSED_STATUSES = frozenset((404, 429, 503))
+#: Lowest status by which an engine says that it failed on a request.
+LOWEST_ERROR = 500
 
 
 @plugins.register(plugins.ENDPOINT, "vllm")
@@ -83,11 +85,13 @@
 
 
 def _unless_refused(answer: transport.HttpAnswer):
-    if answer.status not in REFUSED_STATUSES:
+    if answer.status < LOWEST_ERROR and answer.status not in REFUSED_STATUSES:
         return result.Ok(answer)
     answer.close()
-    reason = f"the endpoint refused with status {answer.status}"
-    return result.Err(endpoints.SendFailure(reason, sent=True, refused=True))
+    refused = answer.status in REFUSED_STATUSES
+    verb = "refused" if refused else "failed"
+    reason = f"the endpoint {verb} with status {answer.status}"
+    return result.Err(endpoints.SendFailure(reason, True, refused, answered=True))
 
 
 def _resumed(answer: transport.HttpAnswer, offset: int):
--- a/packages/mothworks/tests/test_answers.py
+++ b/packages/mothworks/tests/test_answers.py
@@ -89,6 +89,20 @@
     assert len(sound.runs) == 6
 
 
+def test_an_engine_that_fails_is_passed_over(serve):
+    # An engine answers 500: it lives, but the request may have run there.
+    failing = served.ScriptedEngine(lambda _: web.json_reply({}, "500 Broken"))
+    node = serve(failing, served.ScriptedEngine(None))
+    assert [node.chat(max_tokens=1).status for _ in range(6)] == [200] * 6
+    assert failing.bodies
+
+
+def test_an_engines_own_error_is_an_unknown_outcome(serve):
+    failing = served.ScriptedEngine(lambda _: web.json_reply({}, "500 Broken"))
+    answered = serve(failing).chat()
+    assert (answered.status, answered.error["ran"]) == (502, "unknown")
+
+
 def test_an_engine_that_dies_before_the_first_event_is_passed_over(serve):
     # Engines send the head at once and the first token later, so a death in
     # between would reach the caller although nothing was told to it yet.
--- a/packages/mothworks/tests/test_dispatch.py
+++ b/packages/mothworks/tests/test_dispatch.py
@@ -3,7 +3,7 @@
 import result
 
 import builders
-from mothworks import dispatch, metrics, outcomes, path_metrics, slots
+from mothworks import attempts, dispatch, metrics, outcomes, path_metrics, slots
 
 
 class ScriptedDispatch(dispatch.Dispatch):
@@ -13,14 +13,14 @@
         self.refusals = list(refusals)
         self.metrics = path_metrics.PathMetrics(metrics.Metrics())
 
-    def _choose(self, request, tried):
+    def choose(self, request, tried):
         return [builders.endpoint(f"engine-{len(tried)}")]
 
     def _attempt(self, request, choice, watch, claim):
         refusal = self.refusals.pop(0)
         sent = refusal.ran is outcomes.Ran.UNKNOWN
         return result.Err(
-            dispatch.Failed(refusal, sent, False, slots.Outcome.FAILED, choice[0].name)
+            attempts.Failed(refusal, sent, False, slots.Outcome.FAILED, choice[0].name)
         )
 
 
