Priorities can be declared off; connections of peers in links.py; odd messages ignored

Engines whose scheduler honours no priorities may refuse a request that has one, so an endpoint declares it (priorities, true by default). Found while reading: a value on the peers' port that is no array, or whose code or call is no number, raised in the reading task.

--- a/packages/mothworks/src/mothworks/batches.py
+++ b/packages/mothworks/src/mothworks/batches.py
@@ -123,7 +123,9 @@
         if held is not None and first_token_ms:
             known = self.hold_s_by_rank[held.ask.rank]
             self.hold_s_by_rank[held.ask.rank] = _mean(known, now - held.since)
-            self.first_token_s = _mean(self.first_token_s, first_token_ms / 1000)
+            if held.ask.rank < queues.BULK:
+                first_token_s = first_token_ms / 1000
+                self.first_token_s = _mean(self.first_token_s, first_token_s)
         self.pump(now)
 
     def observe(self, held: Held, between_ms: float, target_ms: float) -> None:
--- a/packages/mothworks/src/mothworks/catalogue.py
+++ b/packages/mothworks/src/mothworks/catalogue.py
@@ -126,6 +126,8 @@
     :param service: the plain service it is an instance of.
     :param slots: most requests at a time, before the limit adapts.
     :param drain: it gets no new work, so that it can be taken away.
+    :param priorities: whether it lets urgent requests go first, and pauses less
+        urgent ones for them.
     """
 
     name: str
@@ -139,6 +141,7 @@
     service: str | None = None
     slots: int = attrs.field(default=16, validator=settings.check_positive)
     drain: bool = False
+    priorities: bool = True
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/messages.py
+++ b/packages/mothworks/src/mothworks/messages.py
@@ -50,14 +50,14 @@
     return msgpack.packb([_code_by_class[kind], call, *fields])
 
 
-def unpack(array: list) -> tuple[typing.Any, int] | None:
+def unpack(array: typing.Any) -> tuple[typing.Any, int] | None:
     """Return a message and its call number.
 
-    :param array: what msgpack read.
+    :param array: what msgpack read, from whoever sent it.
     :returns: None for a code that this version does not know, or fields
         that do not fit.
     """
-    if len(array) < 2:
+    if not isinstance(array, list) or [type(item) for item in array[:2]] != [int, int]:
         return None
     code, call, *fields = array
     message_class = _class_by_code.get(code)
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -2,8 +2,8 @@
 
 A VM dials each peer it has something to send to; both then use the same
 connection. A reply carries the negative of its call's number. Send queues are
-bounded: to a peer that does not read, a
-call fails at once instead of filling memory.
+bounded: to a peer that does not read, a call fails at once instead of filling
+memory.
 """
 
 import collections.abc
@@ -15,30 +15,20 @@
 import attrs
 import gevent
 import gevent.event
-import gevent.queue
 import gevent.server
 import logbook
-import msgpack
 import result
 
-from mothworks import kernel, members, membership, messages, plugins, ports
+from mothworks import kernel, links, members, membership, messages, plugins, ports
 
 log = logbook.Logger("peers")
 
-#: Most messages that wait for one peer.
-QUEUE_LENGTH = 4096
-#: Most bytes of one message.
-MESSAGE_BYTES = 2 << 20
 #: Time for a connection to open, seconds.
 CONNECT_S = 0.5
 #: Time before a VM that could not be reached is dialled again, seconds.
 RETRY_S = 0.5
-#: Longest time that sent bytes stay without an acknowledgement, milliseconds.
-UNACKED_MS = 5_000
 #: Seconds between updates of the metrics.
 REPORT_S = 1.0
-#: Bytes taken from a socket at once.
-RECEIVE_BYTES = 64 << 10
 
 
 @attrs.frozen
@@ -61,93 +51,6 @@
 Handler = collections.abc.Callable[[str, typing.Any, Answer], None]
 
 
-class Link:
-    """One open connection; messages go both ways.
-
-    :param sock: the connected socket.
-    :param vm: the peer's name; None until the peer that dialled has said it.
-    """
-
-    def __init__(self, sock: socket.socket, vm: str | None):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # A VM that vanishes closes nothing. Without a bound the connection to
-        # it stays open, and everything sent on it is lost unnoticed.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
-        self.sock = sock
-        self.vm = vm
-        self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LENGTH)
-        self.writing = False
-        self.sent_bytes = 0
-        self.received_bytes = 0
-
-    def send(self, frame: bytes) -> bool:
-        """Write a frame at once where the socket takes it, else queue it.
-
-        :param frame: a packed message.
-        :returns: whether there was room.
-        """
-        if not self.writing and self.queue.empty():
-            # Through the writing task a message costs a turn of the loop.
-            frame = frame[self._send_now(frame) :]
-            if not frame:
-                return True
-        try:
-            self.queue.put_nowait(frame)
-        except gevent.queue.Full:
-            return False
-        return True
-
-    def write_all(self) -> None:
-        """Write queued frames, all that wait at once, until the end."""
-        while True:
-            frames = [self.queue.get()]
-            self.writing = True
-            while not self.queue.empty():
-                frames.append(self.queue.get_nowait())
-            data = b"".join(frames)
-            try:
-                self.sock.sendall(data)
-            except OSError:
-                return
-            self.sent_bytes += len(data)
-            self.writing = False
-
-    def _send_now(self, frame: bytes) -> int:
-        try:
-            sent = self.sock.send(frame, 0, 0.0)
-        except OSError:
-            # The socket is full, or broken, which the reading task notices.
-            return 0
-        self.sent_bytes += sent
-        return sent
-
-    def read_all(self) -> collections.abc.Iterator[list]:
-        """Yield received arrays until the connection ends."""
-        unpacker = msgpack.Unpacker(max_buffer_size=MESSAGE_BYTES)
-        while True:
-            try:
-                data = self.sock.recv(RECEIVE_BYTES)
-            except OSError:
-                return
-            if not data:
-                return
-            self.received_bytes += len(data)
-            try:
-                unpacker.feed(data)
-                yield from unpacker
-            except (msgpack.UnpackException, ValueError) as error:
-                log.warning("bad message from a peer: {}", error)
-                return
-
-    def close(self) -> None:
-        """Close the connection; both of its tasks end."""
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The peer closed it already.
-            pass
-
-
 @plugins.register(plugins.PART, "peers")
 class Peers(kernel.Part):
     """Calls peers and serves their calls.
@@ -159,8 +62,10 @@
         super().__init__(node_kernel)
         self.membership = node_kernel.get(membership.Membership)
         self.handler_by_class: dict[type, Handler] = {}
-        self.link_by_vm: dict[str, Link] = {}
-        self.waiting_by_call: dict[int, tuple[Link, gevent.event.AsyncResult]] = {}
+        self.link_by_vm: dict[str, links.Link] = {}
+        self.waiting_by_call: dict[
+            int, tuple[links.Link, gevent.event.AsyncResult]
+        ] = {}
         self.retry_at_by_vm: dict[str, float] = {}
         self.calls = itertools.count(1)
         self.closed_bytes = 0
@@ -253,7 +158,7 @@
             link.sent_bytes + link.received_bytes for link in self.link_by_vm.values()
         )
 
-    def _link(self, vm: str) -> Link | None:
+    def _link(self, vm: str) -> links.Link | None:
         link = self.link_by_vm.get(vm)
         if link is not None:
             return link
@@ -273,22 +178,22 @@
             sock.close()
             return raced
         sock.settimeout(None)
-        link = Link(sock, vm)
+        link = links.Link(sock, vm)
         self.link_by_vm[vm] = link
         self._greet(link)
         self.tasks.spawn(self._run, link)
         return link
 
     def _serve(self, sock: socket.socket, _: tuple) -> None:
-        link = Link(sock, None)
+        link = links.Link(sock, None)
         self._greet(link)
         self._run(link)
 
-    def _greet(self, link: Link) -> None:
+    def _greet(self, link: links.Link) -> None:
         name = self.kernel.settings.name
         link.send(messages.pack(messages.Hello(messages.PROTOCOL_VERSION, name)))
 
-    def _run(self, link: Link) -> None:
+    def _run(self, link: links.Link) -> None:
         writer = self.tasks.spawn(link.write_all)
         for array in link.read_all():
             received = messages.unpack(array)
@@ -308,7 +213,7 @@
             for notify in self.on_lost:
                 notify(link.vm)
 
-    def _take(self, link: Link, message: typing.Any, call: int) -> bool:
+    def _take(self, link: links.Link, message: typing.Any, call: int) -> bool:
         """Handle a message; returns whether the connection is to go on."""
         match message:
             case messages.Hello():
@@ -321,7 +226,7 @@
                 self._dispatch(link, message, call)
         return True
 
-    def _take_hello(self, link: Link, hello: messages.Hello) -> bool:
+    def _take_hello(self, link: links.Link, hello: messages.Hello) -> bool:
         if hello.version != messages.PROTOCOL_VERSION:
             log.warning("{} speaks version {}", hello.name, hello.version)
             return False
@@ -331,7 +236,7 @@
         # A list that lags names a VM by an address that another has now.
         return link.vm == hello.name
 
-    def _dispatch(self, link: Link, message: typing.Any, call: int) -> None:
+    def _dispatch(self, link: links.Link, message: typing.Any, call: int) -> None:
         handler = self.handler_by_class.get(type(message))
         if handler is None:
             log.warning("no part serves {}", type(message).__name__)
--- a/packages/mothworks/src/mothworks/slot_owner.py
+++ b/packages/mothworks/src/mothworks/slot_owner.py
@@ -194,13 +194,12 @@
         if batch is None:
             endpoint = self.configuration.index.endpoint_by_name.get(name)
             slots = endpoint.slots if endpoint else 1
-            kind = self.health.adapters.get(endpoint.kind) if endpoint else None
             batch = batches.Batch(
                 slots,
                 self._why_closed,
                 self._share,
                 lambda: self._reported(name),
-                kind is not None and kind.preempts,
+                endpoint is not None and self._preempts(endpoint),
             )
             self.batch_by_endpoint[name] = batch
         return batch
@@ -232,6 +231,10 @@
             if self.sweep():
                 self.has_queue.set()
 
+    def _preempts(self, endpoint: catalogue.Endpoint) -> bool:
+        kind = self.health.adapters.get(endpoint.kind)
+        return kind.preempts and endpoint.priorities
+
     def _reported(self, name: str) -> int | None:
         report = self.health.report_by_endpoint.get(name)
         return report.running if report else None
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -42,7 +42,7 @@
             request.method,
             request.path,
             headers,
-            _with_priority(request),
+            _with_priority(request) if endpoint.priorities else request.body,
             fresh=not request.repeatable,
         )
         return sent.and_then(_unless_refused).and_then(
--- a/packages/mothworks/tests/test_membership.py
+++ b/packages/mothworks/tests/test_membership.py
@@ -2,10 +2,11 @@
 
 import attrs
 import gevent
+import msgpack
 import pytest
 
 import groups
-from mothworks import members, vm_list
+from mothworks import members, messages, vm_list
 from mothworks_fakes import processes
 
 
@@ -197,3 +198,19 @@
     five.vm_by_name.pop("vm-2").stop()
     five.wait("vm-1", "vm-3", "vm-4", "vm-5")
     assert vm.kernel.failure is None
+
+
+@pytest.mark.parametrize(
+    "value", [5, None, [], [1], ["a", 0], [[], 0, 1], [1, None, 1, "x"], [10, 1], b"x"]
+)
+def test_bad_messages_over_tcp_are_ignored(five, value):
+    """Something else, or another version, talks on the peers' port."""
+    vm = five.vm_by_name["vm-1"]
+    address = (vm.kernel.settings.address, vm.peers.port)
+    hello = messages.pack(messages.Hello(messages.PROTOCOL_VERSION, "odd"))
+    with gevent.socket.create_connection(address) as sock:
+        sock.sendall(hello + msgpack.packb(value))
+        processes.wait_until(lambda: "odd" in vm.peers.link_by_vm)
+        sock.sendall(b"\xc1")
+        processes.wait_until(lambda: "odd" not in vm.peers.link_by_vm)
+    assert vm.kernel.failure is None
--- /dev/null
+++ b/packages/mothworks/tests/test_priorities.py
@@ -0,0 +1,47 @@
+"""Engines get the class of the work as its priority."""
+
+import orjson
+import pytest
+
+import builders
+import served
+from mothworks import catalogue, vllm
+from mothworks_fakes import web
+
+
+@pytest.fixture
+def engine():
+    made = served.ScriptedEngine(lambda _: web.json_reply({})).start()
+    yield made
+    made.stop()
+
+
+def send(engine, urgency, **declared):
+    body = b'{"model": "menu", "max_tokens": 1, "priority": -9} \n'
+    caller = builders.caller(urgency=urgency)
+    endpoint = builders.endpoint(port=engine.port, **declared)
+    request = builders.request(body=body, caller=caller)
+    vllm.Vllm().send(endpoint, request).unwrap().close()
+    return engine.bodies[-1]
+
+
+@pytest.mark.parametrize(
+    ("urgency", "priority"),
+    [
+        (catalogue.Urgency.URGENT, 0),
+        (catalogue.Urgency.STANDARD, 1),
+        (catalogue.Urgency.BULK, 2),
+    ],
+)
+def test_the_class_goes_before_what_the_caller_wrote(engine, urgency, priority):
+    """A bulk caller writes itself a priority; it must not pass urgent work."""
+    assert orjson.loads(send(engine, urgency))["priority"] == priority
+
+
+def test_an_engine_without_priorities_gets_the_body_unchanged(engine):
+    """Some engines refuse a request with a priority that they don't honour."""
+    assert orjson.loads(send(engine, catalogue.Urgency.BULK, priorities=False)) == {
+        "model": "menu",
+        "max_tokens": 1,
+        "priority": -9,
+    }
