--- a/packages/mothworks/src/mothworks/members.py
+++ b/packages/mothworks/src/mothworks/members.py
@@ -236,10 +236,13 @@
             member, row.incarnation, state, self._rounds(state)
         )
         self.spread(row)
-        if known is None or known.live != (state <= State.SUSPECT):
+        if known is None or known.state is not state:
             log.info("{} is {}", row.name, state.name.lower())
-            self.changed()
-        elif known.member != member:
+        if (
+            known is None
+            or known.live != (state <= State.SUSPECT)
+            or known.member != member
+        ):
             self.changed()
         return True
 
--- a/packages/mothworks/src/mothworks/membership.py
+++ b/packages/mothworks/src/mothworks/membership.py
@@ -36,6 +36,8 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
+        #: Whether the platform lists this VM as leaving.
+        self.leaving = False
         self.ports = node_kernel.get(ports.Ports)
         self.news = gossip.Gossip()
         self.table = members.Members(
@@ -46,8 +48,6 @@
         self.listed_by_name: dict[str, members.Member] = {}
         #: Endpoints that the platform lists as leaving.
         self.leaving_endpoints: frozenset[str] = frozenset()
-        #: Whether the platform lists this VM as leaving.
-        self.leaving = False
         #: Functions to call after a change, without arguments.
         self.on_change: list = []
         node_kernel.on_draining.append(self._announce)
@@ -73,7 +73,7 @@
             chosen.port,
             chosen.data_centre,
             chosen.region,
-            self.kernel.draining or getattr(self, "leaving", False),
+            self.kernel.draining or self.leaving,
         )
 
     def live(self) -> list[members.Member]:
