--- a/packages/mothworks/src/mothworks/batches.py
+++ b/packages/mothworks/src/mothworks/batches.py
@@ -11,10 +11,8 @@
 
 import attrs
 
-from mothworks import alone, limits, queues, slot_messages
+from mothworks import alone, limits, queues, slot_messages, usage
 
-#: Weight of a new sample in running means.
-WEIGHT = 0.1
 #: Least time after which a refused request is worth repeating, milliseconds.
 LEAST_RETRY_MS = 200
 #: Time without new grants after the endpoint refused a request, seconds.
@@ -22,8 +20,6 @@
 #: Mean time to the next free slot above which slots are kept free of bulk
 #: work, seconds; a quarter of the first token's target.
 TOLERATED_WAIT_S = 0.4
-#: Time in which the count of urgent requests in flight fades, seconds.
-FADE_S = 20.0
 #: Time for which a new owner believes the engine's own count, seconds.
 TAKEOVER_S = 5.0
 
@@ -69,18 +65,14 @@
         self.queue = queues.Queue()
         self.alone = alone.Alone()
         self.held_by_key: dict[queues.Key, Held] = {}
-        #: Mean time that a request holds its slot, by rank, seconds.
-        self.hold_s_by_rank = [0.0] * (queues.BULK + 1)
+        self.usage = usage.Usage()
         self.preempted_at = 0.0
-        self.first_token_s = 0.0
         self.paused_until = 0.0
         self.created = time.monotonic()
         #: Requests that ran when this VM became the owner; None if unknown.
         self.inherited: int | None = None
         #: How many of them entries have reported.
         self.adopted = 0
-        self.urgent_peak = 0.0
-        self.peak_at = self.created
 
     def ask(
         self,
@@ -121,11 +113,7 @@
         held = self.held_by_key.pop(key, None)
         now = time.monotonic()
         if held is not None and first_token_ms:
-            known = self.hold_s_by_rank[held.ask.rank]
-            self.hold_s_by_rank[held.ask.rank] = _mean(known, now - held.since)
-            if held.ask.rank < queues.BULK:
-                first_token_s = first_token_ms / 1000
-                self.first_token_s = _mean(self.first_token_s, first_token_s)
+            self.usage.note(held.ask.rank, now - held.since, first_token_ms / 1000)
         self.pump(now)
 
     def observe(self, held: Held, between_ms: float, target_ms: float) -> None:
@@ -213,14 +201,14 @@
         next free slot, which is short while these become free often.
         """
         now = time.monotonic()
-        self._note_urgent(now)
+        peak = self.usage.peak(self._urgent(), now)
         if self.preempts:
             needed = self.limit.value < self.limit.most
         else:
             needed = self._next_free_s(0) > TOLERATED_WAIT_S
-        if not needed or not self.urgent_peak:
+        if not needed or not peak:
             return 0
-        kept = math.ceil(self.urgent_peak) + 1 - self.running(queues.BULK - 1)
+        kept = math.ceil(peak) + 1 - self.running(queues.BULK - 1)
         return max(0, min(kept, self.limit.value - 1))
 
     def _unheard(self) -> int:
@@ -295,7 +283,7 @@
         if len(self.held_by_key) > self.limit.most:
             self.preempted_at = now
         if ask.rank < queues.BULK:
-            self._note_urgent(now)
+            self.usage.peak(self._urgent(), now)
 
     def _refuse(self, waiting: queues.Waiting, reason: str) -> None:
         # Asked again when the queue is short enough, the request would get
@@ -310,27 +298,20 @@
     def _deadline(self, ask: slot_messages.AskSlot, now: float) -> float:
         if ask.rank == queues.BULK:
             return now + ask.wait_ms / 1000
-        return now + ask.target_ms / 1000 - self.first_token_s
+        return now + ask.target_ms / 1000 - self.usage.first_token_s
 
     def _wait_s(self, rank: int, ahead: int) -> float:
         return (ahead + 1) * self._next_free_s(rank)
 
+    def _urgent(self) -> int:
+        return sum(item.ask.rank < queues.BULK for item in self.held_by_key.values())
+
     def _next_free_s(self, rank: int) -> float:
         """Return the mean time until a slot for a rank becomes free, seconds."""
         highest = rank if self.preempts else queues.BULK
         held = [item.ask.rank for item in self.held_by_key.values()]
-        times = [self.hold_s_by_rank[item] for item in held if item <= highest]
-        return (
-            sum(times) / len(times) / self.limit.value_for(rank < queues.BULK)
-            if times
-            else 0.0
-        )
-
-    def _note_urgent(self, now: float) -> None:
-        urgent = sum(item.ask.rank < queues.BULK for item in self.held_by_key.values())
-        fade = math.exp((self.peak_at - now) / FADE_S)
-        self.urgent_peak = max(self.urgent_peak * fade, float(urgent))
-        self.peak_at = now
+        ranks = [item for item in held if item <= highest]
+        return self.usage.hold_s(ranks) / self.limit.value_for(rank < queues.BULK)
 
 
 def _answer(
@@ -340,7 +321,3 @@
     reason: str = "",
 ) -> slot_messages.SlotAnswer:
     return slot_messages.SlotAnswer(ask.number, int(verdict), wait_ms, reason)
-
-
-def _mean(known: float, sample: float) -> float:
-    return sample if not known else known + WEIGHT * (sample - known)
--- a/packages/mothworks/tests/test_slots.py
+++ b/packages/mothworks/tests/test_slots.py
@@ -90,7 +90,7 @@
     would only learn so when it is too late to go elsewhere.
     """
     owner = Owner()
-    owner.batch.hold_s_by_rank = [2.0] * 3
+    owner.batch.usage.hold_s_by_rank = [2.0] * 3
     owner.ask("running")
     assert owner.ask("urgent", target_ms=1600) is slot_messages.Verdict.REFUSED
     refusal = owner.answers_by_request["urgent"][-1]
@@ -165,12 +165,12 @@
     owner = Owner(places=8)
     owner.ask("urgent-1")
     owner.done("urgent-1")
-    owner.batch.hold_s_by_rank = [60.0] * 3
+    owner.batch.usage.hold_s_by_rank = [60.0] * 3
     for number in range(10):
         owner.ask(f"bulk-{number}", BULK)
     assert len(owner.granted()) == 1 + 6
     assert owner.ask("urgent-2") is slot_messages.Verdict.GRANTED
-    owner.batch.hold_s_by_rank = [0.5] * 3
+    owner.batch.usage.hold_s_by_rank = [0.5] * 3
     owner.batch.pump(time.monotonic())
     assert owner.batch.running() == 8
 
