--- a/packages/mothworks_fakes/src/mothworks_fakes/slopes.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/slopes.py
@@ -177,6 +177,7 @@
     """
     slopes: list[Slope] = []
     for count in nodes:
+        printed = len(slopes)
         for policy in ("random", "owner"):
             with tempfile.TemporaryDirectory() as folder:
                 measured = Run(count, policy, pathlib.Path(folder))
@@ -184,7 +185,7 @@
                     slopes += _measure(measured, count, policy, rate, seconds, kills)
                 finally:
                     measured.bed.stop()
-        for slope in slopes[-12:]:
+        for slope in slopes[printed:]:
             print(f"{slope.name}: {slope.value} {slope.unit}", flush=True)
     if out is not None:
         out.parent.mkdir(exist_ok=True)
