--- a/packages/mothworks/src/mothworks/packing.py
+++ b/packages/mothworks/src/mothworks/packing.py
@@ -298,8 +298,8 @@
         while what is most urgent may change or another endpoint be free.
 
         Looking at every endpoint for every load would make a pass quadratic
-        in the fleet; a sample of this size holds one of the best fiftieth
-        with near certainty.
+        in the fleet; a sample of 64 misses the best tenth of a large fleet once
+        in 850 times.
         """
         sites = list(planned.site_by_name.values())
         if len(sites) > 4 * CANDIDATES:
