--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/capacity.py
@@ -0,0 +1,230 @@
+"""Writes docs/CAPACITY.md from the measured slopes and the target's sizes.
+
+``python -m mothworks_fakes.capacity`` reads ``docs/slopes/*.json``, works out
+what each role costs at the target, and writes the page; a test checks that
+page and slopes agree. A figure that nobody has measured is shown as that.
+"""
+
+import pathlib
+import re
+
+import attrs
+import defopt
+import orjson
+
+from mothworks import documents
+from mothworks_fakes import capacity_roles, slopes
+
+SLOPES = pathlib.Path("docs/slopes")
+PAGE = pathlib.Path("docs/CAPACITY.md")
+MISSING = "not measured"
+
+
+def write(root: pathlib.Path = pathlib.Path(".")) -> None:
+    """Write the page.
+
+    :param root: the repository.
+    """
+    (root / PAGE).write_text(render(root), encoding="utf-8")
+
+
+def render(root: pathlib.Path) -> str:
+    """Return the page.
+
+    :param root: the repository.
+    """
+    found = read(root / SLOPES)
+    costs = [Cost(role, found) for role in capacity_roles.ROLES]
+    sections = (
+        _head(),
+        _roles(costs),
+        _verdicts(costs),
+        _terms(costs),
+        _measured(found),
+    )
+    return "\n".join(sections)
+
+
+def read(folder: pathlib.Path) -> list[slopes.Slope]:
+    """Return all recorded slopes, sorted by name.
+
+    :param folder: where the files are.
+    """
+    found = []
+    for path in sorted(folder.glob("*.json")):
+        rows = orjson.loads(path.read_bytes())
+        found += documents.structure(rows, list[slopes.Slope], str(path)).unwrap()
+    return sorted(found, key=lambda slope: slope.name)
+
+
+def find(found: list[slopes.Slope], pattern: str) -> slopes.Slope | None:
+    """Return the slope whose name fits; of several, that of most nodes.
+
+    :param found: recorded slopes.
+    :param pattern: regular expression; its group, if any, is the number of
+        nodes.
+    """
+    fitting = []
+    for slope in found:
+        match = re.fullmatch(pattern, slope.name)
+        if match is not None:
+            count = int(match.group(1)) if match.groups() else 0
+            fitting.append((count, slope))
+    return max(fitting, key=lambda item: item[0], default=(0, None))[1]
+
+
+@attrs.define
+class Cost:
+    """What a role costs at the target.
+
+    :param role: the role.
+    :param found: recorded slopes.
+    """
+
+    role: capacity_roles.Role
+    found: list[slopes.Slope]
+
+    def value(self, term: capacity_roles.Term) -> float | None:
+        """Return a term's value at the target; None where not measured.
+
+        :param term: one of the role's terms.
+        """
+        if not term.slope:
+            return term.factor
+        slope = find(self.found, term.slope)
+        less = find(self.found, term.minus) if term.minus else None
+        if slope is None or (term.minus and less is None):
+            return None
+        value = slope.value - (less.value if less else 0.0)
+        return max(0.0, value) * term.factor
+
+    def sum(self, column: capacity_roles.Column) -> float | None:
+        """Return the sum of a column's terms; None where one is missing.
+
+        :param column: the column.
+        """
+        values = [self.value(term) for term in self.role.terms if term.column is column]
+        if not values or None in values:
+            return None
+        return sum(values)
+
+    def cell(self, column: capacity_roles.Column) -> str:
+        """Return a column of the page's table.
+
+        :param column: the column.
+        """
+        if not any(term.column is column for term in self.role.terms):
+            return "-"
+        value = self.sum(column)
+        return MISSING if value is None else f"{_number(value)} {column.value}"
+
+
+def _head() -> str:
+    sizes = "\n".join(f"- {line}" for line in capacity_roles.SIZES)
+    return f"""# Capacity
+
+Written by `python -m mothworks_fakes.capacity` from `docs/slopes/*.json`; do not
+edit. Measured on one machine of 12 cores with small stand-ins, while other tests
+ran; everything under "At the target" is extrapolated from that by the formulas below.
+
+## The target
+
+{sizes}
+
+A node's share: {capacity_roles.REQUESTS_A_NODE:.1f} requests/s in and out, \
+{capacity_roles.ENDPOINTS_A_NODE:.1f} endpoints owned.
+"""
+
+
+def _roles(costs: list[Cost]) -> str:
+    columns = list(capacity_roles.Column)
+    head = ["role", "state", *(column.title for column in columns)]
+    head += ["what carries it", "what breaks first"]
+    lines = ["## At the target, a node (extrapolated)\n", _line(head)]
+    lines.append(_line(["---"] * len(head)))
+    for cost in costs:
+        cells = [cost.cell(column) for column in columns]
+        role = cost.role
+        lines.append(
+            _line([role.name, role.state, *cells, role.mechanism, role.breaks_first])
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _verdicts(costs: list[Cost]) -> str:
+    lines = ["## Against the budgets\n", _line(["budget", "at the target", "verdict"])]
+    lines.append(_line(["---"] * 3))
+    for budget in capacity_roles.BUDGETS:
+        values = [_charged(cost, budget) for cost in costs]
+        known = sum(value for value in values if value is not None)
+        missing = [
+            cost.role.name
+            for cost, value in zip(costs, values, strict=True)
+            if value is None
+        ]
+        lines.append(_line([budget.name, *_verdict(budget, known, missing)]))
+    closing = [f"- **{item.name}**: {item.closing}" for item in capacity_roles.BUDGETS]
+    return (
+        "\n".join(lines)
+        + "\n\nWhat would close a miss:\n\n"
+        + "\n".join(closing)
+        + "\n"
+    )
+
+
+def _charged(cost: Cost, budget: capacity_roles.Budget) -> float | None:
+    """Return what a role charges to a budget; 0 where it has no such term."""
+    if not any(term.column is budget.column for term in cost.role.terms):
+        return 0.0
+    return cost.sum(budget.column)
+
+
+def _verdict(
+    budget: capacity_roles.Budget, known: float, missing: list[str]
+) -> tuple[str, str]:
+    amount = f"{_number(known)} of {_number(budget.limit)} {budget.column.value}"
+    if missing:
+        amount += f", without {', '.join(missing)}"
+    if known > budget.limit:
+        return amount, f"**missed**, {known / budget.limit:.1f} times the budget"
+    if missing:
+        return amount, "open: not all measured"
+    return amount, "met in what is measured"
+
+
+def _terms(costs: list[Cost]) -> str:
+    lines = ["## Formulas\n", _line(["role", "column", "formula", "result"])]
+    lines.append(_line(["---"] * 4))
+    for cost in costs:
+        for term in cost.role.terms:
+            value = cost.value(term)
+            shown = (
+                MISSING if value is None else f"{_number(value)} {term.column.value}"
+            )
+            lines.append(_line([cost.role.name, term.column.title, term.how, shown]))
+    return "\n".join(lines) + "\n"
+
+
+def _measured(found: list[slopes.Slope]) -> str:
+    head = ["measured", "value", "date", "command", "conditions"]
+    lines = ["## Measured slopes\n", _line(head), _line(["---"] * len(head))]
+    for slope in found:
+        value = f"{_number(slope.value)} {slope.unit}"
+        lines.append(
+            _line([slope.name, value, slope.date, f"`{slope.command}`", slope.note])
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _number(value: float) -> str:
+    if value == 0 or abs(value) >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def _line(cells: list[str]) -> str:
+    return "| " + " | ".join(cell.replace("|", "\\|") for cell in cells) + " |"
+
+
+if __name__ == "__main__":
+    defopt.run(write)
--- /dev/null
+++ b/packages/mothworks_fakes/src/mothworks_fakes/measure_state.py
@@ -0,0 +1,189 @@
+"""Measures what a node's state at the target costs, for the capacity page.
+
+``python -m mothworks_fakes.measure_state --out docs/slopes/operators.json``
+starts one node with an empty catalogue and with one of the target's size, and
+measures traces and audit entries in this process.
+"""
+
+import datetime
+import pathlib
+import re
+import tempfile
+import time
+import tracemalloc
+
+import attrs
+import defopt
+import gevent
+import orjson
+
+from mothworks import audit, catalogue, decisions, kernel, requests, settings
+from mothworks_fakes import processes, slopes, testbed
+
+MODELS = 720
+ENDPOINTS = 4700
+#: Time for a node to settle, seconds.
+SETTLE_S = 5.0
+#: Repetitions of what is timed.
+TIMES = 20_000
+COMMAND = "python -m mothworks_fakes.measure_state"
+
+
+def run(*, out: pathlib.Path | None = None) -> None:
+    """Measure and print.
+
+    :param out: file for the figures as JSON.
+    """
+    found = [*_node_memory(), *_traces(), *_audit()]
+    for slope in found:
+        print(f"{slope.name}: {slope.value} {slope.unit}")
+    if out is not None:
+        rows = [attrs.asdict(item) for item in found]
+        out.parent.mkdir(exist_ok=True)
+        out.write_bytes(orjson.dumps(rows, option=orjson.OPT_INDENT_2) + b"\n")
+
+
+def target_catalogue() -> catalogue.Catalogue:
+    """Return a catalogue of the target's size; its endpoints are elsewhere."""
+    return catalogue.Catalogue(
+        data_centres=(
+            catalogue.DataCentre("dc-1", "region-1"),
+            catalogue.DataCentre("dc-2", "region-2"),
+        ),
+        models=tuple(
+            catalogue.Model(f"model-{number}", 16_000, 4000) for number in range(MODELS)
+        ),
+        endpoints=tuple(
+            catalogue.Endpoint(
+                f"engine-{number}",
+                "vllm",
+                f"10.{number // 250}.0.{number % 250 + 1}",
+                8000,
+                "dc-2",
+                memory_mb=320_000,
+                accelerators=4,
+                slots=64,
+            )
+            for number in range(ENDPOINTS)
+        ),
+    )
+
+
+def _node_memory() -> list[slopes.Slope]:
+    with tempfile.TemporaryDirectory() as folder:
+        bed = testbed.Testbed(pathlib.Path(folder))
+        try:
+            node = bed.add_node("vm-1", "dc-1", "region-1")
+            gevent.sleep(SETTLE_S)
+            idle = _resident_mb(node)
+            began = time.monotonic()
+            bed.apply(target_catalogue())
+            applied = time.monotonic() - began
+            gevent.sleep(SETTLE_S)
+            full = _resident_mb(node)
+        finally:
+            bed.stop()
+    note = "one node process, no requests, resident memory"
+    size = f"{MODELS} models, {ENDPOINTS} endpoints, none owned here"
+    return [
+        _slope("node memory, empty catalogue", idle, "MB", note),
+        _slope("node memory, target catalogue", full, "MB", f"{note}; {size}"),
+        _slope("apply of a target catalogue", applied, "s", size),
+    ]
+
+
+def _resident_mb(node: processes.NodeProcess) -> float:
+    status = pathlib.Path(f"/proc/{node.process.pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status).group(1)) / 1024
+
+
+def _kernel() -> kernel.Kernel:
+    return kernel.Kernel(
+        settings.Settings(
+            "vm-1",
+            "127.0.0.1",
+            0,
+            0,
+            "dc-1",
+            "region-1",
+            settings.ObjectApi("http://127.0.0.1:1"),
+            settings.VmList("http://127.0.0.1:1/vms"),
+        )
+    )
+
+
+def _traces() -> list[slopes.Slope]:
+    kept = decisions.Decisions(_kernel())
+    caller = catalogue.Caller("guest", "0" * 64)
+    made = [_request(f"{number:032x}", caller) for number in range(TIMES)]
+    tracemalloc.start()
+    for request in made[: decisions.RECENT]:
+        _trace(kept, request)
+    memory_kb = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    began = time.process_time()
+    for request in made:
+        _trace(kept, request)
+    spent_us = (time.process_time() - began) / TIMES * 1e6
+    note = f"{decisions.RECENT} ended requests of 3 steps"
+    return [
+        _slope("traces of requests, memory", memory_kb, "KB a node", note),
+        _slope("traces of requests, processor time", spent_us, "us a request", note),
+    ]
+
+
+def _request(request_id: str, caller: catalogue.Caller) -> requests.Request:
+    return requests.Request(
+        request_id,
+        caller,
+        target="menu",
+        model="menu",
+        method="POST",
+        path="/v1/chat/completions",
+        headers=(),
+        body=b"{}",
+        stream=True,
+        repeatable=True,
+        arrived=0.0,
+        first_token_deadline=1.6,
+    )
+
+
+def _trace(kept: decisions.Decisions, request: requests.Request) -> None:
+    trace = kept.open(request)
+    trace.add("", f"considered, best first: {request.id}")
+    trace.add("engine-1", "no capacity in time")
+    trace.add("engine-2", f"granted by {request.caller.name}")
+    kept.close(request.id, "ok")
+
+
+def _audit() -> list[slopes.Slope]:
+    entry = audit.Entry(
+        "2026-12-02T20:00:00.000+00:00",
+        "vm-123",
+        1000,
+        audit.Kind.ORDER,
+        "vm-123",
+        "engine-1234",
+        "load model-123 1",
+        "3.2 requests/s too many",
+        41,
+        42,
+    )
+    began = time.process_time()
+    for _ in range(TIMES):
+        audit.line(entry)
+    spent_us = (time.process_time() - began) / TIMES * 1e6
+    return [
+        _slope("audit entry, stored", len(audit.line(entry)), "B", "an order's entry"),
+        _slope("audit entry, processor time", spent_us, "us", "encoding, without HTTP"),
+    ]
+
+
+def _slope(name: str, value: float, unit: str, note: str) -> slopes.Slope:
+    today = datetime.date.today().isoformat()
+    return slopes.Slope(name, round(value, 2), unit, COMMAND, today, note)
+
+
+if __name__ == "__main__":
+    defopt.run(run)
--- a/packages/mothworks_fakes/tests/test_pages.py
+++ b/packages/mothworks_fakes/tests/test_pages.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mothworks_fakes import reference
+from mothworks_fakes import capacity, reference, slopes
 
 ROOT = pathlib.Path(__file__).parents[3]
 PAGES = reference.pages()
@@ -21,3 +21,18 @@
     for name, text in PAGES.items():
         empty = [line for line in text.splitlines() if line.endswith("|  |")]
         assert empty == [], name
+
+
+def test_capacity_page():
+    """Where this fails: ``python -m mothworks_fakes.capacity``."""
+    page = (ROOT / capacity.PAGE).read_text(encoding="utf-8")
+    assert page == capacity.render(ROOT)
+
+
+def test_a_slope_of_most_nodes_is_taken():
+    found = [
+        slopes.Slope(f"x, {count} nodes", count, "B", "", "", "")
+        for count in (4, 32, 8)
+    ]
+    assert capacity.find(found, r"x, (\d+) nodes").value == 32
+    assert capacity.find(found, "y") is None
