why model names the places for a model, in its planner's numbers

Cause: of a model that is resident nowhere, why model said no more than that. Change: planners answer for each endpoint with free and needed memory and a verdict (fits, so many MB are missing, takes no new work). A question's topics are asked at the same time, so that a VM that does not answer costs one timeout and not three. An audit entry whose write is under way is shown once. Tests: test_operator_calls.py, test_relocations.py.

--- a/packages/mothworks/src/mothworks/explanations.py
+++ b/packages/mothworks/src/mothworks/explanations.py
@@ -4,7 +4,6 @@
 that it reached.
 """
 
-import gevent
 import result
 
 from mothworks import (
@@ -23,6 +22,8 @@
 
 #: Waiting requests that ``why model`` lists.
 FIRST_WAITING = 10
+#: Endpoints that ``why model`` lists as places, those with most memory first.
+FIRST_PLACES = 20
 #: What a batch row says of an endpoint that nobody asked its owner for.
 IDLE = row_classes.BatchRow("", "", 0, 0, 0, 0, 0, 0, 0)
 #: What a batch row says of an endpoint whose owner did not answer.
@@ -52,33 +53,22 @@
         if item is None and name not in index.service_by_name:
             message = f"no model, adapter or service is named {name!r:.80}"
             return result.Err(outcomes.invalid(message, "not_declared", 404))
-        candidates = [
-            index.endpoint_by_name[endpoint]
-            for endpoint in self.placement.candidates(name)
-            if endpoint in index.endpoint_by_name
-        ]
-        owners = {row.owner for row in map(self.inventory.endpoint, candidates)} - {""}
-        batches = self.fan_out.ask(fan_out.Topic.BATCHES, name, owners)
-        waiting = self.fan_out.ask(fan_out.Topic.WAITING, name, owners)
-        batch_by_endpoint = {row.endpoint: row for row in batches.rows}
-        moves = self.fan_out.ask(fan_out.Topic.MOVES, name)
-        in_order = sorted(waiting.rows, key=lambda row: (row.position, row.endpoint))
-        first = tuple(in_order[:FIRST_WAITING])
-        replicas = [
-            self._replica(endpoint, batch_by_endpoint, batches.unanswered)
-            for endpoint in candidates
-        ]
+        candidates = self._candidates(name)
+        batches, waiting, moves, places = self._ask_of_model(name, candidates)
+        replicas = self._replicas(candidates, batches)
         tables = [
             answers.Table("replicas", reason_rows.ReplicaRow, tuple(replicas)),
-            answers.Table("waiting", row_classes.WaitingRow, first),
+            answers.Table("waiting", row_classes.WaitingRow, _first(waiting.rows)),
             answers.Table("moves", row_classes.MoveRow, moves.rows),
         ]
         if item is not None:
             row = self.inventory.model(item)
             tables.insert(0, answers.Table("model", row_classes.ModelRow, (row,)))
+            found = places.rows[:FIRST_PLACES]
+            tables.append(answers.Table("places", reason_rows.PlaceRow, found))
         notes = _replica_notes(name, replicas)
-        if len(first) < len(waiting.rows):
-            more = len(waiting.rows) - len(first)
+        if len(waiting.rows) > FIRST_WAITING:
+            more = len(waiting.rows) - FIRST_WAITING
             notes = (*notes, f"{more} more wait: show waiting where model = {name}")
         return result.Ok(
             answers.gathered(
@@ -92,9 +82,9 @@
         :param request_id: the request's id.
         """
         topics = (fan_out.Topic.TRACE, fan_out.Topic.STEPS, fan_out.Topic.WAITING)
-        asked = [gevent.spawn(self.fan_out.ask, topic, request_id) for topic in topics]
-        gevent.joinall(asked, raise_error=True)
-        trace, steps, waiting = (task.value for task in asked)
+        trace, steps, waiting = self.fan_out.ask_each(
+            *(fan_out.Wanted(topic, request_id) for topic in topics)
+        )
         if not trace.rows and not waiting.rows and not trace.unanswered:
             message = (
                 f"no VM remembers a request {request_id!r:.80}; each VM remembers "
@@ -112,6 +102,34 @@
             )
         )
 
+    def _candidates(self, name: str) -> list[catalogue.Endpoint]:
+        by_name = self.configuration.index.endpoint_by_name
+        found = self.placement.candidates(name)
+        return [by_name[endpoint] for endpoint in found if endpoint in by_name]
+
+    def _ask_of_model(
+        self, name: str, candidates: list[catalogue.Endpoint]
+    ) -> list[fan_out.Gathered]:
+        """Ask owners for queues, and all VMs for orders and places."""
+        rows = [self.inventory.endpoint(endpoint) for endpoint in candidates]
+        owners = frozenset(row.owner for row in rows) - {""}
+        topics = fan_out.Topic
+        return self.fan_out.ask_each(
+            fan_out.Wanted(topics.BATCHES, name, owners),
+            fan_out.Wanted(topics.WAITING, name, owners),
+            fan_out.Wanted(topics.MOVES, name),
+            fan_out.Wanted(topics.PLACES, name),
+        )
+
+    def _replicas(
+        self, candidates: list[catalogue.Endpoint], batches: fan_out.Gathered
+    ) -> list[reason_rows.ReplicaRow]:
+        batch_by_endpoint = {row.endpoint: row for row in batches.rows}
+        return [
+            self._replica(endpoint, batch_by_endpoint, batches.unanswered)
+            for endpoint in candidates
+        ]
+
     def _replica(
         self,
         item: catalogue.Endpoint,
@@ -141,3 +159,11 @@
     if all(row.takes_work != "yes" for row in replicas):
         return (f"no endpoint that has {name!r} takes new work",)
     return ()
+
+
+def _first(
+    waiting: tuple[row_classes.WaitingRow, ...],
+) -> tuple[row_classes.WaitingRow, ...]:
+    """Return the requests that are next, over all queues."""
+    in_order = sorted(waiting, key=lambda row: (row.position, row.endpoint))
+    return tuple(in_order[:FIRST_WAITING])
--- a/packages/mothworks/src/mothworks/fan_out.py
+++ b/packages/mothworks/src/mothworks/fan_out.py
@@ -32,6 +32,7 @@
     STEPS = "steps"
     BATCHES = "batches"
     MOVES = "moves"
+    PLACES = "places"
     ATTAINMENT = "attainment"
 
 
@@ -63,6 +64,20 @@
     left_out: int = 0
 
 
+@attrs.frozen
+class Wanted:
+    """A topic to ask several VMs about.
+
+    :param topic: the topic.
+    :param argument: narrows it.
+    :param vms: names of the VMs to ask; None for all live ones.
+    """
+
+    topic: Topic
+    argument: str = ""
+    vms: frozenset[str] | None = None
+
+
 @attrs.frozen
 class Gathered:
     """What all asked VMs said.
@@ -139,6 +154,19 @@
             left_out += fact.left_out
         return Gathered(tuple(rows), tuple(unanswered), left_out)
 
+    def ask_each(self, *wanted: Wanted) -> list[Gathered]:
+        """Ask several topics at the same time; see :meth:`ask`.
+
+        One after the other, a VM that does not answer would cost its timeout
+        for every topic.
+
+        :param wanted: what to ask.
+        """
+        pool = gevent.pool.Pool(len(wanted))
+        return pool.map(
+            lambda item: self.ask(item.topic, item.argument, item.vms), wanted
+        )
+
     def _ask_one(self, vm: str, question: Question) -> Facts | None:
         if vm == self.kernel.settings.name:
             return self._facts(question)
--- a/packages/mothworks/src/mothworks/local_facts.py
+++ b/packages/mothworks/src/mothworks/local_facts.py
@@ -11,9 +11,11 @@
     decisions,
     dispatch,
     fan_out,
+    fleet,
     kernel,
     orders,
     placement,
+    planner,
     plugins,
     reason_rows,
     row_classes,
@@ -36,6 +38,7 @@
         self.dispatch = node_kernel.get(dispatch.Dispatch)
         self.orders = node_kernel.get(orders.Orders)
         self.placement = node_kernel.get(placement.Placement)
+        self.planner = node_kernel.get(planner.Planner)
         self.slots = node_kernel.get(slot_owner.SlotOwner)
         topics = fan_out.Topic
         serve = node_kernel.get(fan_out.FanOut).serve
@@ -43,6 +46,7 @@
         serve(topics.BATCHES, row_classes.BatchRow, self._batches)
         serve(topics.ATTAINMENT, reason_rows.CountRow, self._counts)
         serve(topics.MOVES, row_classes.MoveRow, self._moves)
+        serve(topics.PLACES, reason_rows.PlaceRow, self._places)
         serve(topics.TRACE, reason_rows.TraceRow, self._trace)
         serve(topics.STEPS, reason_rows.StepRow, self._steps)
 
@@ -73,6 +77,26 @@
         """Return unfinished orders; the argument is empty or a model."""
         return [row for row in self.orders.under_way() if target in ("", row.model)]
 
+    def _places(self, model: str) -> list[reason_rows.PlaceRow]:
+        """Return where a model could be loaded; empty on VMs that do not plan."""
+        state = self.planner.state
+        wanted = state.fleet.demanded_by_name.get(model) if state else None
+        if wanted is None:
+            return []
+        sites = sorted(
+            state.fleet.site_by_name.values(), key=lambda item: -item.free_mb
+        )
+        return [
+            reason_rows.PlaceRow(
+                endpoint=site.name,
+                planner=self.kernel.settings.name,
+                free_mb=site.free_mb,
+                needed_mb=wanted.need.room_mb,
+                verdict=verdict(site, wanted.need),
+            )
+            for site in sites
+        ]
+
     def _trace(self, request_id: str) -> list[reason_rows.TraceRow]:
         trace = self.decisions.find(request_id)
         if trace is None:
@@ -115,3 +139,24 @@
             what = closed or f"open; {running} of this VM's requests are there"
             rows.append(reason_rows.StepRow(now_ms, name, f"now {what}"))
         return rows
+
+
+def verdict(site: fleet.Site, need: fleet.Need) -> str:
+    """Return why a planner would not load a model at an endpoint now.
+
+    :param site: the endpoint as its planner sees it.
+    :param need: the model.
+    """
+    if need.key in site.loading:
+        return "is being loaded there"
+    if need.key in site.leaving:
+        return "is being unloaded there"
+    if need.key in site.memory_by_key:
+        return "is resident there"
+    if not site.open:
+        return "takes no new work"
+    if site.memory_mb < need.room_mb:
+        return f"never fits: {site.memory_mb} MB in all"
+    if site.free_mb < need.room_mb:
+        return f"{need.room_mb - site.free_mb} MB are missing"
+    return "fits"
--- a/packages/mothworks/src/mothworks/questions.py
+++ b/packages/mothworks/src/mothworks/questions.py
@@ -117,7 +117,15 @@
         read = audit_reading.read(self.audit.api, live, _audit_days(conditions))
         match read:
             case result.Ok(trail):
-                rows = (*trail.entries, *self.audit.pending)
+                # An entry may be stored while this VM still waits for the
+                # reply; it must not be shown twice.
+                known = {(entry.vm, entry.at, entry.number) for entry in trail.entries}
+                pending = [
+                    entry
+                    for entry in self.audit.pending
+                    if (entry.vm, entry.at, entry.number) not in known
+                ]
+                rows = (*trail.entries, *pending)
                 return result.Ok(fan_out.Gathered(rows, left_out=len(trail.unread)))
             case result.Err(unavailable):
                 message = f"the object API does not answer: {unavailable.reason}"
--- a/packages/mothworks/src/mothworks/reason_rows.py
+++ b/packages/mothworks/src/mothworks/reason_rows.py
@@ -56,6 +56,24 @@
     what: str
 
 
+@attrs.frozen
+class PlaceRow:
+    """An endpoint as a place for a model, in its planner's numbers.
+
+    :param endpoint: the endpoint.
+    :param planner: the VM that plans for it.
+    :param free_mb: memory that a load may take now, MB.
+    :param needed_mb: memory that the model needs there, MB.
+    :param verdict: why it can't be loaded there, or that it can.
+    """
+
+    endpoint: str
+    planner: str
+    free_mb: int
+    needed_mb: int
+    verdict: str
+
+
 @attrs.frozen
 class ReplicaRow:
     """An endpoint that has a model, and why it takes work or not.
--- a/packages/mothworks/tests/test_operator_calls.py
+++ b/packages/mothworks/tests/test_operator_calls.py
@@ -172,3 +172,12 @@
     assert ask(deployment, "lift quarantine 00").unwrap_err().status == 404
     ask(deployment, lift, "vm-2").unwrap()
     processes.wait_until(lambda: not rows(deployment, "show quarantine"))
+
+
+def test_why_model_names_the_places(deployment):
+    def verdicts():
+        answer = ask(deployment, "why model menu", "vm-3").unwrap()
+        tables = {table["title"]: table["rows"] for table in answer["tables"]}
+        return [(row["endpoint"], row["verdict"]) for row in tables["places"]]
+
+    processes.wait_until(lambda: verdicts() == [("engine-1", "is resident there")])
--- a/packages/mothworks/tests/test_relocations.py
+++ b/packages/mothworks/tests/test_relocations.py
@@ -5,6 +5,7 @@
     catalogue,
     endpoints,
     fleet,
+    local_facts,
     region_plan,
     relocations,
 )
@@ -80,3 +81,20 @@
     made.accept(planned, move()).unwrap()
     made.plan(planned, 101.0, loads=0)
     assert made.by_model == {}
+
+
+def test_verdicts_of_places_name_what_is_missing():
+    planned = region()
+    first, second = planned.site_by_name.values()
+    menu = planned.demanded_by_name["menu"].need
+    assert local_facts.verdict(first, menu) == "is resident there"
+    assert local_facts.verdict(second, menu) == "fits"
+    second.free_mb = 1000
+    missing_mb = menu.room_mb - 1000
+    assert local_facts.verdict(second, menu) == f"{missing_mb} MB are missing"
+    second.memory_mb = 2000
+    assert local_facts.verdict(second, menu) == "never fits: 2000 MB in all"
+    second.open = False
+    assert local_facts.verdict(second, menu) == "takes no new work"
+    planned.unload(first, MENU)
+    assert local_facts.verdict(first, menu) == "is being unloaded there"
