Audit lines of another version are shown, not dropped

Cause: an entry with a field or kind that this version does not know was left out without a word, and a corrupt line failed the whole question. Test: test_audit.py, which failed before.

--- a/packages/mothworks/src/mothworks/audit.py
+++ b/packages/mothworks/src/mothworks/audit.py
@@ -39,6 +39,8 @@
 WRITES_PER_S = 50.0
 #: What the last entry of a VM that shut down gracefully says.
 CLOSED = "closed"
+#: Bytes shown of a line that can't be read.
+SHOWN_BYTES = 200
 #: Longest time that a graceful shutdown spends on the last write, seconds.
 CLOSE_S = 5.0
 
@@ -280,10 +282,30 @@
 def parse(body: bytes) -> list[Entry]:
     """Return the entries of a stored object, oldest first.
 
+    A line that can't be read, because it is corrupt or of a later version,
+    becomes an entry that says so; fields that are not known are left out.
+
     :param body: the object's content.
     """
-    found = (
-        documents.structure(orjson.loads(item), Entry, "audit")
-        for item in body.splitlines()
-    )
-    return [entry.ok() for entry in found if entry.is_ok()]
+    entries: list[Entry] = []
+    for item in body.splitlines():
+        number = entries[-1].number + 1 if entries else 1
+        entries.append(_read(item, number))
+    return entries
+
+
+def _read(item: bytes, number: int) -> Entry:
+    try:
+        value = orjson.loads(item)
+    except orjson.JSONDecodeError:
+        value = {}
+    value = value if isinstance(value, dict) else {}
+    names = [field.name for field in attrs.fields(Entry)]
+    known = {name: value[name] for name in names if name in value}
+    match documents.structure(known, Entry, "audit"):
+        case result.Ok(entry):
+            return entry
+    vm = str(value.get("vm", ""))
+    text = item[:SHOWN_BYTES].decode(errors="replace")
+    what = "an entry that this version can't read"
+    return Entry(str(value.get("at", "")), vm, number, Kind.TRAIL, vm, vm, what, text)
--- a/packages/mothworks/tests/test_audit.py
+++ b/packages/mothworks/tests/test_audit.py
@@ -202,3 +202,22 @@
     assert sorted(api.list(audit.PREFIX).unwrap()) == sorted(keys[:3])
     api.down = True
     assert retention.clean(today) == 0
+
+
+def test_what_another_version_stored_is_shown_and_hides_nothing():
+    """During an upgrade a trail would be cut short, or not be shown at all.
+
+    A newer VM stores a kind and a field that this version does not know, and
+    a line is corrupt.
+    """
+    entry = audit.Entry(
+        "2026-12-02T10:00:00", "vm-1", 1, audit.Kind.MOVE, "vm-1", "menu", "load", ""
+    )
+    first = audit.line(entry)
+    body = first + first.replace(b'"move"', b'"later"').replace(b":1,", b":2,")
+    body += b"{corrupt\n" + first.replace(b"{", b'{"colour":"red",', 1)
+    whole, later, corrupt, wider = audit.parse(body)
+    assert whole == entry == wider
+    assert (later.kind, later.vm, later.number) == (audit.Kind.TRAIL, "vm-1", 2)
+    assert "later" in later.why
+    assert (corrupt.number, corrupt.why) == (3, "{corrupt")
