--- a/packages/mothworks/src/mothworks/operator_moves.py
+++ b/packages/mothworks/src/mothworks/operator_moves.py
@@ -7,13 +7,10 @@
 
 from mothworks import (
     audit,
-    configuration,
     kernel,
-    members,
-    membership,
     messages,
+    orders,
     outcomes,
-    ownership,
     peers,
     planner,
     plugins,
@@ -67,8 +64,7 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.audit = node_kernel.get(audit.Audit)
-        self.configuration = node_kernel.get(configuration.Configuration)
-        self.membership = node_kernel.get(membership.Membership)
+        self.orders = node_kernel.get(orders.Orders)
         self.peers = node_kernel.get(peers.Peers)
         self.planner = node_kernel.get(planner.Planner)
         self.peers.handle(OrderMove, self._serve)
@@ -82,7 +78,7 @@
         :param who: the operator.
         :returns: the VM that accepted it.
         """
-        chosen = self._planner(statement.target)
+        chosen = self.orders.planner(statement.target)
         if chosen is None:
             message = f"no VM plans for an endpoint {statement.target!r:.80}"
             return result.Err(outcomes.invalid(message, "not_declared", 404))
@@ -103,14 +99,6 @@
             return result.Err(outcomes.invalid(message, "not_possible", 409))
         return result.Ok(chosen.name)
 
-    def _planner(self, endpoint: str) -> members.Member | None:
-        index = self.configuration.index
-        declared = index.endpoint_by_name.get(endpoint)
-        if declared is None:
-            return None
-        region = index.region_by_data_centre[declared.data_centre]
-        return ownership.planner_of(region, self.membership.live())
-
     def _serve(self, _: str, order: OrderMove, answer: peers.Answer) -> None:
         answer(self._take(order))
 
