Connections for one request are closed after it

Found by the measurement of claims: after 2,048 orders through 4 nodes (512 each, the pool's size) no order was answered any more, and all 256 slots stayed taken. Cause: a fresh connection was given back to the pool, where fresh requests take none, until giving back blocked. Ruled out: claims (orders without a key hung too), descriptors (limit 20,000). Change: such a connection is closed. Check: test_transport.py, which timed out before.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -146,6 +146,8 @@
 
     #: Monotonic time since when it is in the pool, seconds.
     idle_since = 0.0
+    #: Whether it was opened for one request.
+    fresh = False
 
 
 class _Pool(geventhttpclient.connectionpool.ConnectionPool):
@@ -155,13 +157,20 @@
         """Return a new connection."""
         self._semaphore.acquire()
         try:
-            return self._create_socket()
+            sock = self._create_socket()
         except BaseException:
             self._semaphore.release()
             raise
+        sock.fresh = True
+        return sock
 
     def return_socket(self, sock: _Socket) -> None:
         """Take back a connection whose answer was read completely."""
+        if sock.fresh:
+            # Work that may run once takes none from the pool: kept there, its
+            # connections fill the pool until giving one back waits for ever.
+            self.release_socket(sock)
+            return
         sock.idle_since = time.monotonic()
         super().return_socket(sock)
 
