Claims end in bounded time; measurements of claims and configuration

Cause (found by measuring): with a slow object API a claim's write went on for up to half a minute, its requests holding slots; and entries whose owner was slow wrote the shard themselves, against the owner. Change: no attempt begins after 2 s; an owner that does not answer in time is not replaced; 16 shards in place of 32, which bounds all claim writes to 320 a second. Metrics claim_writes_total and claim_records_total.

--- a/packages/mothworks/src/mothworks/claim_shards.py
+++ b/packages/mothworks/src/mothworks/claim_shards.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import collections.abc
 import random
 import time
 import uuid
@@ -36,8 +37,9 @@
 SEGMENT_BYTES = 64 << 10
 #: Most bytes of records in one write.
 BATCH_BYTES = 512 << 10
-#: Attempts of a write that others get ahead of.
-ATTEMPTS = 8
+#: Time after which no further attempt of a write begins, seconds. Its
+#: claimants hold slots, and their callers wait for an answer.
+WRITE_S = 2.0
 #: Longest time to learn a write's outcome, seconds.
 PATIENCE_S = 0.5
 #: Longest pause after a conflict, seconds.
@@ -94,10 +96,18 @@
     :param api: the object API.
     :param key: the head's key.
     :param retention_s: called for the time that records are kept, seconds.
+    :param note_write: called with the number of records in each write.
     """
 
-    def __init__(self, api: objects.Api, key: str, retention_s):
+    def __init__(
+        self,
+        api: objects.Api,
+        key: str,
+        retention_s: collections.abc.Callable[[], float],
+        note_write: collections.abc.Callable[[int], None] = lambda records: None,
+    ):
         self.api = api
+        self.note_write = note_write
         self.key = key
         self.retention_s = retention_s
         self.known_by_key: dict[bytes, claim_records.Known] = {}
@@ -109,7 +119,6 @@
         self.urgent = gevent.event.Event()
         self.reading = gevent.lock.RLock()
         self.writer: gevent.Greenlet | None = None
-        self.writes = 0
 
     def find(self, key: bytes) -> Outcome:
         """Return what is known of a key; None where it is free.
@@ -197,7 +206,8 @@
 
     def _write(self, batch: list[Pending]) -> Outcome:
         """Write a batch; returns the outcome of what has none of its own."""
-        for _ in range(ATTEMPTS):
+        deadline = time.monotonic() + WRITE_S
+        while time.monotonic() < deadline:
             loaded = result.Ok(None) if self.loaded else self._load()
             if loaded.is_err():
                 return loaded
@@ -215,7 +225,7 @@
                     gevent.sleep(random.uniform(0, PAUSE_S))
                 case result.Err(problem):
                     return result.Err(objects.Unavailable(str(problem)))
-        return result.Err(objects.Unavailable("others write this shard"))
+        return result.Err(objects.Unavailable("the write did not get through"))
 
     def _admit(self, batch: list[Pending]) -> list[claim_records.Record]:
         """Return the records to write; settles the others."""
@@ -260,7 +270,7 @@
                     return error
         nonce = uuid.uuid4().bytes
         head = attrs.evolve(base, nonce=nonce, records=(*base.records, *records))
-        self.writes += 1
+        self.note_write(len(records))
         written = objects.put_known(
             self.api, self.key, _pack(head), self.version, nonce, PATIENCE_S
         )
--- a/packages/mothworks/src/mothworks/claims.py
+++ b/packages/mothworks/src/mothworks/claims.py
@@ -37,7 +37,7 @@
 
 #: Number of shards. It never changes: a resend has to look where the first
 #: request was claimed.
-SHARDS = 32
+SHARDS = 16
 KEY_PREFIX = "claims/"
 #: Longest wait for a shard's owner, seconds.
 OWNER_S = 2.0
@@ -318,6 +318,12 @@
         self.shard_by_number: dict[int, claim_shards.Shard] = {}
         #: Claims whose request this VM runs, or whose outcome it stores.
         self.held: set[bytes] = set()
+        self.writes_total = node_kernel.metrics.counter(
+            "claim_writes_total", "Writes of claim shards."
+        )
+        self.records_total = node_kernel.metrics.counter(
+            "claim_records_total", "Claims and outcomes in those writes."
+        )
         self.peers.handle(AskClaim, self._serve_ask)
         self.peers.handle(EndClaim, self._serve_end)
         self.peers.handle(AskHeld, self._serve_held)
@@ -337,9 +343,14 @@
         """
         owner = self._owner(ask.key)
         if owner != self.kernel.settings.name:
+            until = time.monotonic() + OWNER_S
             match self.peers.call(owner, ask, OWNER_S):
                 case result.Ok(ClaimAnswer() as answer):
                     return answer
+                case _ if time.monotonic() >= until:
+                    # An owner that is slow because the object API is slow
+                    # would only be slowed more by a rival's writes.
+                    return ClaimAnswer(Finding.DOWN)
         return self._decide(ask)
 
     def is_held(self, answer: ClaimAnswer) -> bool:
@@ -389,11 +400,15 @@
         shard = self.shard_by_number.get(number)
         if shard is None:
             shard = claim_shards.Shard(
-                self.api, f"{KEY_PREFIX}{number}", self._retention_s
+                self.api, f"{KEY_PREFIX}{number}", self._retention_s, self._note_write
             )
             self.shard_by_number[number] = shard
         return shard
 
+    def _note_write(self, records: int) -> None:
+        self.writes_total.inc({})
+        self.records_total.add({}, records)
+
     def _retention_s(self) -> float:
         return self.configuration.index.catalogue.retention.claims_s
 
--- a/packages/mothworks/tests/test_claims.py
+++ b/packages/mothworks/tests/test_claims.py
@@ -46,13 +46,15 @@
 
 
 def test_claims_of_the_same_moment_share_a_write():
-    api = stored.MemoryApi()
-    owner = shard(api)
+    writes = []
+    owner = claim_shards.Shard(
+        stored.MemoryApi(), "claims/0", lambda: 1e9, writes.append
+    )
     keys = [bytes((number,)) * 16 for number in range(50)]
     tasks = [gevent.spawn(owner.append, record(key, key=key)) for key in keys]
     gevent.joinall(tasks)
     assert [task.value.unwrap().claim_id for task in tasks] == keys
-    assert owner.writes == 1
+    assert writes == [50]
 
 
 def test_of_two_copies_in_one_write_the_first_wins():
@@ -104,6 +106,18 @@
     assert owner.append(record(b"c")).unwrap().claim_id == b"c"
 
 
+def test_a_write_that_never_gets_through_is_given_up(monkeypatch):
+    # The object API answers each call so late that its outcome is unknown.
+    # Claimants held their slots for half a minute, until none was left.
+    monkeypatch.setattr(claim_shards, "WRITE_S", 0.05)
+    monkeypatch.setattr(claim_shards, "PATIENCE_S", 0.0)
+    api = stored.MemoryApi()
+    api.put_faults.extend([stored.Fault.DROPPED] * 100_000)
+    outcome = shard(api).append(record(b"a"))
+    assert isinstance(outcome.unwrap_err(), objects.Unavailable)
+    assert api.put_faults
+
+
 def test_an_outage_refuses_claims():
     api = stored.MemoryApi()
     owner = shard(api)
--- a/packages/mothworks_fakes/src/mothworks_fakes/object_api.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/object_api.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's object API: versions, conditions, watches."""
 
+import collections
 import urllib.parse
 
 import attrs
@@ -43,6 +44,8 @@
         self.changes: list[tuple[int, str]] = []
         self.changed = gevent.event.Event()
         self.reads = 0
+        #: Reads by the first part of the key.
+        self.reads_by_kind: collections.Counter[str] = collections.Counter()
         self.writes = 0
         #: Share of reads that return what the object was before.
         self.stale_reads = 0.0
@@ -72,8 +75,12 @@
                 return self._delete(key, environ)
         return web.json_reply({}, "405 Method Not Allowed")
 
-    def _get(self, key: str) -> web.Reply:
+    def _count_read(self, key: str) -> None:
         self.reads += 1
+        self.reads_by_kind[key.partition("/")[0]] += 1
+
+    def _get(self, key: str) -> web.Reply:
+        self._count_read(key)
         item = self.item_by_key.get(key)
         if self.random.random() < self.stale_reads:
             item = self.previous_by_key.get(key)
@@ -82,7 +89,7 @@
         return web.Reply("200 OK", [("ETag", str(item.revision))], [item.body])
 
     def _list(self, prefix: str) -> web.Reply:
-        self.reads += 1
+        self._count_read(prefix)
         return web.json_reply(
             {
                 key: str(item.revision)
@@ -131,8 +138,8 @@
         self.changed.clear()
 
     def _watch(self, query: dict[str, str]) -> web.Reply:
-        self.reads += 1
         prefix = query["prefix"]
+        self._count_read(prefix)
         cursor = int(query.get("cursor") or self.revision)
         with gevent.Timeout(float(query["wait"]), False):
             while not self._keys_after(prefix, cursor):
