Deferred work waits for the configuration; a broken endpoint convicts nobody

Cause 1 (failed landing, test_deferred): a VM that had just started took up stored work before it knew the callers, and answered it with 403 for good. It now takes up work once it has a configuration. Cause 2 (review): a request that met the same broken endpoint twice was quarantined. Two crashes now count in full only at two endpoints.

--- a/packages/mothworks/src/mothworks/deferred.py
+++ b/packages/mothworks/src/mothworks/deferred.py
@@ -260,6 +260,8 @@
 
     def _scan(self) -> None:
         """Take up what is stored in the shards that this VM owns."""
+        if not self.configuration.loaded.is_set():
+            return
         for shard in self._owned():
             prefix = f"{deferred_records.OPEN_PREFIX}{shard}/"
             match self.api.list(prefix):
@@ -276,7 +278,10 @@
         return [shard for shard in shards if self._owner(shard) == name]
 
     def _take_up(self, work_id: str) -> None:
-        if work_id not in self.shard_by_id and not self.kernel.draining:
+        # A VM that has just started knows no callers yet, and would give a
+        # stored work the final answer that its caller is not declared.
+        ready = self.configuration.loaded.is_set() and not self.kernel.draining
+        if ready and work_id not in self.shard_by_id:
             self.shard_by_id[work_id] = deferred_records.shard(work_id)
             self.tasks.spawn(self._work, work_id)
 
--- a/packages/mothworks/src/mothworks/suspects.py
+++ b/packages/mothworks/src/mothworks/suspects.py
@@ -105,6 +105,7 @@
     :param when_ms: wall time of the last change, milliseconds.
     :param caller: the caller's name.
     :param target: the model, adapter or service.
+    :param endpoint: where it broke last.
     """
 
     fingerprint: bytes
@@ -112,6 +113,7 @@
     when_ms: int
     caller: str
     target: str
+    endpoint: str = ""
 
     @property
     def quarantined(self) -> bool:
@@ -261,11 +263,21 @@
     def _accuse(self, broke: Broke, crashed: bool) -> Suspect:
         known = self._current(broke.fingerprint)
         points = known.points if known else 0
+        elsewhere = known is None or known.endpoint != broke.endpoint
         # A suspect runs alone: where its connection breaks, no other request
-        # can have been the cause.
-        points += CRASH if crashed or points >= SUSPECT_AT else LONE_BREAK
+        # can have been the cause. At the same endpoint again, it may well be
+        # the endpoint that is broken.
+        if elsewhere and (crashed or points >= SUSPECT_AT):
+            points += CRASH
+        else:
+            points += LONE_BREAK
         suspect = Suspect(
-            broke.fingerprint, points, _after(known), broke.caller, broke.target
+            broke.fingerprint,
+            points,
+            _after(known),
+            broke.caller,
+            broke.target,
+            broke.endpoint,
         )
         if suspect.quarantined:
             log.warning(
