--- a/packages/mothworks/src/mothworks/claim_shards.py
+++ b/packages/mothworks/src/mothworks/claim_shards.py
@@ -19,10 +19,9 @@
 import gevent.event
 import gevent.lock
 import logbook
-import msgpack
 import result
 
-from mothworks import claim_records, objects
+from mothworks import claim_log, claim_records, objects
 
 log = logbook.Logger("claims")
 
@@ -46,34 +45,6 @@
 PAUSE_S = 0.02
 
 
-@attrs.frozen
-class Head:
-    """What a shard's head object or one of its segments holds.
-
-    :param nonce: recognises a write whose reply was lost.
-    :param previous: name of the segment before; empty for none.
-    :param previous_when: wall time of that segment's newest record.
-    :param records: packed records, in order.
-    """
-
-    nonce: bytes = b""
-    previous: str = ""
-    previous_when: int = 0
-    records: tuple[claim_records.Record, ...] = ()
-
-
-@attrs.frozen
-class Segment:
-    """A segment that this VM has read.
-
-    :param name: its key.
-    :param when: wall time of its newest record.
-    """
-
-    name: str
-    when: int
-
-
 @attrs.define
 class Pending:
     """A record that waits to be written.
@@ -111,8 +82,8 @@
         self.key = key
         self.retention_s = retention_s
         self.known_by_key: dict[bytes, claim_records.Known] = {}
-        self.segments: collections.deque[Segment] = collections.deque()
-        self.head = Head()
+        self.segments: collections.deque[claim_log.Segment] = collections.deque()
+        self.head = claim_log.Head()
         self.version: str | None = None
         self.loaded = False
         self.pending: list[Pending] = []
@@ -265,14 +236,14 @@
         if sum(map(claim_records.size, full.records)) > SEGMENT_BYTES:
             match self._seal(full):
                 case result.Ok(sealed):
-                    base = Head(b"", sealed.name, sealed.when)
+                    base = claim_log.Head(b"", sealed.name, sealed.when)
                 case error:
                     return error
         nonce = uuid.uuid4().bytes
         head = attrs.evolve(base, nonce=nonce, records=(*base.records, *records))
         self.note_write(len(records))
         written = objects.put_known(
-            self.api, self.key, _pack(head), self.version, nonce, PATIENCE_S
+            self.api, self.key, claim_log.pack(head), self.version, nonce, PATIENCE_S
         )
         if written.is_err():
             return written
@@ -283,15 +254,17 @@
         claim_records.fold(self.known_by_key, records)
         return result.Ok(None)
 
-    def _seal(self, head: Head) -> result.Result[Segment, objects.WriteError]:
+    def _seal(
+        self, head: claim_log.Head
+    ) -> result.Result[claim_log.Segment, objects.WriteError]:
         name = f"{self.key}/{uuid.uuid4().hex}"
         newest = max(record.when for record in head.records)
-        body = _pack(attrs.evolve(head, nonce=name.encode()))
+        body = claim_log.pack(attrs.evolve(head, nonce=name.encode()))
         return objects.put_known(
             self.api, name, body, None, name.encode(), PATIENCE_S
-        ).map(lambda _: Segment(name, newest))
+        ).map(lambda _: claim_log.Segment(name, newest))
 
-    def _add_segment(self, sealed: Segment) -> None:
+    def _add_segment(self, sealed: claim_log.Segment) -> None:
         self.segments.append(sealed)
         oldest = time.time() - self.retention_s()
         while self.segments and self.segments[0].when < oldest:
@@ -305,9 +278,9 @@
         with self.reading:
             match self.api.get(self.key):
                 case result.Ok(stored):
-                    head, version = _unpack(stored.body), stored.version
+                    head, version = claim_log.unpack(stored.body), stored.version
                 case result.Err(objects.Missing()):
-                    head, version = Head(), None
+                    head, version = claim_log.Head(), None
                 case error:
                     return error
             match self._read_chain(head):
@@ -323,14 +296,16 @@
         return result.Ok(None)
 
     def _read_chain(
-        self, head: Head
-    ) -> result.Result[list[tuple[Segment, Head]], objects.Unavailable]:
+        self, head: claim_log.Head
+    ) -> result.Result[
+        list[tuple[claim_log.Segment, claim_log.Head]], objects.Unavailable
+    ]:
         """Read back from a head to a segment that was read or is too old."""
         oldest = time.time() - self.retention_s()
         read = {segment.name for segment in self.segments}
         chain = []
         while head.previous and head.previous not in read:
-            segment = Segment(head.previous, head.previous_when)
+            segment = claim_log.Segment(head.previous, head.previous_when)
             if segment.when < oldest:
                 break
             match self._read_segment(segment.name):
@@ -340,25 +315,11 @@
                     return error
         return result.Ok(chain)
 
-    def _read_segment(self, name: str) -> result.Result[Head, objects.Unavailable]:
+    def _read_segment(
+        self, name: str
+    ) -> result.Result[claim_log.Head, objects.Unavailable]:
         return (
             self.api.get(name)
-            .map(lambda stored: _unpack(stored.body))
+            .map(lambda stored: claim_log.unpack(stored.body))
             .map_err(lambda problem: objects.Unavailable(str(problem)))
         )
-
-
-def _pack(head: Head) -> bytes:
-    return msgpack.packb(
-        [
-            head.nonce,
-            head.previous,
-            head.previous_when,
-            claim_records.pack(head.records),
-        ]
-    )
-
-
-def _unpack(body: bytes) -> Head:
-    nonce, previous, previous_when, rows = msgpack.unpackb(body)
-    return Head(nonce, previous, previous_when, claim_records.unpack(rows))
--- a/packages/mothworks/src/mothworks/configuration.py
+++ b/packages/mothworks/src/mothworks/configuration.py
@@ -9,10 +9,7 @@
 
 import collections
 import collections.abc
-import datetime
-import random
 import time
-import uuid
 
 import attrs
 import gevent
@@ -25,6 +22,7 @@
     catalogue,
     configuration_head,
     configuration_parts,
+    configuration_writing,
     documents,
     kernel,
     objects,
@@ -33,12 +31,6 @@
 
 log = logbook.Logger("configuration")
 
-#: Attempts to store a part, or to read a head that is not older than ours.
-ATTEMPTS = 4
-#: Longest pause between them, seconds.
-PAUSE_S = 0.1
-#: Longest time to learn whether a change was accepted, seconds.
-FLIP_S = 3.0
 #: Time before a revision that this VM could not read is tried again, seconds.
 REFUSED_S = 60.0
 #: Revisions kept, so that an operator whose change came too late is told
@@ -99,18 +91,6 @@
     error: Unreadable
 
 
-@attrs.frozen
-class _StoredHead:
-    """The head as the object API holds it; both None before the first."""
-
-    version: str | None = None
-    head: configuration_head.Head | None = None
-
-    @property
-    def revision(self) -> int:
-        return self.head.revision if self.head else 0
-
-
 @plugins.register(plugins.PART, "configuration")
 class Configuration(kernel.Part):
     """Holds the newest revision and applies changes.
@@ -121,6 +101,7 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.api = node_kernel.get(objects.Objects).api
+        self.writer = configuration_writing.Writer(self.api)
         self.revision = 0
         self.index = catalogue.Index(catalogue.Catalogue())
         #: Set once this VM has a revision or knows that there is none.
@@ -150,7 +131,7 @@
         :returns: the new revision. An error has changed nothing, but for
             :class:`Uncertain`.
         """
-        match self._read_newest():
+        match self.writer.read_newest(self.revision):
             case result.Ok(stored):
                 pass
             case error:
@@ -158,16 +139,18 @@
         if stored.revision != expected:
             return self._stale(expected)
         parts = configuration_parts.split(changed)
-        problem = self._store_parts(parts, stored.head)
+        problem = self.writer.store_parts(parts, stored.head)
         if problem is not None:
             return result.Err(problem)
-        head = _next_head(stored.head, parts, who, why)
-        match self._flip(head, stored.version):
+        head = configuration_writing.next_head(stored.head, parts, who, why)
+        match self.writer.flip(head, stored.version):
             case result.Ok(_):
                 self._install(head, configuration_head.write(head), parts)
                 return result.Ok(head.revision)
             case result.Err(objects.Conflict()):
                 return self._stale(expected)
+            case result.Err(objects.Unknown(reason)):
+                return result.Err(Uncertain(head.revision, reason))
             case error:
                 return error
 
@@ -268,85 +251,6 @@
         in_force = self.index.catalogue
         return result.Err(Stale(self.revision, base, in_force))
 
-    def _read_newest(self) -> result.Result[_StoredHead, objects.Unavailable]:
-        """Read the head, not contented with one older than what is in force."""
-        for _ in range(ATTEMPTS):
-            match self.api.get(configuration_head.KEY):
-                case result.Ok(stored):
-                    head = configuration_head.read(stored.body)
-                    found = _StoredHead(stored.version, head.unwrap_or(None))
-                case result.Err(objects.Missing()):
-                    found = _StoredHead()
-                case error:
-                    return error
-            if found.version and not found.head:
-                reason = "the stored head is of a newer version of the program"
-                return result.Err(objects.Unavailable(reason))
-            if found.revision >= self.revision:
-                return result.Ok(found)
-            gevent.sleep(random.uniform(0, PAUSE_S))
-        return result.Err(objects.Unavailable("it answers with old reads"))
-
-    def _flip(
-        self, head: configuration_head.Head, version: str | None
-    ) -> result.Result[str, objects.Conflict | objects.Unavailable | Uncertain]:
-        body = configuration_head.write(head)
-        nonce = head.nonce.encode()
-        key = configuration_head.KEY
-        match objects.put_known(self.api, key, body, version, nonce, FLIP_S):
-            case result.Err(objects.Unknown(reason)):
-                return self._find_trace(head, reason)
-            case outcome:
-                return outcome
-
-    def _find_trace(self, head: configuration_head.Head, reason: str):
-        """Look for a head of unknown outcome below the one stored now."""
-        most = configuration_head.EARLIER_NONCES
-        match self._read_newest():
-            case result.Ok(found) if found.head and found.head.follows(head.nonce):
-                return result.Ok(found.version)
-            case result.Ok(found) if 0 <= found.revision - head.revision < most:
-                # Another writer has taken the revision that ours would have.
-                return result.Err(objects.Conflict(configuration_head.KEY))
-            case _:
-                return result.Err(Uncertain(head.revision, reason))
-
-    def _store_parts(
-        self,
-        parts: list[configuration_parts.Part],
-        current: configuration_head.Head | None,
-    ) -> objects.Unavailable | objects.TooLarge | None:
-        kept = current.names() if current else set()
-        for part in parts:
-            if part.name in kept:
-                continue
-            problem = self._store_part(part)
-            if problem is not None:
-                return problem
-        return None
-
-    def _store_part(
-        self, part: configuration_parts.Part
-    ) -> objects.Unavailable | objects.TooLarge | None:
-        key = configuration_parts.KEY_PREFIX + part.name
-        body = configuration_parts.body(part)
-        version = None
-        for _ in range(ATTEMPTS):
-            match self.api.put(key, body, version):
-                case result.Ok(_):
-                    return None
-                case result.Err(objects.TooLarge() as problem):
-                    return problem
-                case result.Err(objects.Conflict() as problem):
-                    # An old part with this content is written once more: its
-                    # new version keeps the garbage collection, which may be
-                    # about to delete it, from doing so.
-                    found = self.api.get(key)
-                    version = found.map(lambda stored: stored.version).ok()
-                case result.Err(problem):
-                    gevent.sleep(random.uniform(0, PAUSE_S))
-        return objects.Unavailable(f"a part was not stored: {problem}")
-
     def _fetch_parts(
         self, head: configuration_head.Head, sources: tuple[PartSource, ...]
     ) -> result.Result[list[configuration_parts.Part], TakeError]:
@@ -384,21 +288,3 @@
                 return self._refuse(head.nonce, head.revision, problems)
             case read:
                 return read
-
-
-def _next_head(
-    current: configuration_head.Head | None,
-    parts: list[configuration_parts.Part],
-    who: str,
-    why: str,
-) -> configuration_head.Head:
-    earlier = (current.nonce, *current.earlier_nonces) if current else ()
-    return configuration_head.Head(
-        revision=current.revision + 1 if current else 1,
-        parts_by_section=configuration_parts.by_section(parts),
-        who=who,
-        when=datetime.datetime.now(datetime.UTC).isoformat(),
-        why=why,
-        nonce=uuid.uuid4().hex,
-        earlier_nonces=earlier[: configuration_head.EARLIER_NONCES],
-    )
--- a/packages/mothworks/src/mothworks/deferred.py
+++ b/packages/mothworks/src/mothworks/deferred.py
@@ -18,13 +18,13 @@
 import result
 
 from mothworks import (
-    calls,
     configuration,
+    deferred_messages,
     deferred_records,
+    deferred_runs,
     dispatch,
     kernel,
     membership,
-    messages,
     objects,
     outcomes,
     ownership,
@@ -45,13 +45,9 @@
 MOST_OPEN = 1000
 #: Time for which an owner's report that a shard is full holds, seconds.
 FULL_S = 5.0
-#: Attempts that may have run, after which repeatable work is given up.
-MOST_RUNS = 5
 #: First and longest pause before a further attempt, seconds.
 PAUSE_S = 1.0
 MOST_PAUSE_S = 60.0
-#: Room for what is stored beside a body, bytes.
-OVERHEAD_BYTES = 16 << 10
 #: Hint to a caller when to ask for the answer, seconds.
 ASK_AGAIN_S = 2.0
 #: Hint to a caller while the object API does not answer, seconds.
@@ -62,50 +58,6 @@
 OWNER_S = 1.0
 
 
-@messages.message(56)
-@attrs.frozen
-class WorkStored:
-    """An entry tells a shard's owner that it stored work.
-
-    :param id: the work's id.
-    """
-
-    id: str
-
-
-@messages.message(57)
-@attrs.frozen
-class ShardFill:
-    """Answers :class:`WorkStored`.
-
-    :param open: works that wait or run in the shard.
-    """
-
-    open: int
-
-
-@messages.message(58)
-@attrs.frozen
-class AskRunning:
-    """Asks a shard's owner whether it runs a work now.
-
-    :param id: the work's id.
-    """
-
-    id: str
-
-
-@messages.message(59)
-@attrs.frozen
-class IsRunning:
-    """Answers :class:`AskRunning`.
-
-    :param running: whether it does.
-    """
-
-    running: bool
-
-
 @attrs.frozen
 class Waiting:
     """Work that has no answer yet.
@@ -130,17 +82,18 @@
         self.dispatch = node_kernel.get(dispatch.Dispatch)
         self.membership = node_kernel.get(membership.Membership)
         self.peers = node_kernel.get(peers.Peers)
+        self.runner = deferred_runs.Runner(self.api, self.configuration, self.dispatch)
         self.places = gevent.lock.BoundedSemaphore(RUN_AT_ONCE)
         #: Shards of the works that this VM has taken up.
         self.shard_by_id: dict[str, int] = {}
         self.running: set[str] = set()
         self.full_until_by_shard: dict[int, float] = {}
-        self.peers.handle(WorkStored, self._serve_stored)
-        self.peers.handle(AskRunning, self._serve_running)
+        self.peers.handle(deferred_messages.WorkStored, self._serve_stored)
+        self.peers.handle(deferred_messages.AskRunning, self._serve_running)
 
     def start(self) -> None:
         """Start to look for work and for old answers."""
-        self.tasks.spawn(self._scan)
+        self.tasks.spawn(self._scan_first)
         self.tasks.every(SCAN_S, self._scan)
         self.tasks.every(CLEAN_S, self._clean)
 
@@ -160,7 +113,7 @@
         if time.monotonic() < self.full_until_by_shard.get(shard, 0):
             return result.Err(_full())
         body = deferred_records.pack(work)
-        if len(body) > objects.MOST_BYTES - OVERHEAD_BYTES:
+        if len(body) > deferred_records.MOST_BODY_BYTES:
             return result.Err(_too_long())
         key = deferred_records.key(deferred_records.OPEN_PREFIX, work.id)
         match objects.put_known(self.api, key, body, None, work.nonce, STORE_S):
@@ -238,11 +191,13 @@
         owner = self._owner(shard)
         if owner == self.kernel.settings.name:
             self._take_up(work_id)
-            fill = result.Ok(ShardFill(self._fill(shard)))
+            fill = result.Ok(deferred_messages.ShardFill(self._fill(shard)))
         else:
-            fill = self.peers.call(owner, WorkStored(work_id), OWNER_S)
+            fill = self.peers.call(
+                owner, deferred_messages.WorkStored(work_id), OWNER_S
+            )
         match fill:
-            case result.Ok(ShardFill(count)) if count >= MOST_OPEN:
+            case result.Ok(deferred_messages.ShardFill(count)) if count >= MOST_OPEN:
                 self.full_until_by_shard[shard] = time.monotonic() + FULL_S
 
     def _fill(self, shard: int) -> int:
@@ -252,12 +207,16 @@
         owner = self._owner(deferred_records.shard(work_id))
         if owner == self.kernel.settings.name:
             return work_id in self.running
-        match self.peers.call(owner, AskRunning(work_id), OWNER_S):
-            case result.Ok(IsRunning(running)):
+        match self.peers.call(owner, deferred_messages.AskRunning(work_id), OWNER_S):
+            case result.Ok(deferred_messages.IsRunning(running)):
                 return running
             case _:
                 return False
 
+    def _scan_first(self) -> None:
+        self.configuration.loaded.wait()
+        self._scan()
+
     def _scan(self) -> None:
         """Take up what is stored in the shards that this VM owns."""
         if not self.configuration.loaded.is_set():
@@ -294,7 +253,7 @@
                 if not self._is_mine(work_id):
                     break
                 self.running.add(work_id)
-                finished = self._run(work_id, runs)
+                finished = self.runner.run(work_id, runs)
                 self.running.discard(work_id)
             if finished.is_ok():
                 break
@@ -303,66 +262,6 @@
             pause_s = min(2 * pause_s, MOST_PAUSE_S)
         del self.shard_by_id[work_id]
 
-    def _run(self, work_id: str, runs: int) -> result.Result[None, int]:
-        """Run a work once; an error is the number of runs to be counted."""
-        done_key = deferred_records.key(deferred_records.DONE_PREFIX, work_id)
-        open_key = deferred_records.key(deferred_records.OPEN_PREFIX, work_id)
-        match self.api.get(open_key):
-            case result.Ok(stored):
-                work = deferred_records.read_work(stored.body)
-            case result.Err(objects.Missing()):
-                return result.Ok(None)
-            case _:
-                return result.Err(0)
-        match self.api.get(done_key):
-            case result.Err(objects.Missing()):
-                answered = self._answer(work, runs)
-                if answered.is_err():
-                    return answered
-                body = deferred_records.pack(answered.ok_value)
-                written = self.api.put(done_key, body, None)
-                # An answer that is there already is as good.
-                if written.is_err() and not isinstance(written.err(), objects.Conflict):
-                    return self._keep(done_key, body)
-            case result.Err(_):
-                return result.Err(0)
-        self.api.delete(open_key, stored.version)
-        return result.Ok(None)
-
-    def _keep(self, key: str, body: bytes) -> result.Result[None, int]:
-        """Store an answer while the object API is down, however long.
-
-        The work has run: without its answer it would run again, or its
-        caller would be told that the outcome is unknown.
-        """
-        while True:
-            gevent.sleep(PAUSE_S * random.uniform(0.5, 1.5))
-            match self.api.put(key, body, None):
-                case result.Ok(_) | result.Err(objects.Conflict()):
-                    return result.Err(0)
-
-    def _answer(
-        self, work: deferred_records.Work, runs: int
-    ) -> result.Result[deferred_records.Finished, int]:
-        caller = self.configuration.index.caller_by_name.get(work.caller)
-        if caller is None:
-            message = "the caller is no longer declared"
-            return result.Ok(
-                _refused(work, outcomes.invalid(message, "forbidden", 403))
-            )
-        match self.dispatch.begin(work.request(caller)):
-            case result.Ok(running):
-                pass
-            case result.Err(refusal):
-                return _unless_temporary(work, refusal, runs)
-        try:
-            return result.Ok(_collect(work, running))
-        except OSError as error:
-            refusal = outcomes.unknown(f"the answer broke off: {error}")
-            return _unless_temporary(work, refusal, runs)
-        finally:
-            running.close()
-
     def _clean(self) -> None:
         """Delete old answers in the shards that this VM owns."""
         kept_s = self.configuration.index.catalogue.retention.deferred_s
@@ -374,54 +273,18 @@
                 if accepted is not None and accepted < oldest:
                     self.api.delete(key, version)
 
-    def _serve_stored(self, _: str, stored: WorkStored, answer: peers.Answer) -> None:
+    def _serve_stored(
+        self, _: str, stored: deferred_messages.WorkStored, answer: peers.Answer
+    ) -> None:
         self._take_up(stored.id)
-        answer(ShardFill(self._fill(deferred_records.shard(stored.id))))
-
-    def _serve_running(self, _: str, ask: AskRunning, answer: peers.Answer) -> None:
-        answer(IsRunning(ask.id in self.running))
+        answer(
+            deferred_messages.ShardFill(self._fill(deferred_records.shard(stored.id)))
+        )
 
-
-def _collect(work: deferred_records.Work, running) -> deferred_records.Finished:
-    pieces, size = [], 0
-    for data in running:
-        pieces.append(data)
-        size += len(data)
-        if size > objects.MOST_BYTES - OVERHEAD_BYTES:
-            message = "the work ran; its answer is too long to be kept"
-            refusal = outcomes.Refusal(
-                502, "answer_not_kept", message, outcomes.Ran.UNKNOWN
-            )
-            return _refused(work, refusal)
-    answer = running.answer
-    headers = tuple((name, value) for name, value in answer.headers)
-    return deferred_records.Finished(
-        work.caller, answer.status, headers, b"".join(pieces)
-    )
-
-
-def _unless_temporary(
-    work: deferred_records.Work, refusal: outcomes.Refusal, runs: int
-) -> result.Result[deferred_records.Finished, int]:
-    """Return a refusal as the answer, unless a later attempt may succeed."""
-    if refusal.ran is outcomes.Ran.NO:
-        if refusal.retry_after is not None:
-            return result.Err(0)
-    elif refusal.retry_after is not None:
-        # Another copy is still running.
-        return result.Err(0)
-    elif work.repeatable and not work.idempotency_key and runs + 1 < MOST_RUNS:
-        return result.Err(1)
-    return result.Ok(_refused(work, refusal))
-
-
-def _refused(
-    work: deferred_records.Work, refusal: outcomes.Refusal
-) -> deferred_records.Finished:
-    reply = calls.refuse(refusal)
-    return deferred_records.Finished(
-        work.caller, reply.status, tuple(reply.headers), b"".join(reply.body)
-    )
+    def _serve_running(
+        self, _: str, ask: deferred_messages.AskRunning, answer: peers.Answer
+    ) -> None:
+        answer(deferred_messages.IsRunning(ask.id in self.running))
 
 
 def _not_found() -> outcomes.Refusal:
@@ -434,7 +297,7 @@
 
 
 def _too_long() -> outcomes.Refusal:
-    most = objects.MOST_BYTES - OVERHEAD_BYTES
+    most = deferred_records.MOST_BODY_BYTES
     message = f"deferred work takes at most {most} bytes"
     return outcomes.invalid(message, "body_too_long", 413)
 
--- a/packages/mothworks/src/mothworks/deferred_records.py
+++ b/packages/mothworks/src/mothworks/deferred_records.py
@@ -11,7 +11,7 @@
 import msgpack
 import xxhash
 
-from mothworks import catalogue, requests
+from mothworks import catalogue, objects, requests
 
 OPEN_PREFIX = "deferred/open/"
 DONE_PREFIX = "deferred/done/"
@@ -19,6 +19,9 @@
 SHARDS = 64
 #: Seconds of one step of the time in an id.
 HOUR_S = 3600
+#: Longest body of a work or an answer, bytes; the rest of the object is for
+#: what is stored beside it.
+MOST_BODY_BYTES = objects.MOST_BYTES - (16 << 10)
 #: Begins the claim's key of work whose caller gave none; no header can
 #: contain it.
 OWN_KEY = "\0deferred:"
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -16,6 +16,7 @@
     caller_watch,
     catalogue,
     claim_records,
+    claiming,
     claims,
     configuration,
     decisions,
@@ -101,7 +102,7 @@
         request: requests.Request,
         trace: decisions.Trace,
         watch: caller_watch.Watch | None,
-        claim: claims.Claim,
+        claim: claiming.Claim,
     ) -> result.Result[recorded.Running, outcomes.Refusal]:
         """Run a request with a key, unless another copy of it did or does."""
         repeated = claim.find()
@@ -129,7 +130,7 @@
         request: requests.Request,
         trace: decisions.Trace,
         watch: caller_watch.Watch | None,
-        claim: claims.Claim | None,
+        claim: claiming.Claim | None,
     ) -> result.Result[running.Running, outcomes.Refusal]:
         tried: set[str] = set()
         refusal = attempts.no_endpoint(request)
@@ -233,7 +234,7 @@
         request: requests.Request,
         choice: list[catalogue.Endpoint],
         watch: caller_watch.Watch | None,
-        claim: claims.Claim | None,
+        claim: claiming.Claim | None,
     ) -> result.Result[running.Running, attempts.Failed]:
         acquired = self.suspects.check(request).and_then(
             lambda lone: self.acquire(request, choice, lone)
--- a/packages/mothworks/src/mothworks/recorded.py
+++ b/packages/mothworks/src/mothworks/recorded.py
@@ -8,7 +8,7 @@
 import collections.abc
 import typing
 
-from mothworks import claim_records, claims, endpoints, tasks
+from mothworks import claim_records, claiming, endpoints, tasks
 
 #: Longest answer that is kept, bytes.
 ANSWER_BYTES = 32 << 10
@@ -58,7 +58,9 @@
     :param node_tasks: runs what the caller does not wait for.
     """
 
-    def __init__(self, running: Running, claim: claims.Claim, node_tasks: tasks.Tasks):
+    def __init__(
+        self, running: Running, claim: claiming.Claim, node_tasks: tasks.Tasks
+    ):
         self.running = running
         self.answer = running.answer
         self.stream = running.stream
--- a/packages/mothworks/src/mothworks/suspects.py
+++ b/packages/mothworks/src/mothworks/suspects.py
@@ -12,14 +12,12 @@
 """
 
 import random
-import time
 
 import attrs
 import gevent
 import gevent.event
 import logbook
 import result
-import xxhash
 
 from mothworks import (
     audit,
@@ -28,21 +26,15 @@
     health,
     kernel,
     membership,
-    messages,
     outcomes,
     peers,
     plugins,
     requests,
+    suspect_records,
 )
 
 log = logbook.Logger("suspects")
 
-#: Points for a connection that broke alone, and for a crash.
-LONE_BREAK = 1
-CRASH = 2
-#: Points from which a request runs alone, and from which it is refused.
-SUSPECT_AT = 2
-QUARANTINE_AT = 4
 #: Time in which streams that break count as broken at once, seconds.
 WINDOW_S = 0.2
 #: Streams that break at once where the endpoint has crashed.
@@ -55,77 +47,11 @@
 MOST = 2000
 
 
-@messages.message(60)
-@attrs.frozen
-class Broke:
-    """An entry tells an endpoint's owner of a connection that broke.
-
-    :param endpoint: the endpoint's name.
-    :param fingerprint: the request's.
-    :param request_id: the request's id.
-    :param caller: the caller's name.
-    :param target: the model, adapter or service.
-    """
-
-    endpoint: str
-    fingerprint: bytes
-    request_id: str
-    caller: str
-    target: str
-
-
-@messages.message(61)
-@attrs.frozen
-class Judged:
-    """Answers :class:`Broke`, once the owner has judged.
-
-    :param points: the request's points now.
-    """
-
-    points: int
-
-
-@messages.message(62)
-@attrs.frozen
-class SuspectNews:
-    """What the sender knows of some requests.
-
-    :param rows: fields of :class:`Suspect`, in order.
-    """
-
-    rows: tuple = attrs.field(converter=tuple)
-
-
-@attrs.frozen
-class Suspect:
-    """A request that endpoints crashed on.
-
-    :param fingerprint: hash of caller, target and body.
-    :param points: see :data:`SUSPECT_AT`; 0 for one that was cleared.
-    :param when_ms: wall time of the last change, milliseconds.
-    :param caller: the caller's name.
-    :param target: the model, adapter or service.
-    :param endpoint: where it broke last.
-    """
-
-    fingerprint: bytes
-    points: int
-    when_ms: int
-    caller: str
-    target: str
-    endpoint: str = ""
-
-    @property
-    def quarantined(self) -> bool:
-        """Return whether it is refused."""
-        return self.points >= QUARANTINE_AT
-
-
 @attrs.frozen
 class _Case:
     """Connections to one endpoint that broke at once."""
 
-    breaks: list[Broke]
+    breaks: list[suspect_records.Broke]
     judged: gevent.event.Event
 
 
@@ -143,10 +69,10 @@
         self.health = node_kernel.get(health.Health)
         self.membership = node_kernel.get(membership.Membership)
         self.peers = node_kernel.get(peers.Peers)
-        self.suspect_by_fingerprint: dict[bytes, Suspect] = {}
+        self.suspect_by_fingerprint: dict[bytes, suspect_records.Suspect] = {}
         self.case_by_endpoint: dict[str, _Case] = {}
-        self.peers.handle(Broke, self._serve_broke)
-        self.peers.handle(SuspectNews, self._serve_news)
+        self.peers.handle(suspect_records.Broke, self._serve_broke)
+        self.peers.handle(suspect_records.SuspectNews, self._serve_news)
 
     def start(self) -> None:
         """Start to repair what gossip missed."""
@@ -162,8 +88,8 @@
         """
         if not self.suspect_by_fingerprint:
             return result.Ok(False)
-        suspect = self._current(fingerprint(request))
-        if suspect is None or suspect.points < SUSPECT_AT:
+        suspect = self._current(suspect_records.fingerprint(request))
+        if suspect is None or suspect.points < suspect_records.SUSPECT_AT:
             return result.Ok(False)
         if not suspect.quarantined:
             return result.Ok(True)
@@ -176,9 +102,9 @@
         :param request: the request that it carried.
         :param endpoint: where it ran.
         """
-        broke = Broke(
+        broke = suspect_records.Broke(
             endpoint.name,
-            fingerprint(request),
+            suspect_records.fingerprint(request),
             request.id,
             request.caller.name,
             request.target,
@@ -203,13 +129,13 @@
         """
         if not self.suspect_by_fingerprint:
             return
-        suspect = self._current(fingerprint(request))
-        if suspect is not None and 0 < suspect.points < QUARANTINE_AT:
-            self._change((_cleared(suspect),))
+        suspect = self._current(suspect_records.fingerprint(request))
+        if suspect is not None and 0 < suspect.points < suspect_records.QUARANTINE_AT:
+            self._change((suspect_records.cleared(suspect),))
 
     # -- operators ------------------------------------------------------
 
-    def listed(self) -> list[Suspect]:
+    def listed(self) -> list[suspect_records.Suspect]:
         """Return suspects and quarantined requests, the newest first."""
         current = [
             suspect
@@ -226,13 +152,13 @@
         """
         for suspect in self.listed():
             if suspect.fingerprint.hex() == name:
-                self._change((_cleared(suspect),))
+                self._change((suspect_records.cleared(suspect),))
                 return True
         return False
 
     # -- owner ----------------------------------------------------------
 
-    def _judge(self, broke: Broke) -> int:
+    def _judge(self, broke: suspect_records.Broke) -> int:
         """Judge a broken connection with others of the same moment."""
         case = self.case_by_endpoint.get(broke.endpoint)
         if case is None:
@@ -260,21 +186,23 @@
         )
         case.judged.set()
 
-    def _accuse(self, broke: Broke, crashed: bool) -> Suspect:
+    def _accuse(
+        self, broke: suspect_records.Broke, crashed: bool
+    ) -> suspect_records.Suspect:
         known = self._current(broke.fingerprint)
         points = known.points if known else 0
         elsewhere = known is None or known.endpoint != broke.endpoint
         # A suspect runs alone: where its connection breaks, no other request
         # can have been the cause. At the same endpoint again, it may well be
         # the endpoint that is broken.
-        if elsewhere and (crashed or points >= SUSPECT_AT):
-            points += CRASH
+        if elsewhere and (crashed or points >= suspect_records.SUSPECT_AT):
+            points += suspect_records.CRASH
         else:
-            points += LONE_BREAK
-        suspect = Suspect(
+            points += suspect_records.LONE_BREAK
+        suspect = suspect_records.Suspect(
             broke.fingerprint,
             points,
-            _after(known),
+            suspect_records.after(known),
             broke.caller,
             broke.target,
             broke.endpoint,
@@ -304,25 +232,27 @@
 
     # -- gossip ---------------------------------------------------------
 
-    def _change(self, suspects: tuple[Suspect, ...]) -> None:
+    def _change(self, suspects: tuple[suspect_records.Suspect, ...]) -> None:
         self._take(suspects)
-        self.peers.send_all(_news(suspects))
+        self.peers.send_all(suspect_records.news(suspects))
 
-    def _take(self, suspects: tuple[Suspect, ...]) -> None:
+    def _take(self, suspects: tuple[suspect_records.Suspect, ...]) -> None:
         for suspect in suspects:
             known = self.suspect_by_fingerprint.get(suspect.fingerprint)
-            if known is None or _order(known) < _order(suspect):
+            if known is None or suspect_records.order(known) < suspect_records.order(
+                suspect
+            ):
                 self.suspect_by_fingerprint.pop(suspect.fingerprint, None)
                 self.suspect_by_fingerprint[suspect.fingerprint] = suspect
         while len(self.suspect_by_fingerprint) > MOST:
             self.suspect_by_fingerprint.pop(next(iter(self.suspect_by_fingerprint)))
 
-    def _current(self, key: bytes) -> Suspect | None:
+    def _current(self, key: bytes) -> suspect_records.Suspect | None:
         suspect = self.suspect_by_fingerprint.get(key)
         if suspect is None:
             return None
         kept_s = self.configuration.index.catalogue.retention.quarantine_s
-        if suspect.when_ms < _now_ms() - kept_s * 1000:
+        if suspect.when_ms < suspect_records.now_ms() - kept_s * 1000:
             del self.suspect_by_fingerprint[key]
             return None
         return suspect
@@ -335,43 +265,14 @@
         known = tuple(self.suspect_by_fingerprint.values())
         others = self.membership.peers()
         if known and others:
-            self.peers.send(random.choice(others).name, _news(known))
-
-    def _serve_broke(self, _: str, broke: Broke, answer: peers.Answer) -> None:
-        self.tasks.spawn(lambda: answer(Judged(self._judge(broke))))
-
-    def _serve_news(self, _: str, news: SuspectNews, __: peers.Answer) -> None:
-        self._take(tuple(Suspect(*row) for row in news.rows))
-
-
-def fingerprint(request: requests.Request) -> bytes:
-    """Return the hash that tells a request from others, also when sent again.
-
-    :param request: the request.
-    """
-    digest = xxhash.xxh3_64()
-    for part in (request.caller.name.encode(), request.target.encode()):
-        digest.update(part + b"\0")
-    digest.update(request.body)
-    return digest.digest()
-
-
-def _news(suspects: tuple[Suspect, ...]) -> SuspectNews:
-    return SuspectNews(attrs.astuple(suspect) for suspect in suspects)
-
-
-def _order(suspect: Suspect) -> tuple[int, int]:
-    return suspect.when_ms, suspect.points
-
-
-def _cleared(suspect: Suspect) -> Suspect:
-    return attrs.evolve(suspect, points=0, when_ms=_after(suspect))
-
-
-def _after(known: Suspect | None) -> int:
-    """Return a time later than what is known, also where clocks differ."""
-    return max(_now_ms(), known.when_ms + 1 if known else 0)
+            self.peers.send(random.choice(others).name, suspect_records.news(known))
 
+    def _serve_broke(
+        self, _: str, broke: suspect_records.Broke, answer: peers.Answer
+    ) -> None:
+        self.tasks.spawn(lambda: answer(suspect_records.Judged(self._judge(broke))))
 
-def _now_ms() -> int:
-    return time.time_ns() // 1_000_000
+    def _serve_news(
+        self, _: str, news: suspect_records.SuspectNews, __: peers.Answer
+    ) -> None:
+        self._take(tuple(suspect_records.Suspect(*row) for row in news.rows))
--- a/packages/mothworks/tests/test_configuration.py
+++ b/packages/mothworks/tests/test_configuration.py
@@ -14,6 +14,7 @@
     configuration_garbage,
     configuration_head,
     configuration_parts,
+    configuration_writing,
     objects,
     settings,
 )
@@ -23,7 +24,7 @@
 @pytest.fixture(autouse=True)
 def short_pauses(monkeypatch):
     monkeypatch.setattr(objects, "PAUSE_S", 0.0)
-    monkeypatch.setattr(configuration, "PAUSE_S", 0.0)
+    monkeypatch.setattr(configuration_writing, "PAUSE_S", 0.0)
 
 
 def made(api, name="vm-1"):
@@ -75,7 +76,7 @@
     # The flip of the head takes effect, but this and every later reply is
     # lost. "The object API does not answer" made the operator repeat the
     # change, which then met a revision that was nobody else's.
-    monkeypatch.setattr(configuration, "FLIP_S", 0.0)
+    monkeypatch.setattr(configuration_writing, "FLIP_S", 0.0)
     api = stored.MemoryApi()
     vm = made(api)
     vm.apply(declared("base"), 0, "ana", "")
--- a/packages/mothworks/tests/test_suspects.py
+++ b/packages/mothworks/tests/test_suspects.py
@@ -6,7 +6,7 @@
 import pytest
 
 import builders
-from mothworks import suspects
+from mothworks import suspect_records, suspects
 from mothworks_fakes import engine, processes
 
 CHAT = "/v1/chat/completions"
@@ -87,8 +87,8 @@
     break_at_once(part, poison, at="engine-2")
     assert part.check(poison).is_err()
     kept_s = part.configuration.index.catalogue.retention.quarantine_s
-    later = suspects._now_ms() + int(kept_s * 1000) + 1
-    monkeypatch.setattr(suspects, "_now_ms", lambda: later)
+    later = suspect_records.now_ms() + int(kept_s * 1000) + 1
+    monkeypatch.setattr(suspect_records, "now_ms", lambda: later)
     assert not part.check(poison).unwrap()
 
 
@@ -96,7 +96,7 @@
     part.answering = False
     break_at_once(part, asked("poison"))
     break_at_once(part, asked("poison"), at="engine-2")
-    part.lift(suspects.fingerprint(asked("poison")).hex())
+    part.lift(suspect_records.fingerprint(asked("poison")).hex())
     news = list(part.sent)
     for order in (news, news[::-1]):
         part.suspect_by_fingerprint.clear()
