Configuration gossip stays in the region, but for the linking VMs

Cause (review): random peers of all regions would in time give every VM a connection to every other one, 329 at the target, across the thin links too. Change: news goes to VMs of the own region, and from the two linking VMs of each region to one VM of each other region. Check: test_configuration.py; not measured with two regions.

--- a/packages/mothworks/src/mothworks/configuration_gossip.py
+++ b/packages/mothworks/src/mothworks/configuration_gossip.py
@@ -93,11 +93,11 @@
 
     def _spread(self) -> None:
         news = NewHead(self.configuration.revision, self.configuration.head_body)
-        for name in self._random_peers(FANOUT):
+        for name in self._some_peers(FANOUT):
             self.tasks.spawn(self.peers.send, name, news)
 
     def _compare(self) -> None:
-        for name in self._random_peers(1):
+        for name in self._some_peers(1):
             ask = AskHead(self.configuration.revision)
             match self.peers.call(name, ask, REPLY_S):
                 case result.Ok(NewHead() as news) if news.body:
@@ -113,7 +113,7 @@
             )
 
     def _ask_any(self, part: str) -> bytes | None:
-        for name in self._random_peers(1):
+        for name in self._some_peers(1):
             return self._ask_part(name, part)
         return None
 
@@ -124,9 +124,15 @@
             case _:
                 return None
 
-    def _random_peers(self, count: int) -> list[str]:
-        names = [member.name for member in self.membership.peers()]
-        return random.sample(names, min(count, len(names)))
+    def _some_peers(self, count: int) -> list[str]:
+        """Return random VMs of this region, and on few VMs one of each other.
+
+        Random VMs of all regions would in time connect every VM to every
+        other one, across the thin links too.
+        """
+        near = self.membership.near() or self.membership.peers()
+        chosen = random.sample(near, min(count, len(near)))
+        return [member.name for member in (*chosen, *self.membership.far())]
 
     def _serve_head(self, sender: str, news: NewHead, _: peers.Answer) -> None:
         self.tasks.spawn(self._take, sender, news)
