Stored objects of a later version are refused as values, not by stopping

Cause (review): a claim shard or deferred work in a form that this version does not know raised, which stops the process; the next owner would have followed, until no VM was left. Change: claims are refused as in an outage, deferred work is left to a VM that can read it, a part that is no JSON is refused. Check: a stored object of a later version for each, in test_claims and test_deferred.

--- a/packages/mothworks/src/mothworks/claim_log.py
+++ b/packages/mothworks/src/mothworks/claim_log.py
@@ -2,8 +2,9 @@
 
 import attrs
 import msgpack
+import result
 
-from mothworks import claim_records
+from mothworks import claim_records, objects
 
 
 @attrs.frozen
@@ -49,10 +50,17 @@
     )
 
 
-def unpack(body: bytes) -> Head:
+def unpack(body: bytes) -> result.Result[Head, objects.Unavailable]:
     """Return the head or segment that an object holds.
 
     :param body: the object's content.
+    :returns: an error where it is corrupt or of a later version of the
+        program. Claims cannot be made then, as in an outage: to go on without
+        them could run an order twice, to stop would stop every VM in turn.
     """
-    nonce, previous, previous_when, rows = msgpack.unpackb(body)
-    return Head(nonce, previous, previous_when, claim_records.unpack(rows))
+    try:
+        nonce, previous, previous_when, rows = msgpack.unpackb(body)
+        records = claim_records.unpack(rows)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return result.Err(objects.Unavailable(f"claims cannot be read: {error!r}"))
+    return result.Ok(Head(nonce, previous, previous_when, records))
--- a/packages/mothworks/src/mothworks/claim_shards.py
+++ b/packages/mothworks/src/mothworks/claim_shards.py
@@ -278,11 +278,14 @@
         with self.reading:
             match self.api.get(self.key):
                 case result.Ok(stored):
-                    head, version = claim_log.unpack(stored.body), stored.version
+                    read, version = claim_log.unpack(stored.body), stored.version
                 case result.Err(objects.Missing()):
-                    head, version = claim_log.Head(), None
+                    read, version = result.Ok(claim_log.Head()), None
                 case error:
                     return error
+            if read.is_err():
+                return read
+            head = read.ok_value
             match self._read_chain(head):
                 case result.Ok(chain):
                     pass
@@ -320,6 +323,6 @@
     ) -> result.Result[claim_log.Head, objects.Unavailable]:
         return (
             self.api.get(name)
-            .map(lambda stored: claim_log.unpack(stored.body))
             .map_err(lambda problem: objects.Unavailable(str(problem)))
+            .and_then(lambda stored: claim_log.unpack(stored.body))
         )
--- a/packages/mothworks/src/mothworks/configuration_parts.py
+++ b/packages/mothworks/src/mothworks/configuration_parts.py
@@ -91,7 +91,11 @@
     if xxhash.xxh3_128_hexdigest(body) != name:
         problem = "the content does not have the hash that names it"
         return result.Err(documents.DocumentError(source, (problem,)))
-    match documents.structure(orjson.loads(body), Content, source):
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return result.Err(documents.DocumentError(source, (f"not JSON: {error}",)))
+    match documents.structure(value, Content, source):
         case result.Ok(content) if content.section in _type_by_section:
             pass
         case result.Ok(content):
--- a/packages/mothworks/src/mothworks/deferred.py
+++ b/packages/mothworks/src/mothworks/deferred.py
@@ -149,9 +149,13 @@
                 case result.Err(problem):
                     return result.Err(_down(str(problem)))
                 case result.Ok(stored) if prefix == deferred_records.DONE_PREFIX:
-                    found = deferred_records.read_finished(stored.body)
+                    kind = deferred_records.Finished
                 case result.Ok(stored):
-                    found = deferred_records.read_work(stored.body)
+                    kind = deferred_records.Work
+            read = deferred_records.read(kind, stored.body)
+            if read.is_err():
+                return result.Err(_down(str(read.err_value)))
+            found = read.ok_value
             if found.caller != caller:
                 break
             if isinstance(found, deferred_records.Work):
@@ -165,8 +169,10 @@
         """Return the id of work that a resend finds stored."""
         match self.api.get(key):
             case result.Ok(stored):
-                known = deferred_records.read_work(stored.body)
-                if known.same_request(work):
+                known = deferred_records.read(deferred_records.Work, stored.body)
+                if known.is_err():
+                    return result.Err(_maybe_stored(str(known.err_value)))
+                if known.ok_value.same_request(work):
                     return result.Ok(work.id)
                 message = "this Idempotency-Key was used for another request"
                 return result.Err(
--- a/packages/mothworks/src/mothworks/deferred_records.py
+++ b/packages/mothworks/src/mothworks/deferred_records.py
@@ -5,13 +5,15 @@
 """
 
 import time
+import typing
 import uuid
 
 import attrs
 import msgpack
+import result
 import xxhash
 
-from mothworks import catalogue, objects, requests
+from mothworks import catalogue, documents, objects, requests
 
 OPEN_PREFIX = "deferred/open/"
 DONE_PREFIX = "deferred/done/"
@@ -111,6 +113,10 @@
     body: bytes
 
 
+#: Either of the stored forms.
+Stored = typing.TypeVar("Stored", Work, Finished)
+
+
 def accept(request: requests.Request) -> Work:
     """Return a request as work to be stored.
 
@@ -178,19 +184,18 @@
     return msgpack.packb(attrs.astuple(value, recurse=False))
 
 
-def read_work(body: bytes) -> Work:
-    """Return the work that an object holds.
-
-    :param body: the object's content.
-    """
-    work = Work(*msgpack.unpackb(body))
-    return attrs.evolve(work, headers=tuple(map(tuple, work.headers)))
-
-
-def read_finished(body: bytes) -> Finished:
-    """Return the answer that an object holds.
+def read(
+    kind: type[Stored], body: bytes
+) -> result.Result[Stored, documents.DocumentError]:
+    """Return the work or answer that an object holds.
 
+    :param kind: :class:`Work` or :class:`Finished`.
     :param body: the object's content.
+    :returns: an error where it is corrupt or of a later version of the
+        program; the object is left alone for a VM that can read it.
     """
-    finished = Finished(*msgpack.unpackb(body))
-    return attrs.evolve(finished, headers=tuple(map(tuple, finished.headers)))
+    try:
+        value = kind(*msgpack.unpackb(body))
+        return result.Ok(attrs.evolve(value, headers=tuple(map(tuple, value.headers))))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return result.Err(documents.DocumentError(kind.__name__, (repr(error),)))
--- a/packages/mothworks/src/mothworks/deferred_runs.py
+++ b/packages/mothworks/src/mothworks/deferred_runs.py
@@ -3,6 +3,7 @@
 import random
 
 import gevent
+import logbook
 import result
 
 from mothworks import (
@@ -15,6 +16,8 @@
     recorded,
 )
 
+log = logbook.Logger("deferred")
+
 #: Attempts that may have run, after which repeatable work is given up.
 MOST_RUNS = 5
 #: Mean pause between attempts to store an answer, seconds.
@@ -51,11 +54,15 @@
         open_key = deferred_records.key(deferred_records.OPEN_PREFIX, work_id)
         match self.api.get(open_key):
             case result.Ok(stored):
-                work = deferred_records.read_work(stored.body)
+                read = deferred_records.read(deferred_records.Work, stored.body)
             case result.Err(objects.Missing()):
                 return result.Ok(None)
             case _:
                 return result.Err(0)
+        if read.is_err():
+            log.warning("{} cannot be read here: {}", open_key, read.err_value)
+            return result.Err(0)
+        work = read.ok_value
         match self.api.get(done_key):
             case result.Err(objects.Missing()):
                 answered = self._answer(work, runs)
--- a/packages/mothworks/src/mothworks/suspects.py
+++ b/packages/mothworks/src/mothworks/suspects.py
@@ -78,8 +78,6 @@
         """Start to repair what gossip missed."""
         self.tasks.every(REPAIR_S, self._repair)
 
-    # -- entry ----------------------------------------------------------
-
     def check(self, request: requests.Request) -> result.Result[bool, outcomes.Refusal]:
         """Return whether a request has to run alone.
 
@@ -133,8 +131,6 @@
         if suspect is not None and 0 < suspect.points < suspect_records.QUARANTINE_AT:
             self._change((suspect_records.cleared(suspect),))
 
-    # -- operators ------------------------------------------------------
-
     def listed(self) -> list[suspect_records.Suspect]:
         """Return suspects and quarantined requests, the newest first."""
         current = [
@@ -156,8 +152,6 @@
                 return True
         return False
 
-    # -- owner ----------------------------------------------------------
-
     def _judge(self, broke: suspect_records.Broke) -> int:
         """Judge a broken connection with others of the same moment."""
         case = self.case_by_endpoint.get(broke.endpoint)
@@ -230,8 +224,6 @@
             return True
         return self.health.adapters.get(endpoint.kind).report(endpoint).is_ok()
 
-    # -- gossip ---------------------------------------------------------
-
     def _change(self, suspects: tuple[suspect_records.Suspect, ...]) -> None:
         self._take(suspects)
         self.peers.send_all(suspect_records.news(suspects))
--- a/packages/mothworks/tests/test_claims.py
+++ b/packages/mothworks/tests/test_claims.py
@@ -118,6 +118,17 @@
     assert api.put_faults
 
 
+@pytest.mark.parametrize("body", [b"\xc1", b"\x91\x01", b"{}"])
+def test_a_shard_of_a_later_version_refuses_claims(body):
+    # During an upgrade a newer VM wrote the shard. A VM that stopped on it
+    # would be followed by the next owner, until none was left.
+    api = stored.MemoryApi()
+    api.bodies_by_key["claims/0"].append(body)
+    owner = shard(api)
+    assert isinstance(owner.append(record(b"a")).unwrap_err(), objects.Unavailable)
+    assert api.bodies_by_key["claims/0"] == [body]
+
+
 def test_an_outage_refuses_claims():
     api = stored.MemoryApi()
     owner = shard(api)
--- a/packages/mothworks/tests/test_deferred.py
+++ b/packages/mothworks/tests/test_deferred.py
@@ -1,12 +1,13 @@
 """Deferred work: accepted once it is stored, and then never lost."""
 
 import geventhttpclient
+import msgpack
 import orjson
 import pytest
 
 import builders
-from mothworks import catalogue, objects
-from mothworks_fakes import gates, processes, testbed, web
+from mothworks import catalogue, deferred_records, objects
+from mothworks_fakes import gates, object_api, processes, testbed, web
 
 BODY = orjson.dumps({"model": "menu", "messages": [], "max_tokens": 3})
 CHAT = "/v1/chat/completions"
@@ -112,6 +113,19 @@
     assert code(refused) == (413, "body_too_long", "no")
 
 
+def test_work_of_a_later_version_is_left_alone(bed):
+    # A newer VM stored work with a form that this version does not know.
+    work_id = "79d0b-later"
+    key = deferred_records.key(deferred_records.OPEN_PREFIX, work_id)
+    version = object_api.Item(1, msgpack.packb(["later", {"form": 2}]))
+    bed.object_api.item_by_key[key] = version
+    asked = code(call(bed, "vm-1", "GET", f"/deferred/{work_id}"))
+    assert asked == (503, "object_api", "no")
+    status, body = wait_for(bed, "vm-1", defer(bed, "vm-2", CHAT, BODY))
+    assert status == 200
+    assert bed.object_api.item_by_key.pop(key) is version
+
+
 def test_work_survives_the_death_of_every_node(bed):
     # An overnight draft was accepted; then every node died, one of them
     # while the draft ran. New nodes find it and bring the answer.
