--- a/packages/mothworks_fakes/src/mothworks_fakes/experiment.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/experiment.py
@@ -180,14 +180,9 @@
 def _add_engine(
     bed: testbed.Testbed, plan: Plan, place: int, speed: engine.Speed
 ) -> catalogue.Endpoint:
-    declared = catalogue.Endpoint(
-        name=f"engine-{place}",
-        kind="vllm",
-        address="127.0.0.1",
-        port=0,
-        data_centre=DATA_CENTRES[place % len(DATA_CENTRES)],
-        memory_mb=80_000,
-        accelerators=1,
+    declared = testbed.engine_endpoint(
+        f"engine-{place}",
+        DATA_CENTRES[place % len(DATA_CENTRES)],
         slots=plan.batch,
     )
     started = bed.add_engine(declared, speed)
--- a/packages/mothworks_fakes/src/mothworks_fakes/soak.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/soak.py
@@ -197,8 +197,7 @@
         gevent.sleep(self.random.uniform(*FAULT_S))
 
     def _start(self, name: str) -> None:
-        place = int(name.removeprefix("vm-"))
-        data_centre = DATA_CENTRES[place % len(DATA_CENTRES)]
+        data_centre = _data_centre(int(name.removeprefix("vm-")))
         self.start_by_vm[name] = next(self.starts)
         self.bed.add_node(name, data_centre, REGION)
 
@@ -215,31 +214,13 @@
 
     def _declare(self) -> catalogue.Catalogue:
         engines = [
-            self.bed.add_engine(
-                catalogue.Endpoint(
-                    name=f"engine-{place}",
-                    kind="vllm",
-                    address="127.0.0.1",
-                    port=0,
-                    data_centre=DATA_CENTRES[place % len(DATA_CENTRES)],
-                    memory_mb=80_000,
-                    accelerators=1,
-                    fencing=place % 2 == 0,
-                )
+            testbed.engine_endpoint(
+                f"engine-{place}", _data_centre(place), fencing=place % 2 == 0
             )
             for place in range(ENGINES)
         ]
         instances = [
-            self.bed.add_application(
-                catalogue.Endpoint(
-                    name=f"orders-{place}",
-                    kind="application",
-                    address="127.0.0.1",
-                    port=0,
-                    data_centre=DATA_CENTRES[place % len(DATA_CENTRES)],
-                    service=SERVICE,
-                )
-            )
+            testbed.service_endpoint(f"orders-{place}", _data_centre(place), SERVICE)
             for place in range(INSTANCES)
         ]
         return catalogue.Catalogue(
@@ -253,7 +234,7 @@
                     "caller", testbed.key_hash(CALLER_KEY), catalogue.Urgency.URGENT
                 ),
             ),
-            endpoints=(*engines, *instances),
+            endpoints=tuple(map(self.bed.add, (*engines, *instances))),
         )
 
 
@@ -308,6 +289,10 @@
         print("VIOLATION", violation)
 
 
+def _data_centre(place: int) -> str:
+    return DATA_CENTRES[place % len(DATA_CENTRES)]
+
+
 def _say(text: str) -> None:
     print(f"{time.strftime('%H:%M:%S')} {text}", flush=True)
 
--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -30,6 +30,42 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def engine_endpoint(name: str, data_centre: str, **changes) -> catalogue.Endpoint:
+    """Return the declaration of an engine; starting it gives it its port.
+
+    :param name: its name.
+    :param data_centre: where it runs.
+    :param changes: further fields of :class:`catalogue.Endpoint`.
+    """
+    fields = {
+        "kind": "vllm",
+        "address": "127.0.0.1",
+        "port": 0,
+        "memory_mb": 80_000,
+        "accelerators": 1,
+    }
+    return catalogue.Endpoint(
+        name=name, data_centre=data_centre, **{**fields, **changes}
+    )
+
+
+def service_endpoint(name: str, data_centre: str, service: str) -> catalogue.Endpoint:
+    """Return the declaration of a service's instance; see :func:`engine_endpoint`.
+
+    :param name: its name.
+    :param data_centre: where it runs.
+    :param service: the service.
+    """
+    return engine_endpoint(
+        name,
+        data_centre,
+        kind="application",
+        service=service,
+        memory_mb=0,
+        accelerators=0,
+    )
+
+
 class Testbed:
     """Object API, VM list, endpoints and nodes.
 
--- a/packages/mothworks_fakes/src/mothworks_fakes/trial.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/trial.py
@@ -205,31 +205,15 @@
         self.bed.add_node(name, DATA_CENTRE_BY_VM[name], REGION, module=MODULE)
 
     def _engine(self, name: str) -> catalogue.Endpoint:
-        started = self.bed.add_engine(
-            catalogue.Endpoint(
-                name=name,
-                kind="vllm",
-                address="127.0.0.1",
-                port=0,
-                data_centre=DATA_CENTRE_BY_VM[OWNER],
-                memory_mb=80_000,
-                accelerators=1,
-            )
-        )
+        declared = testbed.engine_endpoint(name, DATA_CENTRE_BY_VM[OWNER])
+        started = self.bed.add_engine(declared)
         self.bed.fake_by_endpoint[name].place(MODEL, 16_000)
         return started
 
     def _instance(self) -> catalogue.Endpoint:
-        return self.bed.add_application(
-            catalogue.Endpoint(
-                name=INSTANCE,
-                kind="application",
-                address="127.0.0.1",
-                port=0,
-                data_centre=DATA_CENTRE_BY_VM[OWNER],
-                service=SERVICE,
-            )
-        )
+        data_centre = DATA_CENTRE_BY_VM[OWNER]
+        declared = testbed.service_endpoint(INSTANCE, data_centre, SERVICE)
+        return self.bed.add_application(declared)
 
 
 def _kill(node: processes.NodeProcess) -> Mend:
