VMs of another deployment are ignored, also at a reused address

Seen: the setup of test_shutdown failed once with 'it answers with old reads': a fresh node knew a revision that its own object API did not hold. Suspected: a port of one test's dead node is given to another test's node of the same name, and the first test's nodes still probe it.

Change: a setting 'deployment'; each datagram begins with a 4-byte hash of it and the destination's name, and Hello carries it; everything else is dropped. Tests' deployments each have their own. Test datagrams of garbage are sent bare and with a right tag, so that both checks are reached.

A probe grows by 4 bytes. That the seen failure had this cause is likely, not shown.

--- a/packages/mothworks/src/mothworks/membership.py
+++ b/packages/mothworks/src/mothworks/membership.py
@@ -43,7 +43,10 @@
         self.table = members.Members(
             self.me(), self.news.add, self._notify, self._suspicion_rounds
         )
-        self.swim = swim.Swim(self.table, self.news, self.ports.datagram, self.tasks)
+        deployment = node_kernel.settings.deployment
+        self.swim = swim.Swim(
+            self.table, self.news, self.ports.datagram, self.tasks, deployment
+        )
         #: VMs that the platform lists; some may be gone, others missing.
         self.listed_by_name: dict[str, members.Member] = {}
         #: Endpoints that the platform lists as leaving.
--- a/packages/mothworks/src/mothworks/messages.py
+++ b/packages/mothworks/src/mothworks/messages.py
@@ -77,7 +77,9 @@
 
     :param version: :data:`PROTOCOL_VERSION` of the sender.
     :param name: the sender's VM name.
+    :param deployment: the sender's deployment.
     """
 
     version: int
     name: str
+    deployment: str = ""
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -190,8 +190,10 @@
         self._run(link)
 
     def _greet(self, link: links.Link) -> None:
-        name = self.kernel.settings.name
-        link.send(messages.pack(messages.Hello(messages.PROTOCOL_VERSION, name)))
+        own = self.kernel.settings
+        version = messages.PROTOCOL_VERSION
+        hello = messages.Hello(version, own.name, own.deployment)
+        link.send(messages.pack(hello))
 
     def _run(self, link: links.Link) -> None:
         writer = self.tasks.spawn(link.write_all)
@@ -230,6 +232,9 @@
         if hello.version != messages.PROTOCOL_VERSION:
             log.warning("{} speaks version {}", hello.name, hello.version)
             return False
+        if hello.deployment != self.kernel.settings.deployment:
+            log.warning("{} is of deployment {}", hello.name, hello.deployment)
+            return False
         if link.vm is None:
             link.vm = hello.name
             self.link_by_vm.setdefault(hello.name, link)
--- a/packages/mothworks/src/mothworks/settings.py
+++ b/packages/mothworks/src/mothworks/settings.py
@@ -151,6 +151,8 @@
     :param region: the region of that data centre.
     :param object_api: the platform's object API.
     :param vm_list: the platform's list of VMs.
+    :param deployment: the name of the whole system. VMs of another one are
+        ignored, also where they have got each other's addresses.
     :param operators: who may query and command.
     :param routing: the routing policy's name.
     :param placement: the placement policy's name, used while the VM plans.
@@ -166,6 +168,7 @@
     region: str
     object_api: ObjectApi
     vm_list: VmList
+    deployment: str = "mothworks"
     operators: tuple[Operator, ...] = ()
     routing: str = "owner"
     placement: str = "packing"
--- a/packages/mothworks/src/mothworks/swim.py
+++ b/packages/mothworks/src/mothworks/swim.py
@@ -17,6 +17,7 @@
 import gevent.event
 import logbook
 import msgpack
+import xxhash
 
 from mothworks import gossip, members, messages, tasks
 
@@ -32,6 +33,8 @@
 SUSPICION_PER_LOG = 3
 #: A wait that took this many times its length shows that this VM was paused.
 PAUSED = 2.0
+#: Length of the tag that each packet begins with.
+TAG_BYTES = 4
 #: Largest packet that is read.
 PACKET_BYTES = 2048
 
@@ -81,6 +84,15 @@
     news: tuple[members.Row, ...] = attrs.field(default=(), converter=members.rows)
 
 
+def tag(deployment: str, vm: str) -> bytes:
+    """Return what datagrams for a VM begin with, to tell them from all others.
+
+    :param deployment: the deployment's name.
+    :param vm: the VM's name.
+    """
+    return xxhash.xxh32_digest(f"{deployment}\0{vm}".encode())
+
+
 class Swim:
     """Probes the VMs of one region.
 
@@ -88,6 +100,7 @@
     :param news: what is piggybacked on packets.
     :param sock: the datagram socket.
     :param work: where its tasks run.
+    :param deployment: the deployment's name.
     """
 
     def __init__(
@@ -96,11 +109,13 @@
         news: gossip.Gossip,
         sock: gevent.socket.socket,
         work: tasks.Tasks,
+        deployment: str,
     ):
         self.table = table
         self.news = news
         self.sock = sock
         self.tasks = work
+        self.deployment = deployment
         self.round_s = ROUND_S
         self.numbers = itertools.count(random.randrange(1 << 24))
         self.answered_by_number: dict[int, gevent.event.Event] = {}
@@ -194,8 +209,14 @@
             self._take(data, address)
 
     def _take(self, data: bytes, address: tuple) -> None:
+        if data[:TAG_BYTES] != tag(self.deployment, self._name):
+            # The address of a dead VM may now belong to a VM of the same name
+            # in another deployment. Its answers would keep the dead VM alive
+            # for ever, and the news would mix up the two deployments.
+            log.debug("datagram for another VM from {}", address[0])
+            return
         try:
-            received = messages.unpack(msgpack.unpackb(data))
+            received = messages.unpack(msgpack.unpackb(data[TAG_BYTES:]))
         except (ValueError, TypeError, msgpack.UnpackException):
             received = None
         if received is None:
@@ -221,7 +242,7 @@
             # Told each time, a VM that others hold for dead refutes at once,
             # also long after the news of its death was last sent.
             news = (record.row(), *news[:-1])
-        self._send_to(address, ProbeAnswer(number, news))
+        self._send_to(sender, address, ProbeAnswer(number, news))
 
     def _probe_for(self, request: ProbeRequest, address: tuple) -> None:
         record = self.table.find(request.target)
@@ -230,7 +251,8 @@
         number, answered = self._expect()
         self._send(record.member, Probe(self._name, number, self._news()))
         if answered.wait(self.round_s * DIRECT_SHARE):
-            self._send_to(address, ProbeAnswer(request.number, self._news()))
+            answer = ProbeAnswer(request.number, self._news())
+            self._send_to(request.sender, address, answer)
         del self.answered_by_number[number]
 
     @property
@@ -241,10 +263,11 @@
         return self.news.take(len(self.near()))
 
     def _send(self, member: members.Member, message) -> None:
-        self._send_to((member.address, member.peer_port), message)
+        address = (member.address, member.peer_port)
+        self._send_to(member.name, address, message)
 
-    def _send_to(self, address: tuple, message) -> None:
-        data = messages.pack(message)
+    def _send_to(self, name: str, address: tuple, message) -> None:
+        data = tag(self.deployment, name) + messages.pack(message)
         self.sent_bytes += len(data)
         try:
             self.sock.sendto(data, address)
--- a/packages/mothworks/tests/groups.py
+++ b/packages/mothworks/tests/groups.py
@@ -4,6 +4,8 @@
 and rounds are short.
 """
 
+import uuid
+
 import gevent
 import result
 
@@ -68,11 +70,17 @@
 
     def __init__(self):
         self.network = Network()
+        self.deployment = uuid.uuid4().hex
         self.list = List()
         self.vm_by_name = {}
 
     def add(self, name, region="region-1", data_centre="dc-1", parts=MEMBERSHIP):
-        checked = builders.settings(name, data_centre=data_centre, region=region)
+        checked = builders.settings(
+            name,
+            data_centre=data_centre,
+            region=region,
+            deployment=self.deployment,
+        )
         vm = Vm(self, checked, parts)
         self.vm_by_name[name] = vm
         self.list.vms += (vm.listed(),)
--- a/packages/mothworks/tests/test_membership.py
+++ b/packages/mothworks/tests/test_membership.py
@@ -6,7 +6,7 @@
 import pytest
 
 import groups
-from mothworks import members, messages, vm_list
+from mothworks import members, messages, swim, vm_list
 from mothworks_fakes import processes
 
 
@@ -195,6 +195,7 @@
         b"x" * 1500,
     ):
         sender.sendto(data, address)
+        sender.sendto(swim.tag(five.deployment, "vm-1") + data, address)
     five.vm_by_name.pop("vm-2").stop()
     five.wait("vm-1", "vm-3", "vm-4", "vm-5")
     assert vm.kernel.failure is None
@@ -207,7 +208,8 @@
     """Something else, or another version, talks on the peers' port."""
     vm = five.vm_by_name["vm-1"]
     address = (vm.kernel.settings.address, vm.peers.port)
-    hello = messages.pack(messages.Hello(messages.PROTOCOL_VERSION, "odd"))
+    version = messages.PROTOCOL_VERSION
+    hello = messages.pack(messages.Hello(version, "odd", five.deployment))
     with gevent.socket.create_connection(address) as sock:
         sock.sendall(hello + msgpack.packb(value))
         processes.wait_until(lambda: "odd" in vm.peers.link_by_vm)
--- a/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/testbed.py
@@ -3,6 +3,7 @@
 import collections.abc
 import hashlib
 import pathlib
+import uuid
 
 import attrs
 import result
@@ -76,6 +77,8 @@
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
+        # Ports of one test's dead nodes are given to another test's.
+        self.deployment = uuid.uuid4().hex
         self.object_api = object_api.ObjectApi().start()
         self.vm_list = platform.VmList().start()
         self.fake_by_endpoint: dict[str, web.Fake] = {}
@@ -133,6 +136,7 @@
             region=region,
             object_api=settings.ObjectApi(self.object_api.url),
             vm_list=settings.VmList(self.vm_list.url + "/vms", poll_s=0.5),
+            deployment=self.deployment,
             limits=settings.Limits(unready_s=1.0),
             operators=(
                 settings.Operator(
