--- a/packages/mothworks_fakes/tests/test_pages.py
+++ b/packages/mothworks_fakes/tests/test_pages.py
@@ -1,6 +1,7 @@
 """Pages that are worked out from the sources agree with them."""
 
 import pathlib
+import re
 
 import pytest
 
@@ -8,6 +9,8 @@
 
 ROOT = pathlib.Path(__file__).parents[3]
 PAGES = reference.pages()
+#: A link to a file, as opposed to one to a site.
+LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
 
 
 @pytest.mark.parametrize("name", PAGES)
@@ -38,3 +41,14 @@
     ]
     assert capacity.find(found, r"x, (\d+) nodes").value == 32
     assert capacity.find(found, "y") is None
+
+
+def test_links_between_pages_lead_somewhere():
+    pages = [*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")]
+    dead = [
+        f"{page.relative_to(ROOT)}: {target}"
+        for page in pages
+        for target in LINK.findall(page.read_text(encoding="utf-8"))
+        if not (page.parent / target).exists()
+    ]
+    assert dead == []
