One way to find a shard's owner; two tools use the shared test endpoint

Claims and deferred work each chose a shard's owner among the VMs that stay, line by line alike; ownership.shard_owner serves both now. slopes and measure_ask wrote out the engine that testbed.engine_endpoint declares. Not run after this change: the fault matrix and slopes.

--- a/packages/mothworks/src/mothworks/claims.py
+++ b/packages/mothworks/src/mothworks/claims.py
@@ -134,10 +134,9 @@
         return self._store(ending)
 
     def _owner(self, key: bytes) -> str:
-        number = key[0] % SHARDS
-        staying = [item for item in self.membership.live() if not item.leaving]
-        owner = ownership.highest(f"{KEY_PREFIX}{number}", staying)
-        return owner.name if owner else self.kernel.settings.name
+        shard_key = f"{KEY_PREFIX}{key[0] % SHARDS}"
+        own_name = self.kernel.settings.name
+        return ownership.shard_owner(shard_key, self.membership.live(), own_name)
 
     def _shard(self, key: bytes) -> claim_shards.Shard:
         number = key[0] % SHARDS
--- a/packages/mothworks/src/mothworks/deferred.py
+++ b/packages/mothworks/src/mothworks/deferred.py
@@ -184,9 +184,9 @@
                 return result.Err(_maybe_stored(str(problem)))
 
     def _owner(self, shard: int) -> str:
-        staying = [item for item in self.membership.live() if not item.leaving]
-        owner = ownership.highest(f"{deferred_records.OPEN_PREFIX}{shard}", staying)
-        return owner.name if owner else self.kernel.settings.name
+        key = f"{deferred_records.OPEN_PREFIX}{shard}"
+        own_name = self.kernel.settings.name
+        return ownership.shard_owner(key, self.membership.live(), own_name)
 
     def _is_mine(self, work_id: str) -> bool:
         owner = self._owner(deferred_records.shard(work_id))
--- a/packages/mothworks/src/mothworks/ownership.py
+++ b/packages/mothworks/src/mothworks/ownership.py
@@ -51,6 +51,19 @@
     return highest(f"planner/{region}", near)
 
 
+def shard_owner(
+    key: str, live: collections.abc.Iterable[members.Member], own_name: str
+) -> str:
+    """Return the name of the VM that writes a shard of durable objects.
+
+    :param key: the shard's key.
+    :param live: all live members.
+    :param own_name: this VM's name, which is returned where every VM is leaving.
+    """
+    owner = highest(key, [item for item in live if not item.leaving])
+    return owner.name if owner else own_name
+
+
 def weight(key: str, vm: str) -> int:
     """Return a VM's rendezvous weight for a key.
 
--- a/packages/mothworks_fakes/src/mothworks_fakes/measure_ask.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/measure_ask.py
@@ -81,9 +81,7 @@
 
 
 def _endpoint(name: str) -> catalogue.Endpoint:
-    return catalogue.Endpoint(
-        name, "vllm", "127.0.0.1", 1, "dc-1", memory_mb=8000, accelerators=1, slots=1
-    )
+    return testbed.engine_endpoint(name, "dc-1", memory_mb=8000, slots=1)
 
 
 def _chat(url: str) -> None:
--- a/packages/mothworks_fakes/src/mothworks_fakes/slopes.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/slopes.py
@@ -145,15 +145,7 @@
         return time.monotonic() - started
 
     def _add_engine(self, place: int, speed: engine.Speed) -> catalogue.Endpoint:
-        declared = catalogue.Endpoint(
-            name=f"engine-{place}",
-            kind="vllm",
-            address="127.0.0.1",
-            port=0,
-            data_centre="dc-1",
-            memory_mb=80_000,
-            accelerators=1,
-        )
+        declared = testbed.engine_endpoint(f"engine-{place}", "dc-1")
         started = self.bed.add_engine(declared, speed)
         self.bed.fake_by_endpoint[declared.name].place(MODEL, 16_000)
         return started
