--- a/packages/mothworks/src/mothworks/application.py
+++ b/packages/mothworks/src/mothworks/application.py
@@ -29,7 +29,7 @@
             request.path,
             (*request.headers, ("X-Request-Id", request.id)),
             request.body,
-            fresh=not request.repeatable,
+            transport.Sending(fresh=not request.repeatable),
         )
 
     def report(
--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -16,8 +16,6 @@
 
 from mothworks import caller_watch, calls, outcomes, settings
 
-#: Longest wait for the next request on an open connection, seconds.
-IDLE_S = 75.0
 #: Most header lines, the empty one included. The standard library has the
 #: same bound, but answers beyond it with a traceback in the log.
 MOST_HEADERS = 100
@@ -77,20 +75,23 @@
 
     def read_requestline(self) -> str:
         """Wait for the next request, for a bounded time."""
-        with gevent.Timeout(IDLE_S, TimeoutError("idle")):
+        with gevent.Timeout(self.server.limits.idle_s, TimeoutError("idle")):
             return super().read_requestline()
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read the head, bounded in bytes and time, and check its length."""
-        with gevent.Timeout(self.server.limits.upload_s, TimeoutError("head")):
-            read = super().read_request(raw_requestline)
-        _check_framing(self.headers)
-        return read
+        limits = self.server.limits
+        seconds = min(limits.head_s, limits.upload_s)
+        with gevent.Timeout(seconds, TimeoutError("head")):
+            return super().read_request(raw_requestline)
 
     def MessageClass(self, *args):  # noqa: N802
         """Read the header lines; gevent's name for it."""
         lines = _BoundedLines(self.rfile, self.server.limits.header_bytes)
-        return super().MessageClass(lines, *args[1:])
+        headers = super().MessageClass(lines, *args[1:])
+        # Here, before the base class drops a length beside a transfer coding.
+        _check_framing(headers)
+        return headers
 
     def get_environ(self) -> dict[str, typing.Any]:
         """Return the WSGI environment, with this connection in it."""
@@ -277,6 +278,8 @@
         raise ValueError("Content-Length is not one number")
     if codings and [coding.lower() for coding in codings] != ["chunked"]:
         raise ValueError("the only transfer coding understood is chunked")
+    if codings and lengths:
+        raise ValueError("there is a length beside a transfer coding")
 
 
 def _is_number(value: str) -> bool:
--- a/packages/mothworks/src/mothworks/logs.py
+++ b/packages/mothworks/src/mothworks/logs.py
@@ -1,6 +1,10 @@
 """Structured logging by logbook, as text or one JSON object a line."""
 
+import os
+import select
 import sys
+import time
+import typing
 
 import gevent
 import logbook
@@ -31,6 +35,80 @@
         return orjson.dumps(line, default=str).decode()
 
 
+class BoundedHandler(JsonHandler):
+    """Writes JSON lines to a descriptor, bounded in rate and never waiting.
+
+    Under load, or where nobody reads the other end, lines are left out; the
+    next line that is written says how many.
+
+    :param descriptor: where to, a pipe or a file.
+    :param level: lowest level that is written.
+    :param lines_per_s: lines a second on average; twice as many in a burst.
+    """
+
+    def __init__(self, descriptor: int, level: int, lines_per_s: float):
+        super().__init__(sys.stdout, level=level)
+        self.descriptor = descriptor
+        self.lines_per_s = lines_per_s
+        self.allowance = 2 * lines_per_s
+        self.filled = time.monotonic()
+        self.left_out = 0
+        self.writable = select.poll()
+        self.writable.register(descriptor, select.POLLOUT)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record, or count it as left out."""
+        now = time.monotonic()
+        earned = (now - self.filled) * self.lines_per_s
+        self.filled = now
+        self.allowance = min(2 * self.lines_per_s, self.allowance + earned)
+        if self.allowance < 1 or not self._writable():
+            self.left_out += 1
+            return
+        self.allowance -= 1
+        if self.left_out:
+            record.extra["left_out"] = self.left_out
+        data = self.format(record).encode()[: select.PIPE_BUF - 1] + b"\n"
+        try:
+            os.write(self.descriptor, data)
+        except OSError:
+            # The reader is gone; there is nowhere left to say so.
+            self.left_out += 1
+        else:
+            self.left_out = 0
+
+    def _writable(self) -> bool:
+        # A pipe that polls as writable takes PIPE_BUF bytes without waiting.
+        return any(event & select.POLLOUT for _, event in self.writable.poll(0))
+
+
+def event(log: logbook.Logger, name: str, **fields: typing.Any) -> None:
+    """Log one decision or change, as fields that programs can filter by.
+
+    :param log: the logger of the part that decided.
+    :param name: what kind of decision it was.
+    :param fields: its inputs, their age or version, and the outcome.
+    """
+    log.info(name, extra=fields)
+
+
+def install_bounded(chosen: settings.Logs, vm: str, lines_per_s: float) -> None:
+    """Send the process' log records to standard output, bounded.
+
+    :param chosen: the log settings.
+    :param vm: the VM's name, which each line carries.
+    :param lines_per_s: see :class:`BoundedHandler`.
+    """
+    logbook.set_datetime_format("utc")
+
+    def add_vm(record: logbook.LogRecord) -> None:
+        record.extra["vm"] = vm
+
+    level = logbook.lookup_level(chosen.level.upper())
+    logbook.Processor(add_vm).push_application()
+    BoundedHandler(sys.stdout.fileno(), level, lines_per_s).push_application()
+
+
 def install(chosen: settings.Logs, vm: str) -> None:
     """Send the process' log records to standard error.
 
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -19,7 +19,16 @@
 import logbook
 import result
 
-from mothworks import kernel, links, members, membership, messages, plugins, ports
+from mothworks import (
+    kernel,
+    links,
+    members,
+    membership,
+    messages,
+    plugins,
+    ports,
+    vm_list,
+)
 
 log = logbook.Logger("peers")
 
@@ -235,6 +244,9 @@
         if hello.deployment != self.kernel.settings.deployment:
             log.warning("{} is of deployment {}", hello.name, hello.deployment)
             return False
+        if link.vm is not None and link.vm.startswith(vm_list.SEED):
+            self.link_by_vm.pop(link.vm, None)
+            link.vm = None
         if link.vm is None:
             link.vm = hello.name
             self.link_by_vm.setdefault(hello.name, link)
--- a/packages/mothworks/src/mothworks/settings.py
+++ b/packages/mothworks/src/mothworks/settings.py
@@ -99,6 +99,9 @@
         until the balancer has noticed that it is not ready, seconds.
     :param uploads_bytes: most bytes of bodies that arrive at a time; a body
         without a declared length counts as the longest one.
+    :param head_s: longest time for a request's head to arrive, seconds.
+    :param idle_s: longest wait for the next request on an open connection,
+        seconds.
     """
 
     body_bytes: int = attrs.field(default=4 << 20, validator=check_positive)
@@ -109,6 +112,8 @@
     drain_s: float = attrs.field(default=60.0, validator=check_positive)
     unready_s: float = attrs.field(default=5.0, validator=check_positive)
     uploads_bytes: int = attrs.field(default=32 << 20, validator=check_positive)
+    head_s: float = attrs.field(default=30.0, validator=check_positive)
+    idle_s: float = attrs.field(default=75.0, validator=check_positive)
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -10,6 +10,7 @@
 import select
 import time
 
+import attrs
 import gevent
 import gevent.socket
 import geventhttpclient.connectionpool
@@ -24,11 +25,27 @@
 CONNECT_S = 1.0
 #: Longest silence of an endpoint, seconds.
 SILENCE_S = 120.0
-#: Longest time that an idle connection is kept for the next request, seconds.
+#: Longest time that an idle connection is kept for the next request, seconds,
+#: where the endpoint does not say how long it keeps it.
 IDLE_S = 2.0
+#: Time before an endpoint's own timeout at which an idle connection is given
+#: up, seconds: a request must not cross with the endpoint's close.
+IDLE_MARGIN_S = 0.5
+#: Silence after which a connection is probed, and between probes, seconds, and
+#: probes without an answer that end it: a path that dropped without a reset
+#: shows in about 4 s.
+PROBE_IDLE_S = 2
+PROBE_INTERVAL_S = 1
+PROBES = 2
 #: Bytes taken from a socket at once.
 RECEIVE_BYTES = 16 << 10
 
+#: Methods that say nothing of a body where there is none.
+BODILESS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+
+#: Longest answer that is read whole, bytes.
+MOST_BYTES = 8 << 20
+
 #: Lowest status of an answer that is not interim.
 FINAL_STATUS = 200
 
@@ -64,6 +81,18 @@
         ]
         super().__init__(response.status_code, headers)
         self.response = response
+        #: The request went out on a connection that had carried others.
+        self.reused = response.reused
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty text.
+
+        :param name: the header's name, in lower case.
+        """
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return ""
 
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield whatever has arrived, as few times as possible."""
@@ -89,13 +118,33 @@
     nothing, and a timer made for each, take half of a chunk's time.
     """
 
-    def __init__(self, sock: "_Socket", pool: "_Pool", method: str):
+    def __init__(
+        self, sock: "_Socket", pool: "_Pool", method: str, deadline: float | None
+    ):
         self.pieces: list[bytes] = []
+        self.socket = sock
+        self.expired = False
+        self.pool_takes_unframed = pool.takes_unframed
+        self.reused = sock.used
         self.hub = gevent.get_hub()
         self.readable = self.hub.loop.io(sock.fileno(), 1)
         self.silence = self.hub.loop.timer(pool.network_timeout, pool.network_timeout)
+        self.watchers = [self.readable, self.silence]
+        if deadline is not None:
+            expiry = self.hub.loop.timer(max(0.0, deadline - time.monotonic()))
+            expiry.start(self._fall_silent)
+            self.watchers.append(expiry)
         super().__init__(sock, pool, method=method, block_size=RECEIVE_BYTES)
 
+    @property
+    def unframed(self) -> bool:
+        """Return whether the answer ends where its connection ends."""
+        return (
+            self.get("content-length") is None
+            and self.get("transfer-encoding") is None
+            and self.get_code() not in (204, 304)
+        )
+
     def read_available(self) -> bytes:
         """Return what has arrived; nothing at the end."""
         while not self.pieces and not self.message_complete:
@@ -106,9 +155,8 @@
             self.hub.wait(self.readable)
             data = sock.recv(RECEIVE_BYTES)
             if not data:
-                # Also an answer without any length ends here: whether all of
-                # it came cannot be told, so it counts as broken.
-                raise ConnectionResetError("the answer broke off")
+                self._end()
+                break
             self.feed(data)
         body = self.pieces[0] if len(self.pieces) == 1 else b"".join(self.pieces)
         self.pieces.clear()
@@ -116,11 +164,23 @@
 
     def release(self) -> None:
         """Return the connection to the pool, or close it to cancel."""
-        for watcher in (self.readable, self.silence):
+        for watcher in self.watchers:
             watcher.stop()
             watcher.close()
+        self.watchers = []
+        if self._sock is not None:
+            self._sock.keep_s = _stated_idle_s(self.get("keep-alive"))
         super().release()
 
+    def _end(self) -> None:
+        """Take the end of the connection as the answer's, or as a break."""
+        if self.expired:
+            raise TimeoutError("the answer is late")
+        if not (self.unframed and self.pool_takes_unframed):
+            raise ConnectionResetError("the answer broke off")
+        # An orderly end; a reset raises from the receive instead.
+        self.message_complete = True
+
     def _on_message_begin(self) -> None:
         # The parser would add the body of a second answer to the first.
         if self.message_complete and self.get_code() >= FINAL_STATUS:
@@ -134,7 +194,8 @@
 
     def _fall_silent(self) -> None:
         # The waiting task then sees the answer break off.
-        self._sock.shutdown(gevent.socket.SHUT_RD)
+        self.expired = True
+        self.socket.shutdown(gevent.socket.SHUT_RD)
 
     def _on_body(self, buf: bytes) -> None:
         # Called by the parser; the library would copy each piece twice more.
@@ -146,6 +207,10 @@
 
     #: Monotonic time since when it is in the pool, seconds.
     idle_since = 0.0
+    #: Time that it may be idle, seconds.
+    keep_s = IDLE_S
+    #: Whether it has carried a request before.
+    used = False
     #: Whether it was opened for one request.
     fresh = False
 
@@ -153,6 +218,12 @@
 class _Pool(geventhttpclient.connectionpool.ConnectionPool):
     """The library's pool, for IP numbers and with a bound on idle time."""
 
+    #: Whether an answer without a length is whole if its connection ended in
+    #: good order.
+    takes_unframed = False
+    #: Connections opened so far.
+    opened = 0
+
     def get_fresh(self) -> _Socket:
         """Return a new connection."""
         self._semaphore.acquire()
@@ -172,6 +243,7 @@
             self.release_socket(sock)
             return
         sock.idle_since = time.monotonic()
+        sock.used = True
         super().return_socket(sock)
 
     def _create_socket(self) -> _Socket:
@@ -179,10 +251,11 @@
         host, port = self._connection_host, self._connection_port
         family = gevent.socket.AF_INET6 if ":" in host else gevent.socket.AF_INET
         sock = _Socket(family, gevent.socket.SOCK_STREAM)
+        self.opened += 1
         try:
             sock.settimeout(self.connection_timeout)
             sock.connect((host, port))
-            sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+            _set_options(sock)
             sock.settimeout(self.network_timeout)
         except BaseException:
             sock.close()
@@ -192,7 +265,7 @@
     def _is_socket_alive(self, sock: _Socket) -> bool:
         # An endpoint closes idle connections too. Where its close crosses
         # with a request, the request looks as if it crashed the endpoint.
-        if time.monotonic() - sock.idle_since > IDLE_S:
+        if time.monotonic() - sock.idle_since > sock.keep_s:
             return False
         # The library's select() fails on descriptors above 1023.
         readable = select.poll()
@@ -200,18 +273,55 @@
         return not readable.poll(0)
 
 
+@attrs.frozen
+class Sending:
+    """How one exchange differs from the usual.
+
+    :param fresh: whether to open a connection for it. On a connection from
+        the pool a request may cross with the endpoint's close, and it cannot
+        be told whether it ran.
+    :param host: the Host header; empty for the address.
+    :param deadline: monotonic time by which the whole answer must be there.
+    :param head_deadline: monotonic time by which its head must be there.
+    :param valid: called right before the first byte leaves, once a connection
+        is open; the request is not sent unless it returns true.
+    """
+
+    fresh: bool = False
+    host: str = ""
+    deadline: float | None = None
+    head_deadline: float | None = None
+    valid: collections.abc.Callable[[], bool] | None = None
+
+
 class Transport:
     """Connections to all endpoints of one kind, pooled by address.
 
     :param silence_s: longest silence of an endpoint, seconds.
     :param size: most connections to one address.
+    :param connect_s: longest time for a connection to open, seconds.
+    :param takes_unframed: whether an answer without a length is whole if its
+        connection ended in good order.
     """
 
-    def __init__(self, silence_s: float = SILENCE_S, size: int = POOL_SIZE):
+    def __init__(
+        self,
+        silence_s: float = SILENCE_S,
+        size: int = POOL_SIZE,
+        connect_s: float = CONNECT_S,
+        takes_unframed: bool = False,
+    ):
         self.silence_s = silence_s
         self.size = size
+        self.connect_s = connect_s
+        self.takes_unframed = takes_unframed
         self.pool_by_address: dict[tuple[str, int], _Pool] = {}
 
+    @property
+    def opened(self) -> int:
+        """Return the connections opened so far."""
+        return sum(pool.opened for pool in self.pool_by_address.values())
+
     def exchange(
         self,
         address: tuple[str, int],
@@ -219,7 +329,7 @@
         path: str,
         headers: collections.abc.Iterable[tuple[str, str]],
         body: bytes,
-        fresh: bool = False,
+        sending: Sending = Sending(),  # noqa: B008
     ) -> result.Result[HttpAnswer, endpoints.SendFailure]:
         """Send a request once and read the head of its answer.
 
@@ -228,17 +338,19 @@
         :param path: path and query.
         :param headers: headers beside Host and Content-Length.
         :param body: the request's body.
-        :param fresh: whether to open a connection for it. On a connection
-            from the pool a request may cross with the endpoint's close, and
-            it cannot be told whether it ran.
+        :param sending: how this exchange differs from the usual.
         """
         pool = self._pool(address)
         try:
-            sock = pool.get_fresh() if fresh else pool.get_socket()
+            sock = pool.get_fresh() if sending.fresh else pool.get_socket()
         except FAILURES as error:
             return result.Err(endpoints.SendFailure(f"connect: {error}", False))
-        head = _head(address, method, path, headers, len(body))
+        if sending.valid is not None and not sending.valid():
+            pool.return_socket(sock)
+            return result.Err(endpoints.SendFailure("no longer valid", False))
+        head = _head(sending.host or address, method, path, headers, len(body))
         try:
+            sock.settimeout(self._patience(sending))
             sock.sendall(head + body)
         except OSError as error:
             pool.release_socket(sock)
@@ -249,11 +361,27 @@
             pool.release_socket(sock)
             raise
         try:
-            response = _Response(sock, pool, method)
+            response = _Response(sock, pool, method, sending.deadline)
         except FAILURES as error:
             return result.Err(endpoints.SendFailure(f"answer: {error}", True))
+        sock.settimeout(self.silence_s)
         return result.Ok(HttpAnswer(response))
 
+    def forget(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address.
+
+        :param address: IP number and port.
+        """
+        pool = self.pool_by_address.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+    def _patience(self, sending: Sending) -> float:
+        ends = (sending.deadline, sending.head_deadline)
+        now = time.monotonic()
+        left = [end - now for end in ends if end is not None]
+        return max(0.001, min([self.silence_s, *left]))
+
     def _pool(self, address: tuple[str, int]) -> _Pool:
         pool = self.pool_by_address.get(address)
         if pool is None:
@@ -261,21 +389,66 @@
                 *address,
                 *address,
                 size=self.size,
-                connection_timeout=CONNECT_S,
+                connection_timeout=self.connect_s,
                 network_timeout=self.silence_s,
             )
+            pool.takes_unframed = self.takes_unframed
             self.pool_by_address[address] = pool
         return pool
 
 
+def whole(answer: HttpAnswer) -> result.Result[bytes, str]:
+    """Read an answer's whole body.
+
+    :param answer: the answer, its body not read.
+    :returns: the body, or why it is not complete.
+    """
+    pieces = []
+    length = 0
+    try:
+        for piece in answer.chunks():
+            pieces.append(piece)
+            length += len(piece)
+            if length > MOST_BYTES:
+                return result.Err(f"longer than {MOST_BYTES} bytes")
+    except FAILURES as error:
+        return result.Err(f"answer: {error}")
+    return result.Ok(b"".join(pieces))
+
+
+def _set_options(sock: _Socket) -> None:
+    sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+    sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (gevent.socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (gevent.socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (gevent.socket.TCP_KEEPCNT, PROBES),
+    ):
+        sock.setsockopt(gevent.socket.IPPROTO_TCP, option, value)
+
+
+def _stated_idle_s(keep_alive: str | list[str] | None) -> float:
+    """Return how long a connection may be idle, from a Keep-Alive header."""
+    if not isinstance(keep_alive, str):
+        return IDLE_S
+    for parameter in keep_alive.split(","):
+        name, _, value = parameter.strip().partition("=")
+        if name.lower() == "timeout" and value.isascii() and value.isdecimal():
+            return max(0.0, int(value) - IDLE_MARGIN_S)
+    return IDLE_S
+
+
 def _head(
-    address: tuple[str, int],
+    address: tuple[str, int] | str,
     method: str,
     path: str,
     headers: collections.abc.Iterable[tuple[str, str]],
     length: int,
 ) -> bytes:
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address[0]}:{address[1]}"]
+    host = address if isinstance(address, str) else f"{address[0]}:{address[1]}"
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    lines += [f"Content-Length: {length}", "", ""]
+    if length or method not in BODILESS:
+        lines.append(f"Content-Length: {length}")
+    lines += ["", ""]
     return "\r\n".join(lines).encode("latin-1")
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -43,7 +43,7 @@
             request.path,
             headers,
             _with_priority(request) if endpoint.priorities else request.body,
-            fresh=not request.repeatable,
+            transport.Sending(fresh=not request.repeatable),
         )
         return sent.and_then(_unless_refused).and_then(
             lambda answer: _resumed(answer, offset)
--- a/packages/mothworks/src/mothworks/vm_list.py
+++ b/packages/mothworks/src/mothworks/vm_list.py
@@ -17,6 +17,11 @@
 TIMEOUT_S = 2.0
 
 
+#: How the names of VMs begin of which only an address is known; a peer says
+#: its own name when it is called.
+SEED = "seed "
+
+
 class VmState(enum.StrEnum):
     """What the platform says of a VM."""
 
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -16,7 +16,9 @@
     address = ("127.0.0.1", fake.port)
     with gevent.Timeout(20):
         for _ in range(5):
-            answer = sender.exchange(address, "POST", "/", (), b"", fresh=True)
+            answer = sender.exchange(
+                address, "POST", "/", (), b"", transport.Sending(fresh=True)
+            )
             assert b"".join(answer.unwrap().chunks())
             answer.unwrap().close()
     fake.stop()
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/answering.py
@@ -0,0 +1,159 @@
+"""An answer on its way to the caller, and what happens if it breaks."""
+
+import collections.abc
+import time
+
+import attrs
+import logbook
+import result
+
+from mothworks import connections, logs, transport
+from mothworks_gateway import adapters, asked, events, registry
+
+log = logbook.Logger("answering")
+
+#: Least time left that makes going on elsewhere worthwhile, seconds.
+LEAST_S = 0.1
+
+
+@attrs.frozen
+class Reply:
+    """What a caller gets.
+
+    :param status: the HTTP status.
+    :param headers: the endpoint's headers.
+    :param body: pieces of the body.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: collections.abc.Iterable[bytes]
+
+
+class Running:
+    """A stream while it runs; iterating passes its bytes on as they come.
+
+    :param dispatch: what sent it.
+    :param request: the request.
+    :param endpoint: where it runs.
+    :param answer: the endpoint's answer, its body not read.
+    """
+
+    def __init__(
+        self,
+        dispatch,
+        request: asked.Asked,
+        endpoint: registry.Endpoint,
+        answer: transport.HttpAnswer,
+    ):
+        self.dispatch = dispatch
+        self.request = request
+        self.endpoint = endpoint
+        self.answer = answer
+        self.open = True
+        self.tried = {endpoint.id}
+        self.outcome = "caller left"
+        self.passed = 0
+        self.cutter = events.Cutter() if request.route.resumable else None
+
+    def __iter__(self) -> collections.abc.Iterator[bytes]:
+        """Yield the stream's bytes; raises BrokenAnswer where it ends early."""
+        try:
+            while True:
+                try:
+                    yield from self._pieces()
+                    self.outcome = "complete"
+                    self.dispatch.poison.ran_well(self.request)
+                    return
+                except transport.FAILURES as error:
+                    reason = str(error)
+                self._leave()
+                self._note_break(reason)
+                if not self._resume():
+                    raise connections.BrokenAnswer(reason)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Release the endpoint; cancels what is not complete."""
+        if self.open or self.outcome != "closed":
+            self._leave()
+            logs.event(
+                log,
+                "ended",
+                request=self.request.id,
+                endpoint=self.endpoint.id,
+                bytes=self.passed,
+                took_ms=round((time.monotonic() - self.request.arrived) * 1000),
+                outcome=self.outcome,
+            )
+            self.outcome = "closed"
+
+    def _pieces(self) -> collections.abc.Iterator[bytes]:
+        for data in self.answer.chunks():
+            if self.cutter is not None:
+                data = self.cutter.feed(data)
+            if data:
+                self.passed += len(data)
+                yield data
+        if self.cutter is not None and self.cutter.rest:
+            raise ConnectionResetError("the stream ended inside an event")
+
+    def _leave(self) -> None:
+        if self.open:
+            self.open = False
+            self.answer.close()
+            self.dispatch.load.end(self.endpoint, self.request.target)
+
+    def _note_break(self, reason: str) -> None:
+        self.outcome = f"broke: {reason}"[:100]
+        if time.monotonic() >= self.request.deadline - LEAST_S:
+            return
+        self.dispatch.health.failed(self.endpoint, reason)
+        if self.endpoint.open:
+            self.dispatch.poison.broke(self.request, self.endpoint)
+
+    def _resume(self) -> bool:
+        """Go on at another endpoint; returns whether the stream goes on."""
+        route = self.request.route
+        if self.cutter is None or len(self.tried) >= route.most_endpoints:
+            return False
+        if self.passed and not self.cutter.last_id:
+            return False
+        left_s = self.request.deadline - time.monotonic()
+        if left_s < LEAST_S or not self.dispatch.budget.take(
+            self.request.target.service
+        ):
+            return False
+        ready = self.dispatch.choice.candidates(self.request).ready
+        others = [item for item in ready if item.id not in self.tried]
+        return bool(others) and self._send_on(others[0], left_s)
+
+    def _send_on(self, endpoint: registry.Endpoint, left_s: float) -> bool:
+        engines = self.dispatch.engines
+        self.tried.add(endpoint.id)
+        self.cutter.rest = b""
+        last_id = self.cutter.last_id
+        deadline = self.request.deadline
+        sent = engines.send(endpoint, self.request, left_s, deadline, last_id)
+        going = False
+        match sent:
+            case result.Ok(answer):
+                going = engines.judge(self.request, answer) is adapters.Verdict.ANSWER
+                if not going:
+                    answer.close()
+        logs.event(
+            log,
+            "resumed" if going else "not resumed",
+            request=self.request.id,
+            endpoint=endpoint.id,
+            after_event=last_id,
+            left_ms=round(left_s * 1000),
+            outcome="goes on" if going else "broken off",
+        )
+        if going:
+            self.answer = answer
+            self.endpoint = endpoint
+            self.open = True
+            self.dispatch.load.begin(endpoint, self.request.target)
+        return going
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/asked.py
@@ -0,0 +1,81 @@
+"""A caller's request, read and checked, on its way to an endpoint."""
+
+import attrs
+import xxhash
+
+from mothworks_gateway import declared
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt that other requests may share.
+
+    :param id: names the part.
+    :param tokens: its length.
+    """
+
+    id: str
+    tokens: int
+
+
+@attrs.frozen
+class Target:
+    """What an endpoint must hold to run a request.
+
+    :param service: the service that runs it.
+    :param model: the model; empty for a plain service.
+    :param adapter: an adapter of the model; empty for the model itself.
+    """
+
+    service: str
+    model: str = ""
+    adapter: str = ""
+
+    @property
+    def base(self) -> "Target":
+        """Return the target without its adapter."""
+        return Target(self.service, self.model)
+
+
+@attrs.frozen
+class Asked:
+    """One request.
+
+    :param id: the caller's id of this attempt.
+    :param route: the route that it matched.
+    :param target: what runs it.
+    :param method: the HTTP method.
+    :param path: path and query, as they were sent.
+    :param host: the host asked for, as it was sent.
+    :param headers: the headers to pass on.
+    :param body: the body, passed on unchanged.
+    :param arrived: monotonic time of arrival, seconds.
+    :param deadline: monotonic time by which the caller has a final answer.
+    :param declaration_version: the version whose route it matched.
+    :param prompt: the parts of its prompt, in order.
+    :param input_tokens: length of its prompt.
+    :param output_tokens: most tokens that it generates.
+    """
+
+    id: str
+    route: declared.Route
+    target: Target
+    method: str
+    path: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    arrived: float
+    deadline: float
+    declaration_version: int
+    prompt: tuple[PromptPart, ...] = ()
+    input_tokens: int = 0
+    output_tokens: int = 0
+
+    def fingerprint(self) -> bytes:
+        """Return a hash that is equal for copies of the same request."""
+        digest = xxhash.xxh128(self.route.host.encode())
+        for part in (self.method, self.path, *(item.id for item in self.prompt)):
+            digest.update(b"\0" + part.encode())
+        digest.update(b"\0" + self.body)
+        return digest.digest()
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -0,0 +1,100 @@
+"""The declaration in force on this VM, and how it is followed.
+
+It comes from the platform by a long poll, and from peers where the platform
+does not answer. Its version never goes back while the process lives.
+"""
+
+import time
+
+import gevent
+import gevent.event
+import logbook
+import result
+
+from mothworks import kernel, logs
+from mothworks_gateway import adapters, declared, feeding
+
+log = logbook.Logger("declarations")
+
+
+class Declarations(kernel.Part):
+    """Holds the newest declaration that this VM has seen.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.feeds = node_kernel.get(feeding.Feeding).feeds
+        self.current: declared.Declaration | None = None
+        self.loaded = gevent.event.Event()
+        self.taken_at = 0.0
+        #: Functions to call with a new declaration.
+        self.on_change: list = []
+        self.documents: dict[str, bytes] = {}
+
+    def start(self) -> None:
+        """Follow the platform."""
+        follower = feeding.Follower(
+            "declarations", self.feeds.declarations, self._take_all, self._take_changes
+        )
+        self.kernel.get(feeding.Feeding).add(follower)
+        self.tasks.spawn(follower.run)
+
+    def offer(self, document: bytes, source: str) -> None:
+        """Take a declaration if it is newer than the one in force.
+
+        :param document: the operator's document.
+        :param source: where it came from, for the log.
+        """
+        self._decode({"": document}, source)
+
+    def _take_all(self, listing: adapters.Listing) -> None:
+        self.documents = dict(listing.document_by_name)
+        self._decode(self.documents, "platform")
+
+    def _take_changes(self, changes: adapters.Changes, doubtful: bool) -> None:
+        for change in changes.changes:
+            if change.document is None:
+                self.documents.pop(change.name, None)
+            else:
+                self.documents[change.name] = change.document
+        if changes.changes:
+            self._decode(self.documents, "platform")
+
+    def _decode(self, documents: dict[str, bytes], source: str) -> None:
+        match self.feeds.declaration(documents):
+            case result.Ok(None):
+                return
+            case result.Ok(declaration):
+                self._take(declaration, source)
+            case result.Err(reason):
+                version = self.current.version if self.current else 0
+                logs.event(
+                    log,
+                    "declaration unreadable",
+                    source=source,
+                    reason=reason[:200],
+                    outcome=f"version {version} stays in force",
+                )
+
+    def _take(self, declaration: declared.Declaration, source: str) -> None:
+        before = self.current.version if self.current else 0
+        if declaration.version <= before:
+            # An older one may come late from a peer; in force it would undo
+            # what callers have already seen.
+            return
+        self.current = declaration
+        self.taken_at = time.monotonic()
+        logs.event(
+            log,
+            "declaration",
+            version=declaration.version,
+            before=before,
+            source=source,
+            routes=len(declaration.routes),
+            outcome="in force",
+        )
+        self.loaded.set()
+        for notify in self.on_change:
+            notify(declaration)
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -0,0 +1,102 @@
+"""Discovery: keeps the registry in line with the platform's."""
+
+import time
+
+import logbook
+import result
+
+from mothworks import kernel, logs
+from mothworks_gateway import adapters, feeding, registry
+
+log = logbook.Logger("discovery")
+
+#: Time to let changes gather before the next poll, seconds. Each poll that
+#: returns is a priced call on every VM; an endpoint that leaves must be known
+#: within 2 s.
+GATHER_S = 0.5
+#: Seconds between checks for entries that lapsed and did not come back.
+EXPIRE_S = 0.25
+
+
+class Discovery(kernel.Part):
+    """Holds the registry and feeds it.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.registry = registry.Registry()
+        owner = node_kernel.get(feeding.Feeding)
+        self.feeds = owner.feeds
+        self.follower = feeding.Follower(
+            "endpoints",
+            self.feeds.endpoints,
+            self._take_all,
+            self._take_changes,
+            GATHER_S,
+        )
+        owner.add(self.follower)
+        #: Whether the registry was read, from the platform or a peer.
+        self.loaded = False
+        self.taken_at = time.monotonic()
+
+    def start(self) -> None:
+        """Follow the platform's registry."""
+        self.tasks.spawn(self.follower.run)
+        self.tasks.every(EXPIRE_S, self.registry.expire)
+
+    def take_peer(self, cursor: int, document_by_name: dict[str, bytes]) -> None:
+        """Take a peer's registry, if it is newer than this VM's.
+
+        :param cursor: the platform's revision that it is as new as.
+        :param document_by_name: the entries.
+        """
+        if cursor > self.registry.cursor:
+            self._take_all(adapters.Listing(cursor, document_by_name))
+
+    def documents(self) -> dict[str, bytes]:
+        """Return all entries, for a peer."""
+        return {item.id: item.document for item in self.registry.by_id.values()}
+
+    def _take_all(self, listing: adapters.Listing) -> None:
+        if listing.cursor < self.registry.cursor:
+            # A peer has told of more than this reading saw.
+            return
+        self.registry.cursor = listing.cursor
+        doubtful = self.follower.doubtful and self.loaded
+        for name in self.registry.by_id.keys() - listing.document_by_name.keys():
+            self.registry.remove(name, doubtful)
+        for name, document in listing.document_by_name.items():
+            self._put(name, document)
+        self._done()
+
+    def _take_changes(self, changes: adapters.Changes, doubtful: bool) -> None:
+        if changes.cursor < self.registry.cursor:
+            return
+        self.registry.cursor = changes.cursor
+        for change in changes.changes:
+            if change.document is None:
+                self.registry.remove(change.name, doubtful)
+            else:
+                self._put(change.name, change.document)
+        if changes.changes:
+            self._done()
+
+    def _put(self, name: str, document: bytes) -> None:
+        match self.feeds.endpoint(name, document):
+            case result.Ok(entry):
+                self.registry.put(entry, document)
+            case result.Err(reason):
+                logs.event(
+                    log,
+                    "entry unreadable",
+                    endpoint=name,
+                    reason=reason[:200],
+                    outcome="left out",
+                )
+
+    def _done(self) -> None:
+        self.loaded = True
+        self.taken_at = time.monotonic()
+        self.registry.changed()
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoints_client.py
@@ -0,0 +1,27 @@
+"""The connections to endpoints, and the plug-in that speaks to them."""
+
+from mothworks import kernel, plugins, transport
+from mothworks_gateway import adapters
+
+#: Longest time for a connection to an endpoint to open, seconds: a first
+#: packet that was dropped is sent again after about 1 s.
+CONNECT_S = 0.4
+#: Longest silence of an endpoint, seconds.
+SILENCE_S = 30.0
+
+
+class EndpointsClient(kernel.Part):
+    """Holds what speaks to endpoints.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.connections = transport.Transport(
+            SILENCE_S, connect_s=CONNECT_S, takes_unframed=True
+        )
+        adapter = node_kernel.settings.adapter
+        self.engines: adapters.Engines = plugins.find(adapters.ENGINES, adapter)(
+            self.connections
+        )
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -0,0 +1,173 @@
+"""Following the platform's feeds: read all, then long polls, then again.
+
+A follower survives a platform that is down, slow, silent on an open
+connection, or that has dropped its history. A peer that knows a newer
+revision ends a poll early, since a silent connection shows nothing itself.
+"""
+
+import collections.abc
+import random
+import time
+
+import attrs
+import gevent
+import logbook
+import result
+
+from mothworks import kernel, logs, plugins
+from mothworks_gateway import adapters
+
+log = logbook.Logger("feeding")
+
+#: Longest long poll, seconds. A poll that hangs on a dead connection ends after
+#: it; shorter ones cost more calls.
+WAIT_S = 10.0
+#: Pause between attempts while the platform is away, seconds: the first, the
+#: longest, and how the pause grows.
+PAUSE_S = 0.1
+MOST_PAUSE_S = 0.5
+PAUSE_GROWTH = 1.6
+#: Time after an outage in which vanished entries may be its own doing, seconds.
+DOUBT_S = 2.5
+
+
+@attrs.define(eq=False)
+class Follower:
+    """Follows one feed.
+
+    :param name: the feed's name in logs.
+    :param feed: what is followed.
+    :param take_all: called with a whole listing.
+    :param take_changes: called with changes, and whether the platform was
+        away until a moment ago.
+    :param gather_s: time to let further changes gather before they are
+        fetched, seconds; each fetch is a call.
+    :param cursor: the newest revision seen.
+    :param lost_at: monotonic time since when the platform does not answer.
+    :param back_at: monotonic time at which it last answered again.
+    """
+
+    name: str
+    feed: adapters.Feed
+    take_all: collections.abc.Callable[[adapters.Listing], None]
+    take_changes: collections.abc.Callable[[adapters.Changes, bool], None]
+    gather_s: float = 0.0
+    cursor: int = 0
+    lost_at: float | None = None
+    back_at: float = -DOUBT_S
+    polling_since: float = 0.0
+    _poll: gevent.Greenlet | None = None
+
+    def run(self) -> None:
+        """Follow the feed for ever."""
+        pause = PAUSE_S
+        listed = False
+        while True:
+            match self._poll_once(listed):
+                case result.Ok(_):
+                    listed = True
+                    pause = PAUSE_S
+                    self._note_answer()
+                    gevent.sleep(self.gather_s)
+                case result.Err(adapters.FeedExpired()):
+                    logs.event(log, "history gone", feed=self.name, cursor=self.cursor)
+                    listed = False
+                    self._note_answer()
+                case result.Err(adapters.FeedDown(reason)):
+                    self._note_failure(reason)
+                    gevent.sleep(random.uniform(0.5, 1.0) * pause)
+                    pause = min(MOST_PAUSE_S, pause * PAUSE_GROWTH)
+
+    def hurry(self, cursor: int, waited_s: float) -> None:
+        """End a poll that misses changes which a peer has already seen.
+
+        :param cursor: the peer's revision.
+        :param waited_s: how long the poll must have waited, seconds.
+        """
+        stuck = time.monotonic() - self.polling_since > waited_s
+        if self._poll is not None and cursor > self.cursor and stuck:
+            logs.event(
+                log, "poll ended", feed=self.name, cursor=self.cursor, peer=cursor
+            )
+            self._poll.kill(block=False)
+
+    @property
+    def doubtful(self) -> bool:
+        """Return whether the platform was away until a moment ago."""
+        return self.lost_at is not None or time.monotonic() - self.back_at < DOUBT_S
+
+    def _poll_once(self, listed: bool) -> result.Result:
+        self.polling_since = time.monotonic()
+        self._poll = gevent.spawn(self._wait if listed else self._read)
+        try:
+            self._poll.join()
+            outcome = self._poll.value
+        finally:
+            poll, self._poll = self._poll, None
+            poll.kill(block=False)
+        if poll.exception is not None:
+            raise poll.exception
+        if isinstance(outcome, gevent.GreenletExit):
+            return result.Ok(None)
+        return outcome
+
+    def _read(self) -> result.Result:
+        read = self.feed.read()
+        if read.is_ok():
+            self.take_all(read.ok_value)
+            self.cursor = read.ok_value.cursor
+        return read
+
+    def _wait(self) -> result.Result:
+        waited = self.feed.wait(self.cursor, WAIT_S)
+        if waited.is_ok():
+            self.take_changes(waited.ok_value, self.doubtful)
+            self.cursor = max(self.cursor, waited.ok_value.cursor)
+        return waited
+
+    def _note_failure(self, reason: str) -> None:
+        if self.lost_at is None:
+            self.lost_at = time.monotonic()
+            logs.event(
+                log,
+                "dependency lost",
+                dependency="platform",
+                feed=self.name,
+                reason=reason[:200],
+                cursor=self.cursor,
+            )
+
+    def _note_answer(self) -> None:
+        if self.lost_at is not None:
+            self.back_at = time.monotonic()
+            logs.event(
+                log,
+                "dependency regained",
+                dependency="platform",
+                feed=self.name,
+                away_s=round(self.back_at - self.lost_at, 3),
+                cursor=self.cursor,
+            )
+            self.lost_at = None
+
+
+class Feeding(kernel.Part):
+    """Holds the platform's feeds and their followers.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        chosen = node_kernel.settings
+        self.feeds: adapters.Feeds = plugins.find(adapters.FEEDS, chosen.adapter)(
+            chosen, node_kernel.metrics
+        )
+        self.follower_by_name: dict[str, Follower] = {}
+
+    def add(self, follower: Follower) -> None:
+        """Make a follower known by its name.
+
+        :param follower: the follower.
+        """
+        self.follower_by_name[follower.name] = follower
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -0,0 +1,249 @@
+"""The front: callers' connections, and the balancer's question.
+
+Requests are read whole, matched to a route and handed to the dispatch. The
+balancer asks on a port of its own whether the VM takes connections; metrics
+are served there and on a port of their own.
+"""
+
+import collections.abc
+import time
+import typing
+
+import attrs
+import gevent
+import gevent.pywsgi
+import logbook
+import result
+
+from mothworks import calls, connections, kernel, logs, outcomes, plugins, uploads
+from mothworks_gateway import (
+    adapters,
+    answering,
+    declarations,
+    declared,
+    discovery,
+    dispatch,
+    settings,
+)
+
+log = logbook.Logger("front")
+
+#: Path at which the balancer asks; it takes any path that ends so.
+READY = "readyz"
+METRICS = "/metrics"
+#: Time after the signal to stop during which new connections are still taken,
+#: seconds: the balancer needs two questions, one a second, to notice.
+UNREADY_S = 2.6
+#: Time before the process would be killed at which it ends by itself, seconds.
+END_S = 0.6
+#: Time that callers need to follow a close, seconds.
+QUIET_S = 0.3
+#: Part of the longest idle time, in force for callers, that is added to it:
+#: callers that reuse a connection late must not meet its close.
+IDLE_FACTOR = 1.15
+#: Hint to a caller while no declaration is known, seconds.
+UNDECLARED_RETRY_S = 0.5
+#: Descriptors for endpoints and peers, as a share of those for callers.
+CALLER_SHARE = 0.6
+
+Environ = dict[str, typing.Any]
+
+
+class Front(kernel.Part):
+    """Serves callers.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        chosen = node_kernel.settings
+        self.declarations = node_kernel.get(declarations.Declarations)
+        self.discovery = node_kernel.get(discovery.Discovery)
+        self.dispatch = node_kernel.get(dispatch.Dispatch)
+        self.callers: adapters.Callers = plugins.find(
+            adapters.CALLERS, chosen.adapter
+        )()
+        self.uploads = uploads.Uploads(chosen.limits.uploads_bytes)
+        most = int((chosen.descriptors - settings.SPARE_DESCRIPTORS) * CALLER_SHARE)
+        limits = attrs.evolve(
+            chosen.limits, connections=max(16, min(most, chosen.limits.connections))
+        )
+        address = settings.split_address(chosen.front)
+        self.listener = connections.Listener(address, self._application, limits)
+        self.listener.init_socket()
+        self.status_listeners = [
+            gevent.pywsgi.WSGIServer(place, self._status, log=None, error_log=None)
+            for place in self._status_addresses(chosen)
+        ]
+        self.open_calls = 0
+        self.declarations.on_change.append(self._take_limits)
+
+    def start(self) -> None:
+        """Accept connections."""
+        self.listener.start()
+        for listener in self.status_listeners:
+            listener.start()
+
+    def drain(self, deadline: float) -> None:
+        """Finish every request in flight; see :meth:`kernel.Part.drain`.
+
+        The balancer sends connections until it has noticed that the VM is not
+        ready. They are served, and each answer asks its caller to connect
+        anew, so that no request crosses with a close.
+        """
+        unready_until = time.monotonic() + UNREADY_S
+        quiet_since = time.monotonic()
+        while time.monotonic() < deadline:
+            gevent.sleep(0.05)
+            now = time.monotonic()
+            if self.open_calls or now < unready_until:
+                quiet_since = now
+            elif now - quiet_since > QUIET_S:
+                break
+        self.listener.stop_accepting()
+        self.listener.close()
+
+    def stop(self) -> None:
+        """Close the listeners and what is still open."""
+        self.listener.stop(timeout=0)
+        for listener in self.status_listeners:
+            listener.stop(timeout=0)
+        super().stop()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer may send connections."""
+        return (
+            not self.kernel.draining
+            and self.declarations.current is not None
+            and self.discovery.loaded
+        )
+
+    def _status_addresses(self, chosen: settings.Settings) -> list[tuple[str, int]]:
+        addresses = [settings.split_address(chosen.ready)]
+        if chosen.metrics_port:
+            addresses.append((chosen.address, chosen.metrics_port))
+        return addresses
+
+    def _take_limits(self, declaration: declared.Declaration) -> None:
+        """Put the declared limits in force for the requests to come."""
+        limits = declaration.limits
+        self.listener.limits = attrs.evolve(
+            self.listener.limits,
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            head_s=limits.header_timeout_s,
+            idle_s=limits.idle_timeout_s * IDLE_FACTOR,
+        )
+
+    def _status(self, environ: Environ, start_response) -> list[bytes]:
+        if environ["PATH_INFO"].endswith(READY):
+            status = "200 OK" if self.ready else "503 Service Unavailable"
+            start_response(status, [("Content-Type", "text/plain")])
+            return [b"ready\n" if self.ready else b"not ready\n"]
+        if environ["PATH_INFO"] == METRICS:
+            body, headers = self.kernel.metrics.render()
+            start_response("200 OK", list(headers.items()))
+            return [body]
+        start_response("404 Not Found", [("Content-Type", "text/plain")])
+        return [b"nothing is here\n"]
+
+    def _application(
+        self, environ: Environ, start_response: calls.StartResponse
+    ) -> collections.abc.Iterator[bytes]:
+        self.open_calls += 1
+        call = reply = None
+        try:
+            call = calls.Call(environ, self.listener.limits, self.uploads)
+            reply = self._guarded(call)
+            headers = list(reply.headers)
+            if self.kernel.draining:
+                headers.append(("Connection", "close"))
+            start_response(calls.status_line(reply.status), headers)
+            yield from reply.body
+        except OSError as error:
+            raise connections.BrokenAnswer from error
+        finally:
+            close = getattr(reply and reply.body, "close", None)
+            if close is not None:
+                close()
+            if call is not None:
+                call.stop_watch()
+            self.open_calls -= 1
+
+    def _guarded(self, call: calls.Call) -> answering.Reply:
+        """Answer a call even where our own code fails on it.
+
+        Stopping the process would let one odd request that is sent again take
+        down every VM in turn.
+        """
+        try:
+            return self._reply(call)
+        except Exception:
+            log.exception("failed on {} {}", call.method, call.raw_path[:80])
+            return self._refusal(
+                outcomes.Refusal(
+                    500, "internal", "the node failed on this", outcomes.Ran.UNKNOWN
+                )
+            )
+
+    def _reply(self, call: calls.Call) -> answering.Reply:
+        declaration = self.declarations.current
+        if declaration is None:
+            refusal = outcomes.overloaded(
+                "no declaration is known yet", UNDECLARED_RETRY_S, "undeclared"
+            )
+            return self._refused(call, refusal)
+        path = call.raw_path
+        if not (path.startswith("/") and path.isascii() and path.isprintable()):
+            return self._refused(call, outcomes.invalid("the path is not plain ASCII"))
+        host = call.environ.get("HTTP_HOST", "").partition(":")[0].lower()
+        route = declaration.find(host, path)
+        if route is None:
+            refusal = outcomes.invalid("no route matches", "no_route", 404)
+            return self._refused(call, refusal, declaration.version)
+        match call.body():
+            case result.Ok(body):
+                pass
+            case result.Err(refusal):
+                return self._refused(call, refusal, declaration.version)
+        return self._run(call, route, body, declaration.version)
+
+    def _run(
+        self, call: calls.Call, route: declared.Route, body: bytes, version: int
+    ) -> answering.Reply:
+        service = self.dispatch.choice.service(route)
+        match self.callers.read(call, route, service, body, version):
+            case result.Ok(request):
+                pass
+            case result.Err(reason):
+                return self._refused(call, outcomes.invalid(reason), version)
+        watch = call.start_watch()
+        match self.dispatch.run(request, watch):
+            case result.Ok(reply):
+                return reply
+            case result.Err(refusal):
+                return self._refusal(refusal)
+
+    def _refused(
+        self, call: calls.Call, refusal: outcomes.Refusal, version: int = 0
+    ) -> answering.Reply:
+        logs.event(
+            log,
+            "refused",
+            request=self.callers.request_id(call),
+            path=call.raw_path[:80],
+            host=call.environ.get("HTTP_HOST", "")[:80],
+            version=version,
+            reason=refusal.message[:120],
+            outcome=refusal.status,
+        )
+        return self._refusal(refusal)
+
+    def _refusal(self, refusal: outcomes.Refusal) -> answering.Reply:
+        body = refusal.body()
+        headers = [calls.JSON, ("Mothworks-Ran", refusal.ran)]
+        if refusal.retry_after is not None:
+            headers.append(("Retry-After", f"{refusal.retry_after:g}"))
+        return answering.Reply(refusal.status, headers, [body])
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -0,0 +1,281 @@
+"""The lease: one VM at a time orders endpoints to load and unload.
+
+The lease is one object in the platform's store, renewed by conditional
+update. Its fencing token grows with each holder. The holder trusts it only
+until some time before it would lapse, counted from before the renewal was
+sent on a clock that also runs while the VM is suspended; all others take it
+only after they have seen it unchanged for its whole duration.
+"""
+
+import random
+import time
+
+import attrs
+import gevent
+import logbook
+import orjson
+import result
+
+from mothworks import kernel, logs, membership, objects, ownership, plugins
+from mothworks_gateway import pulse
+
+log = logbook.Logger("lease")
+
+#: The object that holds the lease.
+KEY = "leases/orders"
+#: Share of the lease's duration after which it is renewed; two renewals fail
+#: before it lapses.
+RENEW_SHARE = 0.4
+#: Part of the duration at whose end the holder no longer orders, seconds: the
+#: time an order may take from the check until it arrives.
+MARGIN_S = 0.4
+#: Pause between looks at a lease that another VM may hold, seconds.
+LOOK_S = 0.5
+#: Time that each VM leaves to the one before it in line, seconds.
+RANK_S = 0.7
+#: Time without a holder's pulse after which the lease is looked at, seconds.
+SILENCE_S = 1.2
+
+
+def now() -> float:
+    """Return seconds on the clock that also counts suspended time."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.frozen
+class Record:
+    """The lease as it is stored.
+
+    :param holder: the VM that holds it; empty once it was given up.
+    :param fence: the fencing token; grows by one with each holder.
+    :param renewals: grows with each renewal, so that each one is a change.
+    :param life: names the holder's process, to recognise its own write.
+    """
+
+    holder: str
+    fence: int
+    renewals: int
+    life: str
+
+    def body(self) -> bytes:
+        """Return the record as JSON."""
+        return orjson.dumps(attrs.asdict(self))
+
+
+def read_record(body: bytes) -> Record:
+    """Return the record that a stored body holds.
+
+    :param body: what :meth:`Record.body` made.
+    :raises ValueError: where it is not a record.
+    """
+    try:
+        value = orjson.loads(body)
+        return Record(
+            str(value["holder"]),
+            int(value["fence"]),
+            int(value["renewals"]),
+            str(value["life"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a lease: {error!r}")
+
+
+class Lease(kernel.Part):
+    """Holds the lease, or waits until it can.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        chosen = node_kernel.settings
+        self.name = chosen.name
+        self.life = f"{random.getrandbits(64):016x}"
+        self.duration_s = chosen.bounds.lease_ms / 1000
+        # Where endpoints check fencing tokens, a late order of the former
+        # holder is refused there; elsewhere only time keeps the two apart.
+        self.settle_s = 0.0 if chosen.bounds.fenced else self.duration_s
+        plugin = plugins.find(plugins.OBJECT_API, chosen.adapter)(chosen)
+        self.api = objects.Client(plugin, node_kernel.metrics)
+        self.membership = node_kernel.get(membership.Membership)
+        self.pulses = node_kernel.get(pulse.Pulses)
+        self.pulses.on_pulse.append(lambda: {"fence": self.fence})
+        # Given up at once, the next VM need not wait for it to lapse.
+        node_kernel.on_draining.append(
+            lambda: self.tasks.spawn(self.give_up, "shutting down")
+        )
+        self.started_at = time.monotonic()
+        self.record: Record | None = None
+        self.version: str | None = None
+        self.trusted_until = 0.0
+        self.orders_from = 0.0
+        #: Functions to call after this VM became the holder.
+        self.on_gained: list = []
+        self._refused_fence = 0
+
+    def start(self) -> None:
+        """Start to hold or watch the lease."""
+        self.started_at = time.monotonic()
+        self.tasks.spawn(self._run)
+
+    @property
+    def fence(self) -> int:
+        """Return the fencing token of the lease held here, or 0."""
+        return self.record.fence if self.held() else 0
+
+    def held(self) -> bool:
+        """Return whether this VM may order endpoints at this moment."""
+        return (
+            self.record is not None
+            and self.record.holder == self.name
+            and self.orders_from <= now() < self.trusted_until
+        )
+
+    def holder(self) -> str:
+        """Return the VM that seems to hold the lease, or an empty text."""
+        if self.held():
+            return self.name
+        fence_by_vm = {
+            vm: told.fence for vm, told in self.pulses.fresh().items() if told.fence
+        }
+        return max(fence_by_vm, key=fence_by_vm.__getitem__, default="")
+
+    def refused(self, fence: int) -> None:
+        """Stop ordering: an endpoint has seen a newer fencing token.
+
+        :param fence: the token that was refused.
+        """
+        if self.record is not None and self.record.fence == fence:
+            self._forget("an endpoint has seen a newer fencing token")
+            self._refused_fence = fence
+
+    def give_up(self, reason: str) -> None:
+        """Hand the lease back at once.
+
+        :param reason: why, for the log.
+        """
+        record, version = self.record, self.version
+        self._forget(reason)
+        if record is not None and version is not None:
+            freed = attrs.evolve(record, holder="", renewals=record.renewals + 1)
+            self.api.put(KEY, freed.body(), version)
+
+    def _run(self) -> None:
+        while not self.kernel.draining:
+            if self.record is not None:
+                self._renew()
+                gevent.sleep(self.duration_s * RENEW_SHARE)
+            else:
+                self._seek()
+                gevent.sleep(LOOK_S * random.uniform(0.8, 1.2))
+
+    def _renew(self) -> None:
+        record = attrs.evolve(self.record, renewals=self.record.renewals + 1)
+        sent = now()
+        match self.api.put(KEY, record.body(), self.version):
+            case result.Ok(version):
+                if self.record is not None:
+                    self._hold(record, version, sent)
+            case result.Err(objects.Unknown()):
+                self._recognise(sent)
+            case result.Err(objects.Unavailable(reason)):
+                if now() > self.trusted_until + self.duration_s:
+                    self._forget(f"not renewed: {reason}")
+            case result.Err(failure):
+                self._forget(f"renewal failed: {failure}")
+
+    def _recognise(self, sent: float) -> None:
+        """Learn whether a write took effect whose reply was lost."""
+        match self._read():
+            case (Record() as record, version) if record.life == self.life:
+                self._hold(record, version, sent)
+            case (Record(), _):
+                self._forget("another VM took it")
+
+    def _hold(self, record: Record, version: str, sent: float) -> None:
+        gained = self.record is None or self.record.fence != record.fence
+        self.record = record
+        self.version = version
+        self.trusted_until = sent + self.duration_s - MARGIN_S
+        if gained:
+            self.orders_from = now() + self.settle_s
+            logs.event(
+                log, "lease", fence=record.fence, version=version, outcome="held"
+            )
+            for notify in self.on_gained:
+                notify()
+
+    def _forget(self, reason: str) -> None:
+        if self.record is not None:
+            fence = self.record.fence
+            logs.event(log, "lease", fence=fence, reason=reason, outcome="lost")
+        self.record = None
+        self.version = None
+        self.trusted_until = 0.0
+
+    def _seek(self) -> None:
+        """Take the lease where nobody holds it and this VM is first in line."""
+        if self.holder() or self._rank() > 0 and not self._long_unheld():
+            return
+        seen = self._read()
+        if seen is None:
+            return
+        record, version = seen
+        if record is None:
+            self._take(0, None)
+        elif not record.holder or self._stays_unchanged(record):
+            self._take(record.fence, version)
+
+    def _stays_unchanged(self, record: Record) -> bool:
+        """Wait for the lease's whole duration; return whether it lapsed."""
+        if record.life == self.life:
+            return True
+        until = now() + self.duration_s
+        while now() < until:
+            gevent.sleep(max(0.01, min(LOOK_S, until - now())))
+            if self.holder():
+                return False
+        match self._read():
+            case (Record() as again, _):
+                return again == record
+        return False
+
+    def _take(self, fence: int, version: str | None) -> None:
+        record = Record(self.name, max(fence, self._refused_fence) + 1, 0, self.life)
+        sent = now()
+        match self.api.put(KEY, record.body(), version):
+            case result.Ok(new_version):
+                self._hold(record, new_version, sent)
+            case result.Err(objects.Unknown()):
+                self._recognise(sent)
+            case result.Err(failure):
+                logs.event(log, "lease", reason=str(failure)[:120], outcome="not taken")
+
+    def _read(self) -> tuple[Record | None, str | None] | None:
+        """Return the stored lease and its version; None if not answered."""
+        match self.api.get(KEY):
+            case result.Ok(stored):
+                try:
+                    return read_record(stored.body), stored.version
+                except ValueError as error:
+                    logs.event(log, "lease", reason=str(error), outcome="unreadable")
+                    return Record("", 0, 0, ""), stored.version
+            case result.Err(objects.Missing()):
+                return None, None
+        return None
+
+    def _rank(self) -> int:
+        """Return this VM's place in line among the live ones."""
+        names = [member.name for member in self.membership.near()]
+        names.append(self.name)
+        names.sort(key=lambda name: ownership.weight("lease", name), reverse=True)
+        return names.index(self.name)
+
+    def _long_unheld(self) -> bool:
+        """Return whether those before this VM had time enough to take it."""
+        heard = [
+            item.at for item in self.pulses.heard_by_vm.values() if item.pulse.fence
+        ]
+        last = max(heard, default=self.started_at)
+        waited = time.monotonic() - last
+        return waited > SILENCE_S + RANK_S * self._rank()
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -0,0 +1,125 @@
+"""The node: the one program that every VM runs."""
+
+import importlib
+import pathlib
+import signal
+import sys
+import time
+
+import attrs
+import gevent
+import gevent.signal
+import logbook
+import result
+
+from mothworks import exchange, kernel, logs, membership, peers, ports, vm_list
+from mothworks_gateway import (
+    declarations,
+    discovery,
+    feeding,
+    front,
+    lease,
+    pulse,
+    residency,
+    scheduler,
+    settings,
+    sites,
+)
+
+log = logbook.Logger("node")
+
+#: Exit code for wrong settings.
+EXIT_USAGE = 2
+
+#: The parts of a node; what they need is built with them.
+PARTS = (
+    ports.Ports,
+    membership.Membership,
+    peers.Peers,
+    vm_list.VmList,
+    exchange.Exchange,
+    feeding.Feeding,
+    declarations.Declarations,
+    discovery.Discovery,
+    pulse.Pulses,
+    lease.Lease,
+    residency.Residency,
+    sites.Sites,
+    scheduler.Scheduler,
+    front.Front,
+)
+
+
+class Node:
+    """One node, in this process.
+
+    :param checked: the VM's settings.
+    """
+
+    def __init__(self, checked: settings.Settings):
+        importlib.import_module(checked.adapter)
+        drain_s = max(0.5, checked.bounds.stop_s - front.END_S)
+        limits = attrs.evolve(checked.limits, drain_s=drain_s)
+        self.kernel = kernel.Kernel(attrs.evolve(checked, limits=limits))
+        for part in PARTS:
+            self.kernel.get(part)
+
+    def start(self) -> None:
+        """Start every part and return."""
+        for part in self.kernel.part_by_class.values():
+            part.start()
+
+    def shut_down(self, reason: str = "signal") -> None:
+        """Shut down gracefully: no request in flight is cut off.
+
+        :param reason: why, for the log.
+        """
+        if not self.kernel.draining:
+            logs.event(log, "stop", reason=reason, outcome="draining")
+        self.kernel.shut_down()
+
+    def run(self) -> int:
+        """Run until a signal or a broken invariant.
+
+        :returns: the exit code; 0 after a graceful shutdown.
+        """
+        chosen = self.kernel.settings
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal.signal(number, lambda *_: gevent.spawn(self.shut_down))
+        # Settings are read at start only; a hangup must not end the process.
+        gevent.signal.signal(signal.SIGHUP, lambda *_: gevent.spawn(self._reload))
+        self.start()
+        logs.event(
+            log,
+            "start",
+            name=chosen.name,
+            front=chosen.front,
+            data_centre=chosen.data_centre,
+            started_s=round(time.monotonic(), 3),
+            outcome="serving",
+        )
+        self.kernel.stopped.wait()
+        failure = self.kernel.failure
+        logs.event(log, "stop", reason=repr(failure)[:200], outcome="stopped")
+        return 0 if failure is None else 1
+
+    def _reload(self) -> None:
+        logs.event(
+            log, "reload", reason="hangup", outcome="settings hold until a restart"
+        )
+
+
+def main(settings_file: str) -> int:
+    """Run a node.
+
+    :param settings_file: path of the VM's settings.
+    :returns: the exit code.
+    """
+    match settings.load(pathlib.Path(settings_file)):
+        case result.Ok(checked):
+            pass
+        case result.Err(problem):
+            print(str(problem).replace("\n", "; "), file=sys.stderr)
+            return EXIT_USAGE
+    logs.install_bounded(checked.logs, checked.name, checked.log_lines_per_s)
+    return Node(checked).run()
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -0,0 +1,214 @@
+"""The pulse: what VMs tell each other a few times a second.
+
+Each VM tells its peers how much it runs where, which models its callers wait
+for, and how new its declaration and registry are. Who lacks something asks
+for it, so that a VM that starts while the platform is away still serves.
+"""
+
+import random
+import time
+
+import attrs
+import gevent
+import logbook
+import result
+
+from mothworks import kernel, membership, messages, peers
+from mothworks_gateway import declarations, discovery, feeding
+
+log = logbook.Logger("pulse")
+
+#: Seconds between pulses.
+PULSE_S = 0.4
+#: Most peers that hear each pulse, so that the cost for one VM is bounded.
+MOST_PEERS = 16
+#: Time after which a pulse says nothing any more, seconds.
+STALE_S = 2.0
+#: Time that the platform has to tell by itself what a peer knows, seconds.
+PATIENCE_S = 0.35
+#: Time for a peer to send its state, seconds.
+REPLY_S = 1.0
+
+
+@messages.message(110)
+@attrs.frozen
+class Pulse:
+    """What a VM tells of itself.
+
+    :param declaration_version: the declaration in force there.
+    :param registry_cursor: how new its registry is.
+    :param fence: the fencing token of the lease that it holds, or 0.
+    :param running: requests that it has running, by endpoint and model.
+    :param waiting: callers that wait there for a model or adapter: service,
+        model, adapter, how many, rank of the most urgent, seconds until the
+        first of them misses its objective.
+    :param arrived: requests that arrived since the last pulse, by service,
+        model and adapter.
+    :param suspected: endpoints whose answers fail there.
+    """
+
+    declaration_version: int
+    registry_cursor: int
+    fence: int
+    running: tuple[tuple[str, str, str, int], ...] = ()
+    waiting: tuple[tuple[str, str, str, int, int, float], ...] = ()
+    arrived: tuple[tuple[str, str, str, int], ...] = ()
+    suspected: tuple[str, ...] = ()
+
+
+@messages.message(111)
+@attrs.frozen
+class StateRequest:
+    """Asks a peer for its declaration and registry where they are newer.
+
+    :param declaration_version: the asker's declaration.
+    :param registry_cursor: the asker's registry.
+    """
+
+    declaration_version: int
+    registry_cursor: int
+
+
+@messages.message(112)
+@attrs.frozen
+class State:
+    """A declaration and registry as the platform spells them.
+
+    :param declaration: the document; empty where it is not newer.
+    :param registry_cursor: how new the registry is.
+    :param document_by_name: its entries; empty where it is not newer.
+    """
+
+    declaration: bytes
+    registry_cursor: int
+    document_by_name: dict[str, bytes]
+
+
+@attrs.define
+class Heard:
+    """The last pulse of a peer.
+
+    :param pulse: what it said.
+    :param at: monotonic time at which it came.
+    """
+
+    pulse: Pulse
+    at: float
+
+
+class Pulses(kernel.Part):
+    """Sends this VM's pulse and keeps those of its peers.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.peers = node_kernel.get(peers.Peers)
+        self.membership = node_kernel.get(membership.Membership)
+        self.declarations = node_kernel.get(declarations.Declarations)
+        self.discovery = node_kernel.get(discovery.Discovery)
+        self.feeding = node_kernel.get(feeding.Feeding)
+        self.heard_by_vm: dict[str, Heard] = {}
+        #: Functions that fill fields of the next pulse; each returns a dict.
+        self.on_pulse: list = []
+        #: Functions to call with a VM's name and its pulse, this VM's own too.
+        self.on_heard: list = []
+        self._asking = False
+        self.peers.handle(Pulse, self._hear)
+        self.peers.handle(StateRequest, self._serve_state)
+
+    def start(self) -> None:
+        """Start to send pulses."""
+        self.tasks.every(PULSE_S, self.beat)
+        self.tasks.spawn(self._ask_at_start)
+
+    def fresh(self) -> dict[str, Pulse]:
+        """Return the pulses of peers that are recent, by VM."""
+        oldest = time.monotonic() - STALE_S
+        return {
+            vm: heard.pulse
+            for vm, heard in self.heard_by_vm.items()
+            if heard.at >= oldest
+        }
+
+    def vms(self) -> int:
+        """Return how many VMs share the load, this one included."""
+        return 1 + len(self.membership.near())
+
+    def beat(self) -> None:
+        """Send one pulse now."""
+        fields = {}
+        for fill in self.on_pulse:
+            fields.update(fill())
+        pulse = Pulse(
+            self._version(), self.discovery.registry.cursor, **{"fence": 0, **fields}
+        )
+        for notify in self.on_heard:
+            notify(self.kernel.settings.name, pulse)
+        near = self.membership.near()
+        for member in random.sample(near, min(MOST_PEERS, len(near))):
+            self.tasks.spawn(self.peers.send, member.name, pulse)
+
+    def _version(self) -> int:
+        current = self.declarations.current
+        return current.version if current else 0
+
+    def _hear(self, vm: str, pulse: Pulse, _) -> None:
+        self.heard_by_vm[vm] = Heard(pulse, time.monotonic())
+        for notify in self.on_heard:
+            notify(vm, pulse)
+        if self._behind(pulse):
+            self.tasks.spawn(self._catch_up, vm, pulse)
+
+    def _behind(self, pulse: Pulse) -> bool:
+        return (
+            pulse.declaration_version > self._version()
+            or pulse.registry_cursor > self.discovery.registry.cursor
+        )
+
+    def _catch_up(self, vm: str, pulse: Pulse) -> None:
+        """Get what a peer has and the platform does not tell this VM."""
+        if self._asking:
+            return
+        self._asking = True
+        try:
+            gevent.sleep(PATIENCE_S)
+            if not self._behind(pulse):
+                return
+            by_name = self.feeding.follower_by_name
+            if pulse.declaration_version > self._version():
+                by_name["declarations"].hurry(pulse.registry_cursor, PATIENCE_S)
+            # The registry's revision also grows with every other write.
+            lost = by_name["endpoints"].lost_at is not None
+            stuck = pulse.registry_cursor > self.discovery.registry.cursor
+            if pulse.declaration_version > self._version() or (lost and stuck):
+                self._ask(vm)
+            elif stuck:
+                by_name["endpoints"].hurry(pulse.registry_cursor, 1.0)
+        finally:
+            self._asking = False
+
+    def _ask_at_start(self) -> None:
+        while not (self.declarations.loaded.is_set() and self.discovery.loaded):
+            gevent.sleep(0.2)
+            for member in self.membership.near():
+                self._ask(member.name)
+
+    def _ask(self, vm: str) -> None:
+        request = StateRequest(self._version(), self.discovery.registry.cursor)
+        match self.peers.call(vm, request, REPLY_S):
+            case result.Ok(State(declaration, cursor, document_by_name)):
+                if declaration:
+                    self.declarations.offer(declaration, f"peer {vm}")
+                if document_by_name:
+                    self.discovery.take_peer(cursor, document_by_name)
+
+    def _serve_state(self, vm: str, request: StateRequest, answer) -> None:
+        current = self.declarations.current
+        newer = current and current.version > request.declaration_version
+        cursor = self.discovery.registry.cursor
+        entries = {}
+        if cursor > request.registry_cursor and self.discovery.loaded:
+            entries = self.discovery.documents()
+        answer(State(current.document if newer else b"", cursor, entries))
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -0,0 +1,197 @@
+"""The registry: endpoints that this VM believes in, by id.
+
+Endpoints enter themselves in the platform's registry. What this VM learns by
+itself (an endpoint that says it is leaving, an address that answers as
+another one) counts at once, since the platform's word may come late.
+"""
+
+import collections.abc
+import time
+
+import attrs
+import logbook
+
+from mothworks import logs
+
+log = logbook.Logger("registry")
+
+#: Time for which an entry that vanished around an outage of the platform is
+#: still used, seconds: endpoints that live are back within 2 s of its return.
+LAPSE_S = 2.2
+
+
+@attrs.frozen
+class Entry:
+    """What an endpoint says of itself.
+
+    :param id: new at each of its starts.
+    :param service: the service that it belongs to.
+    :param address: IP number and port.
+    :param data_centre: where it runs.
+    :param places: requests that it runs at a time.
+    :param leaving: it takes no new work soon.
+    :param left_s: time until it is gone, where it says so, seconds.
+    :param adapters_by_model: what it holds; None for a plain service.
+    :param in_host_memory: models whose weights its host memory keeps.
+    :param on_disk: models whose weights its disk keeps.
+    """
+
+    id: str
+    service: str
+    address: tuple[str, int]
+    data_centre: str = ""
+    places: int = 1
+    leaving: bool = False
+    left_s: float | None = None
+    adapters_by_model: dict[str, frozenset[str]] | None = None
+    in_host_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+
+
+@attrs.define(eq=False)
+class Endpoint:
+    """An endpoint and what this VM knows of it.
+
+    :param entry: the newest entry.
+    :param document: the entry as the platform spells it, for peers.
+    :param adapters_by_model: what it is believed to hold now.
+    :param dismissed: why it gets no new work, learnt by this VM; or empty.
+    :param lapsed_at: monotonic time at which its entry vanished, or None.
+    """
+
+    entry: Entry
+    document: bytes = attrs.field(default=b"", repr=False)
+    adapters_by_model: dict[str, set[str]] = attrs.field(factory=dict)
+    dismissed: str = ""
+    lapsed_at: float | None = None
+
+    @property
+    def id(self) -> str:
+        """Return its id."""
+        return self.entry.id
+
+    @property
+    def open(self) -> bool:
+        """Return whether it takes new work."""
+        return not (self.entry.leaving or self.dismissed)
+
+    def holds(self, model: str, adapter: str) -> bool:
+        """Return whether a request for a model can run there now.
+
+        :param model: the model; empty for a plain service.
+        :param adapter: its adapter, or empty.
+        """
+        if not model:
+            return True
+        adapters = self.adapters_by_model.get(model)
+        return adapters is not None and (not adapter or adapter in adapters)
+
+
+class Registry:
+    """All endpoints, and who wants to hear of changes."""
+
+    def __init__(self):
+        self.by_id: dict[str, Endpoint] = {}
+        #: The platform's revision that this view is as new as.
+        self.cursor = 0
+        #: Functions to call after a change, without arguments.
+        self.on_change: list[collections.abc.Callable[[], None]] = []
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the open endpoints of a service.
+
+        :param service: its name.
+        """
+        return [
+            item
+            for item in self.by_id.values()
+            if item.open and item.entry.service == service
+        ]
+
+    def put(self, entry: Entry, document: bytes) -> None:
+        """Take a new or changed entry.
+
+        :param entry: what the endpoint says now.
+        :param document: the entry as the platform spells it.
+        """
+        known = self.by_id.get(entry.id)
+        if known is None:
+            held = {
+                name: set(ad) for name, ad in (entry.adapters_by_model or {}).items()
+            }
+            self.by_id[entry.id] = Endpoint(entry, document, held)
+            self._say(entry, "appeared")
+            return
+        before = known.entry
+        known.entry = entry
+        known.document = document
+        known.lapsed_at = None
+        self._merge_holdings(known, before, entry)
+        if before.leaving != entry.leaving:
+            self._say(entry, "leaves" if entry.leaving else "stays")
+
+    def remove(self, endpoint_id: str, doubtful: bool) -> None:
+        """Take note that an entry vanished.
+
+        :param endpoint_id: whose.
+        :param doubtful: the platform was away, and the entry may have lapsed
+            only because of that.
+        """
+        known = self.by_id.get(endpoint_id)
+        if known is None:
+            return
+        if doubtful:
+            known.lapsed_at = known.lapsed_at or time.monotonic()
+            self._say(known.entry, "lapsed during an outage")
+            return
+        del self.by_id[endpoint_id]
+        self._say(known.entry, "removed")
+
+    def expire(self) -> None:
+        """Remove endpoints whose entries lapsed and did not come back."""
+        now = time.monotonic()
+        for item in list(self.by_id.values()):
+            if item.lapsed_at is not None and now - item.lapsed_at > LAPSE_S:
+                self.remove(item.id, doubtful=False)
+                self.changed()
+
+    def dismiss(self, endpoint: Endpoint, reason: str) -> None:
+        """Give an endpoint no new work, because of what it did itself.
+
+        :param endpoint: the endpoint.
+        :param reason: what it did.
+        """
+        if not endpoint.dismissed:
+            endpoint.dismissed = reason
+            self._say(endpoint.entry, f"dismissed: {reason}")
+            self.changed()
+
+    def changed(self) -> None:
+        """Tell everybody who wants to know that something changed."""
+        for notify in self.on_change:
+            notify()
+
+    def _merge_holdings(self, known: Endpoint, before: Entry, entry: Entry) -> None:
+        """Take over which models came and went; adapters come from orders.
+
+        Entries say nothing when an adapter was loaded or dropped, so the
+        adapters in them may be old; only for a model that is new to the
+        entry are they all that is known.
+        """
+        old = before.adapters_by_model or {}
+        new = entry.adapters_by_model or {}
+        for name in old.keys() - new.keys():
+            known.adapters_by_model.pop(name, None)
+        for name in new.keys() - old.keys():
+            known.adapters_by_model.setdefault(name, set()).update(new[name])
+
+    def _say(self, entry: Entry, what: str) -> None:
+        logs.event(
+            log,
+            "endpoint",
+            endpoint=entry.id,
+            service=entry.service,
+            address=f"{entry.address[0]}:{entry.address[1]}",
+            revision=self.cursor,
+            outcome=what,
+        )
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -0,0 +1,218 @@
+"""Residency: which models are where, and who waits for one that is nowhere.
+
+On each VM, requests whose model or adapter no open endpoint holds wait here.
+The VM that holds the lease hears of them and has the model loaded; it tells
+all VMs what each endpoint holds as soon as that changes.
+"""
+
+import collections.abc
+import time
+
+import attrs
+import gevent.event
+import logbook
+
+from mothworks import kernel, logs, messages, peers
+from mothworks_gateway import asked, discovery, lease, pulse, registry
+
+log = logbook.Logger("residency")
+
+#: Seconds between repeats of what this VM waits for, beside the pulses.
+REPEAT_S = 0.15
+
+
+@messages.message(114)
+@attrs.frozen
+class Wanted:
+    """Tells the holder of the lease that callers wait for a model or adapter.
+
+    :param service: the service.
+    :param model: the model.
+    :param adapter: its adapter, or empty.
+    :param count: callers that wait at the sender.
+    :param urgency: rank of the most urgent of them.
+    :param left_s: seconds until the first of them misses its objective.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    count: int
+    urgency: int
+    left_s: float
+
+    @property
+    def target(self) -> asked.Target:
+        """Return what is waited for."""
+        return asked.Target(self.service, self.model, self.adapter)
+
+
+@messages.message(115)
+@attrs.frozen
+class Holds:
+    """Tells all VMs what an endpoint holds, after an order.
+
+    :param fence: the sender's fencing token.
+    :param number: grows with each message of that token.
+    :param endpoint: the endpoint's id.
+    :param adapters_by_model: the models that it holds, with their adapters.
+    """
+
+    fence: int
+    number: int
+    endpoint: str
+    adapters_by_model: dict[str, list[str]]
+
+
+@messages.message(116)
+@attrs.frozen
+class Missed:
+    """Tells the holder that an endpoint lacks what it was believed to hold.
+
+    :param endpoint: the endpoint's id.
+    """
+
+    endpoint: str
+
+
+@attrs.define
+class _Line:
+    """Callers of this VM that wait for one target.
+
+    :param count: how many.
+    :param urgency: rank of the most urgent.
+    :param objective_at: monotonic time of the first missed objective.
+    """
+
+    count: int = 0
+    urgency: int = 9
+    objective_at: float = float("inf")
+
+
+class Residency(kernel.Part):
+    """Lets requests wait for models, and follows what endpoints hold.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.name = node_kernel.settings.name
+        self.peers = node_kernel.get(peers.Peers)
+        self.registry = node_kernel.get(discovery.Discovery).registry
+        self.lease = node_kernel.get(lease.Lease)
+        self.pulses = node_kernel.get(pulse.Pulses)
+        self.line_by_target: dict[asked.Target, _Line] = {}
+        self.newest_by_endpoint: dict[str, tuple[int, int]] = {}
+        self.changed = gevent.event.Event()
+        #: Functions to call, on the holder, with a VM's name and a Wanted.
+        self.on_wanted: list[collections.abc.Callable[[str, Wanted], None]] = []
+        #: Functions to call, on the holder, with an endpoint's id.
+        self.on_missed: list[collections.abc.Callable[[str], None]] = []
+        self.registry.on_change.append(self._wake)
+        self.peers.handle(Wanted, lambda vm, told, _: self._hear_wanted(vm, told))
+        self.peers.handle(Missed, lambda _, told, __: self._hear_missed(told.endpoint))
+        self.peers.handle(Holds, self._hear_holds)
+
+    def start(self) -> None:
+        """Start to repeat what this VM waits for."""
+        self.tasks.every(REPEAT_S, self._repeat)
+
+    def wait(self, request: asked.Asked, seconds: float) -> None:
+        """Wait until something changed that may let a request run.
+
+        :param request: the request.
+        :param seconds: longest wait.
+        """
+        line = self.line_by_target.setdefault(request.target, _Line())
+        line.count += 1
+        line.urgency = min(line.urgency, request.route.urgency)
+        objective_at = request.arrived + request.route.objective_s
+        line.objective_at = min(line.objective_at, objective_at)
+        if line.count == 1:
+            self._tell(request.target, line)
+        try:
+            self.changed.wait(seconds)
+        finally:
+            line.count -= 1
+            if not line.count:
+                self.line_by_target.pop(request.target, None)
+
+    def missed(self, endpoint: registry.Endpoint, target: asked.Target) -> None:
+        """Note that an endpoint refused a request for what it does not hold.
+
+        :param endpoint: the endpoint.
+        :param target: what was asked of it.
+        """
+        adapters = endpoint.adapters_by_model.get(target.model)
+        if adapters is not None and target.adapter in adapters:
+            adapters.discard(target.adapter)
+        else:
+            endpoint.adapters_by_model.pop(target.model, None)
+        logs.event(
+            log,
+            "not held",
+            endpoint=endpoint.id,
+            model=target.model,
+            adapter=target.adapter,
+            outcome="the holder is asked to look",
+        )
+        holder = self.lease.holder()
+        if holder == self.name:
+            self._hear_missed(endpoint.id)
+        elif holder:
+            self.tasks.spawn(self.peers.send, holder, Missed(endpoint.id))
+
+    def publish(self, told: Holds) -> None:
+        """Tell all VMs, this one included, what an endpoint holds.
+
+        :param told: the message.
+        """
+        self.peers.send_all(told)
+        self._hear_holds(self.name, told, None)
+
+    def _repeat(self) -> None:
+        for target, line in list(self.line_by_target.items()):
+            self._tell(target, line)
+
+    def _tell(self, target: asked.Target, line: _Line) -> None:
+        left_s = line.objective_at - time.monotonic()
+        told = Wanted(
+            target.service,
+            target.model,
+            target.adapter,
+            line.count,
+            line.urgency,
+            left_s,
+        )
+        holder = self.lease.holder()
+        if holder == self.name:
+            self._hear_wanted(self.name, told)
+        elif holder:
+            self.tasks.spawn(self.peers.send, holder, told)
+
+    def _hear_wanted(self, vm: str, told: Wanted) -> None:
+        for notify in self.on_wanted:
+            notify(vm, told)
+
+    def _hear_missed(self, endpoint_id: str) -> None:
+        for notify in self.on_missed:
+            notify(endpoint_id)
+
+    def _hear_holds(self, _: str, told: Holds, __) -> None:
+        version = (told.fence, told.number)
+        if version <= self.newest_by_endpoint.get(told.endpoint, (0, 0)):
+            return
+        endpoint = self.registry.by_id.get(told.endpoint)
+        if endpoint is None:
+            return
+        self.newest_by_endpoint[told.endpoint] = version
+        endpoint.adapters_by_model = {
+            model: set(adapters) for model, adapters in told.adapters_by_model.items()
+        }
+        self._wake()
+
+    def _wake(self) -> None:
+        """Let everybody who waits look again."""
+        self.changed.set()
+        self.changed.clear()
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/settings.py
@@ -0,0 +1,168 @@
+"""Settings of one VM, read once at start from JSON with comments."""
+
+import ipaddress
+import pathlib
+
+import attrs
+import result
+
+from mothworks import documents, settings as node_settings
+
+#: File descriptors kept for files, listeners and peers.
+SPARE_DESCRIPTORS = 300
+
+
+def _check_address(_: object, attribute: attrs.Attribute, value: str) -> None:
+    host, colon, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        known = colon and 0 <= int(port) <= 65535
+    except ValueError:
+        known = False
+    if not known:
+        raise ValueError(
+            f"{attribute.name}: expected an IP number and a port, found {value!r}"
+        )
+
+
+def split_address(value: str) -> tuple[str, int]:
+    """Return IP number and port of a checked address.
+
+    :param value: both, with a colon between.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = value.rpartition(":")
+    return host, int(port)
+
+
+@attrs.frozen
+class Platform:
+    """Where the platform's metadata store answers.
+
+    :param address: its IP number and port.
+    :param value_bytes: largest object that it takes.
+    """
+
+    address: str = attrs.field(validator=_check_address)
+    value_bytes: int = attrs.field(
+        default=1 << 20, validator=node_settings.check_positive
+    )
+
+
+@attrs.frozen
+class Bounds:
+    """What the deployment promises or asks for, in its own units.
+
+    :param retry_share: requests sent again, as a share of all requests of a
+        service, over all VMs.
+    :param retry_window_s: time over which that share is counted, seconds.
+    :param retry_slack: requests sent again that are allowed beside the share.
+    :param lease_ms: time for which two VMs must not take turns in ordering
+        endpoints, milliseconds.
+    :param fenced: whether endpoints refuse orders with an old fencing token.
+    :param load_window_s: time over which loads from the weight store count,
+        seconds.
+    :param load_factor: loads in that time, as a multiple of the store's rate.
+    :param stop_s: time from the signal to stop until the process is killed,
+        seconds.
+    :param crash_settle_ms: time after which a crash is known to all VMs,
+        milliseconds.
+    """
+
+    retry_share: float = 0.1
+    retry_window_s: float = attrs.field(
+        default=10.0, validator=node_settings.check_positive
+    )
+    retry_slack: float = 20.0
+    lease_ms: float = attrs.field(
+        default=3000.0, validator=node_settings.check_positive
+    )
+    fenced: bool = False
+    load_window_s: float = attrs.field(
+        default=5.0, validator=node_settings.check_positive
+    )
+    load_factor: float = 1.0
+    stop_s: float = attrs.field(default=8.0, validator=node_settings.check_positive)
+    crash_settle_ms: float = 3000.0
+
+
+@attrs.frozen
+class VmListSource:
+    """Which plug-in lists the VMs, and how often it is asked.
+
+    :param kind: the plug-in's key.
+    :param node: the settings of the VM that asks.
+    :param poll_s: seconds between reads.
+    """
+
+    kind: str
+    node: "Settings"
+    poll_s: float = 1.0
+
+
+@attrs.frozen
+class Settings:
+    """The settings of one VM.
+
+    :param name: the VM's name, unique among all VMs.
+    :param address: its IP number, as peers reach it.
+    :param front: where callers connect.
+    :param ready: where the balancer asks whether the VM is ready.
+    :param peer_port: port for peers, TCP and UDP alike, the same on all VMs.
+    :param metrics_port: port that serves metrics; 0 for none.
+    :param data_centre: where the VM runs.
+    :param region: the region of that data centre.
+    :param adapter: the platform adapter: a module to import, which registers
+        plug-ins under its own name.
+    :param platform: where the platform's store answers.
+    :param seeds: addresses of VMs that may be peers; they may be stale.
+    :param bounds: what the deployment promises or asks for.
+    :param limits: bounds that protect the VM.
+    :param descriptors: most file descriptors of the process.
+    :param log_lines_per_s: log lines a second; more are left out and counted.
+    :param logs: how it logs.
+    :param deployment: the name of the whole system.
+    """
+
+    name: str
+    address: str = attrs.field(validator=node_settings.check_ip_address)
+    front: str = attrs.field(validator=_check_address)
+    ready: str = attrs.field(validator=_check_address)
+    peer_port: int = attrs.field(validator=node_settings.check_port)
+    data_centre: str
+    region: str
+    adapter: str
+    platform: Platform
+    metrics_port: int = attrs.field(default=0, validator=node_settings.check_port)
+    seeds: tuple[str, ...] = ()
+    bounds: Bounds = Bounds()
+    limits: node_settings.Limits = node_settings.Limits()
+    descriptors: int = attrs.field(default=4096, validator=node_settings.check_positive)
+    log_lines_per_s: float = attrs.field(
+        default=200.0, validator=node_settings.check_positive
+    )
+    logs: node_settings.Logs = node_settings.Logs()
+    deployment: str = "mothworks"
+
+    @property
+    def port(self) -> int:
+        """Return the port for callers."""
+        return split_address(self.front)[1]
+
+    @property
+    def vm_list(self) -> VmListSource:
+        """Return where the list of VMs comes from: the platform adapter."""
+        return VmListSource(self.adapter, self)
+
+
+def load(path: pathlib.Path) -> result.Result[Settings, documents.DocumentError]:
+    """Read and check a settings file.
+
+    :param path: the file, JSON with comments.
+    :returns: the settings, or every problem found.
+    """
+    return documents.load(path).and_then(
+        lambda text: documents.read(text, Settings, str(path))
+    )
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -0,0 +1,475 @@
+"""Sites: what the holder of the lease knows of each model endpoint.
+
+One task a site carries out its jobs, one order at a time. An order names the
+number of orders that the endpoint has accepted so far, and the endpoint takes
+it only if that is still so. Of two orders that name the same number, at most
+one is ever carried out; so an order whose answer was lost is simply followed
+by the next, and memory is never overcommitted: whatever is in flight fits
+beside what the endpoint holds at that number.
+"""
+
+import collections
+import time
+
+import attrs
+import gevent
+import gevent.event
+import logbook
+import result
+
+from mothworks import kernel, logs
+from mothworks_gateway import (
+    adapters,
+    declared,
+    discovery,
+    endpoints_client,
+    lease,
+    load,
+    registry,
+    residency,
+)
+
+log = logbook.Logger("sites")
+
+#: Time that an adapter takes to load, from the order's acceptance, seconds:
+#: 5 to 10 ms are usual.
+ADAPTER_S = 0.012
+#: Pause before an order that met a conflict is tried again, seconds.
+CONFLICT_S = 0.04
+#: Conflicts in a row after which the endpoint is asked what it holds.
+CONFLICTS = 3
+#: Pause between looks at an endpoint that carries out an order, seconds.
+LOOK_S = 0.5
+#: Time beyond a load's usual duration before the endpoint is asked, seconds.
+LATE_S = 0.4
+#: Longest time for one job, seconds; a job that takes longer is dropped and
+#: decided anew.
+JOB_S = 20.0
+#: Most jobs that wait at a site.
+MOST_JOBS = 16
+
+
+@attrs.frozen
+class Job:
+    """Something that a site is to hold.
+
+    :param model: the model.
+    :param adapter: its adapter; empty for the model itself.
+    :param drops: models to drop first.
+    :param forced: whether they are dropped also while requests use them.
+    """
+
+    model: str
+    adapter: str = ""
+    drops: tuple[str, ...] = ()
+    forced: bool = False
+
+
+@attrs.define(eq=False)
+class Site:
+    """A model endpoint as the holder sees it.
+
+    :param endpoint: the endpoint.
+    :param accelerator: what it can hold.
+    :param accepted: orders that it has accepted; None while unknown.
+    :param adapters_by_model: what it holds after those orders.
+    :param loading: the model that it loads now, or empty.
+    :param dropping: the model that it drops now, or empty.
+    :param jobs: what it is to load next.
+    :param used_by_adapter: monotonic time at which (model, adapter) was last
+        asked for.
+    """
+
+    endpoint: registry.Endpoint
+    accelerator: declared.Accelerator
+    accepted: int | None = None
+    adapters_by_model: dict[str, set[str]] = attrs.field(factory=dict)
+    loading: str = ""
+    dropping: str = ""
+    jobs: collections.deque[Job] = attrs.field(factory=collections.deque)
+    used_by_adapter: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    woken: gevent.event.Event = attrs.field(factory=gevent.event.Event)
+
+    @property
+    def known(self) -> bool:
+        """Return whether it is known what the endpoint holds."""
+        return self.accepted is not None
+
+    @property
+    def open(self) -> bool:
+        """Return whether the endpoint takes new work."""
+        return self.endpoint.open
+
+    def will_hold(self, model: str, adapter: str) -> bool:
+        """Return whether a model or adapter is held or about to be.
+
+        :param model: the model.
+        :param adapter: its adapter, or empty.
+        """
+        if any(job.model == model and job.adapter == adapter for job in self.jobs):
+            return True
+        if any(model in job.drops for job in self.jobs) or model == self.dropping:
+            return False
+        if not adapter and model == self.loading:
+            return True
+        held = self.adapters_by_model.get(model)
+        return held is not None and (not adapter or adapter in held)
+
+    def adapters_held(self) -> int:
+        """Return how many adapters take a place."""
+        return sum(len(held) for held in self.adapters_by_model.values())
+
+    def memory_mb(self, name: str) -> float:
+        """Return the memory that a model takes here with its adapters, MB.
+
+        :param name: a model that is held.
+        """
+        model = self.accelerator.model_by_name.get(name)
+        if model is None:
+            # No longer declared, so its size is unknown: assume the worst.
+            return self.accelerator.memory_mb
+        return model.memory_mb + model.adapter_mb * len(self.adapters_by_model[name])
+
+    def free_mb(self) -> float:
+        """Return the memory that nothing takes, MB."""
+        taken = sum(self.memory_mb(name) for name in self.adapters_by_model)
+        model = self.accelerator.model_by_name.get(self.loading)
+        if model is not None and self.loading not in self.adapters_by_model:
+            taken += model.memory_mb
+        return self.accelerator.memory_mb - taken
+
+    def load_s(self, model: declared.Model) -> float:
+        """Return how long a model takes to load here, seconds.
+
+        :param model: the model.
+        """
+        entry = self.endpoint.entry
+        if model.name in entry.in_host_memory:
+            return model.host_s
+        if model.name in entry.on_disk:
+            return model.disk_s
+        return model.store_s
+
+    def add(self, job: Job) -> None:
+        """Queue a job.
+
+        :param job: what to load.
+        """
+        if len(self.jobs) < MOST_JOBS:
+            self.jobs.append(job)
+            self.woken.set()
+
+
+class Sites(kernel.Part):
+    """The sites, and the tasks that order them.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.bounds = node_kernel.settings.bounds
+        self.name = node_kernel.settings.name
+        self.registry = node_kernel.get(discovery.Discovery).registry
+        self.engines = node_kernel.get(endpoints_client.EndpointsClient).engines
+        self.lease = node_kernel.get(lease.Lease)
+        self.load = node_kernel.get(load.Load)
+        self.residency = node_kernel.get(residency.Residency)
+        self.site_by_id: dict[str, Site] = {}
+        self.store_loads: collections.deque[float] = collections.deque()
+        self.published = 0
+        self.residency.on_missed.append(self._distrust)
+        self.registry.on_change.append(self._wake_all)
+        self.orders_total = node_kernel.metrics.counter(
+            "orders_total", "Orders to endpoints, by kind and outcome."
+        )
+
+    def reset(self) -> None:
+        """Forget everything, since another VM has ordered meanwhile."""
+        self.site_by_id.clear()
+
+    def of_service(self, service: str) -> list[Site]:
+        """Return the sites of a service.
+
+        :param service: its name.
+        """
+        return [
+            site
+            for site in self.site_by_id.values()
+            if site.endpoint.entry.service == service
+        ]
+
+    def follow(self, declaration: declared.Declaration) -> None:
+        """Take in which endpoints there are and what they can hold.
+
+        :param declaration: the declaration in force.
+        """
+        for endpoint_id in self.site_by_id.keys() - self.registry.by_id.keys():
+            del self.site_by_id[endpoint_id]
+        for endpoint in self.registry.by_id.values():
+            service = declaration.service_by_name.get(endpoint.entry.service)
+            if service is None or service.accelerator is None:
+                continue
+            site = self.site_by_id.get(endpoint.id)
+            if site is None:
+                site = Site(endpoint, service.accelerator)
+                self.site_by_id[endpoint.id] = site
+                self.tasks.spawn(self._work, site)
+            site.accelerator = service.accelerator
+
+    def may_load(self, site: Site, model: declared.Model) -> bool:
+        """Return whether the weight store's rate allows one more load.
+
+        :param site: where to.
+        :param model: what is loaded.
+        """
+        if site.load_s(model) < model.store_s:
+            return True
+        window = self.bounds.load_window_s
+        while self.store_loads and self.store_loads[0] < time.monotonic() - window:
+            self.store_loads.popleft()
+        allowed = site.accelerator.store_loads_per_s * window * self.bounds.load_factor
+        return len(self.store_loads) < max(1, int(allowed))
+
+    def _wake_all(self) -> None:
+        for site in self.site_by_id.values():
+            site.woken.set()
+
+    def _distrust(self, endpoint_id: str) -> None:
+        """Look again at an endpoint that lacked what it should hold."""
+        site = self.site_by_id.get(endpoint_id)
+        if site is not None:
+            site.accepted = None
+            site.woken.set()
+
+    def _work(self, site: Site) -> None:
+        """Carry out a site's jobs for as long as it is known."""
+        while self.site_by_id.get(site.endpoint.id) is site:
+            if not self.lease.held():
+                gevent.sleep(LOOK_S)
+                continue
+            if not site.known:
+                if site.endpoint.open:
+                    self._look(site)
+                if not site.known:
+                    gevent.sleep(LOOK_S)
+                    continue
+            if not site.jobs:
+                site.woken.clear()
+                site.woken.wait(LOOK_S)
+                continue
+            job = site.jobs[0]
+            done = self._carry_out(site, job)
+            if site.jobs and site.jobs[0] is job:
+                site.jobs.popleft()
+            if not done:
+                logs.event(
+                    log,
+                    "job dropped",
+                    endpoint=site.endpoint.id,
+                    model=job.model,
+                    adapter=job.adapter,
+                    outcome="decided anew",
+                )
+
+    def _look(self, site: Site) -> None:
+        """Ask an endpoint what it holds and how many orders it accepted."""
+        match self.engines.inventory(site.endpoint):
+            case result.Ok(seen) if not seen.ordered:
+                site.accepted = seen.accepted
+                site.loading = site.dropping = ""
+                site.adapters_by_model = {
+                    item.model: set(item.adapters) for item in seen.holdings
+                }
+                for model, adapter in seen.arriving:
+                    site.adapters_by_model.setdefault(model, set()).add(adapter)
+                self._publish(site)
+            case result.Ok(_):
+                # What it is carrying out is not known, and so neither is the
+                # memory that it will take.
+                site.accepted = None
+            case result.Err(reason):
+                site.accepted = None
+                logs.event(
+                    log, "no report", endpoint=site.endpoint.id, reason=reason[:120]
+                )
+
+    def _carry_out(self, site: Site, job: Job) -> bool:
+        """Load what a job names; returns whether it is held now."""
+        until = time.monotonic() + JOB_S
+        conflicts = 0
+        while time.monotonic() < until and self.lease.held() and site.open:
+            if not site.known:
+                self._look(site)
+                if not site.known:
+                    gevent.sleep(LOOK_S)
+                    continue
+            order = self._next_order(site, job)
+            if order is None:
+                return self._holds(site, job)
+            match self._send(site, order):
+                case adapters.OrderOutcome.ACCEPTED | adapters.OrderOutcome.DONE:
+                    conflicts = 0
+                case adapters.OrderOutcome.CONFLICT:
+                    conflicts += 1
+                    if conflicts >= CONFLICTS:
+                        site.accepted = None
+                    gevent.sleep(CONFLICT_S)
+                case adapters.OrderOutcome.UNKNOWN:
+                    # The next copy names the same number of accepted orders:
+                    # only one of them can be taken.
+                    gevent.sleep(CONFLICT_S)
+                case _:
+                    site.accepted = None
+                    return False
+        return False
+
+    def _holds(self, site: Site, job: Job) -> bool:
+        held = site.adapters_by_model.get(job.model)
+        return held is not None and (not job.adapter or job.adapter in held)
+
+    def _next_order(self, site: Site, job: Job) -> adapters.Order | None:
+        """Return the next order towards a job; None if none is needed or fits."""
+        if self._holds(site, job):
+            return None
+        model = site.accelerator.model_by_name.get(job.model)
+        if model is None:
+            return None
+        if job.adapter:
+            return self._next_for_adapter(site, job, model)
+        if site.free_mb() >= model.memory_mb:
+            return self._order(site, True, job.model, "")
+        for name in job.drops:
+            if name not in site.adapters_by_model:
+                continue
+            if not job.forced and self.load.of_model(site.endpoint.id, name):
+                # Used again since this was decided; an unload would wait for
+                # its requests and keep the endpoint from all other orders.
+                return None
+            return self._order(site, False, name, "")
+        return None
+
+    def _next_for_adapter(
+        self, site: Site, job: Job, model: declared.Model
+    ) -> adapters.Order | None:
+        if job.model not in site.adapters_by_model:
+            return None
+        full = site.adapters_held() >= site.accelerator.adapter_places
+        if not full and site.free_mb() >= model.adapter_mb:
+            return self._order(site, True, job.model, job.adapter)
+        victim = self._unused_adapter(site)
+        if victim is None:
+            return None
+        return self._order(site, False, *victim)
+
+    def _unused_adapter(self, site: Site) -> tuple[str, str] | None:
+        """Return the adapter that nobody uses and nobody asked for longest."""
+        unused = [
+            (name, adapter)
+            for name, held in site.adapters_by_model.items()
+            for adapter in held
+            if not self.load.of_model(site.endpoint.id, name, adapter)
+        ]
+        return min(
+            unused, key=lambda key: site.used_by_adapter.get(key, 0.0), default=None
+        )
+
+    def _order(
+        self, site: Site, loads: bool, model: str, adapter: str
+    ) -> adapters.Order:
+        return adapters.Order(
+            loads, model, adapter, site.accepted, self.name, self.lease.fence
+        )
+
+    def _send(self, site: Site, order: adapters.Order) -> adapters.OrderOutcome:
+        """Send an order and take its effect into account."""
+        if order.load and not order.adapter:
+            model = site.accelerator.model_by_name[order.model]
+            from_store = site.load_s(model) >= model.store_s
+            if from_store:
+                self.store_loads.append(time.monotonic())
+        if not order.load:
+            # Told before the order leaves, so that no VM sends a request that
+            # the endpoint would turn away.
+            self._publish(site, without=order)
+        outcome = self.engines.order(site.endpoint, order, self.lease.held)
+        kind = "load" if order.load else "unload"
+        self.orders_total.inc({"order": kind, "outcome": outcome.value})
+        logs.event(
+            log,
+            "order",
+            endpoint=site.endpoint.id,
+            order=kind,
+            model=order.model,
+            adapter=order.adapter,
+            accepted=order.accepted,
+            fence=order.fence,
+            outcome=outcome.value,
+        )
+        match outcome:
+            case adapters.OrderOutcome.ACCEPTED:
+                site.accepted += 1
+                self._await(site, order)
+            case adapters.OrderOutcome.DONE if not order.load:
+                self._done(site, order)
+                # Whether it counted as accepted is not said.
+                site.accepted = None if not order.adapter else site.accepted + 1
+            case adapters.OrderOutcome.DONE:
+                site.accepted = None
+            case adapters.OrderOutcome.FENCED:
+                self.lease.refused(order.fence)
+        return outcome
+
+    def _await(self, site: Site, order: adapters.Order) -> None:
+        """Wait until an accepted order has been carried out."""
+        if order.adapter:
+            gevent.sleep(ADAPTER_S if order.load else 0)
+            self._done(site, order)
+            return
+        if not order.load:
+            # The endpoint takes no further order until the model is gone, so
+            # what it frees may be counted on for the next one.
+            self._done(site, order)
+            return
+        site.loading = order.model
+        model = site.accelerator.model_by_name[order.model]
+        late_at = time.monotonic() + site.load_s(model) + LATE_S
+        while site.loading and self.lease.held() and site.endpoint.open:
+            if order.model in (site.endpoint.entry.adapters_by_model or {}):
+                self._done(site, order)
+                return
+            site.woken.clear()
+            site.woken.wait(max(0.02, min(LOOK_S, late_at - time.monotonic())))
+            if time.monotonic() > late_at:
+                self._look(site)
+                late_at = time.monotonic() + LOOK_S
+                if site.known:
+                    return
+
+    def _done(self, site: Site, order: adapters.Order) -> None:
+        site.loading = ""
+        if order.load and order.adapter:
+            site.adapters_by_model.setdefault(order.model, set()).add(order.adapter)
+            used_at = time.monotonic()
+            site.used_by_adapter[order.model, order.adapter] = used_at
+        elif order.load:
+            site.adapters_by_model.setdefault(order.model, set())
+        elif order.adapter:
+            site.adapters_by_model.get(order.model, set()).discard(order.adapter)
+        else:
+            site.adapters_by_model.pop(order.model, None)
+        self._publish(site)
+
+    def _publish(self, site: Site, without: adapters.Order | None = None) -> None:
+        held = {name: sorted(held) for name, held in site.adapters_by_model.items()}
+        if without is not None and without.adapter:
+            held[without.model] = [
+                name for name in held[without.model] if name != without.adapter
+            ]
+        elif without is not None:
+            held.pop(without.model, None)
+        self.published += 1
+        fence = self.lease.fence
+        self.residency.publish(
+            residency.Holds(fence, self.published, site.endpoint.id, held)
+        )
