--- a/packages/mothworks/src/mothworks/logs.py
+++ b/packages/mothworks/src/mothworks/logs.py
@@ -82,14 +82,14 @@
         return any(event & select.POLLOUT for _, event in self.writable.poll(0))
 
 
-def event(log: logbook.Logger, name: str, **fields: typing.Any) -> None:
+def event(log: logbook.Logger, what: str, /, **fields: typing.Any) -> None:
     """Log one decision or change, as fields that programs can filter by.
 
     :param log: the logger of the part that decided.
-    :param name: what kind of decision it was.
+    :param what: what kind of decision it was.
     :param fields: its inputs, their age or version, and the outcome.
     """
-    log.info(name, extra=fields)
+    log.info(what, extra=fields)
 
 
 def install_bounded(chosen: settings.Logs, vm: str, lines_per_s: float) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -223,13 +223,13 @@
             answer.close()
             self._note_verdict(request, endpoint, course, verdict)
             return None
-        if verdict is adapters.Verdict.FAILED and self._hedges(request, course):
-            if self.budget.take(request.target.service):
-                answer.close()
-                self.health.failed(endpoint, f"status {answer.status}", 0.5)
-                course.may_have_run = True
-                course.reason = f"status {answer.status}"
-                return None
+        failed = verdict is adapters.Verdict.FAILED
+        if failed and self._hedges(request, course):
+            answer.close()
+            self.health.failed(endpoint, f"status {answer.status}", 0.5)
+            course.may_have_run = True
+            course.reason = f"status {answer.status}"
+            return None
         return self._read(request, endpoint, course, answer, verdict, began)
 
     def _read(
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -92,7 +92,6 @@
         logs.event(
             log,
             "start",
-            name=chosen.name,
             front=chosen.front,
             data_centre=chosen.data_centre,
             started_s=round(time.monotonic(), 3),
