A fenced holder keeps its lease through outages; waits end before callers leave

Where endpoints refuse old fencing tokens the lease now lasts four times as long, and another VM takes it earlier if it hears nothing. Waits for a model end before callers leave a stream.

--- a/packages/mothworks_gateway/src/mothworks_gateway/declared.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declared.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import math
 
 import attrs
 
@@ -39,6 +40,8 @@
     :param objective_s: time within which an answer earns full credit, seconds.
     :param gap_s: longest pause between events of a stream that is on time,
         seconds; 0 for other routes.
+    :param patience_s: silence after which callers leave a stream, also before
+        its first event, seconds.
     :param urgency: rank among routes; 0 goes first.
     :param most_endpoints: endpoints that one request may be sent to.
     """
@@ -53,6 +56,7 @@
     timeout_s: float = 60.0
     objective_s: float = 1.0
     gap_s: float = 0.0
+    patience_s: float = math.inf
     urgency: int = 0
     most_endpoints: int = 1
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -40,7 +40,10 @@
 #: model, and the least such time as a multiple of the objective. Past that, a
 #: refusal lets the caller come back while there is time.
 WAIT_SHARE = 0.5
+MOST_WAIT_SHARE = 0.7
 WAIT_OBJECTIVES = 1.5
+#: Share of a caller's patience after which nothing that begins reaches it.
+PATIENCE_SHARE = 0.9
 #: Time to wait for any endpoint of a service to appear, as a share of the
 #: objective.
 EMPTY_SHARE = 0.12
@@ -164,9 +167,11 @@
         return [item for item in ready if item.id in course.tried]
 
     def _wait_until(self, request: asked.Asked) -> float:
-        left = request.deadline - request.arrived
+        patience = request.route.patience_s * PATIENCE_SHARE
+        left = min(request.deadline - request.arrived, patience)
         objectives = WAIT_OBJECTIVES * request.route.objective_s
-        return request.arrived + min(0.7 * left, max(WAIT_SHARE * left, objectives))
+        waits = min(MOST_WAIT_SHARE * left, max(WAIT_SHARE * left, objectives))
+        return request.arrived + waits
 
     def _attempt(
         self, request: asked.Asked, endpoint: registry.Endpoint, course: _Course
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -3,8 +3,13 @@
 The lease is one object in the platform's store, renewed by conditional
 update. Its fencing token grows with each holder. The holder trusts it only
 until some time before it would lapse, counted from before the renewal was
-sent on a clock that also runs while the VM is suspended; all others take it
-only after they have seen it unchanged for its whole duration.
+sent on a clock that also runs while the VM is suspended.
+
+Where endpoints ignore fencing tokens, all others take it only after they have
+seen it unchanged for its whole duration. Where endpoints refuse old tokens,
+the duration only bounds how long a holder goes on without the store: a VM
+that has not heard from the holder and sees no renewal takes it earlier, and
+what the former holder still sends is refused.
 """
 
 import random
@@ -23,9 +28,15 @@
 
 #: The object that holds the lease.
 KEY = "leases/orders"
-#: Share of the lease's duration after which it is renewed; two renewals fail
-#: before it lapses.
+#: Duration of a lease whose holder is fenced, as a multiple of the time in
+#: which VMs must not take turns: it outlasts usual outages of the store.
+FENCED_DURATIONS = 4
+#: Time between renewals, as a share of the time in which VMs must not take
+#: turns; two renewals fail before a lease lapses.
 RENEW_SHARE = 0.4
+#: Time without a renewal, in renewals, after which a silent holder that is
+#: fenced counts as gone.
+MISSED_RENEWALS = 1.3
 #: Part of the duration at whose end the holder no longer orders, seconds: the
 #: time an order may take from the check until it arrives.
 MARGIN_S = 0.4
@@ -91,10 +102,15 @@
         chosen = node_kernel.settings
         self.name = chosen.name
         self.life = f"{random.getrandbits(64):016x}"
-        self.duration_s = chosen.bounds.lease_ms / 1000
+        turns_s = chosen.bounds.lease_ms / 1000
+        fenced = chosen.bounds.fenced
+        self.renew_s = turns_s * RENEW_SHARE
+        self.duration_s = turns_s * (FENCED_DURATIONS if fenced else 1)
+        #: How long others watch it unchanged before they take it, seconds.
+        self.watch_s = self.renew_s * MISSED_RENEWALS if fenced else self.duration_s
         # Where endpoints check fencing tokens, a late order of the former
         # holder is refused there; elsewhere only time keeps the two apart.
-        self.settle_s = 0.0 if chosen.bounds.fenced else self.duration_s
+        self.settle_s = 0.0 if fenced else turns_s
         plugin = plugins.find(plugins.OBJECT_API, chosen.adapter)(chosen)
         self.api = objects.Client(plugin, node_kernel.metrics)
         self.membership = node_kernel.get(membership.Membership)
@@ -164,7 +180,7 @@
         while not self.kernel.draining:
             if self.record is not None:
                 self._renew()
-                gevent.sleep(self.duration_s * RENEW_SHARE)
+                gevent.sleep(self.renew_s)
             else:
                 self._seek()
                 gevent.sleep(LOOK_S * random.uniform(0.8, 1.2))
@@ -179,7 +195,7 @@
             case result.Err(objects.Unknown()):
                 self._recognise(sent)
             case result.Err(objects.Unavailable(reason)):
-                if now() > self.trusted_until + self.duration_s:
+                if now() > self.trusted_until:
                     self._forget(f"not renewed: {reason}")
             case result.Err(failure):
                 self._forget(f"renewal failed: {failure}")
@@ -227,10 +243,11 @@
             self._take(record.fence, version)
 
     def _stays_unchanged(self, record: Record) -> bool:
-        """Wait for the lease's whole duration; return whether it lapsed."""
-        if record.life == self.life:
+        """Wait until the lease may be taken; return whether it may."""
+        if record.holder == self.name:
+            # The process of this VM that held it is gone.
             return True
-        until = now() + self.duration_s
+        until = now() + self.watch_s
         while now() < until:
             gevent.sleep(max(0.01, min(LOOK_S, until - now())))
             if self.holder():
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -26,6 +26,9 @@
 STALE_S = 2.0
 #: Time that the platform has to tell by itself what a peer knows, seconds.
 PATIENCE_S = 0.35
+#: Time that a poll must have waited before a peer that knows more ends it,
+#: seconds.
+STUCK_S = 1.0
 #: Time for a peer to send its state, seconds.
 REPLY_S = 1.0
 
@@ -185,7 +188,7 @@
             if pulse.declaration_version > self._version() or (lost and stuck):
                 self._ask(vm)
             elif stuck:
-                by_name["endpoints"].hurry(pulse.registry_cursor, 1.0)
+                by_name["endpoints"].hurry(pulse.registry_cursor, STUCK_S)
         finally:
             self._asking = False
 
