--- a/packages/mothworks_gateway/src/mothworks_gateway/answering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/answering.py
@@ -54,6 +54,7 @@
         self.tried = {endpoint.id}
         self.outcome = "caller left"
         self.passed = 0
+        self.longest_gap_s = 0.0
         self.cutter = events.Cutter() if request.route.resumable else None
 
     def __iter__(self) -> collections.abc.Iterator[bytes]:
@@ -84,13 +85,18 @@
                 request=self.request.id,
                 endpoint=self.endpoint.id,
                 bytes=self.passed,
+                longest_gap_ms=round(self.longest_gap_s * 1000),
                 took_ms=round((time.monotonic() - self.request.arrived) * 1000),
                 outcome=self.outcome,
             )
             self.outcome = "closed"
 
     def _pieces(self) -> collections.abc.Iterator[bytes]:
+        at = time.monotonic()
         for data in self.answer.chunks():
+            now = time.monotonic()
+            self.longest_gap_s = max(self.longest_gap_s, now - at)
+            at = now
             if self.cutter is not None:
                 data = self.cutter.feed(data)
             if data:
@@ -104,6 +110,9 @@
             self.open = False
             self.answer.close()
             self.dispatch.load.end(self.endpoint, self.request.target)
+            gap_s = self.request.route.gap_s
+            if gap_s and self.longest_gap_s > gap_s:
+                self.dispatch.load.note_late(self.request.target)
 
     def _note_break(self, reason: str) -> None:
         self.outcome = f"broke: {reason}"[:100]
--- a/packages/mothworks_gateway/src/mothworks_gateway/choice.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/choice.py
@@ -14,7 +14,7 @@
 
 #: Width of a step of load, as a share of an endpoint's places. Within it the
 #: gain of a kept prompt is worth more than the shorter batch.
-STEP = 0.2
+STEP = 0.1
 #: Load that an endpoint in another data centre must be lower by, as a share of
 #: its places: bytes between data centres are priced.
 FAR = 0.1
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -245,6 +245,8 @@
         running = answering.Running(self, request, endpoint, answer)
         if request.route.streaming and verdict is adapters.Verdict.ANSWER:
             self.health.succeeded(endpoint, took)
+            if took > request.route.objective_s:
+                self.load.note_late(request.target)
             self.head_seconds.observe(
                 {"service": request.target.service}, time.monotonic() - request.arrived
             )
--- a/packages/mothworks_gateway/src/mothworks_gateway/load.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/load.py
@@ -24,6 +24,8 @@
         self.running: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self.running_by_endpoint: collections.Counter[str] = collections.Counter()
         self.arrived: collections.Counter[asked.Target] = collections.Counter()
+        #: Answers that came too slowly since the last pulse, by target.
+        self.late: collections.Counter[asked.Target] = collections.Counter()
         self._of_peers: tuple[float, collections.Counter[str]] = (
             0.0,
             collections.Counter(),
@@ -36,6 +38,13 @@
         """
         self.arrived[target] += 1
 
+    def note_late(self, target: asked.Target) -> None:
+        """Count an answer whose endpoint was too slow for the caller's objective.
+
+        :param target: what was asked for.
+        """
+        self.late[target.base] += 1
+
     def begin(self, endpoint: registry.Endpoint, target: asked.Target) -> None:
         """Count a request that is sent.
 
@@ -102,5 +111,11 @@
             for target, count in self.arrived.items()
             if target.model
         )
+        late = tuple(
+            (target.service, target.model, count)
+            for target, count in self.late.items()
+            if target.model
+        )
         self.arrived.clear()
-        return {"running": running, "arrived": arrived}
+        self.late.clear()
+        return {"running": running, "arrived": arrived, "late": late}
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -42,21 +42,20 @@
     :param registry_cursor: how new its registry is.
     :param fence: the fencing token of the lease that it holds, or 0.
     :param running: requests that it has running, by endpoint and model.
-    :param waiting: callers that wait there for a model or adapter: service,
-        model, adapter, how many, rank of the most urgent, seconds until the
-        first of them misses its objective.
     :param arrived: requests that arrived since the last pulse, by service,
         model and adapter.
     :param suspected: endpoints whose answers fail there.
+    :param late: answers that came too slowly since the last pulse, by service
+        and model.
     """
 
     declaration_version: int
     registry_cursor: int
     fence: int
     running: tuple[tuple[str, str, str, int], ...] = ()
-    waiting: tuple[tuple[str, str, str, int, int, float], ...] = ()
     arrived: tuple[tuple[str, str, str, int], ...] = ()
     suspected: tuple[str, ...] = ()
+    late: tuple[tuple[str, str, int], ...] = ()
 
 
 @messages.message(111)
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -34,11 +34,24 @@
 WANTED_S = 0.6
 #: Half-life of the demand that is remembered for a model, seconds.
 HALF_LIFE_S = 8.0
-#: Share of a model's places in batches at which it gets another endpoint.
-FULL = 0.6
+#: Share of a model's places in batches at which it gets another endpoint. A
+#: load costs as much as half a late answer, and prompts that are read delay
+#: all other requests of their endpoint long before its batch is full.
+FULL = 0.3
+#: Late answers a second, of one model, at which it gets another endpoint.
+LATE_PER_S = 1.0
+#: Half-life of the late answers that are remembered, seconds.
+LATE_HALF_LIFE_S = 2.0
+#: Time between two further endpoints for one model, seconds: the last one must
+#: have taken its share first.
+SPREAD_S = 1.0
+#: Callers that wait for a model for which it is loaded at one more endpoint.
+CALLERS_PER_REPLICA = 6
+#: Cost of a fully loaded endpoint in a choice between endpoints, seconds.
+BUSY_S = 3.0
 #: Reasons to load.
 WANTED = "wanted"
-NEARLY_FULL = "nearly full"
+SLOW = "its endpoints are slow or nearly full"
 #: Time over which the callers of a dropped model are counted, seconds: about
 #: as long as it stays away.
 LOSS_S = 10.0
@@ -95,6 +108,8 @@
         self.sites = node_kernel.get(sites.Sites)
         self.want_by_source: dict[tuple[str, asked.Target], _Want] = {}
         self.rate_by_target: dict[asked.Target, float] = {}
+        self.late_by_target: dict[asked.Target, float] = {}
+        self.spread_at_by_target: dict[asked.Target, float] = {}
         self.rated_at = time.monotonic()
         self.woken = gevent.event.Event()
         self.residency.on_wanted.append(self._hear_wanted)
@@ -128,6 +143,10 @@
     def _hear_pulse(self, _: str, told: pulse.Pulse) -> None:
         for service, model, adapter, count in told.arrived:
             self._count(asked.Target(service, model, adapter), count)
+        for service, model, count in told.late:
+            target = asked.Target(service, model)
+            added = count * 0.693 / LATE_HALF_LIFE_S
+            self.late_by_target[target] = self.late_by_target.get(target, 0) + added
 
     def _fade(self) -> None:
         """Let what is remembered of the demand fade."""
@@ -135,9 +154,13 @@
         if passed < LOOK_S:
             return
         self.rated_at += passed
-        kept = 0.5 ** (passed / HALF_LIFE_S)
-        for target in list(self.rate_by_target):
-            self.rate_by_target[target] *= kept
+        for by_target, half_life_s in (
+            (self.rate_by_target, HALF_LIFE_S),
+            (self.late_by_target, LATE_HALF_LIFE_S),
+        ):
+            kept = 0.5 ** (passed / half_life_s)
+            for target in by_target:
+                by_target[target] *= kept
 
     def _count(self, target: asked.Target, count: int) -> None:
         """Add requests to a target's rate, a fading mean."""
@@ -157,9 +180,10 @@
             model = accelerator.model_by_name.get(told.model) if accelerator else None
             if model is None:
                 continue
-            if told.adapter and self._holders(told.target.base):
+            ready = self._holders(told.target.base)
+            if told.adapter and ready:
                 self._place_adapter(told)
-            elif not self._holders(told.target.base):
+            elif len(ready) < _replicas(told):
                 self._place_model(told.service, accelerator, model, WANTED)
         if not wanted:
             self._spread(declaration)
@@ -172,9 +196,12 @@
             if want.at < oldest:
                 del self.want_by_source[source]
                 continue
-            known = first_by_target.get(want.told.target)
-            if known is None or _order(want.told) < _order(known):
-                first_by_target[want.told.target] = want.told
+            told = want.told
+            known = first_by_target.get(told.target)
+            if known is not None:
+                first, _ = sorted((told, known), key=_order)
+                told = attrs.evolve(first, count=told.count + known.count)
+            first_by_target[told.target] = told
         return sorted(first_by_target.values(), key=_order)
 
     def _holders(self, target: asked.Target) -> list[sites.Site]:
@@ -249,7 +276,7 @@
         if free < model.memory_mb:
             return None
         busy = self.load.of_endpoint(site.endpoint.id) / site.accelerator.batch
-        return _Offer(site, tuple(drops), seconds + 0.5 * busy, forced)
+        return _Offer(site, tuple(drops), seconds + BUSY_S * busy, forced)
 
     def _droppable(self, site: sites.Site, forced: bool) -> list[str]:
         """Return models that a site may drop, the least missed first."""
@@ -290,11 +317,23 @@
                     running[asked.Target(service.name, name)] += count
         for target, count in running.most_common():
             accelerator = declaration.service_by_name[target.service].accelerator
-            holders = self._holders(target)
             model = accelerator.model_by_name.get(target.model)
-            if model is None or count <= FULL * accelerator.batch * len(holders):
-                continue
-            self._place_model(target.service, accelerator, model, NEARLY_FULL)
+            if model is not None and self._needs_more(target, count, accelerator):
+                self.spread_at_by_target[target] = time.monotonic()
+                self._place_model(target.service, accelerator, model, SLOW)
+
+    def _needs_more(
+        self, target: asked.Target, running: int, accelerator: declared.Accelerator
+    ) -> bool:
+        """Return whether a model's endpoints are too few for its callers."""
+        since = time.monotonic() - self.spread_at_by_target.get(target, 0.0)
+        holders = self._holders(target)
+        loading = [site for site in holders if target.model == site.loading]
+        if since < SPREAD_S or loading or any(site.jobs for site in holders):
+            return False
+        full = running > FULL * accelerator.batch * len(holders)
+        late = self.late_by_target.get(target, 0.0) > LATE_PER_S
+        return full or late
 
     def _say(
         self, target: asked.Target, site: sites.Site, reason: str, drops: tuple
@@ -313,5 +352,10 @@
         )
 
 
+def _replicas(told: residency.Wanted) -> int:
+    """Return at how many endpoints a model is loaded that callers wait for."""
+    return 1 + told.count // CALLERS_PER_REPLICA
+
+
 def _order(told: residency.Wanted) -> tuple[int, float]:
     return told.urgency, told.left_s
