--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/demand.py
@@ -0,0 +1,127 @@
+"""Demand: what callers ask for, wait for and get too late, by model.
+
+Kept on every VM from the pulses, so that whoever holds the lease next knows it
+already.
+"""
+
+import time
+
+import attrs
+
+from mothworks import kernel
+from mothworks_gateway import asked, pulse, residency
+
+#: Time after which a VM's word that callers wait is no longer believed, seconds.
+WANTED_S = 0.6
+#: Half-life of the requests that are remembered for a model, seconds: demand
+#: moves to other models within a few seconds.
+HALF_LIFE_S = 5.0
+#: Half-life of the late answers that are remembered, seconds.
+LATE_HALF_LIFE_S = 2.0
+#: Natural logarithm of 2: turns a half-life into the rate of a fading mean.
+LN_2 = 0.693
+
+
+@attrs.frozen
+class Wish:
+    """A model or adapter that callers wait for.
+
+    :param target: what they wait for.
+    :param count: how many, on all VMs.
+    :param urgency: rank of the most urgent of them.
+    :param left_s: seconds until the first of them misses its objective.
+    """
+
+    target: asked.Target
+    count: int
+    urgency: int
+    left_s: float
+
+
+class _Fading:
+    """Events a second by target, as a mean that fades.
+
+    :param half_life_s: time after which an event counts half, seconds.
+    """
+
+    def __init__(self, half_life_s: float):
+        self.half_life_s = half_life_s
+        self.rate_by_target: dict[asked.Target, float] = {}
+        self.faded_at = time.monotonic()
+
+    def add(self, target: asked.Target, count: int) -> None:
+        self._fade()
+        added = count * LN_2 / self.half_life_s
+        self.rate_by_target[target] = self.rate_by_target.get(target, 0.0) + added
+
+    def rate(self, target: asked.Target) -> float:
+        self._fade()
+        return self.rate_by_target.get(target, 0.0)
+
+    def _fade(self) -> None:
+        now = time.monotonic()
+        kept = 0.5 ** ((now - self.faded_at) / self.half_life_s)
+        if kept > 0.99:
+            return
+        self.faded_at = now
+        for target in self.rate_by_target:
+            self.rate_by_target[target] *= kept
+
+
+class Demand(kernel.Part):
+    """Adds up what all VMs tell.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.requests = _Fading(HALF_LIFE_S)
+        self.late = _Fading(LATE_HALF_LIFE_S)
+        self.wanted_by_source: dict[
+            tuple[str, asked.Target], tuple[float, residency.Wanted]
+        ] = {}
+        node_kernel.get(residency.Residency).on_wanted.append(self._hear_wanted)
+        node_kernel.get(pulse.Pulses).on_heard.append(self._hear_pulse)
+
+    def rate(self, target: asked.Target) -> float:
+        """Return the requests a second for a model or adapter.
+
+        :param target: what is asked for.
+        """
+        return self.requests.rate(target)
+
+    def wishes(self) -> list[Wish]:
+        """Return what callers wait for now, the most urgent first."""
+        oldest = time.monotonic() - WANTED_S
+        wish_by_target: dict[asked.Target, Wish] = {}
+        for source, (at, told) in list(self.wanted_by_source.items()):
+            if at < oldest:
+                del self.wanted_by_source[source]
+                continue
+            wish = Wish(told.target, told.count, told.urgency, told.left_s)
+            known = wish_by_target.get(told.target)
+            wish_by_target[told.target] = _joined(wish, known) if known else wish
+        return sorted(
+            wish_by_target.values(), key=lambda wish: (wish.urgency, wish.left_s)
+        )
+
+    def _hear_wanted(self, vm: str, told: residency.Wanted) -> None:
+        self.wanted_by_source[vm, told.target] = (time.monotonic(), told)
+
+    def _hear_pulse(self, _: str, told: pulse.Pulse) -> None:
+        for service, model, adapter, count in told.arrived:
+            target = asked.Target(service, model, adapter)
+            for item in {target, target.base}:
+                self.requests.add(item, count)
+        for service, model, count in told.late:
+            self.late.add(asked.Target(service, model), count)
+
+
+def _joined(wish: Wish, other: Wish) -> Wish:
+    return Wish(
+        wish.target,
+        wish.count + other.count,
+        min(wish.urgency, other.urgency),
+        min(wish.left_s, other.left_s),
+    )
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/offers.py
@@ -0,0 +1,152 @@
+"""Offers: what it would cost to have a model loaded at a site.
+
+The cost is counted in requests that would be harmed: those that wait while
+the model loads, and those for the models that are dropped to make room.
+"""
+
+import attrs
+
+from mothworks import kernel
+from mothworks_gateway import asked, declared, demand, load, sites
+
+#: Part of a waiting request that is lost with each second that it waits.
+LOST_PER_S = 0.4
+#: Time for which a dropped model is missed, beside loading it again, seconds.
+MISSED_S = 1.0
+#: Requests a second that each model is taken to get at least, times the square
+#: of its replicas: before any demand is seen, what is held often is the likely
+#: one to be asked for.
+LEAST_RATE = 0.02
+#: Share of a batch up to which the endpoints that remain take over the
+#: requests of one that drops a model.
+ROOM = 0.25
+#: Share of its requests that are harmed where a model loses a spare replica.
+SPARE = 0.15
+#: Time that an unload waits for requests that still run, seconds; also the
+#: time for which the endpoint takes no other order.
+RUNNING_S = 2.0
+#: Seconds that a fully loaded endpoint is slower by.
+BUSY_S = 3.0
+
+
+@attrs.frozen
+class Offer:
+    """A site that could load a model.
+
+    :param site: the site.
+    :param drops: models to drop there first.
+    :param harm: requests harmed by dropping them.
+    :param seconds: time until the model would be ready.
+    :param forced: whether requests use what is dropped.
+    """
+
+    site: sites.Site
+    drops: tuple[str, ...]
+    harm: float
+    seconds: float
+    forced: bool
+
+    def cost(self, callers: int) -> float:
+        """Return the requests harmed in all.
+
+        :param callers: how many wait for the model.
+        """
+        return self.harm + LOST_PER_S * callers * self.seconds
+
+
+class Offers(kernel.Part):
+    """Makes offers.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.sites = node_kernel.get(sites.Sites)
+        self.load = node_kernel.get(load.Load)
+        self.demand = node_kernel.get(demand.Demand)
+
+    def holders(self, target: asked.Target) -> list[sites.Site]:
+        """Return the open sites that hold, or will hold, a model or adapter.
+
+        :param target: what is to be held.
+        """
+        return [
+            site
+            for site in self.sites.of_service(target.service)
+            if site.open and site.will_hold(target.model, target.adapter)
+        ]
+
+    def make(self, service: str, model: declared.Model, forced: bool) -> list[Offer]:
+        """Return what all free sites of a service offer.
+
+
+        :param service: the service.
+        :param model: what is to be loaded.
+        :param forced: whether models may be dropped that requests use.
+        """
+        offers = []
+        for site in self.sites.of_service(service):
+            free = site.open and site.known and not site.jobs
+            if free and not site.will_hold(model.name, ""):
+                offer = self._offer(site, model, forced)
+                if offer is not None:
+                    offers.append(offer)
+        return offers
+
+    def _offer(
+        self, site: sites.Site, model: declared.Model, forced: bool
+    ) -> Offer | None:
+        free = site.free_mb()
+        harm = 0.0
+        drops: list[str] = []
+        used = False
+        for name in self._droppable(site, forced):
+            if free >= model.memory_mb:
+                break
+            drops.append(name)
+            free += site.memory_mb(name)
+            harm += self.harm(site, name)
+            used = used or bool(self.load.of_model(site.endpoint.id, name))
+        if free < model.memory_mb:
+            return None
+        share = self.load.of_endpoint(site.endpoint.id) / site.accelerator.batch
+        seconds = site.load_s(model) + BUSY_S * share + (RUNNING_S if used else 0.0)
+        return Offer(site, tuple(drops), harm, seconds, used)
+
+    def harm(self, site: sites.Site, name: str) -> float:
+        """Return the requests that are harmed if a site drops a model.
+
+        :param site: the site.
+        :param name: a model that it holds.
+        """
+        target = asked.Target(site.endpoint.entry.service, name)
+        others = [item for item in self.holders(target) if item is not site]
+        least = LEAST_RATE * (1 + len(others)) ** 2
+        rate = max(least, self.demand.rate(target))
+        model = site.accelerator.model_by_name.get(name)
+        seconds = MISSED_S + (model.host_s if model else 0.0)
+        if not others:
+            return rate * seconds
+        running = sum(
+            self.load.of_model(item.endpoint.id, name) for item in (site, *others)
+        )
+        if running <= ROOM * site.accelerator.batch * len(others):
+            return rate * seconds * SPARE
+        return rate * seconds
+
+    def _droppable(self, site: sites.Site, forced: bool) -> list[str]:
+        """Return models that a site may drop, the least missed first."""
+        service = site.endpoint.entry.service
+        wished = {
+            wish.target.model
+            for wish in self.demand.wishes()
+            if wish.target.service == service
+        }
+        names = [
+            name
+            for name in site.adapters_by_model
+            if name not in wished
+            and (forced or not self.load.of_model(site.endpoint.id, name))
+        ]
+        return sorted(names, key=lambda name: self.harm(site, name))
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -193,5 +193,8 @@
             service=entry.service,
             address=f"{entry.address[0]}:{entry.address[1]}",
             revision=self.cursor,
+            holds=sorted(entry.adapters_by_model or ()),
+            in_host_memory=len(entry.in_host_memory),
+            on_disk=len(entry.on_disk),
             outcome=what,
         )
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -150,6 +150,13 @@
             return model.disk_s
         return model.store_s
 
+    def at_hand(self) -> set[str]:
+        """Return the models that it loads without the weight store."""
+        entry = self.endpoint.entry
+        coming = {job.model for job in self.jobs if not job.adapter}
+        held = self.adapters_by_model.keys() | coming | {self.loading}
+        return held | entry.in_host_memory | entry.on_disk
+
     def add(self, job: Job) -> None:
         """Queue a job.
 
