A VM that stops closes idle connections and refuses what still comes

Once the balancer must know (2.6 s), the port and idle connections are closed; what crosses is refused as not run.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -56,6 +56,8 @@
     def __init__(self, sock, address, server, rfile=None):
         super().__init__(sock, address, server, rfile)
         self.refusal: outcomes.Refusal | None = None
+        #: Whether the connection is open without a request.
+        self.idle = False
         # Without it the kernel holds back the second of two small writes
         # until the first is acknowledged, up to 40 ms later.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -75,8 +77,12 @@
 
     def read_requestline(self) -> str:
         """Wait for the next request, for a bounded time."""
-        with gevent.Timeout(self.server.limits.idle_s, TimeoutError("idle")):
-            return super().read_requestline()
+        self.idle = True
+        try:
+            with gevent.Timeout(self.server.limits.idle_s, TimeoutError("idle")):
+                return super().read_requestline()
+        finally:
+            self.idle = False
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read the head, bounded in bytes and time, and check its length."""
@@ -182,6 +188,20 @@
         finally:
             self.connections.discard(connection)
 
+    def close_idle(self) -> None:
+        """Close the connections that carry no request now.
+
+        A caller whose next request crosses with the close sees that it was
+        not read, and may send it elsewhere.
+        """
+        for connection in list(self.connections):
+            if connection.idle:
+                try:
+                    connection.socket.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    # The caller closed it at the same moment.
+                    pass
+
     def _refuse(self, sock: socket.socket) -> None:
         if self.lingering >= MOST_LINGERING:
             return
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -36,8 +36,9 @@
 UNREADY_S = 2.6
 #: Time before the process would be killed at which it ends by itself, seconds.
 END_S = 0.6
-#: Time that callers need to follow a close, seconds.
-QUIET_S = 0.3
+#: Hint to a caller whose request met a VM that stops, seconds: it comes to
+#: another one.
+STOPPING_RETRY_S = 0.02
 #: Part of the longest idle time, in force for callers, that is added to it:
 #: callers that reuse a connection late must not meet its close.
 IDLE_FACTOR = 1.15
@@ -77,6 +78,8 @@
             for place in self._status_addresses(chosen)
         ]
         self.open_calls = 0
+        #: Whether requests that still come are refused.
+        self.closing = False
         self.declarations.on_change.append(self._take_limits)
 
     def start(self) -> None:
@@ -90,19 +93,17 @@
 
         The balancer sends connections until it has noticed that the VM is not
         ready. They are served, and each answer asks its caller to connect
-        anew, so that no request crosses with a close.
+        anew. Then idle connections are closed: a request that came on one
+        later could run out of the time that is left, and be cut off.
         """
-        unready_until = time.monotonic() + UNREADY_S
-        quiet_since = time.monotonic()
-        while time.monotonic() < deadline:
-            gevent.sleep(0.05)
-            now = time.monotonic()
-            if self.open_calls or now < unready_until:
-                quiet_since = now
-            elif now - quiet_since > QUIET_S:
-                break
+        gevent.sleep(max(0.0, min(UNREADY_S, deadline - time.monotonic())))
         self.listener.stop_accepting()
         self.listener.close()
+        self.closing = True
+        while self.open_calls and time.monotonic() < deadline:
+            self.listener.close_idle()
+            gevent.sleep(0.05)
+        self.listener.close_idle()
 
     def stop(self) -> None:
         """Close the listeners and what is still open."""
@@ -189,6 +190,9 @@
             )
 
     def _reply(self, call: calls.Call) -> answering.Reply:
+        if self.closing:
+            refusal = outcomes.overloaded("this VM stops", STOPPING_RETRY_S, "stopping")
+            return self._refused(call, refusal)
         declaration = self.declarations.current
         if declaration is None:
             refusal = outcomes.overloaded(
