An order is pursued until it is carried out; a suspended holder trusts no lease

Cause: while an unload waited for requests, its load met conflicts, reports that lag made the job look undone, and it was dropped and decided anew elsewhere: a model that 14 requests a second asked for came 5 s late. A VM that woke from a freeze of 7.6 s still ordered.

--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -44,6 +44,11 @@
 LOOK_S = 0.5
 #: Time that each VM leaves to the one before it in line, seconds.
 RANK_S = 0.7
+#: Seconds between signs of life of this VM's own clock, and the longest time
+#: between two of them in which the lease is trusted: after a longer one the VM
+#: was suspended, and another may hold the lease.
+TICK_S = 0.25
+MOST_TICK_S = 1.0
 #: Time without a holder's pulse after which the lease is looked at, seconds.
 SILENCE_S = 1.2
 
@@ -125,6 +130,7 @@
         self.version: str | None = None
         self.trusted_until = 0.0
         self.orders_from = 0.0
+        self.ticked_at = now()
         #: Functions to call after this VM became the holder.
         self.on_gained: list = []
         self._refused_fence = 0
@@ -133,6 +139,7 @@
         """Start to hold or watch the lease."""
         self.started_at = time.monotonic()
         self.tasks.spawn(self._run)
+        self.tasks.every(TICK_S, self._tick)
 
     @property
     def fence(self) -> int:
@@ -145,6 +152,7 @@
             self.record is not None
             and self.record.holder == self.name
             and self.orders_from <= now() < self.trusted_until
+            and now() - self.ticked_at < MOST_TICK_S
         )
 
     def holder(self) -> str:
@@ -185,6 +193,12 @@
                 self._seek()
                 gevent.sleep(LOOK_S * random.uniform(0.8, 1.2))
 
+    def _tick(self) -> None:
+        """Distrust the lease after a suspension, until it is renewed."""
+        if now() - self.ticked_at >= MOST_TICK_S:
+            self.trusted_until = 0.0
+        self.ticked_at = now()
+
     def _renew(self) -> None:
         record = attrs.evolve(self.record, renewals=self.record.renewals + 1)
         sent = now()
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -34,10 +34,13 @@
 #: Time that an adapter takes to load, from the order's acceptance, seconds:
 #: 5 to 10 ms are usual.
 ADAPTER_S = 0.012
-#: Pause before an order that met a conflict is tried again, seconds.
-CONFLICT_S = 0.04
-#: Conflicts in a row after which the endpoint is asked what it holds.
-CONFLICTS = 3
+#: Pause before an order that met a conflict is tried again, seconds: the first,
+#: the longest, and how it grows.
+CONFLICT_S = 0.03
+MOST_CONFLICT_S = 0.15
+CONFLICT_GROWTH = 1.5
+#: Time of conflicts after which the endpoint is asked what it holds, seconds.
+DOUBT_S = 1.0
 #: Pause between looks at an endpoint that carries out an order, seconds.
 LOOK_S = 0.5
 #: Time beyond a load's usual duration before the endpoint is asked, seconds.
@@ -303,25 +306,67 @@
 
     def _carry_out(self, site: Site, job: Job) -> bool:
         """Load what a job names; returns whether it is held now."""
+        model = site.accelerator.model_by_name.get(job.model)
+        if model is None:
+            return False
+        if job.adapter:
+            return self._carry_out_adapter(site, job, model)
+        for name in job.drops:
+            if site.free_mb() >= model.memory_mb:
+                break
+            if not self._may_drop(site, job, name):
+                return False
+            if not self._order(site, False, name, ""):
+                return False
+        return site.free_mb() >= model.memory_mb and self._order(
+            site, True, job.model, ""
+        )
+
+    def _may_drop(self, site: Site, job: Job, name: str) -> bool:
+        """Return whether a model is still to be dropped.
+
+        Used again since that was decided, its unload would wait for its
+        requests and keep the endpoint from all other orders.
+        """
+        return job.forced or not self.load.of_model(site.endpoint.id, name)
+
+    def _carry_out_adapter(self, site: Site, job: Job, model: declared.Model) -> bool:
+        if job.model not in site.adapters_by_model:
+            return False
+        while (
+            site.adapters_held() >= site.accelerator.adapter_places
+            or site.free_mb() < model.adapter_mb
+        ):
+            victim = self._unused_adapter(site)
+            if victim is None or not self._order(site, False, *victim):
+                return False
+        return self._order(site, True, job.model, job.adapter)
+
+    def _order(self, site: Site, loads: bool, model: str, adapter: str) -> bool:
+        """Order something until it is carried out; returns whether it is."""
         until = time.monotonic() + JOB_S
-        conflicts = 0
+        look_at = time.monotonic() + DOUBT_S
+        pause = CONFLICT_S
         while time.monotonic() < until and self.lease.held() and site.open:
             if not site.known:
                 self._look(site)
+                look_at = time.monotonic() + DOUBT_S
                 if not site.known:
                     gevent.sleep(LOOK_S)
                     continue
-            order = self._next_order(site, job)
-            if order is None:
-                return self._holds(site, job)
-            match self._send(site, order):
+            if self._holds(site, model, adapter) == loads:
+                return True
+            if loads and not self._fits(site, model, adapter):
+                return False
+            match self._send(site, loads, model, adapter):
                 case adapters.OrderOutcome.ACCEPTED | adapters.OrderOutcome.DONE:
-                    conflicts = 0
+                    return self._holds(site, model, adapter) == loads
                 case adapters.OrderOutcome.CONFLICT:
-                    conflicts += 1
-                    if conflicts >= CONFLICTS:
+                    # Most often the order before is still being carried out.
+                    gevent.sleep(pause)
+                    pause = min(MOST_CONFLICT_S, pause * CONFLICT_GROWTH)
+                    if time.monotonic() > look_at:
                         site.accepted = None
-                    gevent.sleep(CONFLICT_S)
                 case adapters.OrderOutcome.UNKNOWN:
                     # The next copy names the same number of accepted orders:
                     # only one of them can be taken.
@@ -331,43 +376,20 @@
                     return False
         return False
 
-    def _holds(self, site: Site, job: Job) -> bool:
-        held = site.adapters_by_model.get(job.model)
-        return held is not None and (not job.adapter or job.adapter in held)
+    def _holds(self, site: Site, model: str, adapter: str) -> bool:
+        held = site.adapters_by_model.get(model)
+        return held is not None and (not adapter or adapter in held)
 
-    def _next_order(self, site: Site, job: Job) -> adapters.Order | None:
-        """Return the next order towards a job; None if none is needed or fits."""
-        if self._holds(site, job):
-            return None
-        model = site.accelerator.model_by_name.get(job.model)
+    def _fits(self, site: Site, name: str, adapter: str) -> bool:
+        """Return whether there is room for a model or adapter."""
+        model = site.accelerator.model_by_name.get(name)
         if model is None:
-            return None
-        if job.adapter:
-            return self._next_for_adapter(site, job, model)
-        if site.free_mb() >= model.memory_mb:
-            return self._order(site, True, job.model, "")
-        for name in job.drops:
-            if name not in site.adapters_by_model:
-                continue
-            if not job.forced and self.load.of_model(site.endpoint.id, name):
-                # Used again since this was decided; an unload would wait for
-                # its requests and keep the endpoint from all other orders.
-                return None
-            return self._order(site, False, name, "")
-        return None
-
-    def _next_for_adapter(
-        self, site: Site, job: Job, model: declared.Model
-    ) -> adapters.Order | None:
-        if job.model not in site.adapters_by_model:
-            return None
-        full = site.adapters_held() >= site.accelerator.adapter_places
-        if not full and site.free_mb() >= model.adapter_mb:
-            return self._order(site, True, job.model, job.adapter)
-        victim = self._unused_adapter(site)
-        if victim is None:
-            return None
-        return self._order(site, False, *victim)
+            return False
+        if not adapter:
+            return site.free_mb() >= model.memory_mb
+        places = site.accelerator.adapter_places
+        held = name in site.adapters_by_model and site.adapters_held() < places
+        return held and site.free_mb() >= model.adapter_mb
 
     def _unused_adapter(self, site: Site) -> tuple[str, str] | None:
         """Return the adapter that nobody uses and nobody asked for longest."""
@@ -381,19 +403,16 @@
             unused, key=lambda key: site.used_by_adapter.get(key, 0.0), default=None
         )
 
-    def _order(
+    def _send(
         self, site: Site, loads: bool, model: str, adapter: str
-    ) -> adapters.Order:
-        return adapters.Order(
+    ) -> adapters.OrderOutcome:
+        """Send an order once and take its effect into account."""
+        order = adapters.Order(
             loads, model, adapter, site.accepted, self.name, self.lease.fence
         )
-
-    def _send(self, site: Site, order: adapters.Order) -> adapters.OrderOutcome:
-        """Send an order and take its effect into account."""
         if order.load and not order.adapter:
-            model = site.accelerator.model_by_name[order.model]
-            from_store = site.load_s(model) >= model.store_s
-            if from_store:
+            sized = site.accelerator.model_by_name[order.model]
+            if site.load_s(sized) >= sized.store_s:
                 self.store_loads.append(time.monotonic())
         if not order.load:
             # Told before the order leaves, so that no VM sends a request that
