--- a/packages/mothworks_gateway/src/mothworks_gateway/choice.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/choice.py
@@ -1,8 +1,10 @@
 """Choice: which endpoint a request is sent to.
 
-Among endpoints that hold the model and are not passed over, the least loaded
-goes first, in steps, so that within a step requests that share a prompt meet
-at the same endpoint, where its parts are kept.
+Each request has a preferred endpoint among those that hold its model: the one
+where requests that share its prompt meet, since its parts are kept there. It
+is compared with another one drawn at random, and the less loaded of the two is
+taken, with some credit for the first: what VMs know of each other's load is a
+little old, and if all took the least loaded, they would all take the same.
 """
 
 import random
@@ -12,11 +14,10 @@
 from mothworks import kernel, ownership
 from mothworks_gateway import asked, declared, discovery, health, load, registry
 
-#: Width of a step of load, as a share of an endpoint's places. Within it the
-#: gain of a kept prompt is worth more than the shorter batch.
-STEP = 0.1
-#: Load that an endpoint in another data centre must be lower by, as a share of
-#: its places: bytes between data centres are priced.
+#: Load, as a share of an endpoint's places, that a kept prompt is worth.
+AFFINITY = 0.1
+#: Load, as a share of its places, by which an endpoint in another data centre
+#: must be lower: bytes between data centres are priced.
 FAR = 0.1
 
 
@@ -66,22 +67,36 @@
             item for item in everyone if item.holds(target.model, target.adapter)
         ]
         ready = self.health.usable(holding) if holding else []
-        key = self._affinity(request)
-        ranked = sorted(ready, key=lambda item: self._rank(item, key))
-        return Candidates(tuple(ranked), tuple(everyone))
+        return Candidates(tuple(self._order(ready, request)), tuple(everyone))
 
-    def _rank(self, endpoint: registry.Endpoint, key: str) -> tuple[int, int]:
+    def _order(
+        self, ready: list[registry.Endpoint], request: asked.Asked
+    ) -> list[registry.Endpoint]:
+        if len(ready) < 2:
+            return ready
+        if not request.prompt:
+            shuffled = random.sample(ready, len(ready))
+            return sorted(shuffled, key=self._share)
+        preferred = self._preferred(ready, request)
+        other = random.choice([item for item in ready if item is not preferred])
+        pair = [preferred, other]
+        if self._share(other) + AFFINITY < self._share(preferred):
+            pair.reverse()
+        rest = [item for item in ready if item not in pair]
+        return [*pair, *sorted(rest, key=self._share)]
+
+    def _share(self, endpoint: registry.Endpoint) -> float:
+        """Return how full an endpoint is, with a surcharge for distance."""
         running = self.load.of_endpoint(endpoint.id)
         share = running / max(1, endpoint.entry.places)
-        if endpoint.entry.data_centre != self.data_centre:
-            share += FAR
-        if not key:
-            return int(share * 1000), random.getrandbits(16)
-        return int(share / STEP), -ownership.weight(key, endpoint.id)
-
-    def _affinity(self, request: asked.Asked) -> str:
-        """Return what requests share that should meet at one endpoint."""
-        if not request.prompt:
-            return ""
+        near = endpoint.entry.data_centre == self.data_centre
+        return share if near else share + FAR
+
+    def _preferred(
+        self, ready: list[registry.Endpoint], request: asked.Asked
+    ) -> registry.Endpoint:
+        """Return where requests meet that share this one's prompt."""
+        # The last part is the request's own, or its session's.
         parts = request.prompt[:-1] or request.prompt
-        return f"{request.target.model}/{request.target.adapter}/{parts[-1].id}"
+        key = f"{request.target.model}/{request.target.adapter}/{parts[-1].id}"
+        return max(ready, key=lambda item: ownership.weight(key, item.id))
--- a/packages/mothworks_gateway/src/mothworks_gateway/demand.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/demand.py
@@ -49,7 +49,7 @@
         self.rate_by_target: dict[asked.Target, float] = {}
         self.faded_at = time.monotonic()
 
-    def add(self, target: asked.Target, count: int) -> None:
+    def add(self, target: asked.Target, count: float) -> None:
         self._fade()
         added = count * LN_2 / self.half_life_s
         self.rate_by_target[target] = self.rate_by_target.get(target, 0.0) + added
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -108,7 +108,7 @@
         :param watch: notices that the caller leaves.
         """
         self.budget.add_request(request.target.service)
-        self.load.arrive(request.target)
+        self.load.arrive(request)
         if self.poison.convicted(request):
             return self._refuse(request, _Course(reason="poison"), 503, None)
         course = _Course()
--- a/packages/mothworks_gateway/src/mothworks_gateway/load.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/load.py
@@ -9,6 +9,10 @@
 from mothworks import kernel
 from mothworks_gateway import asked, pulse, registry
 
+#: Time in which a model is usually loaded again from an endpoint's memory or
+#: disk, seconds.
+RELOAD_S = 0.8
+
 
 class Load(kernel.Part):
     """Counts running and waiting requests.
@@ -23,7 +27,9 @@
         #: Own running requests by endpoint id, model and adapter.
         self.running: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self.running_by_endpoint: collections.Counter[str] = collections.Counter()
-        self.arrived: collections.Counter[asked.Target] = collections.Counter()
+        self.arrived: collections.defaultdict[asked.Target, float] = (
+            collections.defaultdict(float)
+        )
         #: Answers that came too slowly since the last pulse, by target.
         self.late: collections.Counter[asked.Target] = collections.Counter()
         self._of_peers: tuple[float, collections.Counter[str]] = (
@@ -31,12 +37,15 @@
             collections.Counter(),
         )
 
-    def arrive(self, target: asked.Target) -> None:
+    def arrive(self, request: asked.Asked) -> None:
         """Count a request that came in.
 
-        :param target: what it asks for.
+        One that may wait for longer than its model takes to load again weighs
+        less: it is hardly harmed if its model is not there.
+
+        :param request: the request.
         """
-        self.arrived[target] += 1
+        self.arrived[request.target] += min(1.0, RELOAD_S / request.route.objective_s)
 
     def note_late(self, target: asked.Target) -> None:
         """Count an answer whose endpoint was too slow for the caller's objective.
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -19,7 +19,7 @@
 log = logbook.Logger("pulse")
 
 #: Seconds between pulses.
-PULSE_S = 0.4
+PULSE_S = 0.25
 #: Most peers that hear each pulse, so that the cost for one VM is bounded.
 MOST_PEERS = 16
 #: Time after which a pulse says nothing any more, seconds.
@@ -43,7 +43,7 @@
     :param fence: the fencing token of the lease that it holds, or 0.
     :param running: requests that it has running, by endpoint and model.
     :param arrived: requests that arrived since the last pulse, by service,
-        model and adapter.
+        model and adapter; see :meth:`load.Load.arrive` for their weight.
     :param suspected: endpoints whose answers fail there.
     :param late: answers that came too slowly since the last pulse, by service
         and model.
@@ -53,7 +53,7 @@
     registry_cursor: int
     fence: int
     running: tuple[tuple[str, str, str, int], ...] = ()
-    arrived: tuple[tuple[str, str, str, int], ...] = ()
+    arrived: tuple[tuple[str, str, str, float], ...] = ()
     suspected: tuple[str, ...] = ()
     late: tuple[tuple[str, str, int], ...] = ()
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -38,6 +38,8 @@
 FULL = 0.3
 #: Late answers a second, of one model, at which it gets another endpoint.
 LATE_PER_S = 1.0
+#: Requests a second below which a model gets no further endpoint.
+LEAST_RATE = 0.5
 #: Time between two further endpoints for one model, seconds: the last one must
 #: have taken its share first.
 SPREAD_S = 1.0
@@ -50,8 +52,10 @@
 #: Time past the moment at which a caller began to be late, after which models
 #: are dropped that requests still use, seconds.
 FORCE_S = 1.0
-#: Requests that a further endpoint for a slow model may harm.
+#: Requests that a further endpoint for a slow model may harm: at once, and for
+#: each late answer a second.
 HARM_OF_SPREADING = 0.5
+HARM_PER_LATE = 1.5
 #: Endpoints that keep a copy of each model, in memory or on disk: a second
 #: endpoint for it is then ready within a second.
 COPIES = 2
@@ -173,11 +177,13 @@
         """Give models whose endpoints are slow or nearly full another one."""
         for model in accelerator.model_by_name.values():
             target = asked.Target(service, model.name)
-            if self.demand.rate(target) < LATE_PER_S / 2:
+            if self.demand.rate(target) < LEAST_RATE:
                 continue
             if self._needs_more(target, accelerator):
                 self.spread_at_by_target[target] = time.monotonic()
-                self._place_model(target, model, SLOW, HARM_OF_SPREADING, 1)
+                late = self.demand.late.rate(target)
+                harm = HARM_OF_SPREADING + HARM_PER_LATE * late
+                self._place_model(target, model, SLOW, harm, 1)
 
     def _needs_more(
         self, target: asked.Target, accelerator: declared.Accelerator
@@ -187,7 +193,8 @@
         holders = self.offers.holders(target)
         if since < SPREAD_S or not holders:
             return False
-        if any(site.loading == target.model or site.jobs for site in holders):
+        if any(target.model not in site.adapters_by_model for site in holders):
+            # One more is on its way.
             return False
         running = sum(
             self.load.of_model(site.endpoint.id, target.model) for site in holders
