--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -109,10 +109,11 @@
         """
         self.budget.add_request(request.target.service)
         self.load.arrive(request)
-        if self.poison.convicted(request):
-            return self._refuse(request, _Course(reason="poison"), 503, None)
         course = _Course()
         while True:
+            if self.poison.convicted(request):
+                course.reason = "it broke several endpoints"
+                return self._refuse(request, course, 503, None)
             endpoint = self._find(request, course)
             if isinstance(endpoint, outcomes.Refusal):
                 return result.Err(endpoint)
