A VM that stops answers those that wait for a model before it ends

Waits end 2.5 s before the VM does. Also: a repeatable request may be sent again to the one endpoint that holds its model; adapters go to endpoints that are not occupied with a model.

--- a/packages/mothworks/src/mothworks/kernel.py
+++ b/packages/mothworks/src/mothworks/kernel.py
@@ -5,6 +5,7 @@
 order of construction follows the needs; stopping goes the other way round.
 """
 
+import math
 import time
 import typing
 
@@ -53,6 +54,8 @@
         self.metrics = metrics.Metrics()
         self.part_by_class: dict[type, Part] = {}
         self.draining = False
+        #: Monotonic time by which a graceful shutdown is over, seconds.
+        self.drain_deadline = math.inf
         #: Functions to call when a graceful shutdown begins, without arguments.
         self.on_draining: list = []
         self.stopped = gevent.event.Event()
@@ -89,6 +92,7 @@
         for notify in self.on_draining:
             notify()
         deadline = time.monotonic() + self.settings.limits.drain_s
+        self.drain_deadline = deadline
         parts = list(reversed(self.part_by_class.values()))
         for part in parts:
             part.drain(deadline)
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -44,6 +44,8 @@
 WAIT_OBJECTIVES = 1.5
 #: Share of a caller's patience after which nothing that begins reaches it.
 PATIENCE_SHARE = 0.9
+#: Time before the end of a VM that stops at which nothing waits any more, seconds.
+STOP_S = 2.5
 #: Time to wait for any endpoint of a service to appear, as a share of the
 #: objective.
 EMPTY_SHARE = 0.12
@@ -164,7 +166,7 @@
             fresh = [item for item in ready if item.id not in course.tried]
             if fresh:
                 return fresh
-        if course.may_have_run:
+        if course.may_have_run and not request.route.repeatable:
             return []
         return [item for item in ready if item.id in course.tried]
 
@@ -173,7 +175,8 @@
         left = min(request.deadline - request.arrived, patience)
         objectives = WAIT_OBJECTIVES * request.route.objective_s
         waits = min(MOST_WAIT_SHARE * left, max(WAIT_SHARE * left, objectives))
-        return request.arrived + waits
+        # A VM that stops must answer before it ends.
+        return min(request.arrived + waits, self.kernel.drain_deadline - STOP_S)
 
     def _attempt(
         self, request: asked.Asked, endpoint: registry.Endpoint, course: _Course
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -64,6 +64,10 @@
 #: Requests that a copy for later may harm.
 HARM_OF_COPY = 0.05
 
+#: Pressure on an endpoint that carries out an order for a model, and for each
+#: adapter that waits there; a full batch counts 1.
+OCCUPIED = 5.0
+QUEUED = 0.2
 #: Time that the holder lets changes of the registry gather, seconds: a model
 #: that was loaded is used at once.
 HOLDER_GATHER_S = 0.02
@@ -156,7 +160,9 @@
     def _pressure(self, site: sites.Site) -> float:
         running = self.load.of_endpoint(site.endpoint.id) / site.accelerator.batch
         taken = site.adapters_held() / max(1, site.accelerator.adapter_places)
-        return running + taken + len(site.jobs)
+        # Behind a model that is loaded or dropped an adapter waits for seconds.
+        busy = OCCUPIED if site.occupied else 0.0
+        return running + taken + busy + QUEUED * len(site.jobs)
 
     def _place_model(
         self,
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -77,7 +77,6 @@
     :param accepted: orders that it has accepted; None while unknown.
     :param adapters_by_model: what it holds after those orders.
     :param loading: the model that it loads now, or empty.
-    :param dropping: the model that it drops now, or empty.
     :param jobs: what it is to load next.
     :param copied: models that it was to load once, for a copy on its disk.
     :param used_by_adapter: monotonic time at which (model, adapter) was last
@@ -89,7 +88,6 @@
     accepted: int | None = None
     adapters_by_model: dict[str, set[str]] = attrs.field(factory=dict)
     loading: str = ""
-    dropping: str = ""
     jobs: collections.deque[Job] = attrs.field(factory=collections.deque)
     copied: set[str] = attrs.field(factory=set)
     used_by_adapter: dict[tuple[str, str], float] = attrs.field(factory=dict)
@@ -105,6 +103,11 @@
         """Return whether the endpoint takes new work."""
         return self.endpoint.open
 
+    @property
+    def occupied(self) -> bool:
+        """Return whether a model is being loaded or dropped, or soon will be."""
+        return bool(self.loading) or any(not job.adapter for job in self.jobs)
+
     def will_hold(self, model: str, adapter: str) -> bool:
         """Return whether a model or adapter is held or about to be.
 
@@ -113,7 +116,7 @@
         """
         if any(job.model == model and job.adapter == adapter for job in self.jobs):
             return True
-        if any(model in job.drops for job in self.jobs) or model == self.dropping:
+        if any(model in job.drops for job in self.jobs):
             return False
         if not adapter and model == self.loading:
             return True
@@ -291,7 +294,7 @@
         match self.engines.inventory(site.endpoint):
             case result.Ok(seen) if not seen.ordered:
                 site.accepted = seen.accepted
-                site.loading = site.dropping = ""
+                site.loading = ""
                 site.adapters_by_model = {
                     item.model: set(item.adapters) for item in seen.holdings
                 }
