--- a/packages/mothworks/src/mothworks/kernel.py
+++ b/packages/mothworks/src/mothworks/kernel.py
@@ -89,10 +89,10 @@
             return
         self.draining = True
         log.info("draining")
-        for notify in self.on_draining:
-            notify()
         deadline = time.monotonic() + self.settings.limits.drain_s
         self.drain_deadline = deadline
+        for notify in self.on_draining:
+            notify()
         parts = list(reversed(self.part_by_class.values()))
         for part in parts:
             part.drain(deadline)
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -130,10 +130,10 @@
         self, request: asked.Asked, course: _Course
     ) -> registry.Endpoint | outcomes.Refusal:
         """Return where to send a request, waiting for its model if needed."""
-        wait_until = self._wait_until(request)
         empty_until = time.monotonic() + EMPTY_SHARE * request.route.objective_s
         while True:
             now = time.monotonic()
+            wait_until = self._wait_until(request)
             if request.deadline - now < LEAST_S:
                 course.reason = f"{course.reason}; out of time"
                 return self._give_up(request, course).err_value
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -110,6 +110,8 @@
         #: Functions to call, on the holder, with an endpoint's id.
         self.on_missed: list[collections.abc.Callable[[str], None]] = []
         self.registry.on_change.append(self._wake)
+        # What waits must be answered before the VM ends.
+        node_kernel.on_draining.append(self._wake)
         self.peers.handle(Wanted, lambda vm, told, _: self._hear_wanted(vm, told))
         self.peers.handle(Missed, lambda _, told, __: self._hear_missed(told.endpoint))
         self.peers.handle(Holds, self._hear_holds)
