No loop of orders to a crashed engine; replicas by share of a batch

A misdirected order dismisses the endpoint now, one that was not sent pauses it for 1 s. And six patient callers had a rare model loaded at three endpoints: it takes 0.4 of a batch.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -207,8 +207,12 @@
     CONFLICT = "conflict"
     #: It has seen a newer fencing token.
     FENCED = "fenced"
-    #: It refuses the order for good, or is another endpoint.
+    #: It refuses the order for good.
     REFUSED = "refused"
+    #: Another endpoint has its address now.
+    MISDIRECTED = "misdirected"
+    #: No connection to it opened, or the lease ended before one did.
+    UNSENT = "unsent"
     #: No answer: it may carry the order out now, later or never.
     UNKNOWN = "unknown"
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/offers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/offers.py
@@ -11,6 +11,8 @@
 
 #: Part of a waiting request that is lost with each second that it waits.
 LOST_PER_S = 0.4
+#: Callers that are counted at least: a load takes its endpoint's time, too.
+LEAST_CALLERS = 2
 #: Time for which a dropped model is missed, beside loading it again, seconds.
 MISSED_S = 1.0
 #: Requests a second that each model is taken to get at least, times the square
@@ -51,7 +53,7 @@
 
         :param callers: how many wait for the model.
         """
-        return self.harm + LOST_PER_S * callers * self.seconds
+        return self.harm + LOST_PER_S * max(LEAST_CALLERS, callers) * self.seconds
 
 
 class Offers(kernel.Part):
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -43,8 +43,9 @@
 #: Time between two further endpoints for one model, seconds: the last one must
 #: have taken its share first.
 SPREAD_S = 1.0
-#: Callers that wait for a model for which it is loaded at one more endpoint.
-CALLERS_PER_REPLICA = 6
+#: Callers that wait for a model for which it is loaded at one more endpoint, as
+#: a share of a batch: so many can begin at once.
+CALLERS_PER_REPLICA = 0.4
 #: Requests that a load may harm for each caller that waits: at once, and more
 #: for each second past the moment at which the caller began to be late.
 HARM_AT_ONCE = 0.7
@@ -138,7 +139,7 @@
         if wish.target.adapter and ready:
             self._place_adapter(wish, ready)
             return
-        if len(ready) >= 1 + wish.count // CALLERS_PER_REPLICA:
+        if len(ready) > wish.count // (CALLERS_PER_REPLICA * accelerator.batch):
             return
         model = accelerator.model_by_name[wish.target.model]
         late_s = max(0.0, -wish.left_s)
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -48,6 +48,8 @@
 #: Longest time for one job, seconds; a job that takes longer is dropped and
 #: decided anew.
 JOB_S = 20.0
+#: Time without orders for an endpoint that one did not reach, seconds.
+PAUSE_S = 1.0
 #: Most jobs that wait at a site.
 MOST_JOBS = 16
 
@@ -78,6 +80,8 @@
     :param adapters_by_model: what it holds after those orders.
     :param loading: the model that it loads now, or empty.
     :param jobs: what it is to load next.
+    :param paused_until: monotonic time until which it gets no orders, after one
+        that did not reach it.
     :param copied: models that it was to load once, for a copy on its disk.
     :param used_by_adapter: monotonic time at which (model, adapter) was last
         asked for.
@@ -89,6 +93,7 @@
     adapters_by_model: dict[str, set[str]] = attrs.field(factory=dict)
     loading: str = ""
     jobs: collections.deque[Job] = attrs.field(factory=collections.deque)
+    paused_until: float = 0.0
     copied: set[str] = attrs.field(factory=set)
     used_by_adapter: dict[tuple[str, str], float] = attrs.field(factory=dict)
     woken: gevent.event.Event = attrs.field(factory=gevent.event.Event)
@@ -101,7 +106,7 @@
     @property
     def open(self) -> bool:
         """Return whether the endpoint takes new work."""
-        return self.endpoint.open
+        return self.endpoint.open and time.monotonic() >= self.paused_until
 
     @property
     def occupied(self) -> bool:
@@ -166,6 +171,15 @@
         # Not every endpoint tells of its copies.
         return held | entry.in_host_memory | entry.on_disk | self.copied
 
+    def pause(self) -> None:
+        """Give it no orders for a while, and look before the next one.
+
+        A crashed endpoint still has its entry, and orders that fail at once
+        would be decided again and again, while callers wait.
+        """
+        self.accepted = None
+        self.paused_until = time.monotonic() + PAUSE_S
+
     def add(self, job: Job) -> None:
         """Queue a job.
 
@@ -381,8 +395,13 @@
                     # only one of them can be taken.
                     unanswered = True
                     gevent.sleep(CONFLICT_S)
+                case adapters.OrderOutcome.MISDIRECTED:
+                    # Its report came from the endpoint that has its address
+                    # now, and looked like one with all of its memory free.
+                    self.registry.dismiss(site.endpoint, "its address is another's")
+                    return False
                 case _:
-                    site.accepted = None
+                    site.pause()
                     return False
         return False
 
