Callers are told when their model is ready; loads queue where a copy is

The holder tells when a load will be ready; a caller that would leave before is refused at once with that time. A site that loads another model takes a second one if it has a copy. Drops of models in use compete by their cost.

--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -150,11 +150,29 @@
             if found.ready:
                 # Held only where it must not be sent; the caller may come back.
                 return self._refuse(request, course, 503, FULL_RETRY_S).err_value
+            ready_in_s = self._ready_in_s(request, found)
+            if ready_in_s is not None:
+                wait_until = now + ready_in_s
+                if wait_until > self._reached_until(request):
+                    # The caller would leave before its answer begins. Told when
+                    # to come back, it finds its model there.
+                    course.reason = f"its model is ready in {ready_in_s:.1f} s"
+                    return self._refuse(request, course, 503, ready_in_s).err_value
             if now >= wait_until:
                 course.reason = f"{course.reason}; not held in time"
                 return self._refuse(request, course, 503, ABSENT_RETRY_S).err_value
             self.residency.wait(request, wait_until - now)
 
+    def _ready_in_s(
+        self, request: asked.Asked, found: choice.Candidates
+    ) -> float | None:
+        """Return the time until a model that is nowhere is loaded, if known."""
+        target = request.target
+        if any(item.holds(target.model, "") for item in found.all):
+            # Only its adapter is missing, which takes milliseconds.
+            return None
+        return self.residency.ready_in_s(target)
+
     def _allowed(
         self,
         request: asked.Asked,
@@ -170,9 +188,14 @@
             return []
         return [item for item in ready if item.id in course.tried]
 
-    def _wait_until(self, request: asked.Asked) -> float:
+    def _reached_until(self, request: asked.Asked) -> float:
+        """Return the time until which an answer that begins reaches its caller."""
         patience = request.route.patience_s * PATIENCE_SHARE
-        left = min(request.deadline - request.arrived, patience)
+        latest = min(request.deadline, request.arrived + patience)
+        return min(latest, self.kernel.drain_deadline - STOP_S)
+
+    def _wait_until(self, request: asked.Asked) -> float:
+        left = self._reached_until(request) - request.arrived
         objectives = WAIT_OBJECTIVES * request.route.objective_s
         waits = min(MOST_WAIT_SHARE * left, max(WAIT_SHARE * left, objectives))
         # A VM that stops must answer before it ends.
--- a/packages/mothworks_gateway/src/mothworks_gateway/offers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/offers.py
@@ -24,9 +24,12 @@
 ROOM = 0.25
 #: Share of its requests that are harmed where a model loses a spare replica.
 SPARE = 0.15
-#: Time that an unload waits for requests that still run, seconds; also the
-#: time for which the endpoint takes no other order.
-RUNNING_S = 2.0
+#: Time that an unload waits for requests that still run, seconds: for one, for
+#: each further one, and at most. Streams last 2 s on average, and the longest
+#: of several ends last. The endpoint takes no other order meanwhile.
+RUNNING_S = 1.2
+RUNNING_MORE_S = 0.3
+MOST_RUNNING_S = 4.0
 #: Seconds that a fully loaded endpoint is slower by.
 BUSY_S = 3.0
 
@@ -89,32 +92,44 @@
         """
         offers = []
         for site in self.sites.of_service(service):
-            free = site.open and site.known and not site.jobs
-            if free and not site.will_hold(model.name, ""):
+            if not (site.open and site.known) or site.will_hold(model.name, ""):
+                continue
+            if self._may_queue(site, model):
                 offer = self._offer(site, model, forced)
                 if offer is not None:
                     offers.append(offer)
         return offers
 
+    def _may_queue(self, site: sites.Site, model: declared.Model) -> bool:
+        """Return whether a site may get one more model to load.
+
+        One that is busy with another model, and has a copy of this one, is
+        ready sooner than one that has to fetch it from the weight store.
+        """
+        models = [job.model for job in site.jobs if not job.adapter]
+        return not site.jobs or (len(models) == 1 and model.name in site.at_hand())
+
     def _offer(
         self, site: sites.Site, model: declared.Model, forced: bool
     ) -> Offer | None:
-        free = site.free_mb()
+        held = site.after_jobs()
+        free = site.accelerator.memory_mb - sum(map(site.memory_mb, held))
         harm = 0.0
         drops: list[str] = []
-        used = False
-        for name in self._droppable(site, forced):
+        running = 0
+        for name in self._droppable(site, held, forced):
             if free >= model.memory_mb:
                 break
             drops.append(name)
             free += site.memory_mb(name)
             harm += self.harm(site, name)
-            used = used or bool(self.load.of_model(site.endpoint.id, name))
+            running += self.load.of_model(site.endpoint.id, name)
         if free < model.memory_mb:
             return None
         share = self.load.of_endpoint(site.endpoint.id) / site.accelerator.batch
-        seconds = site.load_s(model) + BUSY_S * share + (RUNNING_S if used else 0.0)
-        return Offer(site, tuple(drops), harm, seconds, used)
+        seconds = site.load_s(model) + BUSY_S * share + _unload_s(running)
+        seconds += max(site.coming_s().values(), default=0.0)
+        return Offer(site, tuple(drops), harm, seconds, running > 0)
 
     def harm(self, site: sites.Site, name: str) -> float:
         """Return the requests that are harmed if a site drops a model.
@@ -137,7 +152,9 @@
             return rate * seconds * SPARE
         return rate * seconds
 
-    def _droppable(self, site: sites.Site, forced: bool) -> list[str]:
+    def _droppable(
+        self, site: sites.Site, held: dict[str, set[str]], forced: bool
+    ) -> list[str]:
         """Return models that a site may drop, the least missed first."""
         service = site.endpoint.entry.service
         wished = {
@@ -147,8 +164,16 @@
         }
         names = [
             name
-            for name in site.adapters_by_model
-            if name not in wished
+            for name in held
+            if name in site.adapters_by_model
+            and name not in wished
             and (forced or not self.load.of_model(site.endpoint.id, name))
         ]
         return sorted(names, key=lambda name: self.harm(site, name))
+
+
+def _unload_s(running: int) -> float:
+    """Return how long an unload waits for requests that run."""
+    if not running:
+        return 0.0
+    return min(MOST_RUNNING_S, RUNNING_S + RUNNING_MORE_S * (running - 1))
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -19,6 +19,9 @@
 
 #: Seconds between repeats of what this VM waits for, beside the pulses.
 REPEAT_S = 0.15
+#: Time that a model is given beyond the moment at which it should be ready,
+#: seconds.
+READY_MARGIN_S = 0.3
 
 
 @messages.message(114)
@@ -56,12 +59,15 @@
     :param number: grows with each message of that token.
     :param endpoint: the endpoint's id.
     :param adapters_by_model: the models that it holds, with their adapters.
+    :param coming_s_by_model: models that it is to load, with the seconds until
+        they are ready.
     """
 
     fence: int
     number: int
     endpoint: str
     adapters_by_model: dict[str, list[str]]
+    coming_s_by_model: dict[str, float] = attrs.field(factory=dict)
 
 
 @messages.message(116)
@@ -105,6 +111,8 @@
         self.line_by_target: dict[asked.Target, _Line] = {}
         self.newest_by_endpoint: dict[str, tuple[int, int]] = {}
         self.changed = gevent.event.Event()
+        #: Monotonic time at which an endpoint will hold a model.
+        self.ready_at_by_model: dict[tuple[str, str], float] = {}
         #: Functions to call, on the holder, with a VM's name and a Wanted.
         self.on_wanted: list[collections.abc.Callable[[str, Wanted], None]] = []
         #: Functions to call, on the holder, with an endpoint's id.
@@ -140,6 +148,22 @@
             if not line.count:
                 self.line_by_target.pop(request.target, None)
 
+    def ready_in_s(self, target: asked.Target) -> float | None:
+        """Return the seconds until a model is loaded somewhere, if it is known.
+
+        :param target: the model, whose adapters load at once.
+        """
+        now = time.monotonic()
+        times = [
+            at + READY_MARGIN_S
+            for (endpoint_id, model), at in self.ready_at_by_model.items()
+            if model == target.model
+            and at + READY_MARGIN_S > now
+            and endpoint_id in self.registry.by_id
+            and self.registry.by_id[endpoint_id].entry.service == target.service
+        ]
+        return min(times) - now if times else None
+
     def missed(self, endpoint: registry.Endpoint, target: asked.Target) -> None:
         """Note that an endpoint refused a request for what it does not hold.
 
@@ -212,8 +236,16 @@
         endpoint.adapters_by_model = {
             model: set(adapters) for model, adapters in told.adapters_by_model.items()
         }
+        self._note_coming(told)
         self._wake()
 
+    def _note_coming(self, told: Holds) -> None:
+        for key in [key for key in self.ready_at_by_model if key[0] == told.endpoint]:
+            del self.ready_at_by_model[key]
+        now = time.monotonic()
+        for model, seconds in told.coming_s_by_model.items():
+            self.ready_at_by_model[told.endpoint, model] = now + seconds
+
     def _wake(self) -> None:
         """Let everybody who waits look again."""
         self.changed.set()
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -46,13 +46,13 @@
 #: Callers that wait for a model for which it is loaded at one more endpoint, as
 #: a share of a batch: so many can begin at once.
 CALLERS_PER_REPLICA = 0.4
+#: Time over which callers gather that are to come back, seconds: a load from
+#: the weight store takes about as long.
+RETURN_S = 2.0
 #: Requests that a load may harm for each caller that waits: at once, and more
 #: for each second past the moment at which the caller began to be late.
-HARM_AT_ONCE = 0.7
+HARM_AT_ONCE = 1.2
 HARM_PER_S = 0.7
-#: Time past the moment at which a caller began to be late, after which models
-#: are dropped that requests still use, seconds.
-FORCE_S = 1.0
 #: Requests that a further endpoint for a slow model may harm: at once, and for
 #: each late answer a second.
 HARM_OF_SPREADING = 0.5
@@ -139,15 +139,15 @@
         if wish.target.adapter and ready:
             self._place_adapter(wish, ready)
             return
-        if len(ready) > wish.count // (CALLERS_PER_REPLICA * accelerator.batch):
+        # Callers that were told when to come back do not wait here.
+        callers = max(wish.count, self.demand.rate(wish.target.base) * RETURN_S)
+        if len(ready) > callers // (CALLERS_PER_REPLICA * accelerator.batch):
             return
         model = accelerator.model_by_name[wish.target.model]
         late_s = max(0.0, -wish.left_s)
         harm = wish.count * (HARM_AT_ONCE + HARM_PER_S * late_s)
         target, count = wish.target.base, wish.count
-        placed = self._place_model(target, model, WANTED, harm, count)
-        if placed is None and late_s > FORCE_S:
-            self._place_model(target, model, WANTED, harm, count, forced=True)
+        self._place_model(target, model, WANTED, harm, count, forced=True)
 
     def _place_adapter(self, wish: demand.Wish, ready: list[sites.Site]) -> None:
         if self.offers.holders(wish.target):
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -34,6 +34,8 @@
 #: Time that an adapter takes to load, from the order's acceptance, seconds:
 #: 5 to 10 ms are usual.
 ADAPTER_S = 0.012
+#: Time to drop an unused model, seconds.
+DROP_S = 0.1
 #: Pause before an order that met a conflict is tried again, seconds: the first,
 #: the longest, and how it grows.
 CONFLICT_S = 0.03
@@ -79,6 +81,7 @@
     :param accepted: orders that it has accepted; None while unknown.
     :param adapters_by_model: what it holds after those orders.
     :param loading: the model that it loads now, or empty.
+    :param ready_at: monotonic time at which that is done.
     :param jobs: what it is to load next.
     :param paused_until: monotonic time until which it gets no orders, after one
         that did not reach it.
@@ -92,6 +95,7 @@
     accepted: int | None = None
     adapters_by_model: dict[str, set[str]] = attrs.field(factory=dict)
     loading: str = ""
+    ready_at: float = 0.0
     jobs: collections.deque[Job] = attrs.field(factory=collections.deque)
     paused_until: float = 0.0
     copied: set[str] = attrs.field(factory=set)
@@ -135,13 +139,14 @@
     def memory_mb(self, name: str) -> float:
         """Return the memory that a model takes here with its adapters, MB.
 
-        :param name: a model that is held.
+        :param name: a model that is held, or will be.
         """
         model = self.accelerator.model_by_name.get(name)
         if model is None:
             # No longer declared, so its size is unknown: assume the worst.
             return self.accelerator.memory_mb
-        return model.memory_mb + model.adapter_mb * len(self.adapters_by_model[name])
+        adapters = self.adapters_by_model.get(name, ())
+        return model.memory_mb + model.adapter_mb * len(adapters)
 
     def free_mb(self) -> float:
         """Return the memory that nothing takes, MB."""
@@ -163,6 +168,17 @@
             return model.disk_s
         return model.store_s
 
+    def coming_s(self) -> dict[str, float]:
+        """Return the seconds until each model that it is to load is ready."""
+        left_s = max(0.0, self.ready_at - time.monotonic()) if self.loading else 0.0
+        seconds = {self.loading: left_s} if self.loading else {}
+        for job in self.jobs:
+            model = self.accelerator.model_by_name.get(job.model)
+            if not job.adapter and model is not None and job.model not in seconds:
+                left_s += DROP_S * bool(job.drops) + self.load_s(model)
+                seconds[job.model] = left_s
+        return seconds
+
     def at_hand(self) -> set[str]:
         """Return the models that it loads without the weight store."""
         entry = self.endpoint.entry
@@ -180,6 +196,17 @@
         self.accepted = None
         self.paused_until = time.monotonic() + PAUSE_S
 
+    def after_jobs(self) -> dict[str, set[str]]:
+        """Return what it holds once its jobs are done."""
+        held = dict(self.adapters_by_model)
+        if self.loading:
+            held.setdefault(self.loading, set())
+        for job in self.jobs:
+            for name in job.drops:
+                held.pop(name, None)
+            held.setdefault(job.model, set())
+        return held
+
     def add(self, job: Job) -> None:
         """Queue a job.
 
@@ -495,7 +522,9 @@
             return
         site.loading = order.model
         model = site.accelerator.model_by_name[order.model]
-        late_at = time.monotonic() + site.load_s(model) + LATE_S
+        site.ready_at = time.monotonic() + site.load_s(model)
+        self._publish(site)
+        late_at = site.ready_at + LATE_S
         while site.loading and self.lease.held() and site.endpoint.open:
             if order.model in (site.endpoint.entry.adapters_by_model or {}):
                 self._done(site, order)
@@ -533,5 +562,7 @@
         self.published += 1
         fence = self.lease.fence
         self.residency.publish(
-            residency.Holds(fence, self.published, site.endpoint.id, held)
+            residency.Holds(
+                fence, self.published, site.endpoint.id, held, site.coming_s()
+            )
         )
