--- a/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -53,7 +53,7 @@
         self.documents = dict(listing.document_by_name)
         self._decode(self.documents, "platform")
 
-    def _take_changes(self, changes: adapters.Changes, doubtful: bool) -> None:
+    def _take_changes(self, changes: adapters.Changes) -> None:
         for change in changes.changes:
             if change.document is None:
                 self.documents.pop(change.name, None)
--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -64,20 +64,20 @@
             # A peer has told of more than this reading saw.
             return
         self.registry.cursor = listing.cursor
-        doubtful = self.follower.doubtful and self.loaded
+        doubt_until = self.follower.doubt_until if self.loaded else 0.0
         for name in self.registry.by_id.keys() - listing.document_by_name.keys():
-            self.registry.remove(name, doubtful)
+            self.registry.remove(name, doubt_until)
         for name, document in listing.document_by_name.items():
             self._put(name, document)
         self._done()
 
-    def _take_changes(self, changes: adapters.Changes, doubtful: bool) -> None:
+    def _take_changes(self, changes: adapters.Changes) -> None:
         if changes.cursor < self.registry.cursor:
             return
         self.registry.cursor = changes.cursor
         for change in changes.changes:
             if change.document is None:
-                self.registry.remove(change.name, doubtful)
+                self.registry.remove(change.name, self.follower.doubt_until)
             else:
                 self._put(change.name, change.document)
         if changes.changes:
--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -28,8 +28,10 @@
 PAUSE_S = 0.1
 MOST_PAUSE_S = 0.5
 PAUSE_GROWTH = 1.6
-#: Time after an outage in which vanished entries may be its own doing, seconds.
-DOUBT_S = 2.5
+#: Time after an outage in which entries may be missing because of it, seconds.
+#: Endpoints that live enter themselves again within about 2 s; one that left
+#: just then must get no new work within those 2 s, too.
+DOUBT_S = 1.6
 
 
 @attrs.define(eq=False)
@@ -39,8 +41,7 @@
     :param name: the feed's name in logs.
     :param feed: what is followed.
     :param take_all: called with a whole listing.
-    :param take_changes: called with changes, and whether the platform was
-        away until a moment ago.
+    :param take_changes: called with changes.
     :param gather_s: time to let further changes gather before they are
         fetched, seconds; each fetch is a call.
     :param cursor: the newest revision seen.
@@ -51,7 +52,7 @@
     name: str
     feed: adapters.Feed
     take_all: collections.abc.Callable[[adapters.Listing], None]
-    take_changes: collections.abc.Callable[[adapters.Changes, bool], None]
+    take_changes: collections.abc.Callable[[adapters.Changes], None]
     gather_s: float = 0.0
     cursor: int = 0
     lost_at: float | None = None
@@ -104,9 +105,11 @@
             self._poll.kill(block=False)
 
     @property
-    def doubtful(self) -> bool:
-        """Return whether the platform was away until a moment ago."""
-        return self.lost_at is not None or time.monotonic() - self.back_at < DOUBT_S
+    def doubt_until(self) -> float:
+        """Return until when entries may be missing because of an outage."""
+        if self.lost_at is not None:
+            return time.monotonic() + DOUBT_S
+        return self.back_at + DOUBT_S
 
     def _poll_once(self, listed: bool) -> result.Result:
         self.polling_since = time.monotonic()
@@ -133,7 +136,7 @@
     def _wait(self) -> result.Result:
         waited = self.feed.wait(self.cursor, WAIT_S)
         if waited.is_ok():
-            self.take_changes(waited.ok_value, self.doubtful)
+            self.take_changes(waited.ok_value)
             self.cursor = max(self.cursor, waited.ok_value.cursor)
         return waited
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -15,10 +15,6 @@
 
 log = logbook.Logger("registry")
 
-#: Time for which an entry that vanished around an outage of the platform is
-#: still used, seconds: endpoints that live are back within 2 s of its return.
-LAPSE_S = 2.2
-
 
 @attrs.frozen
 class Entry:
@@ -56,14 +52,15 @@
     :param document: the entry as the platform spells it, for peers.
     :param adapters_by_model: what it is believed to hold now.
     :param dismissed: why it gets no new work, learnt by this VM; or empty.
-    :param lapsed_at: monotonic time at which its entry vanished, or None.
+    :param lapsed_until: monotonic time until which it is used although its entry
+        vanished, or None.
     """
 
     entry: Entry
     document: bytes = attrs.field(default=b"", repr=False)
     adapters_by_model: dict[str, set[str]] = attrs.field(factory=dict)
     dismissed: str = ""
-    lapsed_at: float | None = None
+    lapsed_until: float | None = None
 
     @property
     def id(self) -> str:
@@ -125,23 +122,23 @@
         before = known.entry
         known.entry = entry
         known.document = document
-        known.lapsed_at = None
+        known.lapsed_until = None
         self._merge_holdings(known, before, entry)
         if before.leaving != entry.leaving:
             self._say(entry, "leaves" if entry.leaving else "stays")
 
-    def remove(self, endpoint_id: str, doubtful: bool) -> None:
+    def remove(self, endpoint_id: str, doubt_until: float = 0.0) -> None:
         """Take note that an entry vanished.
 
         :param endpoint_id: whose.
-        :param doubtful: the platform was away, and the entry may have lapsed
-            only because of that.
+        :param doubt_until: monotonic time until which the entry may be missing
+            only because the platform was away.
         """
         known = self.by_id.get(endpoint_id)
         if known is None:
             return
-        if doubtful:
-            known.lapsed_at = known.lapsed_at or time.monotonic()
+        if time.monotonic() < doubt_until:
+            known.lapsed_until = doubt_until
             self._say(known.entry, "lapsed during an outage")
             return
         del self.by_id[endpoint_id]
@@ -151,8 +148,8 @@
         """Remove endpoints whose entries lapsed and did not come back."""
         now = time.monotonic()
         for item in list(self.by_id.values()):
-            if item.lapsed_at is not None and now - item.lapsed_at > LAPSE_S:
-                self.remove(item.id, doubtful=False)
+            if item.lapsed_until is not None and now > item.lapsed_until:
+                self.remove(item.id)
                 self.changed()
 
     def dismiss(self, endpoint: Endpoint, reason: str) -> None:
