--- a/packages/mothworks_gateway/src/mothworks_gateway/demand.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/demand.py
@@ -91,6 +91,14 @@
         """
         return self.requests.rate(target)
 
+    def total(self) -> float:
+        """Return the requests a second for all models."""
+        return sum(self.requests.rate(target) for target in self.models())
+
+    def models(self) -> list[asked.Target]:
+        """Return the models that were asked for."""
+        return [item for item in self.requests.rate_by_target if not item.adapter]
+
     def wishes(self) -> list[Wish]:
         """Return what callers wait for now, the most urgent first."""
         oldest = time.monotonic() - WANTED_S
--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -13,7 +13,7 @@
 #: Time to let changes gather before the next poll, seconds. Each poll that
 #: returns is a priced call on every VM; an endpoint that leaves must be known
 #: within 2 s.
-GATHER_S = 1.0
+GATHER_S = 1.2
 #: Seconds between checks for entries that lapsed and did not come back.
 EXPIRE_S = 0.25
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/offers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/offers.py
@@ -22,7 +22,8 @@
 #: Share of a batch up to which the endpoints that remain take over the
 #: requests of one that drops a model.
 ROOM = 0.25
-#: Share of its requests that are harmed where a model loses a spare replica.
+#: Share of its requests that are harmed where a model loses a spare replica: it
+#: takes 4 s to load again if its requests grow.
 SPARE = 0.15
 #: Time that an unload waits for requests that still run, seconds: for one, for
 #: each further one, and at most. Streams last 2 s on average, and the longest
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -4,7 +4,7 @@
 nobody holds is loaded first, where that harms the fewest requests; a load
 that would harm more than it helps is put off until its callers have waited
 longer. Then models whose endpoints are slow or full get another one. While
-nobody waits, models of which there are few copies are loaded once more, so
+hardly anybody asks, models of which there are few copies are loaded once more, so
 that they come from a disk when they are asked for.
 """
 
@@ -60,6 +60,8 @@
 #: Endpoints that keep a copy of each model, in memory or on disk: a second
 #: endpoint for it is then ready within a second.
 COPIES = 2
+#: Requests a second below which copies are made.
+IDLE_RATE = 1.0
 #: Part of the weight store's rate that such copies may take.
 COPY_SHARE = 0.7
 #: Requests that a copy for later may harm.
@@ -71,7 +73,7 @@
 QUEUED = 0.2
 #: Time that the holder lets changes of the registry gather, seconds: a model
 #: that was loaded is used at once.
-HOLDER_GATHER_S = 0.02
+HOLDER_GATHER_S = 0.05
 
 #: Reasons to load.
 WANTED = "wanted"
@@ -130,7 +132,7 @@
         for service in declaration.service_by_name.values():
             if service.accelerator is not None:
                 self._spread(service.name, service.accelerator)
-                if not wishes:
+                if not wishes and self.demand.total() < IDLE_RATE:
                     self._copy(service.name, service.accelerator)
 
     def _grant(self, wish: demand.Wish, accelerator: declared.Accelerator) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -39,14 +39,16 @@
 #: Pause before an order that met a conflict is tried again, seconds: the first,
 #: the longest, and how it grows.
 CONFLICT_S = 0.03
-MOST_CONFLICT_S = 0.15
-CONFLICT_GROWTH = 1.5
+MOST_CONFLICT_S = 0.25
+CONFLICT_GROWTH = 1.7
 #: Time of conflicts after which the endpoint is asked what it holds, seconds.
 DOUBT_S = 1.0
 #: Pause between looks at an endpoint that carries out an order, seconds.
 LOOK_S = 0.5
-#: Time beyond a load's usual duration before the endpoint is asked, seconds.
-LATE_S = 0.4
+#: Time beyond a load's usual duration before the endpoint is asked, and between
+#: two such looks, seconds: the registry tells sooner, unless it is away.
+LATE_S = 0.15
+LATE_LOOK_S = 0.25
 #: Longest time for one job, seconds; a job that takes longer is dropped and
 #: decided anew.
 JOB_S = 20.0
@@ -533,7 +535,7 @@
             site.woken.wait(max(0.02, min(LOOK_S, late_at - time.monotonic())))
             if time.monotonic() > late_at:
                 self._look(site)
-                late_at = time.monotonic() + LOOK_S
+                late_at = time.monotonic() + LATE_LOOK_S
                 if site.known:
                     return
 
