--- a/packages/mothworks/src/mothworks/vm_list.py
+++ b/packages/mothworks/src/mothworks/vm_list.py
@@ -67,6 +67,12 @@
         """Read the whole list."""
         raise NotImplementedError
 
+    def reload(self, chosen) -> None:
+        """Take changed settings of the VM.
+
+        :param chosen: the settings.
+        """
+
 
 @plugins.register(plugins.VM_LIST, "http")
 class HttpVmList(Source):
--- a/packages/mothworks_gateway/src/mothworks_gateway/budget.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/budget.py
@@ -45,7 +45,6 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
-        self.bounds = node_kernel.settings.bounds
         self.pulses = node_kernel.get(pulse.Pulses)
         self.requests_by_service: dict[str, _Window] = {}
         self.repeats_by_service: dict[str, _Window] = {}
@@ -64,8 +63,9 @@
         """
         repeats = self._window(self.repeats_by_service, service)
         requests = self._window(self.requests_by_service, service).count()
-        slack = self.bounds.retry_slack / self.pulses.vms()
-        allowed = USED * (self.bounds.retry_share * requests + slack)
+        bounds = self.kernel.settings.bounds
+        slack = bounds.retry_slack / self.pulses.vms()
+        allowed = USED * (bounds.retry_share * requests + slack)
         if repeats.count() + 1 > allowed:
             return False
         repeats.add()
@@ -74,5 +74,7 @@
     def _window(self, by_service: dict[str, _Window], service: str) -> _Window:
         window = by_service.get(service)
         if window is None:
-            window = by_service[service] = _Window(self.bounds.retry_window_s)
+            window = by_service[service] = _Window(
+                self.kernel.settings.bounds.retry_window_s
+            )
         return window
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -35,7 +35,7 @@
 #: seconds: the balancer needs two questions, one a second, to notice.
 UNREADY_S = 2.6
 #: Time before the process would be killed at which it ends by itself, seconds.
-END_S = 0.6
+END_S = 0.9
 #: Hint to a caller whose request met a VM that stops, seconds: it comes to
 #: another one.
 STOPPING_RETRY_S = 0.02
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -54,9 +54,11 @@
     """One node, in this process.
 
     :param checked: the VM's settings.
+    :param path: where they were read, to read them again on a hangup.
     """
 
-    def __init__(self, checked: settings.Settings):
+    def __init__(self, checked: settings.Settings, path: pathlib.Path | None = None):
+        self.path = path
         importlib.import_module(checked.adapter)
         drain_s = max(0.5, checked.bounds.stop_s - front.END_S)
         limits = attrs.evolve(checked.limits, drain_s=drain_s)
@@ -86,8 +88,7 @@
         chosen = self.kernel.settings
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal.signal(number, lambda *_: gevent.spawn(self.shut_down))
-        # Settings are read at start only; a hangup must not end the process.
-        gevent.signal.signal(signal.SIGHUP, lambda *_: gevent.spawn(self._reload))
+        gevent.signal.signal(signal.SIGHUP, lambda *_: gevent.spawn(self.reload))
         self.start()
         logs.event(
             log,
@@ -102,10 +103,21 @@
         logs.event(log, "stop", reason=repr(failure)[:200], outcome="stopped")
         return 0 if failure is None else 1
 
-    def _reload(self) -> None:
-        logs.event(
-            log, "reload", reason="hangup", outcome="settings hold until a restart"
+    def reload(self) -> None:
+        """Read the settings again; what is bound to sockets stays as it was."""
+        match settings.load(self.path):
+            case result.Ok(read):
+                pass
+            case result.Err(problem):
+                reason = str(problem)[:200]
+                logs.event(log, "reload", reason=reason, outcome="not taken")
+                return
+        held = self.kernel.settings
+        self.kernel.settings = attrs.evolve(
+            held, seeds=read.seeds, bounds=read.bounds, logs=read.logs
         )
+        self.kernel.get(vm_list.VmList).source.reload(self.kernel.settings)
+        logs.event(log, "reload", reason="hangup", outcome="taken")
 
 
 def main(settings_file: str) -> int:
@@ -114,11 +126,12 @@
     :param settings_file: path of the VM's settings.
     :returns: the exit code.
     """
-    match settings.load(pathlib.Path(settings_file)):
+    path = pathlib.Path(settings_file)
+    match settings.load(path):
         case result.Ok(checked):
             pass
         case result.Err(problem):
             print(str(problem).replace("\n", "; "), file=sys.stderr)
             return EXIT_USAGE
     logs.install_bounded(checked.logs, checked.name, checked.log_lines_per_s)
-    return Node(checked).run()
+    return Node(checked, path).run()
