--- a/packages/mothworks_gateway/src/mothworks_gateway/settings.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/settings.py
@@ -42,13 +42,9 @@
     """Where the platform's metadata store answers.
 
     :param address: its IP number and port.
-    :param value_bytes: largest object that it takes.
     """
 
     address: str = attrs.field(validator=_check_address)
-    value_bytes: int = attrs.field(
-        default=1 << 20, validator=node_settings.check_positive
-    )
 
 
 @attrs.frozen
@@ -67,8 +63,6 @@
     :param load_factor: loads in that time, as a multiple of the store's rate.
     :param stop_s: time from the signal to stop until the process is killed,
         seconds.
-    :param crash_settle_ms: time after which a crash is known to all VMs,
-        milliseconds.
     """
 
     retry_share: float = 0.1
@@ -85,7 +79,6 @@
     )
     load_factor: float = 1.0
     stop_s: float = attrs.field(default=8.0, validator=node_settings.check_positive)
-    crash_settle_ms: float = 3000.0
 
 
 @attrs.frozen
