--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -121,10 +121,7 @@
         self.membership = node_kernel.get(membership.Membership)
         self.pulses = node_kernel.get(pulse.Pulses)
         self.pulses.on_pulse.append(lambda: {"fence": self.fence})
-        # Given up at once, the next VM need not wait for it to lapse.
-        node_kernel.on_draining.append(
-            lambda: self.tasks.spawn(self.give_up, "shutting down")
-        )
+        node_kernel.on_draining.append(lambda: self.tasks.spawn(self._release))
         self.started_at = time.monotonic()
         self.record: Record | None = None
         self.version: str | None = None
@@ -184,6 +181,18 @@
             freed = attrs.evolve(record, holder="", renewals=record.renewals + 1)
             self.api.put(KEY, freed.body(), version)
 
+    def _release(self) -> None:
+        """Give the lease up as its VM stops, so that the next need not wait.
+
+        While the store is away no other VM could take it, and models must
+        still be loaded: the holder goes on until the store answers again.
+        """
+        while self.record is not None and now() < self.trusted_until:
+            if self._read() is not None:
+                self.give_up("shutting down")
+                return
+            gevent.sleep(LOOK_S)
+
     def _run(self) -> None:
         while not self.kernel.draining:
             if self.record is not None:
