--- a/packages/mothworks_gateway/src/mothworks_gateway/answering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/answering.py
@@ -33,7 +33,7 @@
 class Running:
     """A stream while it runs; iterating passes its bytes on as they come.
 
-    :param dispatch: what sent it.
+    :param attempts: what sent it, and sends it on.
     :param request: the request.
     :param endpoint: where it runs.
     :param answer: the endpoint's answer, its body not read.
@@ -41,12 +41,12 @@
 
     def __init__(
         self,
-        dispatch,
+        attempts,
         request: asked.Asked,
         endpoint: registry.Endpoint,
         answer: transport.HttpAnswer,
     ):
-        self.dispatch = dispatch
+        self.attempts = attempts
         self.request = request
         self.endpoint = endpoint
         self.answer = answer
@@ -64,7 +64,7 @@
                 try:
                     yield from self._pieces()
                     self.outcome = "complete"
-                    self.dispatch.poison.ran_well(self.request)
+                    self.attempts.poison.ran_well(self.request)
                     return
                 except transport.FAILURES as error:
                     reason = str(error)
@@ -109,18 +109,18 @@
         if self.open:
             self.open = False
             self.answer.close()
-            self.dispatch.load.end(self.endpoint, self.request.target)
+            self.attempts.load.end(self.endpoint, self.request.target)
             gap_s = self.request.route.gap_s
             if gap_s and self.longest_gap_s > gap_s:
-                self.dispatch.load.note_late(self.request.target)
+                self.attempts.load.note_late(self.request.target)
 
     def _note_break(self, reason: str) -> None:
         self.outcome = f"broke: {reason}"[:100]
         if time.monotonic() >= self.request.deadline - LEAST_S:
             return
-        self.dispatch.health.failed(self.endpoint, reason)
+        self.attempts.health.failed(self.endpoint, reason)
         if self.endpoint.open:
-            self.dispatch.poison.broke(self.request, self.endpoint)
+            self.attempts.poison.broke(self.request, self.endpoint)
 
     def _resume(self) -> bool:
         """Go on at another endpoint; returns whether the stream goes on."""
@@ -130,16 +130,16 @@
         if self.passed and not self.cutter.last_id:
             return False
         left_s = self.request.deadline - time.monotonic()
-        if left_s < LEAST_S or not self.dispatch.budget.take(
+        if left_s < LEAST_S or not self.attempts.budget.take(
             self.request.target.service
         ):
             return False
-        ready = self.dispatch.choice.candidates(self.request).ready
+        ready = self.attempts.choice.candidates(self.request).ready
         others = [item for item in ready if item.id not in self.tried]
         return bool(others) and self._send_on(others[0], left_s)
 
     def _send_on(self, endpoint: registry.Endpoint, left_s: float) -> bool:
-        engines = self.dispatch.engines
+        engines = self.attempts.engines
         self.tried.add(endpoint.id)
         self.cutter.rest = b""
         last_id = self.cutter.last_id
@@ -164,5 +164,5 @@
             self.answer = answer
             self.endpoint = endpoint
             self.open = True
-            self.dispatch.load.begin(endpoint, self.request.target)
+            self.attempts.load.begin(endpoint, self.request.target)
         return going
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -1,27 +1,23 @@
 """Dispatch: takes a request to an endpoint and brings back its answer.
 
-An attempt chooses an endpoint, sends the request once and reads the head of
-the answer. What follows depends on what is known then: a request that has
+It finds an endpoint, waiting for the request's model if needed, and has an
+attempt made. What follows depends on what is known then: a request that has
 not run may be refused or sent again; one that may have run is sent again only
 if it is repeatable, and is never answered as if it had not run.
 """
 
 import time
 
-import attrs
-import gevent
 import logbook
 import result
 
-from mothworks import caller_watch, kernel, logs, outcomes, transport
+from mothworks import kernel, logs, outcomes
 from mothworks_gateway import (
-    adapters,
     answering,
     asked,
+    attempts,
     budget,
     choice,
-    endpoints_client,
-    health,
     load,
     poison,
     registry,
@@ -30,12 +26,8 @@
 
 log = logbook.Logger("dispatch")
 
-#: Time kept back from the caller's deadline for the answer's way, seconds.
-RETURN_S = 0.02
 #: Least time that makes sending a request worthwhile, seconds.
 LEAST_S = 0.015
-#: Pause before an endpoint that was full is asked again, seconds.
-FULL_PAUSE_S = 0.03
 #: Share of the time a caller has that it may wait for an endpoint to hold its
 #: model, and the least such time as a multiple of the objective. Past that, a
 #: refusal lets the caller come back while there is time.
@@ -55,27 +47,6 @@
 ABSENT_RETRY_S = 1.0
 #: Hint to a caller that met full endpoints, seconds.
 FULL_RETRY_S = 0.3
-#: Share of the objective after which a repeatable plain request that is not
-#: answered is sent to another endpoint.
-HEDGE_SHARE = 0.6
-#: Least such time, seconds.
-LEAST_HEDGE_S = 0.05
-
-
-@attrs.define
-class _Course:
-    """What has happened to a request so far.
-
-    :param tried: ids of endpoints that it was sent to.
-    :param may_have_run: whether one of them may have run it.
-    :param sends: how often it was sent.
-    :param reason: what stopped the last attempt.
-    """
-
-    tried: set[str] = attrs.field(factory=set)
-    may_have_run: bool = False
-    sends: int = 0
-    reason: str = "no endpoint"
 
 
 class Dispatch(kernel.Part):
@@ -86,32 +57,26 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
-        self.engines = node_kernel.get(endpoints_client.EndpointsClient).engines
-        self.registry = node_kernel.get(choice.Choice).registry
+        self.attempts = node_kernel.get(attempts.Attempts)
         self.choice = node_kernel.get(choice.Choice)
-        self.health = node_kernel.get(health.Health)
         self.load = node_kernel.get(load.Load)
         self.budget = node_kernel.get(budget.Budget)
         self.poison = node_kernel.get(poison.Poison)
         self.residency = node_kernel.get(residency.Residency)
-        self.head_seconds = node_kernel.metrics.seconds(
-            "head_seconds", "Time from a request's arrival to its answer's head."
-        )
         self.requests_total = node_kernel.metrics.counter(
             "requests_total", "Requests by service and outcome."
         )
 
     def run(
-        self, request: asked.Asked, watch: caller_watch.Watch | None
+        self, request: asked.Asked
     ) -> result.Result[answering.Reply, outcomes.Refusal]:
         """Run a request and return its answer, the body still to come.
 
         :param request: the request.
-        :param watch: notices that the caller leaves.
         """
         self.budget.add_request(request.target.service)
         self.load.arrive(request)
-        course = _Course()
+        course = attempts.Course()
         while True:
             if self.poison.convicted(request):
                 course.reason = "it broke several endpoints"
@@ -119,7 +84,7 @@
             endpoint = self._find(request, course)
             if isinstance(endpoint, outcomes.Refusal):
                 return result.Err(endpoint)
-            reply = self._attempt(request, endpoint, course)
+            reply = self.attempts.make(request, endpoint, course)
             if reply is not None:
                 self._count(request, "answered")
                 return result.Ok(reply)
@@ -127,7 +92,7 @@
                 return self._give_up(request, course)
 
     def _find(
-        self, request: asked.Asked, course: _Course
+        self, request: asked.Asked, course: attempts.Course
     ) -> registry.Endpoint | outcomes.Refusal:
         """Return where to send a request, waiting for its model if needed."""
         empty_until = time.monotonic() + EMPTY_SHARE * request.route.objective_s
@@ -176,7 +141,7 @@
     def _allowed(
         self,
         request: asked.Asked,
-        course: _Course,
+        course: attempts.Course,
         ready: tuple[registry.Endpoint, ...],
     ) -> list[registry.Endpoint]:
         """Return the endpoints that a request may still be sent to."""
@@ -201,143 +166,7 @@
         # A VM that stops must answer before it ends.
         return min(request.arrived + waits, self.kernel.drain_deadline - STOP_S)
 
-    def _attempt(
-        self, request: asked.Asked, endpoint: registry.Endpoint, course: _Course
-    ) -> answering.Reply | None:
-        """Send a request once; returns its answer, or notes why there is none."""
-        course.tried.add(endpoint.id)
-        course.sends += 1
-        began = time.monotonic()
-        self.load.begin(endpoint, request.target)
-        kept = False
-        try:
-            reply = self._send(request, endpoint, course, began)
-            kept = reply is not None
-            return reply
-        finally:
-            if not kept:
-                self.load.end(endpoint, request.target)
-            logs.event(
-                log,
-                "sent",
-                request=request.id,
-                route=request.route.name,
-                version=request.declaration_version,
-                endpoint=endpoint.id,
-                model=request.target.model,
-                adapter=request.target.adapter,
-                attempt=course.sends,
-                running=self.load.of_endpoint(endpoint.id),
-                left_ms=round((request.deadline - began) * 1000),
-                took_ms=round((time.monotonic() - began) * 1000, 1),
-                outcome="answer begun" if kept else course.reason,
-            )
-
-    def _send(
-        self,
-        request: asked.Asked,
-        endpoint: registry.Endpoint,
-        course: _Course,
-        began: float,
-    ) -> answering.Reply | None:
-        left_s = request.deadline - began - RETURN_S
-        head_by = request.deadline
-        if self._hedges(request, course):
-            patience = max(LEAST_HEDGE_S, HEDGE_SHARE * request.route.objective_s)
-            head_by = min(head_by, began + patience)
-        sent = self.engines.send(endpoint, request, left_s, head_by)
-        match sent:
-            case result.Err(failure):
-                return self._note_failure(request, endpoint, course, failure)
-            case result.Ok(answer):
-                pass
-        verdict = self.engines.judge(request, answer)
-        if verdict not in (adapters.Verdict.ANSWER, adapters.Verdict.FAILED):
-            answer.close()
-            self._note_verdict(request, endpoint, course, verdict)
-            return None
-        failed = verdict is adapters.Verdict.FAILED
-        if failed and self._hedges(request, course):
-            answer.close()
-            self.health.failed(endpoint, f"status {answer.status}", 0.5)
-            course.may_have_run = True
-            course.reason = f"status {answer.status}"
-            return None
-        return self._read(request, endpoint, course, answer, verdict, began)
-
-    def _read(
-        self, request, endpoint, course, answer, verdict, began
-    ) -> answering.Reply | None:
-        """Turn an answer into a reply; plain ones are read whole first."""
-        took = time.monotonic() - began
-        running = answering.Running(self, request, endpoint, answer)
-        if request.route.streaming and verdict is adapters.Verdict.ANSWER:
-            self.health.succeeded(endpoint, took)
-            if took > request.route.objective_s:
-                self.load.note_late(request.target)
-            self.head_seconds.observe(
-                {"service": request.target.service}, time.monotonic() - request.arrived
-            )
-            return answering.Reply(answer.status, answer.headers, running)
-        match transport.whole(answer):
-            case result.Ok(body):
-                pass
-            case result.Err(reason):
-                answer.close()
-                self._note_break(request, endpoint, course, reason)
-                return None
-        answer.close()
-        self.load.end(endpoint, request.target)
-        if verdict is adapters.Verdict.ANSWER:
-            self.health.succeeded(endpoint, time.monotonic() - began)
-            self.poison.ran_well(request)
-        else:
-            self.health.failed(endpoint, f"status {answer.status}", 0.5)
-        self.head_seconds.observe(
-            {"service": request.target.service}, time.monotonic() - request.arrived
-        )
-        return answering.Reply(answer.status, answer.headers, [body])
-
-    def _hedges(self, request: asked.Asked, course: _Course) -> bool:
-        """Return whether a slow attempt should make way for another one."""
-        return (
-            request.route.repeatable
-            and not request.route.streaming
-            and len(course.tried) < request.route.most_endpoints
-            and len(self.registry.of_service(request.target.service)) > 1
-        )
-
-    def _note_failure(self, request, endpoint, course, failure) -> None:
-        course.reason = failure.reason[:80]
-        if not failure.sent:
-            # Nothing left this VM, so the endpoint was not tried at all.
-            course.tried.discard(endpoint.id)
-            self.health.failed(endpoint, failure.reason)
-            self.health.failed(endpoint, failure.reason)
-            return
-        self._note_break(request, endpoint, course, failure.reason)
-
-    def _note_break(self, request, endpoint, course, reason: str) -> None:
-        course.may_have_run = True
-        course.reason = reason[:80]
-        self.health.failed(endpoint, reason)
-        if "timed out" not in reason and "late" not in reason:
-            self.poison.broke(request, endpoint)
-
-    def _note_verdict(self, request, endpoint, course, verdict) -> None:
-        course.reason = verdict.value
-        match verdict:
-            case adapters.Verdict.ABSENT:
-                self.residency.missed(endpoint, request.target)
-            case adapters.Verdict.MISDIRECTED:
-                self.registry.dismiss(endpoint, "its address is another's")
-            case adapters.Verdict.FOREIGN:
-                course.may_have_run = True
-                self.health.failed(endpoint, "not an answer to the request")
-            case adapters.Verdict.BUSY:
-                gevent.sleep(FULL_PAUSE_S)
-
-    def _may_go_on(self, request: asked.Asked, course: _Course) -> bool:
+    def _may_go_on(self, request: asked.Asked, course: attempts.Course) -> bool:
         if course.may_have_run and not request.route.repeatable:
             return False
         if time.monotonic() + LEAST_S > request.deadline:
@@ -345,7 +174,7 @@
         return self.budget.take(request.target.service)
 
     def _give_up(
-        self, request: asked.Asked, course: _Course
+        self, request: asked.Asked, course: attempts.Course
     ) -> result.Result[answering.Reply, outcomes.Refusal]:
         if not course.may_have_run:
             return self._refuse(request, course, 503, FULL_RETRY_S)
@@ -355,7 +184,7 @@
     def _refuse(
         self,
         request: asked.Asked,
-        course: _Course,
+        course: attempts.Course,
         status: int,
         retry_after: float | None,
     ) -> result.Result[answering.Reply, outcomes.Refusal]:
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -223,8 +223,9 @@
                 pass
             case result.Err(reason):
                 return self._refused(call, outcomes.invalid(reason), version)
-        watch = call.start_watch()
-        match self.dispatch.run(request, watch):
+        # From here on a caller that leaves ends this task.
+        call.start_watch()
+        match self.dispatch.run(request):
             case result.Ok(reply):
                 return reply
             case result.Err(refusal):
--- a/packages/mothworks_gateway/src/mothworks_gateway/health.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/health.py
@@ -95,19 +95,25 @@
             record.pause_s = 0.0
 
     def failed(
-        self, endpoint: registry.Endpoint, reason: str, weight: float = 1.0
+        self,
+        endpoint: registry.Endpoint,
+        reason: str,
+        weight: float = 1.0,
+        in_a_row: int = 1,
     ) -> None:
         """Count a failure that the endpoint is to blame for.
 
         :param endpoint: who failed.
         :param reason: how, for the log.
         :param weight: below 1 for errors that requests may cause themselves.
+        :param in_a_row: how many failures it counts as, where they are counted
+            in a row: more where no connection opened at all.
         """
         record = self.record(endpoint)
         record.answers += 1
         record.failing += (weight - record.failing) * SMOOTHING
         if weight >= 1:
-            record.in_a_row += 1
+            record.in_a_row += in_a_row
         if record.in_a_row >= FAILURES_IN_A_ROW or self._stands_out(endpoint, record):
             self._pass_over(endpoint, record, reason)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -19,11 +19,11 @@
     feeding,
     front,
     lease,
+    ordering,
     pulse,
     residency,
     scheduler,
     settings,
-    sites,
 )
 
 log = logbook.Logger("node")
@@ -44,7 +44,7 @@
     pulse.Pulses,
     lease.Lease,
     residency.Residency,
-    sites.Sites,
+    ordering.Ordering,
     scheduler.Scheduler,
     front.Front,
 )
--- a/packages/mothworks_gateway/src/mothworks_gateway/offers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/offers.py
@@ -7,7 +7,7 @@
 import attrs
 
 from mothworks import kernel
-from mothworks_gateway import asked, declared, demand, load, sites
+from mothworks_gateway import asked, declared, demand, load, ordering, sites
 
 #: Part of a waiting request that is lost with each second that it waits.
 LOST_PER_S = 0.4
@@ -68,7 +68,7 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
-        self.sites = node_kernel.get(sites.Sites)
+        self.ordering = node_kernel.get(ordering.Ordering)
         self.load = node_kernel.get(load.Load)
         self.demand = node_kernel.get(demand.Demand)
 
@@ -79,7 +79,7 @@
         """
         return [
             site
-            for site in self.sites.of_service(target.service)
+            for site in self.ordering.of_service(target.service)
             if site.open and site.will_hold(target.model, target.adapter)
         ]
 
@@ -92,7 +92,7 @@
         :param forced: whether models may be dropped that requests use.
         """
         offers = []
-        for site in self.sites.of_service(service):
+        for site in self.ordering.of_service(service):
             if not (site.open and site.known) or site.will_hold(model.name, ""):
                 continue
             if self._may_queue(site, model):
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -24,6 +24,7 @@
     lease,
     load,
     offers,
+    ordering,
     residency,
     sites,
 )
@@ -93,7 +94,7 @@
         self.declarations = node_kernel.get(declarations.Declarations)
         self.follower = node_kernel.get(discovery.Discovery).follower
         self.load = node_kernel.get(load.Load)
-        self.sites = node_kernel.get(sites.Sites)
+        self.ordering = node_kernel.get(ordering.Ordering)
         self.demand = node_kernel.get(demand.Demand)
         self.offers = node_kernel.get(offers.Offers)
         self.spread_at_by_target: dict[asked.Target, float] = {}
@@ -118,11 +119,11 @@
                 self._schedule(self.declarations.current)
 
     def _gain(self) -> None:
-        self.sites.reset()
+        self.ordering.reset()
         self.woken.set()
 
     def _schedule(self, declaration: declared.Declaration) -> None:
-        self.sites.follow(declaration)
+        self.ordering.follow(declaration)
         wishes = self.demand.wishes()
         for wish in wishes:
             service = declaration.service_by_name.get(wish.target.service)
@@ -181,7 +182,8 @@
         made = [
             offer
             for offer in self.offers.make(target.service, model, forced)
-            if offer.harm <= most_harm and self.sites.may_load(offer.site, model, share)
+            if offer.harm <= most_harm
+            and self.ordering.may_load(offer.site, model, share)
         ]
         best = min(made, key=lambda offer: offer.cost(callers), default=None)
         if best is not None:
@@ -225,7 +227,7 @@
         stays in the endpoint's host memory.
         """
         copies: collections.Counter[str] = collections.Counter()
-        for site in self.sites.of_service(service):
+        for site in self.ordering.of_service(service):
             if not site.known:
                 return
             copies.update(site.at_hand())
