--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -17,7 +17,7 @@
 #: Kinds of plug-ins, beside those of :mod:`mothworks.plugins`.
 FEEDS = "feeds"
 CALLERS = "callers"
-ENGINES = "engines"
+ENDPOINTS = "endpoint protocol"
 
 
 @attrs.frozen
@@ -237,7 +237,7 @@
     fence: int
 
 
-class Engines:
+class EndpointProtocol:
     """How endpoints speak.
 
     :param connections: the connections to endpoints.
--- a/packages/mothworks_gateway/src/mothworks_gateway/answering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/answering.py
@@ -139,16 +139,16 @@
         return bool(others) and self._send_on(others[0], left_s)
 
     def _send_on(self, endpoint: registry.Endpoint, left_s: float) -> bool:
-        engines = self.attempts.engines
+        protocol = self.attempts.protocol
         self.tried.add(endpoint.id)
         self.cutter.rest = b""
         last_id = self.cutter.last_id
         deadline = self.request.deadline
-        sent = engines.send(endpoint, self.request, left_s, deadline, last_id)
+        sent = protocol.send(endpoint, self.request, left_s, deadline, last_id)
         going = False
         match sent:
             case result.Ok(answer):
-                going = engines.judge(self.request, answer) is adapters.Verdict.ANSWER
+                going = protocol.judge(self.request, answer) is adapters.Verdict.ANSWER
                 if not going:
                     answer.close()
         logs.event(
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -66,7 +66,7 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
-        self.engines = node_kernel.get(endpoints_client.EndpointsClient).engines
+        self.protocol = node_kernel.get(endpoints_client.EndpointsClient).protocol
         self.choice = node_kernel.get(choice.Choice)
         self.registry = self.choice.registry
         self.health = node_kernel.get(health.Health)
@@ -128,13 +128,13 @@
         if self._hedges(request, course):
             patience = max(LEAST_HEDGE_S, HEDGE_SHARE * request.route.objective_s)
             head_by = min(head_by, began + patience)
-        sent = self.engines.send(endpoint, request, left_s, head_by)
+        sent = self.protocol.send(endpoint, request, left_s, head_by)
         match sent:
             case result.Err(failure):
                 return self._note_failure(request, endpoint, course, failure)
             case result.Ok(answer):
                 pass
-        verdict = self.engines.judge(request, answer)
+        verdict = self.protocol.judge(request, answer)
         if verdict not in (adapters.Verdict.ANSWER, adapters.Verdict.FAILED):
             answer.close()
             self._note_verdict(request, endpoint, course, verdict)
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoints_client.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoints_client.py
@@ -21,7 +21,5 @@
         self.connections = transport.Transport(
             SILENCE_S, connect_s=CONNECT_S, takes_unframed=True
         )
-        adapter = node_kernel.settings.adapter
-        self.engines: adapters.Engines = plugins.find(adapters.ENGINES, adapter)(
-            self.connections
-        )
+        protocol = plugins.find(adapters.ENDPOINTS, node_kernel.settings.adapter)
+        self.protocol: adapters.EndpointProtocol = protocol(self.connections)
--- a/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
@@ -62,7 +62,7 @@
         self.bounds = node_kernel.settings.bounds
         self.name = node_kernel.settings.name
         self.registry = node_kernel.get(discovery.Discovery).registry
-        self.engines = node_kernel.get(endpoints_client.EndpointsClient).engines
+        self.protocol = node_kernel.get(endpoints_client.EndpointsClient).protocol
         self.lease = node_kernel.get(lease.Lease)
         self.load = node_kernel.get(load.Load)
         self.residency = node_kernel.get(residency.Residency)
@@ -168,7 +168,7 @@
 
     def _look(self, site: sites.Site) -> None:
         """Ask an endpoint what it holds and how many orders it accepted."""
-        match self.engines.inventory(site.endpoint):
+        match self.protocol.inventory(site.endpoint):
             case result.Ok(seen) if not seen.ordered:
                 site.accepted = seen.accepted
                 site.loading = ""
@@ -308,7 +308,7 @@
             # Told before the order leaves, so that no VM sends a request that
             # the endpoint would turn away.
             self._publish(site, without=order)
-        outcome = self.engines.order(site.endpoint, order, self.lease.held)
+        outcome = self.protocol.order(site.endpoint, order, self.lease.held)
         kind = "load" if order.load else "unload"
         self.orders_total.inc({"order": kind, "outcome": outcome.value})
         logs.event(
