One task a peer opens its connection, however many messages wait

On taking the lease it looked at 600 endpoints and told 99 peers of each, with a task for every message until a connection was open. One task a peer opens it now, and what agrees with the registry is not told.

--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -76,6 +76,8 @@
             int, tuple[links.Link, gevent.event.AsyncResult]
         ] = {}
         self.retry_at_by_vm: dict[str, float] = {}
+        #: Frames that wait for a connection to their peer to open.
+        self.frames_by_vm: dict[str, list[bytes]] = {}
         self.calls = itertools.count(1)
         self.closed_bytes = 0
         #: Functions to call with a VM's name after the connection to it broke.
@@ -158,8 +160,29 @@
             if link is not None:
                 link.send(frame)
             else:
-                # Opening a connection blocks; the other peers need not wait.
-                self.tasks.spawn(self.send, member.name, message)
+                self._send_later(member.name, frame)
+
+    def _send_later(self, vm: str, frame: bytes) -> None:
+        """Send a frame once a connection is open; others need not wait.
+
+        One task a peer opens it. With a task for each frame, hundreds of
+        messages to a hundred new peers took the memory of a whole VM.
+        """
+        frames = self.frames_by_vm.get(vm)
+        if frames is None:
+            self.frames_by_vm[vm] = [frame]
+            self.tasks.spawn(self._open_and_send, vm)
+        elif len(frames) < links.QUEUE_LENGTH:
+            frames.append(frame)
+
+    def _open_and_send(self, vm: str) -> None:
+        try:
+            link = self._link(vm)
+        finally:
+            frames = self.frames_by_vm.pop(vm)
+        if link is not None:
+            for frame in frames:
+                link.send(frame)
 
     def total_bytes(self) -> int:
         """Return the bytes sent to and received from peers so far, over TCP."""
--- a/packages/mothworks/tests/test_membership.py
+++ b/packages/mothworks/tests/test_membership.py
@@ -2,11 +2,12 @@
 
 import attrs
 import gevent
+import gevent.event
 import msgpack
 import pytest
 
 import groups
-from mothworks import members, messages, swim, vm_list
+from mothworks import exchange, members, messages, swim, vm_list
 from mothworks_fakes import processes
 
 
@@ -216,3 +217,32 @@
         sock.sendall(b"\xc1")
         processes.wait_until(lambda: "odd" not in vm.peers.link_by_vm)
     assert vm.kernel.failure is None
+
+
+def test_messages_to_peers_that_are_not_connected_take_one_task_each(group):
+    # A VM that has just begun tells a hundred peers about hundreds of endpoints
+    # before any connection is open. A task for each message took 300 MB.
+    vms = [group.add(name) for name in ("a", "b", "c")]
+    group.wait("a", "b", "c")
+    sender = vms[0]
+    heard = []
+    for vm in vms[1:]:
+        vm.peers.handle(exchange.MembersTable, lambda *told: heard.append(told))
+    for link in list(sender.peers.link_by_vm.values()):
+        link.close()
+    processes.wait_until(lambda: not sender.peers.link_by_vm)
+    opened = gevent.event.Event()
+    connect = sender.peers.connect
+
+    def wait_and_connect(*args):
+        opened.wait()
+        return connect(*args)
+
+    sender.peers.connect = wait_and_connect
+    before = len(sender.peers.tasks.group)
+    for _ in range(300):
+        sender.peers.send_all(exchange.MembersTable(()))
+    gevent.sleep(0)
+    assert len(sender.peers.tasks.group) <= before + 2
+    opened.set()
+    processes.wait_until(lambda: len(heard) >= 600)
--- a/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
@@ -177,7 +177,9 @@
                 }
                 for model, adapter in seen.arriving:
                     site.adapters_by_model.setdefault(model, set()).add(adapter)
-                self._publish(site)
+                if site.adapters_by_model != site.endpoint.adapters_by_model:
+                    # What agrees with the registry, all VMs know from there.
+                    self._publish(site)
             case result.Ok(_):
                 # What it is carrying out is not known, and so neither is the
                 # memory that it will take.
