--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -29,6 +29,8 @@
 #: Time that a poll must have waited before a peer that knows more ends it,
 #: seconds.
 STUCK_S = 1.0
+#: Seconds between questions to peers while a VM starts.
+ASK_S = 0.3
 #: Time for a peer to send its state, seconds.
 REPLY_S = 1.0
 
@@ -192,10 +194,16 @@
             self._asking = False
 
     def _ask_at_start(self) -> None:
+        """Ask peers for what the platform has not told yet, one at a time.
+
+        Where all VMs start at once, each asking all others moved the whole
+        registry between every two of them, and nobody served meanwhile.
+        """
         while not (self.declarations.loaded.is_set() and self.discovery.loaded):
-            gevent.sleep(0.2)
-            for member in self.membership.near():
-                self._ask(member.name)
+            gevent.sleep(ASK_S)
+            near = self.membership.near()
+            if near:
+                self._ask(random.choice(near).name)
 
     def _ask(self, vm: str) -> None:
         request = StateRequest(self._version(), self.discovery.registry.cursor)
