One WSGI application for both servers; an answer without a body may name its length

front.py had written server.py's application, its guard and the reply class again. Both derive from serving.Serving now, answering.Reply is calls.Reply, and calls.refuse gives the hint in parts of a second where asked. The twin had lost one line: a length on a 204 or 304 was passed on, the WSGI server failed on it, and the caller got a 500. The test got 500 before and 304 after.

--- a/packages/mothworks/src/mothworks/calls.py
+++ b/packages/mothworks/src/mothworks/calls.py
@@ -194,14 +194,18 @@
     return result.Ok(caller)
 
 
-def refuse(refusal: outcomes.Refusal) -> Reply:
+def refuse(refusal: outcomes.Refusal, fractions: bool = False) -> Reply:
     """Return the reply that carries a refusal.
 
     :param refusal: why there is no answer.
+    :param fractions: whether callers understand parts of a second in the hint
+        when to come back, which HTTP counts in whole ones.
     """
     headers = [JSON, ("Mothworks-Ran", refusal.ran)]
     if refusal.retry_after is not None:
-        headers.append(("Retry-After", str(max(1, round(refusal.retry_after)))))
+        exact = f"{refusal.retry_after:g}"
+        whole = str(max(1, round(refusal.retry_after)))
+        headers.append(("Retry-After", exact if fractions else whole))
     return Reply(refusal.status, headers, [refusal.body()], refusal)
 
 
--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -1,8 +1,6 @@
 """The HTTP server for callers and operators, on gevent's WSGI server."""
 
-import collections.abc
 import time
-import typing
 
 import gevent
 import logbook
@@ -16,7 +14,7 @@
     outcomes,
     path_metrics,
     plugins,
-    uploads,
+    serving,
 )
 
 log = logbook.Logger("server")
@@ -27,7 +25,7 @@
 
 
 @plugins.register(plugins.PART, "server")
-class Server(kernel.Part):
+class Server(serving.Serving):
     """Accepts callers' connections and hands each call to its protocol.
 
     :param node_kernel: the node's kernel.
@@ -42,13 +40,11 @@
         }
         chosen = node_kernel.settings
         self.listener = connections.Listener(
-            (chosen.address, chosen.port), self._application, chosen.limits
+            (chosen.address, chosen.port), self.application, chosen.limits
         )
         self.listener.init_socket()
         #: The port that the kernel chose where the setting is 0.
         self.port = self.listener.socket.getsockname()[1]
-        self.open_calls = 0
-        self.uploads = uploads.Uploads(chosen.limits.uploads_bytes)
         self.metrics = path_metrics.PathMetrics(node_kernel.metrics)
 
     def start(self) -> None:
@@ -77,35 +73,21 @@
         self.listener.stop(timeout=0)
         super().stop()
 
-    def _application(
-        self, environ: dict[str, typing.Any], start_response: calls.StartResponse
-    ) -> collections.abc.Iterator[bytes]:
-        self.open_calls += 1
-        call = reply = None
-        try:
-            limits = self.kernel.settings.limits
-            call = calls.Call(environ, limits, self.uploads)
-            logs.set_request_id(call.id)
-            reply = self._guarded(call)
-            self._note(call, reply)
-            headers = _headers(reply, call.id)
-            if self.kernel.draining:
-                # The caller's next call goes to another VM.
-                headers.append(("Connection", "close"))
-            start_response(calls.status_line(reply.status), headers)
-            yield from reply.body
-        except OSError as error:
-            raise connections.BrokenAnswer from error
-        finally:
-            # A body that was never iterated holds its slot until closed.
-            close = getattr(reply and reply.body, "close", None)
-            if close is not None:
-                close()
-            if call is not None:
-                call.stop_watch()
-            self.open_calls -= 1
-
-    def _note(self, call: calls.Call, reply: calls.Reply) -> None:
+    def begun(self, call: calls.Call) -> None:
+        """Name the call in the logs of its task."""
+        logs.set_request_id(call.id)
+
+    def headers(self, call: calls.Call, reply: calls.Reply) -> list[tuple[str, str]]:
+        """Return a reply's headers with this node's id of the call."""
+        kept = [
+            item
+            for item in super().headers(call, reply)
+            if item[0].lower() != calls.REQUEST_ID.lower()
+        ]
+        return [*kept, (calls.REQUEST_ID, call.id)]
+
+    def replied(self, call: calls.Call, reply: calls.Reply) -> None:
+        """Count and log a reply."""
         self.metrics.replied(reply.status, reply.refusal)
         if reply.refusal is not None and reply.status >= 500:
             refusal = reply.refusal
@@ -113,23 +95,8 @@
         else:
             log.debug("{} {}: {}", call.method, call.path, reply.status)
 
-    def _guarded(self, call: calls.Call) -> calls.Reply:
-        """Answer a call even where our own code fails on it.
-
-        Stopping the process, as for other broken invariants, would let one
-        odd request that is sent again take down every VM in turn.
-        """
-        try:
-            return self._reply(call)
-        except Exception:
-            log.exception("failed on {} {}", call.method, call.path)
-            return calls.refuse(
-                outcomes.Refusal(
-                    500, "internal", "the node failed on this", outcomes.Ran.UNKNOWN
-                )
-            )
-
-    def _reply(self, call: calls.Call) -> calls.Reply:
+    def reply(self, call: calls.Call) -> calls.Reply:
+        """Answer one call by its protocol."""
         match call.path:
             case "/healthz":
                 return calls.json_reply({"alive": True})
@@ -152,12 +119,3 @@
         if not self.configuration.loaded.is_set():
             return calls.json_reply({"ready": False, "why": "no configuration"}, 503)
         return calls.json_reply({"ready": True})
-
-
-def _headers(reply: calls.Reply, request_id: str) -> list[tuple[str, str]]:
-    withheld = {calls.REQUEST_ID.lower()}
-    if reply.status in (204, 304):
-        # The WSGI server fails on a length of a body that must not be there.
-        withheld.add("content-length")
-    kept = [item for item in reply.headers if item[0].lower() not in withheld]
-    return [*kept, (calls.REQUEST_ID, request_id)]
--- a/packages/mothworks_gateway/src/mothworks_gateway/answering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/answering.py
@@ -1,9 +1,8 @@
-"""An answer on its way to the caller, and what happens if it breaks."""
+"""A stream on its way to the caller, and what happens if it breaks."""
 
 import collections.abc
 import time
 
-import attrs
 import logbook
 import result
 
@@ -16,20 +15,6 @@
 LEAST_S = 0.1
 
 
-@attrs.frozen
-class Reply:
-    """What a caller gets.
-
-    :param status: the HTTP status.
-    :param headers: the endpoint's headers.
-    :param body: pieces of the body.
-    """
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: collections.abc.Iterable[bytes]
-
-
 class Running:
     """A stream while it runs; iterating passes its bytes on as they come.
 
@@ -53,6 +38,7 @@
         self.open = True
         self.tried = {endpoint.id}
         self.outcome = "caller left"
+        self.closed = False
         self.passed = 0
         self.longest_gap_s = 0.0
         self.cutter = events.Cutter() if request.route.resumable else None
@@ -77,19 +63,20 @@
 
     def close(self) -> None:
         """Release the endpoint; cancels what is not complete."""
-        if self.open or self.outcome != "closed":
-            self._leave()
-            logs.event(
-                log,
-                "ended",
-                request=self.request.id,
-                endpoint=self.endpoint.id,
-                bytes=self.passed,
-                longest_gap_ms=round(self.longest_gap_s * 1000),
-                took_ms=round((time.monotonic() - self.request.arrived) * 1000),
-                outcome=self.outcome,
-            )
-            self.outcome = "closed"
+        if self.closed:
+            return
+        self.closed = True
+        self._leave()
+        logs.event(
+            log,
+            "ended",
+            request=self.request.id,
+            endpoint=self.endpoint.id,
+            bytes=self.passed,
+            longest_gap_ms=round(self.longest_gap_s * 1000),
+            took_ms=round((time.monotonic() - self.request.arrived) * 1000),
+            outcome=self.outcome,
+        )
 
     def _pieces(self) -> collections.abc.Iterator[bytes]:
         at = time.monotonic()
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -12,7 +12,7 @@
 import logbook
 import result
 
-from mothworks import endpoints, kernel, logs, transport
+from mothworks import calls, endpoints, kernel, logs, transport
 from mothworks_gateway import (
     adapters,
     answering,
@@ -80,7 +80,7 @@
 
     def make(
         self, request: asked.Asked, endpoint: registry.Endpoint, course: Course
-    ) -> answering.Reply | None:
+    ) -> calls.Reply | None:
         """Send a request once.
 
         :param request: the request.
@@ -122,7 +122,7 @@
         endpoint: registry.Endpoint,
         course: Course,
         began: float,
-    ) -> answering.Reply | None:
+    ) -> calls.Reply | None:
         left_s = request.deadline - began - RETURN_S
         head_by = request.deadline
         if self._hedges(request, course):
@@ -156,7 +156,7 @@
         answer: transport.HttpAnswer,
         verdict: adapters.Verdict,
         began: float,
-    ) -> answering.Reply | None:
+    ) -> calls.Reply | None:
         """Turn an answer into a reply; plain ones are read whole first."""
         if request.route.streaming and verdict is adapters.Verdict.ANSWER:
             took = time.monotonic() - began
@@ -180,10 +180,10 @@
 
     def _reply(
         self, request: asked.Asked, answer: transport.HttpAnswer, body
-    ) -> answering.Reply:
+    ) -> calls.Reply:
         labels = {"service": request.target.service}
         self.head_seconds.observe(labels, time.monotonic() - request.arrived)
-        return answering.Reply(answer.status, answer.headers, body)
+        return calls.Reply(answer.status, answer.headers, body)
 
     def _hedges(self, request: asked.Asked, course: Course) -> bool:
         """Return whether a slow attempt should make way for another one."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -11,9 +11,8 @@
 import logbook
 import result
 
-from mothworks import kernel, logs, outcomes
+from mothworks import calls, kernel, logs, outcomes
 from mothworks_gateway import (
-    answering,
     asked,
     attempts,
     budget,
@@ -67,9 +66,7 @@
             "requests_total", "Requests by service and outcome."
         )
 
-    def run(
-        self, request: asked.Asked
-    ) -> result.Result[answering.Reply, outcomes.Refusal]:
+    def run(self, request: asked.Asked) -> result.Result[calls.Reply, outcomes.Refusal]:
         """Run a request and return its answer, the body still to come.
 
         :param request: the request.
@@ -175,7 +172,7 @@
 
     def _give_up(
         self, request: asked.Asked, course: attempts.Course
-    ) -> result.Result[answering.Reply, outcomes.Refusal]:
+    ) -> result.Result[calls.Reply, outcomes.Refusal]:
         if not course.may_have_run:
             return self._refuse(request, course, 503, FULL_RETRY_S)
         late = time.monotonic() + LEAST_S > request.deadline
@@ -187,7 +184,7 @@
         course: attempts.Course,
         status: int,
         retry_after: float | None,
-    ) -> result.Result[answering.Reply, outcomes.Refusal]:
+    ) -> result.Result[calls.Reply, outcomes.Refusal]:
         ran = outcomes.Ran.NO
         if course.may_have_run:
             # A 503 would promise that the request has not run.
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -5,7 +5,6 @@
 are served there and on a port of their own.
 """
 
-import collections.abc
 import time
 import typing
 
@@ -15,10 +14,18 @@
 import logbook
 import result
 
-from mothworks import calls, connections, kernel, logs, outcomes, plugins, uploads
+from mothworks import (
+    calls,
+    connections,
+    kernel,
+    logs,
+    outcomes,
+    plugins,
+    serving,
+    settings as node_settings,
+)
 from mothworks_gateway import (
     adapters,
-    answering,
     declarations,
     declared,
     discovery,
@@ -44,13 +51,14 @@
 IDLE_FACTOR = 1.15
 #: Hint to a caller while no declaration is known, seconds.
 UNDECLARED_RETRY_S = 0.5
-#: Descriptors for endpoints and peers, as a share of those for callers.
+#: Share of the descriptors that callers may take; the rest is for endpoints and
+#: peers.
 CALLER_SHARE = 0.6
 
 Environ = dict[str, typing.Any]
 
 
-class Front(kernel.Part):
+class Front(serving.Serving):
     """Serves callers.
 
     :param node_kernel: the node's kernel.
@@ -65,19 +73,17 @@
         self.callers: adapters.Callers = plugins.find(
             adapters.CALLERS, chosen.adapter
         )()
-        self.uploads = uploads.Uploads(chosen.limits.uploads_bytes)
         most = int((chosen.descriptors - settings.SPARE_DESCRIPTORS) * CALLER_SHARE)
         limits = attrs.evolve(
             chosen.limits, connections=max(16, min(most, chosen.limits.connections))
         )
         address = settings.split_address(chosen.front)
-        self.listener = connections.Listener(address, self._application, limits)
+        self.listener = connections.Listener(address, self.application, limits)
         self.listener.init_socket()
         self.status_listeners = [
             gevent.pywsgi.WSGIServer(place, self._status, log=None, error_log=None)
             for place in self._status_addresses(chosen)
         ]
-        self.open_calls = 0
         #: Whether requests that still come are refused.
         self.closing = False
         self.declarations.on_change.append(self._take_limits)
@@ -150,46 +156,17 @@
         start_response("404 Not Found", [("Content-Type", "text/plain")])
         return [b"nothing is here\n"]
 
-    def _application(
-        self, environ: Environ, start_response: calls.StartResponse
-    ) -> collections.abc.Iterator[bytes]:
-        self.open_calls += 1
-        call = reply = None
-        try:
-            call = calls.Call(environ, self.listener.limits, self.uploads)
-            reply = self._guarded(call)
-            headers = list(reply.headers)
-            if self.kernel.draining:
-                headers.append(("Connection", "close"))
-            start_response(calls.status_line(reply.status), headers)
-            yield from reply.body
-        except OSError as error:
-            raise connections.BrokenAnswer from error
-        finally:
-            close = getattr(reply and reply.body, "close", None)
-            if close is not None:
-                close()
-            if call is not None:
-                call.stop_watch()
-            self.open_calls -= 1
-
-    def _guarded(self, call: calls.Call) -> answering.Reply:
-        """Answer a call even where our own code fails on it.
-
-        Stopping the process would let one odd request that is sent again take
-        down every VM in turn.
-        """
-        try:
-            return self._reply(call)
-        except Exception:
-            log.exception("failed on {} {}", call.method, call.raw_path[:80])
-            return self._refusal(
-                outcomes.Refusal(
-                    500, "internal", "the node failed on this", outcomes.Ran.UNKNOWN
-                )
-            )
+    @property
+    def limits(self) -> node_settings.Limits:
+        """Return the bounds in force, of the settings and the declaration."""
+        return self.listener.limits
+
+    def refuse(self, refusal: outcomes.Refusal) -> calls.Reply:
+        """Return the reply that carries a refusal, with an exact hint."""
+        return calls.refuse(refusal, fractions=True)
 
-    def _reply(self, call: calls.Call) -> answering.Reply:
+    def reply(self, call: calls.Call) -> calls.Reply:
+        """Answer one call by its route."""
         if self.closing:
             refusal = outcomes.overloaded("this VM stops", STOPPING_RETRY_S, "stopping")
             return self._refused(call, refusal)
@@ -216,7 +193,7 @@
 
     def _run(
         self, call: calls.Call, route: declared.Route, body: bytes, version: int
-    ) -> answering.Reply:
+    ) -> calls.Reply:
         service = self.dispatch.choice.service(route)
         match self.callers.read(call, route, service, body, version):
             case result.Ok(request):
@@ -229,11 +206,11 @@
             case result.Ok(reply):
                 return reply
             case result.Err(refusal):
-                return self._refusal(refusal)
+                return self.refuse(refusal)
 
     def _refused(
         self, call: calls.Call, refusal: outcomes.Refusal, version: int = 0
-    ) -> answering.Reply:
+    ) -> calls.Reply:
         logs.event(
             log,
             "refused",
@@ -244,11 +221,4 @@
             reason=refusal.message[:120],
             outcome=refusal.status,
         )
-        return self._refusal(refusal)
-
-    def _refusal(self, refusal: outcomes.Refusal) -> answering.Reply:
-        body = refusal.body()
-        headers = [calls.JSON, ("Mothworks-Ran", refusal.ran)]
-        if refusal.retry_after is not None:
-            headers.append(("Retry-After", f"{refusal.retry_after:g}"))
-        return answering.Reply(refusal.status, headers, [body])
+        return self.refuse(refusal)
