Transport: no state that nobody reads, and a whole answer closes itself

Connections counted whether they had been used, when they opened and were handed out; nothing read any of it since retries follow from what was sent. Each caller of transport.whole closed the answer on the next line, and the object store's client had its own copy of the same read: whole() closes, and that client calls it.

--- a/packages/mothworks/src/mothworks/objects_http.py
+++ b/packages/mothworks/src/mothworks/objects_http.py
@@ -110,14 +110,12 @@
                 pass
             case error:
                 return error
-        try:
-            received = b"".join(answer.chunks())
-        except transport.FAILURES as error:
-            return result.Err(endpoints.SendFailure(f"answer: {error}", True))
-        finally:
-            answer.close()
-        header_by_name = {name.lower(): value for name, value in answer.headers}
-        return result.Ok(Reply(answer.status, header_by_name.get("etag", ""), received))
+        match transport.whole(answer):
+            case result.Ok(received):
+                pass
+            case result.Err(reason):
+                return result.Err(endpoints.SendFailure(reason, True))
+        return result.Ok(Reply(answer.status, answer.header("etag"), received))
 
     def _read(self, chosen: transport.Transport, path: str):
         return self._exchange(chosen, "GET", path).map_err(
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -81,8 +81,6 @@
         ]
         super().__init__(response.status_code, headers)
         self.response = response
-        #: The request went out on a connection that had carried others.
-        self.reused = response.reused
 
     def header(self, name: str) -> str:
         """Return a header's value, or an empty text.
@@ -125,7 +123,6 @@
         self.socket = sock
         self.expired = False
         self.pool_takes_unframed = pool.takes_unframed
-        self.reused = sock.used
         self.hub = gevent.get_hub()
         self.readable = self.hub.loop.io(sock.fileno(), 1)
         self.silence = self.hub.loop.timer(pool.network_timeout, pool.network_timeout)
@@ -209,8 +206,6 @@
     idle_since = 0.0
     #: Time that it may be idle, seconds.
     keep_s = IDLE_S
-    #: Whether it has carried a request before.
-    used = False
     #: Whether it was opened for one request.
     fresh = False
 
@@ -221,8 +216,6 @@
     #: Whether an answer without a length is whole if its connection ended in
     #: good order.
     takes_unframed = False
-    #: Connections opened so far.
-    opened = 0
 
     def get_fresh(self) -> _Socket:
         """Return a new connection."""
@@ -243,7 +236,6 @@
             self.release_socket(sock)
             return
         sock.idle_since = time.monotonic()
-        sock.used = True
         super().return_socket(sock)
 
     def _create_socket(self) -> _Socket:
@@ -251,7 +243,6 @@
         host, port = self._connection_host, self._connection_port
         family = gevent.socket.AF_INET6 if ":" in host else gevent.socket.AF_INET
         sock = _Socket(family, gevent.socket.SOCK_STREAM)
-        self.opened += 1
         try:
             sock.settimeout(self.connection_timeout)
             sock.connect((host, port))
@@ -317,11 +308,6 @@
         self.takes_unframed = takes_unframed
         self.pool_by_address: dict[tuple[str, int], _Pool] = {}
 
-    @property
-    def opened(self) -> int:
-        """Return the connections opened so far."""
-        return sum(pool.opened for pool in self.pool_by_address.values())
-
     def exchange(
         self,
         address: tuple[str, int],
@@ -367,15 +353,6 @@
         sock.settimeout(self.silence_s)
         return result.Ok(HttpAnswer(response))
 
-    def forget(self, address: tuple[str, int]) -> None:
-        """Close the idle connections to an address.
-
-        :param address: IP number and port.
-        """
-        pool = self.pool_by_address.pop(address, None)
-        if pool is not None:
-            pool.close()
-
     def _patience(self, sending: Sending) -> float:
         ends = (sending.deadline, sending.head_deadline)
         now = time.monotonic()
@@ -398,7 +375,7 @@
 
 
 def whole(answer: HttpAnswer) -> result.Result[bytes, str]:
-    """Read an answer's whole body.
+    """Read an answer's whole body and release its connection.
 
     :param answer: the answer, its body not read.
     :returns: the body, or why it is not complete.
@@ -413,6 +390,8 @@
                 return result.Err(f"longer than {MOST_BYTES} bytes")
     except FAILURES as error:
         return result.Err(f"answer: {error}")
+    finally:
+        answer.close()
     return result.Ok(b"".join(pieces))
 
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -166,7 +166,6 @@
             body = answering.Running(self, request, endpoint, answer)
             return self._reply(request, answer, body)
         read = transport.whole(answer)
-        answer.close()
         if read.is_err():
             self._note_break(request, endpoint, course, read.err_value)
             return None
