Declarations: the platform names the operator's document, peers hand on its bytes

A document that came from a peer was put under the empty name so that the platform's decoder would find it. The feed of declarations now says which name the document has, and the decoder takes bytes. Behaviour as before; all tests pass unchanged.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -94,14 +94,14 @@
 
     declarations: Feed
     endpoints: Feed
+    #: The name, in the feed of declarations, of the operator's document.
+    declaration_name: str
 
-    def declaration(
-        self, documents: dict[str, bytes]
-    ) -> result.Result[declared.Declaration | None, str]:
+    def declaration(self, document: bytes) -> result.Result[declared.Declaration, str]:
         """Decode the operator's document.
 
-        :param documents: what the feed listed, by name.
-        :returns: None where nothing is declared yet, or why it is unreadable.
+        :param document: the document.
+        :returns: the declaration, or why it is unreadable.
         """
         raise NotImplementedError
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -31,7 +31,6 @@
         self.taken_at = 0.0
         #: Functions to call with a new declaration.
         self.on_change: list = []
-        self.documents: dict[str, bytes] = {}
 
     def start(self) -> None:
         """Follow the platform."""
@@ -47,25 +46,7 @@
         :param document: the operator's document.
         :param source: where it came from, for the log.
         """
-        self._decode({"": document}, source)
-
-    def _take_all(self, listing: adapters.Listing) -> None:
-        self.documents = dict(listing.document_by_name)
-        self._decode(self.documents, "platform")
-
-    def _take_changes(self, changes: adapters.Changes) -> None:
-        for change in changes.changes:
-            if change.document is None:
-                self.documents.pop(change.name, None)
-            else:
-                self.documents[change.name] = change.document
-        if changes.changes:
-            self._decode(self.documents, "platform")
-
-    def _decode(self, documents: dict[str, bytes], source: str) -> None:
-        match self.feeds.declaration(documents):
-            case result.Ok(None):
-                return
+        match self.feeds.declaration(document):
             case result.Ok(declaration):
                 self._take(declaration, source)
             case result.Err(reason):
@@ -78,6 +59,20 @@
                     outcome=f"version {version} stays in force",
                 )
 
+    def _take_all(self, listing: adapters.Listing) -> None:
+        self._take_document(listing.document_by_name.get(self.feeds.declaration_name))
+
+    def _take_changes(self, changes: adapters.Changes) -> None:
+        for change in changes.changes:
+            if change.name == self.feeds.declaration_name:
+                self._take_document(change.document)
+
+    def _take_document(self, document: bytes | None) -> None:
+        # Before the operator has declared anything there is none, and one that
+        # was removed leaves the last version in force.
+        if document is not None:
+            self.offer(document, "platform")
+
     def _take(self, declaration: declared.Declaration, source: str) -> None:
         before = self.current.version if self.current else 0
         if declaration.version <= before:
