Peers: post sends without waiting for a connection, for one VM as for all

Four callers started a task for each message so that a connection that opens would not hold them up, the shape that took a VM's memory in send_all. The queue that mended it there now serves every such message; a pulse starts no tasks any more.

--- a/packages/mothworks/src/mothworks/configuration_gossip.py
+++ b/packages/mothworks/src/mothworks/configuration_gossip.py
@@ -94,7 +94,7 @@
     def _spread(self) -> None:
         news = NewHead(self.configuration.revision, self.configuration.head_body)
         for name in self._some_peers(FANOUT):
-            self.tasks.spawn(self.peers.send, name, news)
+            self.peers.post(name, news)
 
     def _compare(self) -> None:
         for name in self._some_peers(1):
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -156,20 +156,27 @@
         """
         frame = messages.pack(message)
         for member in self.membership.near():
-            link = self.link_by_vm.get(member.name)
-            if link is not None:
-                link.send(frame)
-            else:
-                self._send_later(member.name, frame)
+            self._post(member.name, frame)
+
+    def post(self, vm: str, message: typing.Any) -> None:
+        """Send a message without waiting for a connection to open.
+
+        :param vm: the peer's name.
+        :param message: an instance of a registered class.
+        """
+        self._post(vm, messages.pack(message))
 
-    def _send_later(self, vm: str, frame: bytes) -> None:
-        """Send a frame once a connection is open; others need not wait.
+    def _post(self, vm: str, frame: bytes) -> None:
+        """Send a frame now, or once a connection is open.
 
         One task a peer opens it. With a task for each frame, hundreds of
         messages to a hundred new peers took the memory of a whole VM.
         """
+        link = self.link_by_vm.get(vm)
         frames = self.frames_by_vm.get(vm)
-        if frames is None:
+        if link is not None:
+            link.send(frame)
+        elif frames is None:
             self.frames_by_vm[vm] = [frame]
             self.tasks.spawn(self._open_and_send, vm)
         elif len(frames) < links.QUEUE_LENGTH:
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -203,7 +203,7 @@
             if place.owner != vm:
                 continue
             if place.held:
-                self.tasks.spawn(self.peers.send, vm, place.ask)
+                self.peers.post(vm, place.ask)
             else:
                 place.inbox.put(slot_search.News(place, slot_search.Lost()))
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -152,7 +152,7 @@
             notify(self.kernel.settings.name, pulse)
         near = self.membership.near()
         for member in random.sample(near, min(MOST_PEERS, len(near))):
-            self.tasks.spawn(self.peers.send, member.name, pulse)
+            self.peers.post(member.name, pulse)
 
     def _version(self) -> int:
         current = self.declarations.current
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -187,7 +187,7 @@
         if holder == self.name:
             self._hear_missed(endpoint.id)
         elif holder:
-            self.tasks.spawn(self.peers.send, holder, Missed(endpoint.id))
+            self.peers.post(holder, Missed(endpoint.id))
 
     def publish(self, told: Holds) -> None:
         """Tell all VMs, this one included, what an endpoint holds.
@@ -215,7 +215,7 @@
         if holder == self.name:
             self._hear_wanted(self.name, told)
         elif holder:
-            self.tasks.spawn(self.peers.send, holder, told)
+            self.peers.post(holder, told)
 
     def _hear_wanted(self, vm: str, told: Wanted) -> None:
         for notify in self.on_wanted:
