--- a/packages/mothworks_gateway/src/mothworks_gateway/health.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/health.py
@@ -13,7 +13,7 @@
 import logbook
 
 from mothworks import kernel, logs
-from mothworks_gateway import pulse, registry
+from mothworks_gateway import registry
 
 log = logbook.Logger("health")
 
@@ -63,9 +63,6 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.record_by_id: dict[str, Record] = {}
-        pulses = node_kernel.get(pulse.Pulses)
-        self.pulses = pulses
-        pulses.on_pulse.append(self._fill)
 
     def record(self, endpoint: registry.Endpoint) -> Record:
         """Return what is known of an endpoint.
@@ -169,8 +166,3 @@
             answers=record.answers,
             outcome=f"for {record.pause_s:g} s",
         )
-
-    def _fill(self) -> dict:
-        now = time.monotonic()
-        bad = [key for key, item in self.record_by_id.items() if item.until > now]
-        return {"suspected": tuple(bad)}
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -1,7 +1,7 @@
 """The pulse: what VMs tell each other a few times a second.
 
-Each VM tells its peers how much it runs where, which models its callers wait
-for, and how new its declaration and registry are. Who lacks something asks
+Each VM tells its peers how much it runs where, what its callers ask for, and
+how new its declaration and registry are. Who lacks something asks
 for it, so that a VM that starts while the platform is away still serves.
 """
 
@@ -46,7 +46,6 @@
     :param running: requests that it has running, by endpoint and model.
     :param arrived: requests that arrived since the last pulse, by service,
         model and adapter; see :meth:`load.Load.arrive` for their weight.
-    :param suspected: endpoints whose answers fail there.
     :param late: answers that came too slowly since the last pulse, by service
         and model.
     """
@@ -56,7 +55,6 @@
     fence: int
     running: tuple[tuple[str, str, str, int], ...] = ()
     arrived: tuple[tuple[str, str, str, float], ...] = ()
-    suspected: tuple[str, ...] = ()
     late: tuple[tuple[str, str, int], ...] = ()
 
 
