Health: endpoints that are gone count no longer as neighbours

forget() was never called: each start of an endpoint left a record behind, and those of endpoints that failed until they ended raised the share of failures that counted as usual. Five such records hid one that failed every second request; the new test shows it and failed before. Health now drops them itself when the registry changes.

--- a/packages/mothworks_gateway/src/mothworks_gateway/health.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/health.py
@@ -13,7 +13,7 @@
 import logbook
 
 from mothworks import kernel, logs
-from mothworks_gateway import registry
+from mothworks_gateway import discovery, registry
 
 log = logbook.Logger("health")
 
@@ -63,6 +63,8 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.record_by_id: dict[str, Record] = {}
+        self.registry = node_kernel.get(discovery.Discovery).registry
+        self.registry.on_change.append(self._forget)
 
     def record(self, endpoint: registry.Endpoint) -> Record:
         """Return what is known of an endpoint.
@@ -126,12 +128,9 @@
             return candidates
         return good or candidates
 
-    def forget(self, living: set[str]) -> None:
-        """Drop what is known of endpoints that are gone.
-
-        :param living: ids that are still known.
-        """
-        for endpoint_id in self.record_by_id.keys() - living:
+    def _forget(self) -> None:
+        """Drop what is known of endpoints that are gone."""
+        for endpoint_id in self.record_by_id.keys() - self.registry.by_id.keys():
             del self.record_by_id[endpoint_id]
 
     def _stands_out(self, endpoint: registry.Endpoint, record: Record) -> bool:
--- a/packages/mothworks_gateway/tests/gateway_builders.py
+++ b/packages/mothworks_gateway/tests/gateway_builders.py
@@ -3,7 +3,7 @@
 import collections
 
 from mothworks import metrics
-from mothworks_gateway import asked, declared, registry, settings
+from mothworks_gateway import asked, declared, discovery, registry, settings
 
 
 class Pulses:
@@ -35,6 +35,16 @@
         return self.parts[part_class]
 
 
+def kernel_with(view, parts=None):
+    """Return a kernel that holds a registry, beside other parts.
+
+    :param view: the registry.
+    :param parts: the other parts, by class.
+    """
+    found = type("Discovery", (), {"registry": view})()
+    return Kernel({discovery.Discovery: found, **(parts or {})})
+
+
 def make_settings(**fields):
     """Return the settings of one VM."""
     return settings.Settings(
--- a/packages/mothworks_gateway/tests/test_choice.py
+++ b/packages/mothworks_gateway/tests/test_choice.py
@@ -1,7 +1,7 @@
 """Choice: prompts meet at one endpoint, unless it is the fuller one."""
 
 import gateway_builders
-from mothworks_gateway import asked, choice, discovery, health, load, registry
+from mothworks_gateway import asked, choice, health, load, registry
 
 
 class Health:
@@ -12,13 +12,8 @@
 def make(endpoints, running=()):
     view = registry.Registry()
     view.by_id = {item.id: item for item in endpoints}
-    found = type("Discovery", (), {"registry": view})()
-    parts = {
-        discovery.Discovery: found,
-        health.Health: Health(),
-        load.Load: gateway_builders.Load(running),
-    }
-    return choice.Choice(gateway_builders.Kernel(parts))
+    parts = {health.Health: Health(), load.Load: gateway_builders.Load(running)}
+    return choice.Choice(gateway_builders.kernel_with(view, parts))
 
 
 def prompt(*ids):
--- a/packages/mothworks_gateway/tests/test_health.py
+++ b/packages/mothworks_gateway/tests/test_health.py
@@ -3,13 +3,12 @@
 import pytest
 
 import gateway_builders
-from mothworks_gateway import health, pulse
+from mothworks_gateway import health, registry
 
 
 @pytest.fixture
 def made():
-    pulses = gateway_builders.Pulses()
-    return health.Health(gateway_builders.Kernel({pulse.Pulses: pulses}))
+    return health.Health(gateway_builders.kernel_with(registry.Registry()))
 
 
 def endpoints(count):
@@ -65,3 +64,24 @@
     until = made.record(bad).until
     monkeypatch.setattr(health.time, "monotonic", lambda: until + 0.1)
     assert bad in made.usable([bad, *good])
+
+
+def test_endpoints_that_are_gone_count_no_longer(made):
+    # Endpoints fail until they end, and start again under new ids. With the old
+    # ones counted as neighbours, to fail half of all requests looked usual.
+    gone, staying = endpoints(8)[:5], endpoints(8)[5:]
+    for _ in range(60):
+        for item in gone:
+            made.failed(item, "status 500")
+    made.registry.by_id = {item.id: item for item in staying}
+    made.registry.changed()
+    bad, *good = staying
+    for number in range(60):
+        for item in good:
+            made.succeeded(item, 0.01)
+        if number % 2:
+            made.succeeded(bad, 0.01)
+        else:
+            made.failed(bad, "status 500")
+    assert bad not in made.usable(staying)
+    assert made.record_by_id.keys() == made.registry.by_id.keys()
