Windows: one sliding window for the retry budget and the weight store's rate

Both kept times in a deque and dropped the old ones before they counted; the allowed rates and when an event is counted are as before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/budget.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/budget.py
@@ -7,36 +7,15 @@
 """
 
 import collections
-import time
 
 from mothworks import kernel
-from mothworks_gateway import pulse
+from mothworks_gateway import pulse, windows
 
 #: Part of the allowance that is used; the rest covers VMs that count each
 #: other wrongly for a moment.
 USED = 0.8
 
 
-class _Window:
-    """Times of events in a sliding window.
-
-    :param seconds: the window's length.
-    """
-
-    def __init__(self, seconds: float):
-        self.seconds = seconds
-        self.times: collections.deque[float] = collections.deque()
-
-    def add(self) -> None:
-        self.times.append(time.monotonic())
-
-    def count(self) -> int:
-        oldest = time.monotonic() - self.seconds
-        while self.times and self.times[0] < oldest:
-            self.times.popleft()
-        return len(self.times)
-
-
 class Budget(kernel.Part):
     """Counts requests and repeats by service.
 
@@ -46,23 +25,23 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.pulses = node_kernel.get(pulse.Pulses)
-        self.requests_by_service: dict[str, _Window] = {}
-        self.repeats_by_service: dict[str, _Window] = {}
+        self.requests_by_service = self._window_by_service()
+        self.repeats_by_service = self._window_by_service()
 
     def add_request(self, service: str) -> None:
         """Count a caller's request.
 
         :param service: the service that runs it.
         """
-        self._window(self.requests_by_service, service).add()
+        self.requests_by_service[service].add()
 
     def take(self, service: str) -> bool:
         """Spend one repeat; returns whether there was one.
 
         :param service: the service that it is sent to.
         """
-        repeats = self._window(self.repeats_by_service, service)
-        requests = self._window(self.requests_by_service, service).count()
+        repeats = self.repeats_by_service[service]
+        requests = self.requests_by_service[service].count()
         bounds = self.kernel.settings.bounds
         slack = bounds.retry_slack / self.pulses.vms()
         allowed = USED * (bounds.retry_share * requests + slack)
@@ -71,10 +50,6 @@
         repeats.add()
         return True
 
-    def _window(self, by_service: dict[str, _Window], service: str) -> _Window:
-        window = by_service.get(service)
-        if window is None:
-            window = by_service[service] = _Window(
-                self.kernel.settings.bounds.retry_window_s
-            )
-        return window
+    def _window_by_service(self) -> collections.defaultdict[str, windows.Window]:
+        seconds = self.kernel.settings.bounds.retry_window_s
+        return collections.defaultdict(lambda: windows.Window(seconds))
--- a/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
@@ -8,7 +8,6 @@
 beside what the endpoint holds at that number.
 """
 
-import collections
 import time
 
 import gevent
@@ -26,6 +25,7 @@
     load,
     residency,
     sites,
+    windows,
 )
 
 log = logbook.Logger("ordering")
@@ -67,7 +67,7 @@
         self.load = node_kernel.get(load.Load)
         self.residency = node_kernel.get(residency.Residency)
         self.site_by_id: dict[str, sites.Site] = {}
-        self.store_loads: collections.deque[float] = collections.deque()
+        self.store_loads = windows.Window(self.bounds.load_window_s)
         self.published = 0
         self.residency.on_missed.append(self._distrust)
         self.registry.on_change.append(self._wake_all)
@@ -119,11 +119,9 @@
         """
         if site.load_s(model) < model.store_s:
             return True
-        window = self.bounds.load_window_s
-        while self.store_loads and self.store_loads[0] < time.monotonic() - window:
-            self.store_loads.popleft()
         per_s = site.accelerator.store_loads_per_s * self.bounds.load_factor
-        return len(self.store_loads) < max(1, int(per_s * window * share))
+        most = max(1, int(per_s * self.bounds.load_window_s * share))
+        return self.store_loads.count() < most
 
     def _wake_all(self) -> None:
         for site in self.site_by_id.values():
@@ -347,7 +345,7 @@
         if order.load and not order.adapter and outcome in begun:
             model = site.accelerator.model_by_name[order.model]
             if site.load_s(model) >= model.store_s:
-                self.store_loads.append(time.monotonic())
+                self.store_loads.add()
 
     def _await(self, site: sites.Site, order: adapters.Order) -> None:
         """Wait until an accepted order has been carried out."""
