Offers: what is waited for is looked up once an offer round, each drop's harm once

It was looked up for each site, and the harm of a drop counted once to sort and once to add; the sum of running requests over a model's holders stood in the scheduler, too.

--- a/packages/mothworks_gateway/src/mothworks_gateway/offers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/offers.py
@@ -60,6 +60,18 @@
         return self.harm + LOST_PER_S * max(LEAST_CALLERS, callers) * self.seconds
 
 
+@attrs.frozen
+class _Drop:
+    """A model that a site may drop.
+
+    :param model: the model.
+    :param harm: requests harmed by dropping it.
+    """
+
+    model: str
+    harm: float
+
+
 class Offers(kernel.Part):
     """Makes offers.
 
@@ -83,20 +95,33 @@
             if site.open and site.will_hold(target.model, target.adapter)
         ]
 
+    def running(self, model: str, held_by: list[sites.Site]) -> int:
+        """Return the requests for a model that run at some sites.
+
+        :param model: the model.
+        :param held_by: the sites.
+        """
+        return sum(self.load.of_model(site.endpoint.id, model) for site in held_by)
+
     def make(self, service: str, model: declared.Model, forced: bool) -> list[Offer]:
         """Return what all free sites of a service offer.
 
-
         :param service: the service.
         :param model: what is to be loaded.
         :param forced: whether models may be dropped that requests use.
         """
+        wished = {
+            wish.target.model
+            for wish in self.demand.wishes()
+            if wish.target.service == service
+        }
         offers = []
         for site in self.ordering.of_service(service):
             if not (site.open and site.known) or site.will_hold(model.name, ""):
                 continue
             if self._may_queue(site, model):
-                offer = self._offer(site, model, forced)
+                drops = self._drops(site, wished, forced)
+                offer = self._offer(site, model, drops)
                 if offer is not None:
                     offers.append(offer)
         return offers
@@ -111,20 +136,20 @@
         return not site.jobs or (len(models) == 1 and model.name in site.at_hand())
 
     def _offer(
-        self, site: sites.Site, model: declared.Model, forced: bool
+        self, site: sites.Site, model: declared.Model, possible: list[_Drop]
     ) -> Offer | None:
-        held = site.after_jobs()
-        free = site.accelerator.memory_mb - sum(map(site.memory_mb, held))
+        free = site.accelerator.memory_mb
+        free -= sum(map(site.memory_mb, site.after_jobs()))
         harm = 0.0
         drops: list[str] = []
         running = 0
-        for name in self._droppable(site, held, forced):
+        for drop in possible:
             if free >= model.memory_mb:
                 break
-            drops.append(name)
-            free += site.memory_mb(name)
-            harm += self.harm(site, name)
-            running += self.load.of_model(site.endpoint.id, name)
+            drops.append(drop.model)
+            free += site.memory_mb(drop.model)
+            harm += drop.harm
+            running += self.running(drop.model, [site])
         if free < model.memory_mb:
             return None
         share = self.load.of_endpoint(site.endpoint.id) / site.accelerator.batch
@@ -146,31 +171,22 @@
         seconds = MISSED_S + (model.host_s if model else 0.0)
         if not others:
             return rate * seconds
-        running = sum(
-            self.load.of_model(item.endpoint.id, name) for item in (site, *others)
-        )
+        running = self.running(name, [site, *others])
         if running <= ROOM * site.accelerator.batch * len(others):
             return rate * seconds * SPARE
         return rate * seconds
 
-    def _droppable(
-        self, site: sites.Site, held: dict[str, set[str]], forced: bool
-    ) -> list[str]:
-        """Return models that a site may drop, the least missed first."""
-        service = site.endpoint.entry.service
-        wished = {
-            wish.target.model
-            for wish in self.demand.wishes()
-            if wish.target.service == service
-        }
+    def _drops(self, site: sites.Site, wished: set[str], forced: bool) -> list[_Drop]:
+        """Return what a site may drop, the least missed first."""
         names = [
             name
-            for name in held
+            for name in site.after_jobs()
             if name in site.adapters_by_model
             and name not in wished
-            and (forced or not self.load.of_model(site.endpoint.id, name))
+            and (forced or not self.running(name, [site]))
         ]
-        return sorted(names, key=lambda name: self.harm(site, name))
+        drops = [_Drop(name, self.harm(site, name)) for name in names]
+        return sorted(drops, key=lambda drop: drop.harm)
 
 
 def _unload_s(running: int) -> float:
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -214,9 +214,7 @@
         if any(target.model not in site.adapters_by_model for site in holders):
             # One more is on its way.
             return False
-        running = sum(
-            self.load.of_model(site.endpoint.id, target.model) for site in holders
-        )
+        running = self.offers.running(target.model, holders)
         full = running > FULL * accelerator.batch * len(holders)
         return full or self.demand.late.rate(target) > LATE_PER_S
 
