Dispatch: a refusal is a Result all the way

_find returned an endpoint or a bare refusal, which it took out of a Result and its caller put back into one. Behaviour as before; tests pass unchanged.

--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -78,10 +78,11 @@
             if self.poison.convicted(request):
                 course.reason = "it broke several endpoints"
                 return self._refuse(request, course, 503, None)
-            endpoint = self._find(request, course)
-            if isinstance(endpoint, outcomes.Refusal):
-                return result.Err(endpoint)
-            reply = self.attempts.make(request, endpoint, course)
+            match self._find(request, course):
+                case result.Ok(endpoint):
+                    reply = self.attempts.make(request, endpoint, course)
+                case result.Err() as refused:
+                    return refused
             if reply is not None:
                 self._count(request, "answered")
                 return result.Ok(reply)
@@ -90,7 +91,7 @@
 
     def _find(
         self, request: asked.Asked, course: attempts.Course
-    ) -> registry.Endpoint | outcomes.Refusal:
+    ) -> result.Result[registry.Endpoint, outcomes.Refusal]:
         """Return where to send a request, waiting for its model if needed."""
         empty_until = time.monotonic() + EMPTY_SHARE * request.route.objective_s
         while True:
@@ -98,20 +99,20 @@
             wait_until = self._wait_until(request)
             if request.deadline - now < LEAST_S:
                 course.reason = f"{course.reason}; out of time"
-                return self._give_up(request, course).err_value
+                return self._give_up(request, course)
             found = self.choice.candidates(request)
             allowed = self._allowed(request, course, found.ready)
             if allowed:
-                return allowed[0]
+                return result.Ok(allowed[0])
             if not found.all:
                 if now >= empty_until:
                     course.reason = "no endpoint of the service"
-                    return self._refuse(request, course, 503, EMPTY_RETRY_S).err_value
+                    return self._refuse(request, course, 503, EMPTY_RETRY_S)
                 self.residency.changed.wait(empty_until - now)
                 continue
             if found.ready:
                 # Held only where it must not be sent; the caller may come back.
-                return self._refuse(request, course, 503, FULL_RETRY_S).err_value
+                return self._refuse(request, course, 503, FULL_RETRY_S)
             ready_in_s = self._ready_in_s(request, found)
             if ready_in_s is not None:
                 wait_until = now + ready_in_s
@@ -119,10 +120,10 @@
                     # The caller would leave before its answer begins. Told when
                     # to come back, it finds its model there.
                     course.reason = f"its model is ready in {ready_in_s:.1f} s"
-                    return self._refuse(request, course, 503, ready_in_s).err_value
+                    return self._refuse(request, course, 503, ready_in_s)
             if now >= wait_until:
                 course.reason = f"{course.reason}; not held in time"
-                return self._refuse(request, course, 503, ABSENT_RETRY_S).err_value
+                return self._refuse(request, course, 503, ABSENT_RETRY_S)
             self.residency.wait(request, wait_until - now)
 
     def _ready_in_s(
@@ -172,7 +173,7 @@
 
     def _give_up(
         self, request: asked.Asked, course: attempts.Course
-    ) -> result.Result[calls.Reply, outcomes.Refusal]:
+    ) -> result.Err[outcomes.Refusal]:
         if not course.may_have_run:
             return self._refuse(request, course, 503, FULL_RETRY_S)
         late = time.monotonic() + LEAST_S > request.deadline
@@ -184,7 +185,7 @@
         course: attempts.Course,
         status: int,
         retry_after: float | None,
-    ) -> result.Result[calls.Reply, outcomes.Refusal]:
+    ) -> result.Err[outcomes.Refusal]:
         ran = outcomes.Ran.NO
         if course.may_have_run:
             # A 503 would promise that the request has not run.
