Orders: the memory of a load whose end was not seen stays taken; incarnations

Its books still showed the load under way, and the end of the next unload, of another model, cleared it: 34 GB counted as free, and the next load was ordered after one of three unloads. The endpoint crashed with its streams.

Change: only a load's own end takes it off the books, and a load whose end was not seen makes the holder look at the endpoint before its next order.

An endpoint may start again under its name. Each incarnation is an endpoint of its own (registry.Entry.id), so that holdings, counts, load, health, turns and what VMs tell each other end with it.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -186,6 +186,7 @@
     :param arriving: adapters that it is loading, as (model, adapter).
     :param running: requests that run.
     :param queued: requests that wait at it.
+    :param born: when it started; see :class:`registry.Entry`.
     """
 
     accepted: int
@@ -194,6 +195,7 @@
     arriving: tuple[tuple[str, str], ...] = ()
     running: int = 0
     queued: int = 0
+    born: int = 0
 
 
 class OrderOutcome(enum.Enum):
--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -37,6 +37,8 @@
             self.gather_s,
         )
         owner.add(self.follower)
+        #: Entries that were left out and said so, to say it once.
+        self.unreadable_by_name: dict[str, bytes] = {}
         #: Whether the registry was read, from the platform or a peer.
         self.loaded = False
         self.taken_at = time.monotonic()
@@ -62,7 +64,7 @@
 
     def documents(self) -> dict[str, bytes]:
         """Return all entries, for a peer."""
-        return {item.id: item.document for item in self.registry.by_id.values()}
+        return {item.entry.name: item.document for item in self.registry.by_id.values()}
 
     def _take_all(self, listing: adapters.Listing) -> None:
         if listing.cursor < self.registry.cursor:
@@ -70,8 +72,10 @@
             return
         self.registry.cursor = listing.cursor
         doubt_until = self.follower.doubt_until if self.loaded else 0.0
-        for name in self.registry.by_id.keys() - listing.document_by_name.keys():
+        for name in self.registry.id_by_name.keys() - listing.document_by_name.keys():
             self.registry.remove(name, doubt_until)
+        for name in self.unreadable_by_name.keys() - listing.document_by_name.keys():
+            del self.unreadable_by_name[name]
         for name, document in listing.document_by_name.items():
             self._put(name, document)
         self._done()
@@ -82,6 +86,7 @@
         self.registry.cursor = changes.cursor
         for change in changes.changes:
             if change.document is None:
+                self.unreadable_by_name.pop(change.name, None)
                 self.registry.remove(change.name, self.follower.doubt_until)
             else:
                 self._put(change.name, change.document)
@@ -91,15 +96,30 @@
     def _put(self, name: str, document: bytes) -> None:
         match self.feeds.endpoint(name, document):
             case result.Ok(entry):
+                self.unreadable_by_name.pop(name, None)
                 self.registry.put(entry, document)
             case result.Err(reason):
-                logs.event(
-                    log,
-                    "entry unreadable",
-                    endpoint=name,
-                    reason=reason[:200],
-                    outcome="left out",
-                )
+                self._leave_out(name, document, reason)
+
+    def _leave_out(self, name: str, document: bytes, reason: str) -> None:
+        """Do without an entry that names no endpoint to use.
+
+        Another writer may have written it over a good one. The endpoint is used
+        for as long as one whose entry lapsed in an outage, since it may write its
+        entry again.
+        """
+        doubt_until = time.monotonic() + feeding.DOUBT_S
+        self.registry.remove(name, doubt_until, "its entry can't be read")
+        if self.unreadable_by_name.get(name) == document:
+            return
+        self.unreadable_by_name[name] = document
+        logs.event(
+            log,
+            "entry unreadable",
+            endpoint=name[:80],
+            reason=reason[:200],
+            outcome="left out",
+        )
 
     def _done(self) -> None:
         self.loaded = True
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -3,6 +3,10 @@
 Endpoints enter themselves in the platform's registry. What this VM learns by
 itself (an endpoint that says it is leaving, an address that answers as
 another one) counts at once, since the platform's word may come late.
+
+An endpoint may start again under its name. It then holds and knows nothing of
+before, so each of its incarnations is an endpoint of its own here, with its own
+id: whatever is kept by id ends with the incarnation that it was learnt from.
 """
 
 import collections.abc
@@ -20,7 +24,7 @@
 class Entry:
     """What an endpoint says of itself.
 
-    :param id: new at each of its starts.
+    :param name: its name on the platform.
     :param service: the service that it belongs to.
     :param address: IP number and port.
     :param data_centre: where it runs.
@@ -30,9 +34,11 @@
     :param adapters_by_model: what it holds; None for a plain service.
     :param in_host_memory: models whose weights its host memory keeps.
     :param on_disk: models whose weights its disk keeps.
+    :param born: when it started, Unix time in milliseconds; 0 where it does not
+        say. Tells its incarnations apart.
     """
 
-    id: str
+    name: str
     service: str
     address: tuple[str, int]
     data_centre: str = ""
@@ -42,6 +48,12 @@
     adapters_by_model: dict[str, frozenset[str]] | None = None
     in_host_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    born: int = 0
+
+    @property
+    def id(self) -> str:
+        """Return what names this incarnation among all endpoints."""
+        return f"{self.name}@{self.born}" if self.born else self.name
 
 
 @attrs.define(eq=False)
@@ -89,6 +101,8 @@
 
     def __init__(self):
         self.by_id: dict[str, Endpoint] = {}
+        #: The id of the newest incarnation of each endpoint.
+        self.id_by_name: dict[str, str] = {}
         #: The platform's revision that this view is as new as.
         self.cursor = 0
         #: Functions to call after a change, without arguments.
@@ -111,13 +125,16 @@
         :param entry: what the endpoint says now.
         :param document: the entry as the platform spells it.
         """
-        known = self.by_id.get(entry.id)
+        known = self.named(entry.name)
+        if known is not None and entry.born < known.entry.born:
+            # Written before the endpoint started again, and late on its way.
+            self._say(entry, "older incarnation, left out")
+            return
+        if known is not None and entry.born > known.entry.born:
+            self._forget(known, "started again")
+            known = None
         if known is None:
-            held = {
-                name: set(ad) for name, ad in (entry.adapters_by_model or {}).items()
-            }
-            self.by_id[entry.id] = Endpoint(entry, document, held)
-            self._say(entry, "appeared")
+            self._add(entry, document)
             return
         before = known.entry
         known.entry = entry
@@ -127,30 +144,56 @@
         if before.leaving != entry.leaving:
             self._say(entry, "leaves" if entry.leaving else "stays")
 
-    def remove(self, endpoint_id: str, doubt_until: float = 0.0) -> None:
+    def named(self, name: str) -> Endpoint | None:
+        """Return the newest incarnation of an endpoint, if it is known.
+
+        :param name: its name on the platform.
+        """
+        return self.by_id.get(self.id_by_name.get(name, ""))
+
+    def remove(
+        self,
+        name: str,
+        doubt_until: float = 0.0,
+        reason: str = "lapsed during an outage",
+    ) -> None:
         """Take note that an entry vanished.
 
-        :param endpoint_id: whose.
-        :param doubt_until: monotonic time until which the entry may be missing
-            only because the platform was away.
+        :param name: whose.
+        :param doubt_until: monotonic time until which the endpoint may live
+            although its entry is missing.
+        :param reason: why that is in doubt, for the log.
         """
-        known = self.by_id.get(endpoint_id)
+        known = self.named(name)
         if known is None:
             return
         if time.monotonic() < doubt_until:
             if known.lapsed_until is None:
-                self._say(known.entry, "lapsed during an outage")
+                self._say(known.entry, reason)
             known.lapsed_until = doubt_until
             return
-        del self.by_id[endpoint_id]
-        self._say(known.entry, "removed")
+        self._forget(known, "removed")
+
+    def restarted(self, endpoint: Endpoint, born: int) -> None:
+        """Take note that an endpoint told this VM of a newer start.
+
+        Its entry may say so seconds later, and not at all while the platform is
+        away. Until then it is taken to hold nothing.
+
+        :param endpoint: the incarnation that was known.
+        :param born: when the newer one started; see :class:`Entry`.
+        """
+        if self.named(endpoint.entry.name) is endpoint and born > endpoint.entry.born:
+            empty = attrs.evolve(endpoint.entry, born=born, adapters_by_model={})
+            self.put(empty, endpoint.document)
+            self.changed()
 
     def expire(self) -> None:
         """Remove endpoints whose entries lapsed and did not come back."""
         now = time.monotonic()
         for item in list(self.by_id.values()):
             if item.lapsed_until is not None and now > item.lapsed_until:
-                self.remove(item.id)
+                self._forget(item, "removed")
                 self.changed()
 
     def dismiss(self, endpoint: Endpoint, reason: str) -> None:
@@ -169,6 +212,17 @@
         for notify in self.on_change:
             notify()
 
+    def _add(self, entry: Entry, document: bytes) -> None:
+        held = {name: set(ad) for name, ad in (entry.adapters_by_model or {}).items()}
+        self.by_id[entry.id] = Endpoint(entry, document, held)
+        self.id_by_name[entry.name] = entry.id
+        self._say(entry, "appeared")
+
+    def _forget(self, known: Endpoint, what: str) -> None:
+        del self.by_id[known.id]
+        del self.id_by_name[known.entry.name]
+        self._say(known.entry, what)
+
     def _merge_holdings(self, known: Endpoint, before: Entry, entry: Entry) -> None:
         """Take over which models came and went; adapters come from orders.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
@@ -5,6 +5,12 @@
 number, at most one is ever carried out; so an order whose answer was lost is
 simply followed by the next, and memory is never overcommitted: whatever is in
 flight fits beside what the endpoint holds at that number.
+
+An endpoint that starts again under its name counts anew, and an order of its
+former incarnation may be carried out in the next one. It then takes effect only
+at the number that it names. So no order is sent that would bring the endpoint to
+a number at which such a late order no longer fits; and none is sent to an
+endpoint that may have started again unnoticed.
 """
 
 import time
@@ -19,6 +25,7 @@
     declared,
     discovery,
     endpoints_client,
+    late_orders,
     lease,
     residency,
     sites,
@@ -61,6 +68,7 @@
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.protocol = node_kernel.get(endpoints_client.EndpointsClient).protocol
         self.lease = node_kernel.get(lease.Lease)
+        self.late_orders = node_kernel.get(late_orders.LateOrders)
         self.residency = node_kernel.get(residency.Residency)
         self.store_loads = windows.Window(self.bounds.load_window_s)
         self.published = 0
@@ -88,27 +96,27 @@
 
         :param site: the endpoint's site, which takes the answer.
         """
+        seen = self._inventory(site)
+        if seen is None:
+            site.accepted = None
+            return
+        site.take(seen)
+        if site.known and site.adapters_by_model != site.endpoint.adapters_by_model:
+            # What agrees with the registry, all VMs know from there.
+            self.publish(site)
+
+    def _inventory(self, site: sites.Site) -> adapters.Inventory | None:
+        """Return an endpoint's report; None where this incarnation gives none."""
         match self.protocol.inventory(site.endpoint):
-            case result.Ok(seen) if not seen.ordered:
-                site.accepted = seen.accepted
-                site.loading = ""
-                site.adapters_by_model = {
-                    item.model: set(item.adapters) for item in seen.holdings
-                }
-                for model, adapter in seen.arriving:
-                    site.adapters_by_model.setdefault(model, set()).add(adapter)
-                if site.adapters_by_model != site.endpoint.adapters_by_model:
-                    # What agrees with the registry, all VMs know from there.
-                    self.publish(site)
-            case result.Ok(_):
-                # What it is carrying out is not known, and so neither is the
-                # memory that it will take.
-                site.accepted = None
+            case result.Ok(seen) if seen.born == site.endpoint.entry.born:
+                return seen
+            case result.Ok(seen):
+                self.registry.restarted(site.endpoint, seen.born)
+                reason = "another incarnation answers"
             case result.Err(reason):
-                site.accepted = None
-                logs.event(
-                    log, "no report", endpoint=site.endpoint.id, reason=reason[:120]
-                )
+                pass
+        logs.event(log, "no report", endpoint=site.endpoint.id, reason=reason[:120])
+        return None
 
     def order(self, site: sites.Site, loads: bool, model: str, adapter: str) -> bool:
         """Order something until it is carried out; returns whether it is.
@@ -131,10 +139,14 @@
                     continue
             if self._holds(site, model, adapter) == loads:
                 return True
-            if loads and not self._fits(site, model, adapter):
-                return False
-            match self._send(site, loads, model, adapter):
+            order = adapters.Order(
+                loads, model, adapter, site.accepted, self.name, self.lease.fence
+            )
+            match self.attempt(site, order):
+                case None:
+                    return False
                 case adapters.OrderOutcome.ACCEPTED | adapters.OrderOutcome.DONE:
+                    self._await(site, order)
                     return self._holds(site, model, adapter) == loads
                 case adapters.OrderOutcome.CONFLICT:
                     # Most often the order before is still being carried out.
@@ -162,24 +174,17 @@
         held = site.adapters_by_model.get(model)
         return held is not None and (not adapter or adapter in held)
 
-    def _fits(self, site: sites.Site, name: str, adapter: str) -> bool:
-        """Return whether there is room for a model or adapter."""
-        model = site.accelerator.model_by_name.get(name)
-        if model is None:
-            return False
-        if not adapter:
-            return site.free_mb() >= model.memory_mb
-        places = site.accelerator.adapter_places
-        held = name in site.adapters_by_model and site.adapters_held() < places
-        return held and site.free_mb() >= model.adapter_mb
+    def attempt(
+        self, site: sites.Site, order: adapters.Order
+    ) -> adapters.OrderOutcome | None:
+        """Send an order once and take its effect into account.
 
-    def _send(
-        self, site: sites.Site, loads: bool, model: str, adapter: str
-    ) -> adapters.OrderOutcome:
-        """Send an order once and take its effect into account."""
-        order = adapters.Order(
-            loads, model, adapter, site.accepted, self.name, self.lease.fence
-        )
+        :param site: where to.
+        :param order: the order.
+        :returns: the endpoint's answer; None where sending it was not safe.
+        """
+        if not self._safe(site, order):
+            return None
         if not order.load:
             # Told before the order leaves, so that no VM sends a request that
             # the endpoint would turn away.
@@ -199,20 +204,32 @@
             outcome=outcome.value,
         )
         self._count_store_load(site, order, outcome)
+        site.note(order, outcome)
         match outcome:
-            case adapters.OrderOutcome.ACCEPTED:
-                site.accepted += 1
-                self._await(site, order)
-            case adapters.OrderOutcome.DONE if not order.load:
-                self._done(site, order)
-                # Whether it counted as accepted is not said.
-                site.accepted = None if not order.adapter else site.accepted + 1
-            case adapters.OrderOutcome.DONE:
-                site.accepted = None
             case adapters.OrderOutcome.FENCED:
                 self.lease.refused(order.fence)
+            case adapters.OrderOutcome.UNKNOWN:
+                self.late_orders.note(site.endpoint, order)
         return outcome
 
+    def _safe(self, site: sites.Site, order: adapters.Order) -> bool:
+        """Return whether there is room for an order, and for late ones after it."""
+        if order.load and not site.fits(order.model, order.adapter, site.taking()):
+            return False
+        late = self.late_orders.of(site.endpoint)
+        if not late:
+            return True
+        if self._inventory(site) is None:
+            # It may have started again, and late orders may have brought it to
+            # the number that this order names, with other models.
+            site.accepted = None
+            return False
+        after = site.after(order)
+        number = order.accepted + 1
+        return all(
+            load.harmless(site, after) for load in late if load.accepted == number
+        )
+
     def _count_store_load(
         self, site: sites.Site, order: adapters.Order, outcome: adapters.OrderOutcome
     ) -> None:
@@ -224,24 +241,23 @@
                 self.store_loads.add()
 
     def _await(self, site: sites.Site, order: adapters.Order) -> None:
-        """Wait until an accepted order has been carried out."""
-        if order.adapter:
+        """Wait until an order that was taken has been carried out."""
+        if order.adapter or not order.load:
+            # It is in the books already, and requests may be sent by them.
             gevent.sleep(ADAPTER_S if order.load else 0)
-            self._done(site, order)
+            self.publish(site)
             return
-        if not order.load:
-            # The endpoint takes no further order until the model is gone, so
-            # what it frees may be counted on for the next one.
-            self._done(site, order)
+        if not site.loading:
+            # It held the model already.
             return
-        site.loading = order.model
         model = site.accelerator.model_by_name[order.model]
         site.ready_at = time.monotonic() + site.load_s(model)
         self.publish(site)
         late_at = site.ready_at + LATE_S
         while site.loading and self.lease.held() and site.endpoint.open:
             if order.model in (site.endpoint.entry.adapters_by_model or {}):
-                self._done(site, order)
+                site.finish(order)
+                self.publish(site)
                 return
             site.woken.clear()
             site.woken.wait(max(0.02, min(LOOK_S, late_at - time.monotonic())))
@@ -250,20 +266,8 @@
                 late_at = time.monotonic() + LATE_LOOK_S
                 if site.known:
                     return
-
-    def _done(self, site: sites.Site, order: adapters.Order) -> None:
-        site.loading = ""
-        if order.load and order.adapter:
-            site.adapters_by_model.setdefault(order.model, set()).add(order.adapter)
-            used_at = time.monotonic()
-            site.used_by_adapter[order.model, order.adapter] = used_at
-        elif order.load:
-            site.adapters_by_model.setdefault(order.model, set())
-        elif order.adapter:
-            site.adapters_by_model.get(order.model, set()).discard(order.adapter)
-        else:
-            site.adapters_by_model.pop(order.model, None)
-        self.publish(site)
+        # How the load ended was not seen.
+        site.accepted = None
 
     def publish(self, site: sites.Site, without: adapters.Order | None = None) -> None:
         """Tell all VMs what an endpoint holds, for requests to be sent there.
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -6,7 +6,7 @@
 import attrs
 import gevent.event
 
-from mothworks_gateway import declared, registry
+from mothworks_gateway import adapters, declared, registry
 
 #: Time to drop an unused model, seconds.
 DROP_S = 0.1
@@ -137,20 +137,119 @@
 
         :param name: a model that is held, or will be.
         """
+        return self._size_mb(name, self.adapters_by_model.get(name, set()))
+
+    def free_mb(self) -> float:
+        """Return the memory that nothing takes, MB."""
+        return self.accelerator.memory_mb - sum(map(self.memory_mb, self.taking()))
+
+    def taking(self) -> dict[str, set[str]]:
+        """Return the models that take memory, with their adapters."""
+        if not self.loading:
+            return self.adapters_by_model
+        return {self.loading: set(), **self.adapters_by_model}
+
+    def fits(self, model: str, adapter: str, beside: dict[str, set[str]]) -> bool:
+        """Return whether there is room for a model or adapter.
+
+        An adapter whose model is not there finds none: it is refused.
+
+        :param model: the model.
+        :param adapter: its adapter, or empty.
+        :param beside: what else takes memory; see :meth:`taking`.
+        """
+        wanted = self.accelerator.model_by_name.get(model)
+        if wanted is None or adapter and model not in beside:
+            return False
+        count = sum(map(len, beside.values()))
+        if adapter and count >= self.accelerator.adapter_places:
+            return False
+        taken_mb = sum(self._size_mb(name, held) for name, held in beside.items())
+        needed_mb = wanted.adapter_mb if adapter else wanted.memory_mb
+        return taken_mb + needed_mb <= self.accelerator.memory_mb
+
+    def after(self, order: adapters.Order) -> dict[str, set[str]]:
+        """Return what takes memory once an order is carried out.
+
+        :param order: the order.
+        """
+        taking = {name: set(held) for name, held in self.taking().items()}
+        if order.load and order.adapter:
+            taking.setdefault(order.model, set()).add(order.adapter)
+        elif order.load:
+            taking.setdefault(order.model, set())
+        elif order.adapter:
+            taking.get(order.model, set()).discard(order.adapter)
+        else:
+            taking.pop(order.model, None)
+        return taking
+
+    def take(self, seen: adapters.Inventory) -> None:
+        """Take over what the endpoint reports.
+
+        :param seen: the report.
+        """
+        if seen.ordered:
+            # What it is carrying out is not known, and so neither is the
+            # memory that it will take.
+            self.accepted = None
+            return
+        self.accepted = seen.accepted
+        self.loading = ""
+        self.adapters_by_model = {
+            item.model: set(item.adapters) for item in seen.holdings
+        }
+        for model, adapter in seen.arriving:
+            self.adapters_by_model.setdefault(model, set()).add(adapter)
+
+    def note(self, order: adapters.Order, outcome: adapters.OrderOutcome) -> None:
+        """Take an order's effect into account.
+
+        A model that is loaded takes memory at once, and is held when
+        :meth:`finish` says so. What an unload frees counts as free at once,
+        since the endpoint takes no further order until the model is gone.
+
+        :param order: the order.
+        :param outcome: what the endpoint answered.
+        """
+        match outcome:
+            case adapters.OrderOutcome.ACCEPTED if order.load and not order.adapter:
+                self.accepted += 1
+                self.loading = order.model
+            case adapters.OrderOutcome.ACCEPTED:
+                self.accepted += 1
+                self.finish(order)
+            case adapters.OrderOutcome.DONE if not order.load:
+                self.finish(order)
+                # Whether it counted as accepted is not said.
+                self.accepted = self.accepted + 1 if order.adapter else None
+            case adapters.OrderOutcome.DONE:
+                self.accepted = None
+
+    def finish(self, order: adapters.Order) -> None:
+        """Take note that an order has been carried out.
+
+        :param order: the order.
+        """
+        if order.load and not order.adapter and order.model == self.loading:
+            # Only the end of its own load frees a model from being loaded: an
+            # unload that did, too, left its memory out of the books.
+            self.loading = ""
+        self.adapters_by_model = self._without_loading(self.after(order))
+        if order.load and order.adapter:
+            self.used_by_adapter[order.model, order.adapter] = time.monotonic()
+
+    def _without_loading(self, taking: dict[str, set[str]]) -> dict[str, set[str]]:
+        if self.loading and self.loading not in self.adapters_by_model:
+            taking.pop(self.loading, None)
+        return taking
+
+    def _size_mb(self, name: str, held: set[str]) -> float:
         model = self.accelerator.model_by_name.get(name)
         if model is None:
             # No longer declared, so its size is unknown: assume the worst.
             return self.accelerator.memory_mb
-        adapters = self.adapters_by_model.get(name, ())
-        return model.memory_mb + model.adapter_mb * len(adapters)
-
-    def free_mb(self) -> float:
-        """Return the memory that nothing takes, MB."""
-        taken = sum(self.memory_mb(name) for name in self.adapters_by_model)
-        model = self.accelerator.model_by_name.get(self.loading)
-        if model is not None and self.loading not in self.adapters_by_model:
-            taken += model.memory_mb
-        return self.accelerator.memory_mb - taken
+        return model.memory_mb + model.adapter_mb * len(held)
 
     def load_s(self, model: declared.Model) -> float:
         """Return how long a model takes to load here, seconds.
--- a/packages/mothworks_gateway/tests/test_registry.py
+++ b/packages/mothworks_gateway/tests/test_registry.py
@@ -61,3 +61,38 @@
     assert not view.by_id["i-1"].open
     assert view.of_service("s") == []
     assert said == ["leaves"]
+
+
+def test_an_endpoint_that_starts_again_is_another_one(view, said):
+    # An endpoint crashes and is back under its name, empty. What was known of
+    # the former incarnation, that a VM no longer sends to it and which models
+    # it held, must not count for the new one.
+    entry = gateway_builders.endpoint("i-2", models=("m",)).entry
+    view.put(attrs.evolve(entry, born=5), b"")
+    before = view.named("i-2")
+    view.dismiss(before, "its address is another's")
+    view.put(attrs.evolve(entry, born=9, adapters_by_model={}), b"")
+    now = view.named("i-2")
+    assert now.open and now.id != before.id
+    assert not now.holds("m", "")
+    assert before.id not in view.by_id
+    assert said[-2:] == ["started again", "appeared"]
+
+
+def test_an_entry_of_an_older_incarnation_changes_nothing(view, said):
+    entry = gateway_builders.endpoint("i-2").entry
+    view.put(attrs.evolve(entry, born=9), b"new")
+    view.put(attrs.evolve(entry, born=5, leaving=True), b"old")
+    assert view.named("i-2").open
+    assert view.named("i-2").document == b"new"
+
+
+def test_an_endpoint_that_tells_of_its_start_itself_holds_nothing(view, said):
+    # The platform's store is away, so that its entry still shows the models of
+    # before. Its own report names a later start.
+    entry = gateway_builders.endpoint("i-2", models=("m",)).entry
+    view.put(attrs.evolve(entry, born=5), b"")
+    view.restarted(view.named("i-2"), 9)
+    assert not view.named("i-2").holds("m", "")
+    view.put(attrs.evolve(entry, born=5), b"")
+    assert view.named("i-2").entry.born == 9
--- /dev/null
+++ b/packages/mothworks_gateway/tests/test_site_orders.py
@@ -0,0 +1,55 @@
+"""Site orders: an endpoint is never made to hold more than it has room for."""
+
+import gevent
+import pytest
+
+import gateway_builders
+import modelled_endpoint
+from mothworks_gateway import registry, sites
+
+SIZES = {"small": 16.1, "slight": 16.1, "spare": 16.1, "busy": 34.3, "wanted": 34.3}
+
+
+@pytest.fixture
+def endpoint():
+    return modelled_endpoint.ModelledEndpoint(modelled_endpoint.accelerator(**SIZES))
+
+
+@pytest.fixture
+def held():
+    return modelled_endpoint.Lease()
+
+
+@pytest.fixture
+def orders(endpoint, held):
+    return modelled_endpoint.orders_of(
+        endpoint, registry.Registry(), modelled_endpoint.Peers(), held
+    )
+
+
+def site_of(endpoint, *holding):
+    endpoint.start(holding)
+    known = gateway_builders.endpoint("i-1", models=holding)
+    return sites.Site(known, endpoint.declared_as)
+
+
+def test_a_load_that_outlasted_the_lease_still_takes_its_memory(orders, endpoint, held):
+    # The platform's store falls silent while a load of 34 GB runs, and the
+    # lease lapses before the load is done. Eight seconds later the same VM
+    # holds it again. It drops a small model for another large one: the memory
+    # of the load that it did not see the end of was free in its books, it
+    # ordered the next one after the first of three unloads, and the endpoint
+    # crashed with all its streams.
+    site = site_of(endpoint, "small", "slight", "spare")
+    loading = gevent.spawn(orders.order, site, True, "busy", "")
+    gevent.sleep(0.01)
+    held.lapsed = True
+    site.woken.set()
+    assert not loading.get(timeout=2)
+    endpoint.finish()
+    held.lapsed = False
+    assert orders.order(site, False, "small", "")
+    endpoint.finish()
+    loading = gevent.spawn(orders.order, site, True, "wanted", "")
+    assert not loading.get(timeout=2)
+    assert not endpoint.crashes
