Lease: a holder that the store turns away renews through a peer

From 26 to 34 s one model took 25 to 42 requests in two seconds at a single endpoint.

Pulses tell the version of the last renewal, so that the next VM counts the lease's duration from when it first heard of it, and need not begin to watch when the holder falls silent: it may order six seconds after the last renewal, not nine or more. The argument stands in lease.py.

--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -3,13 +3,21 @@
 The lease is one object in the platform's store, renewed by conditional
 update. Its fencing token grows with each holder. The holder trusts it only
 until some time before it would lapse, counted from before the renewal was
-sent on a clock that also runs while the VM is suspended.
-
-Where endpoints ignore fencing tokens, all others take it only after they have
-seen it unchanged for its whole duration. Where endpoints refuse old tokens,
-the duration only bounds how long a holder goes on without the store: a VM
-that has not heard from the holder and sees no renewal takes it earlier, and
-what the former holder still sends is refused.
+sent on a clock that also runs while the VM is suspended. A holder that cannot
+reach the store renews through a peer that can.
+
+Where endpoints ignore fencing tokens, all others take it only after it stayed
+unchanged for its whole duration. Where endpoints refuse old tokens, the duration
+only bounds how long a holder goes on without the store: a VM that has not heard
+from the holder and sees no renewal takes it earlier, and what the former holder
+still sends is refused.
+
+The holder tells the version of its last renewal with each pulse. A VM that first
+heard a version at some moment knows that it was written before then. If it takes
+the lease by a write that needs this very version, and does so a duration after
+that moment, the holder has not renewed for so long. So nobody need begin to watch
+the store when the holder falls silent, and models are loaded again three seconds
+sooner (six seconds after its last renewal, not nine).
 """
 
 import random
@@ -21,8 +29,8 @@
 import orjson
 import result
 
-from mothworks import kernel, logs, membership, objects, ownership, plugins
-from mothworks_gateway import pulse
+from mothworks import kernel, logs, membership, objects, ownership
+from mothworks_gateway import pulse, relayed_objects
 
 log = logbook.Logger("lease")
 
@@ -96,6 +104,20 @@
         raise ValueError(f"not a lease: {error!r}")
 
 
+@attrs.frozen
+class Heard:
+    """A renewal that another VM told of.
+
+    :param fence: the fencing token of the lease.
+    :param version: the stored object's version after it.
+    :param at: when this VM first heard of it, seconds, see :func:`now`.
+    """
+
+    fence: int
+    version: str
+    at: float
+
+
 class Lease(kernel.Part):
     """Holds the lease, or waits until it can.
 
@@ -116,17 +138,18 @@
         # Where endpoints check fencing tokens, a late order of the former
         # holder is refused there; elsewhere only time keeps the two apart.
         self.settle_s = 0.0 if fenced else turns_s
-        plugin = plugins.find(plugins.OBJECT_API, chosen.adapter)(chosen)
-        self.api = objects.Client(plugin, node_kernel.metrics)
+        self.api = node_kernel.get(relayed_objects.RelayedObjects)
         self.membership = node_kernel.get(membership.Membership)
         self.pulses = node_kernel.get(pulse.Pulses)
-        self.pulses.on_pulse.append(lambda: {"fence": self.fence})
+        self.pulses.on_pulse.append(self._tell)
+        self.pulses.on_heard.append(self._hear)
         node_kernel.on_draining.append(lambda: self.tasks.spawn(self._release))
         self.started_at = time.monotonic()
         self.record: Record | None = None
         self.version: str | None = None
         self.trusted_until = 0.0
         self.orders_from = 0.0
+        self.heard: Heard | None = None
         self.ticked_at = now()
         #: Functions to call after this VM became the holder.
         self.on_gained: list = []
@@ -252,6 +275,20 @@
         self.version = None
         self.trusted_until = 0.0
 
+    def _tell(self) -> dict:
+        if not self.held():
+            return {"fence": 0}
+        return {"fence": self.fence, "lease_version": self.version}
+
+    def _hear(self, vm: str, told: pulse.Pulse) -> None:
+        """Remember the newest renewal of another VM, and when it was news."""
+        if vm == self.name or not (told.fence and told.lease_version):
+            return
+        known = self.heard or Heard(0, "", 0.0)
+        is_news = told.lease_version != known.version
+        if is_news and told.fence >= known.fence:
+            self.heard = Heard(told.fence, told.lease_version, now())
+
     def _seek(self) -> None:
         """Take the lease where nobody holds it and this VM is first in line."""
         if self.holder() or self._rank() > 0 and not self._long_unheld():
@@ -262,25 +299,36 @@
         record, version = seen
         if record is None:
             self._take(0, None)
-        elif not record.holder or self._stays_unchanged(record):
+        elif record.holder in ("", self.name):
+            # It was given up, or the process of this VM that held it is gone.
             self._take(record.fence, version)
-
-    def _stays_unchanged(self, record: Record) -> bool:
-        """Wait until the lease may be taken; return whether it may."""
-        if record.holder == self.name:
-            # The process of this VM that held it is gone.
-            return True
-        until = now() + self.watch_s
-        while now() < until:
-            gevent.sleep(max(0.01, min(LOOK_S, until - now())))
+        else:
+            if self.heard is None or self.heard.version != version:
+                self.heard = Heard(record.fence, version, now())
+            self._take_over(self.heard)
+
+    def _take_over(self, heard: Heard) -> None:
+        """Take the lease of a holder that is gone, once that is safe."""
+        if self._wait_out(heard):
+            settled = heard.at + self.watch_s + self.settle_s
+            self._take(heard.fence, heard.version, settled)
+
+    def _wait_out(self, heard: Heard) -> bool:
+        """Wait until a lease that was heard of may be taken; return whether so."""
+        while now() < heard.at + self.watch_s:
+            gevent.sleep(max(0.01, min(LOOK_S, heard.at + self.watch_s - now())))
             if self.holder():
                 return False
-        match self._read():
-            case (Record() as again, _):
-                return again == record
-        return False
+        return True
+
+    def _take(self, fence: int, version: str | None, settled: float = 0.0) -> None:
+        """Write this VM into the lease.
 
-    def _take(self, fence: int, version: str | None) -> None:
+        :param fence: the fencing token of the last holder.
+        :param version: the version that must be there; None for none.
+        :param settled: when orders of the last holder are long enough ago, where
+            that is known; otherwise it counts from the write.
+        """
         record = Record(self.name, max(fence, self._refused_fence) + 1, 0, self.life)
         sent = now()
         match self.api.put(KEY, record.body(), version):
@@ -290,6 +338,8 @@
                 self._recognise(sent)
             case result.Err(failure):
                 logs.event(log, "lease", reason=str(failure)[:120], outcome="not taken")
+        if settled and self.record is not None:
+            self.orders_from = max(now(), settled)
 
     def _read(self) -> tuple[Record | None, str | None] | None:
         """Return the stored lease and its version; None if not answered."""
