Turns: prompts are spaced by the speed that answers have shown

Turns were planned at 28,000 tokens a second for all deployments, shared parts included, and so several prompts stood unread.

Change: the pace is 0.75 of the learnt speed, and only what a prompt does not share counts.

--- a/packages/mothworks_gateway/src/mothworks_gateway/turns.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/turns.py
@@ -16,19 +16,24 @@
 import result
 
 from mothworks import kernel, logs, membership, messages, ownership, peers
-from mothworks_gateway import asked, declared, registry
+from mothworks_gateway import asked, declared, reading, registry
 
 log = logbook.Logger("turns")
 
-#: Prompt tokens a second that an endpoint is given. Both users' endpoints read
-#: 38,700 a second; a quarter is left for the tokens of the streams that run.
+#: Prompt tokens a second that an endpoint is given, where its speed is not known.
 READ_TOKENS_PER_S = 28_000.0
+#: Part of an endpoint's reading speed that is planned; the rest is left for the
+#: tokens of the streams that run.
+PACE = 0.75
+USUAL_SPEED = READ_TOKENS_PER_S / PACE
 #: Longest time by which an owner plans ahead, seconds: past that an endpoint is
 #: overloaded, and waiting would not help its streams.
 MOST_AHEAD_S = 0.5
 #: Tokens that a prompt counts at most: its length is the caller's word, and a plan
 #: reaches no further.
 MOST_TOKENS = int(READ_TOKENS_PER_S * MOST_AHEAD_S)
+#: Slowest pace that a peer may ask for.
+LEAST_TOKENS_PER_S = 1_000.0
 #: Part of a request's objective that it waits at most for its turn: its prompt
 #: must still be read in time.
 WAIT_SHARE = 0.35
@@ -50,11 +55,13 @@
     :param endpoint: the endpoint's id.
     :param tokens: the prompt's length.
     :param urgency: rank of the request's route.
+    :param tokens_per_s: how fast the asker has seen the endpoint's service read.
     """
 
     endpoint: str
     tokens: int
     urgency: int
+    tokens_per_s: float = READ_TOKENS_PER_S
 
 
 @messages.message(118)
@@ -83,7 +90,13 @@
         #: ones, are read.
         self.free_at_by_urgency = [0.0] * (declared.LEAST_URGENT + 1)
 
-    def reserve(self, tokens: int, urgency: int, now: float) -> float:
+    def reserve(
+        self,
+        tokens: int,
+        urgency: int,
+        now: float,
+        tokens_per_s: float = READ_TOKENS_PER_S,
+    ) -> float:
         """Return the seconds until a prompt's turn, and keep it free.
 
         Less urgent prompts make way.
@@ -91,9 +104,10 @@
         :param tokens: the prompt's length.
         :param urgency: its rank.
         :param now: monotonic time.
+        :param tokens_per_s: the pace at which prompts are sent.
         """
         starts = min(max(now, self.free_at_by_urgency[urgency]), now + MOST_AHEAD_S)
-        reading_s = tokens / READ_TOKENS_PER_S
+        reading_s = tokens / tokens_per_s
         for rank in range(urgency, len(self.free_at_by_urgency)):
             free_at = max(now, self.free_at_by_urgency[rank])
             self.free_at_by_urgency[rank] = min(free_at + reading_s, now + MOST_AHEAD_S)
@@ -111,6 +125,7 @@
         self.name = node_kernel.settings.name
         self.peers = node_kernel.get(peers.Peers)
         self.membership = node_kernel.get(membership.Membership)
+        self.reading = node_kernel.get(reading.Reading)
         self.plan_by_endpoint: dict[str, Plan] = {}
         self.owner_by_endpoint: dict[str, str] = {}
         self.silent_until_by_vm: dict[str, float] = {}
@@ -128,8 +143,10 @@
         """
         if not request.input_tokens:
             return
-        tokens = min(max(0, request.input_tokens), MOST_TOKENS)
-        ask = AskTurn(endpoint.id, tokens, request.route.urgency)
+        tokens = min(request.own_tokens, MOST_TOKENS)
+        speed = self.reading.tokens_per_s(request.target.service, USUAL_SPEED)
+        pace = PACE * speed
+        ask = AskTurn(endpoint.id, tokens, request.route.urgency, pace)
         owner = self._owner(endpoint.id)
         turn_s = self._reserve(ask) if owner == self.name else self._ask(owner, ask)
         wait_s = min(turn_s, WAIT_SHARE * request.route.objective_s)
@@ -179,7 +196,8 @@
     def _reserve(self, ask: AskTurn) -> float:
         plan = self.plan_by_endpoint.setdefault(ask.endpoint, Plan())
         urgency = min(max(ask.urgency, 0), declared.LEAST_URGENT)
-        return plan.reserve(ask.tokens, urgency, time.monotonic())
+        pace = max(ask.tokens_per_s, LEAST_TOKENS_PER_S)
+        return plan.reserve(ask.tokens, urgency, time.monotonic(), pace)
 
     def _owner(self, endpoint_id: str) -> str:
         owner = self.owner_by_endpoint.get(endpoint_id)
--- a/packages/mothworks_gateway/tests/test_turns.py
+++ b/packages/mothworks_gateway/tests/test_turns.py
@@ -8,7 +8,7 @@
 
 import gateway_builders
 from mothworks import membership, messages, peers
-from mothworks_gateway import declared, turns
+from mothworks_gateway import asked, declared, reading, turns
 
 #: Tokens that an endpoint reads in 100 ms, as turns are planned.
 TENTH_S = int(turns.READ_TOKENS_PER_S / 10)
@@ -49,7 +49,9 @@
 
 def make(links, *names):
     parts = {peers.Peers: links, membership.Membership: Membership(*names)}
-    return turns.Turns(gateway_builders.Kernel(parts))
+    kernel = gateway_builders.Kernel(parts)
+    parts[reading.Reading] = reading.Reading(kernel)
+    return turns.Turns(kernel)
 
 
 def request(tokens=TENTH_S, objective_s=1.0, urgency=0):
@@ -64,9 +66,9 @@
     return gateway_builders.request(route=route, input_tokens=tokens)
 
 
-def took(made, asked, endpoint):
+def took(made, wanted, endpoint):
     began = time.monotonic()
-    made.wait(asked, endpoint)
+    made.wait(wanted, endpoint)
     return time.monotonic() - began
 
 
@@ -170,3 +172,24 @@
     made.wait(request(), endpoint)
     assert links.asked == ["vm-2"]
     assert endpoint.id in made.plan_by_endpoint
+
+
+def test_prompts_are_spaced_by_the_speed_that_answers_have_shown():
+    # Endpoints that read half as fast as usual got prompts at the usual pace.
+    # Several stood there unread, were read in one go, and each stream that ran
+    # there paused for half a second, longer than its callers accept.
+    made = make(Peers())
+    made.reading.speed_by_service["s"] = 10_000.0
+    endpoint = gateway_builders.endpoint("i-1")
+    made.wait(request(tokens=1_500), endpoint)
+    assert took(made, request(tokens=1_500), endpoint) > 0.15
+
+
+def test_only_what_a_prompt_does_not_share_counts():
+    # Half of a prompt is the same for all callers, and kept by the endpoint.
+    links = Peers(turns.Turn(0.0))
+    made = make(links, "vm-2")
+    prompt = (asked.PromptPart("shared", 900), asked.PromptPart("own", 1_000))
+    asks = gateway_builders.request(prompt=prompt, input_tokens=1_900)
+    made.wait(asks, owned_by("vm-2", "vm-1"))
+    assert [ask.tokens for ask in links.asks] == [1_000]
