Placement: endpoints read prompts at 0.35 of their speed

Cause: half of the answers are late for a pause of 450 to 550 ms, two steps in a row that read a full piece of prompts. How often they meet grows with the share of time spent reading.

--- a/packages/mothworks_gateway/src/mothworks_gateway/offers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/offers.py
@@ -41,7 +41,7 @@
 SPARE = 0.35
 #: Part of its speed at which an endpoint is to read prompts. Above it, answers
 #: queue behind each other's prompts and streams that run pause.
-READING_SHARE = 0.5
+READING_SHARE = 0.35
 #: Time over which an endpoint more or less for a model counts, seconds: about as
 #: long as it takes to load it from the weight store.
 HORIZON_S = 4.0
