--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -26,11 +26,10 @@
 import attrs
 import gevent
 import logbook
-import orjson
 import result
 
 from mothworks import kernel, logs, membership, objects, ownership
-from mothworks_gateway import pulse, relayed_objects
+from mothworks_gateway import lease_record, pulse, relayed_objects
 
 log = logbook.Logger("lease")
 
@@ -61,63 +60,6 @@
 SILENCE_S = 1.2
 
 
-def now() -> float:
-    """Return seconds on the clock that also counts suspended time."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-@attrs.frozen
-class Record:
-    """The lease as it is stored.
-
-    :param holder: the VM that holds it; empty once it was given up.
-    :param fence: the fencing token; grows by one with each holder.
-    :param renewals: grows with each renewal, so that each one is a change.
-    :param life: names the holder's process, to recognise its own write.
-    """
-
-    holder: str
-    fence: int
-    renewals: int
-    life: str
-
-    def body(self) -> bytes:
-        """Return the record as JSON."""
-        return orjson.dumps(attrs.asdict(self))
-
-
-def read_record(body: bytes) -> Record:
-    """Return the record that a stored body holds.
-
-    :param body: what :meth:`Record.body` made.
-    :raises ValueError: where it is not a record.
-    """
-    try:
-        value = orjson.loads(body)
-        return Record(
-            str(value["holder"]),
-            int(value["fence"]),
-            int(value["renewals"]),
-            str(value["life"]),
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a lease: {error!r}")
-
-
-@attrs.frozen
-class Heard:
-    """A renewal that another VM told of.
-
-    :param fence: the fencing token of the lease.
-    :param version: the stored object's version after it.
-    :param at: when this VM first heard of it, seconds, see :func:`now`.
-    """
-
-    fence: int
-    version: str
-    at: float
-
-
 class Lease(kernel.Part):
     """Holds the lease, or waits until it can.
 
@@ -145,12 +87,12 @@
         self.pulses.on_heard.append(self._hear)
         node_kernel.on_draining.append(lambda: self.tasks.spawn(self._release))
         self.started_at = time.monotonic()
-        self.record: Record | None = None
+        self.record: lease_record.Record | None = None
         self.version: str | None = None
         self.trusted_until = 0.0
         self.orders_from = 0.0
-        self.heard: Heard | None = None
-        self.ticked_at = now()
+        self.heard: lease_record.Heard | None = None
+        self.ticked_at = lease_record.now()
         #: Functions to call after this VM became the holder.
         self.on_gained: list = []
         self._refused_fence = 0
@@ -171,8 +113,8 @@
         return (
             self.record is not None
             and self.record.holder == self.name
-            and self.orders_from <= now() < self.trusted_until
-            and now() - self.ticked_at < MOST_TICK_S
+            and self.orders_from <= lease_record.now() < self.trusted_until
+            and lease_record.now() - self.ticked_at < MOST_TICK_S
         )
 
     def holder(self) -> str:
@@ -210,7 +152,7 @@
         While the store is away no other VM could take it, and models must
         still be loaded: the holder goes on until the store answers again.
         """
-        while self.record is not None and now() < self.trusted_until:
+        while self.record is not None and lease_record.now() < self.trusted_until:
             if self._read() is not None:
                 self.give_up("shutting down")
                 return
@@ -227,13 +169,13 @@
 
     def _tick(self) -> None:
         """Distrust the lease after a suspension, until it is renewed."""
-        if now() - self.ticked_at >= MOST_TICK_S:
+        if lease_record.now() - self.ticked_at >= MOST_TICK_S:
             self.trusted_until = 0.0
-        self.ticked_at = now()
+        self.ticked_at = lease_record.now()
 
     def _renew(self) -> None:
         record = attrs.evolve(self.record, renewals=self.record.renewals + 1)
-        sent = now()
+        sent = lease_record.now()
         match self.api.put(KEY, record.body(), self.version):
             case result.Ok(version):
                 if self.record is not None:
@@ -241,7 +183,7 @@
             case result.Err(objects.Unknown()):
                 self._recognise(sent)
             case result.Err(objects.Unavailable(reason)):
-                if now() > self.trusted_until:
+                if lease_record.now() > self.trusted_until:
                     self._forget(f"not renewed: {reason}")
             case result.Err(failure):
                 self._forget(f"renewal failed: {failure}")
@@ -249,18 +191,18 @@
     def _recognise(self, sent: float) -> None:
         """Learn whether a write took effect whose reply was lost."""
         match self._read():
-            case (Record() as record, version) if record.life == self.life:
+            case (lease_record.Record() as record, version) if record.life == self.life:
                 self._hold(record, version, sent)
-            case (Record(), _):
+            case (lease_record.Record(), _):
                 self._forget("another VM took it")
 
-    def _hold(self, record: Record, version: str, sent: float) -> None:
+    def _hold(self, record: lease_record.Record, version: str, sent: float) -> None:
         gained = self.record is None or self.record.fence != record.fence
         self.record = record
         self.version = version
         self.trusted_until = sent + self.duration_s - MARGIN_S
         if gained:
-            self.orders_from = now() + self.settle_s
+            self.orders_from = lease_record.now() + self.settle_s
             logs.event(
                 log, "lease", fence=record.fence, version=version, outcome="held"
             )
@@ -284,10 +226,12 @@
         """Remember the newest renewal of another VM, and when it was news."""
         if vm == self.name or not (told.fence and told.lease_version):
             return
-        known = self.heard or Heard(0, "", 0.0)
+        known = self.heard or lease_record.Heard(0, "", 0.0)
         is_news = told.lease_version != known.version
         if is_news and told.fence >= known.fence:
-            self.heard = Heard(told.fence, told.lease_version, now())
+            self.heard = lease_record.Heard(
+                told.fence, told.lease_version, lease_record.now()
+            )
 
     def _seek(self) -> None:
         """Take the lease where nobody holds it and this VM is first in line."""
@@ -304,19 +248,23 @@
             self._take(record.fence, version)
         else:
             if self.heard is None or self.heard.version != version:
-                self.heard = Heard(record.fence, version, now())
+                self.heard = lease_record.Heard(
+                    record.fence, version, lease_record.now()
+                )
             self._take_over(self.heard)
 
-    def _take_over(self, heard: Heard) -> None:
+    def _take_over(self, heard: lease_record.Heard) -> None:
         """Take the lease of a holder that is gone, once that is safe."""
         if self._wait_out(heard):
             settled = heard.at + self.watch_s + self.settle_s
             self._take(heard.fence, heard.version, settled)
 
-    def _wait_out(self, heard: Heard) -> bool:
+    def _wait_out(self, heard: lease_record.Heard) -> bool:
         """Wait until a lease that was heard of may be taken; return whether so."""
-        while now() < heard.at + self.watch_s:
-            gevent.sleep(max(0.01, min(LOOK_S, heard.at + self.watch_s - now())))
+        while lease_record.now() < heard.at + self.watch_s:
+            gevent.sleep(
+                max(0.01, min(LOOK_S, heard.at + self.watch_s - lease_record.now()))
+            )
             if self.holder():
                 return False
         return True
@@ -329,8 +277,10 @@
         :param settled: when orders of the last holder are long enough ago, where
             that is known; otherwise it counts from the write.
         """
-        record = Record(self.name, max(fence, self._refused_fence) + 1, 0, self.life)
-        sent = now()
+        record = lease_record.Record(
+            self.name, max(fence, self._refused_fence) + 1, 0, self.life
+        )
+        sent = lease_record.now()
         match self.api.put(KEY, record.body(), version):
             case result.Ok(new_version):
                 self._hold(record, new_version, sent)
@@ -339,17 +289,17 @@
             case result.Err(failure):
                 logs.event(log, "lease", reason=str(failure)[:120], outcome="not taken")
         if settled and self.record is not None:
-            self.orders_from = max(now(), settled)
+            self.orders_from = max(lease_record.now(), settled)
 
-    def _read(self) -> tuple[Record | None, str | None] | None:
+    def _read(self) -> tuple[lease_record.Record | None, str | None] | None:
         """Return the stored lease and its version; None if not answered."""
         match self.api.get(KEY):
             case result.Ok(stored):
                 try:
-                    return read_record(stored.body), stored.version
+                    return lease_record.read_record(stored.body), stored.version
                 except ValueError as error:
                     logs.event(log, "lease", reason=str(error), outcome="unreadable")
-                    return Record("", 0, 0, ""), stored.version
+                    return lease_record.Record("", 0, 0, ""), stored.version
             case result.Err(objects.Missing()):
                 return None, None
         return None
