--- a/packages/mothworks_gateway/src/mothworks_gateway/reading.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/reading.py
@@ -11,10 +11,13 @@
 import statistics
 
 import attrs
+import logbook
 
-from mothworks import kernel
+from mothworks import kernel, logs
 from mothworks_gateway import asked
 
+log = logbook.Logger("reading")
+
 #: Tokens a second that are assumed before enough answers came: half of what
 #: current accelerators read.
 USUAL_TOKENS_PER_S = 20_000.0
@@ -27,6 +30,8 @@
 LEAST_SAMPLES = 32
 #: Answers between two estimates: each sorts all samples.
 ESTIMATE_EVERY = 16
+#: Change of the speed, as a share, from which on it is logged.
+NOTABLE = 0.1
 #: Part of the answers, by their time, that hardly waited: the lower quartile.
 HARDLY_WAITED = 0.25
 
@@ -82,7 +87,20 @@
             self.unused_by_service[service] = 0
             speed = estimate(list(samples))
             if speed is not None:
-                self.speed_by_service[service] = speed
+                self._learn(service, speed, len(samples))
+
+    def _learn(self, service: str, speed: float, samples: int) -> None:
+        before = self.tokens_per_s(service)
+        self.speed_by_service[service] = speed
+        if abs(speed - before) > NOTABLE * before:
+            logs.event(
+                log,
+                "reading speed",
+                service=service,
+                before=round(before),
+                samples=samples,
+                outcome=round(speed),
+            )
 
 
 def estimate(samples: list[_Sample]) -> float | None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/turns.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/turns.py
@@ -160,6 +160,7 @@
             endpoint=endpoint.id,
             owner=owner,
             tokens=ask.tokens,
+            pace=round(ask.tokens_per_s),
             turn_ms=round(turn_s * 1000),
             outcome=f"waits {wait_s * 1000:.0f} ms",
         )
