--- a/packages/mothworks_gateway/tests/test_late_orders.py
+++ b/packages/mothworks_gateway/tests/test_late_orders.py
@@ -19,6 +19,23 @@
     return attrs.evolve(made, born=endpoint.born, adapters_by_model=held)
 
 
+def started():
+    """Return an endpoint that tells its start, a registry, and who orders there."""
+    endpoint = modelled_endpoint.ModelledEndpoint(
+        modelled_endpoint.accelerator(**SIZES)
+    )
+    endpoint.restart()
+    view = registry.Registry()
+    view.put(entry(endpoint), b"")
+    orders = modelled_endpoint.orders_of(endpoint, view, modelled_endpoint.Peers())
+    return endpoint, view, orders
+
+
+def site_of(endpoint, view):
+    """Return a site of the incarnation that the registry knows."""
+    return sites.Site(view.named(NAME), endpoint.declared_as)
+
+
 class Restarts(hypothesis.stateful.RuleBasedStateMachine):
     """Orders of two holders to an endpoint that loses answers and starts again."""
 
@@ -110,13 +127,8 @@
     # under its name, empty and with its count at zero. The holder fills it
     # again, and two orders later the count is the one that the old order names:
     # it was carried out beside two models, and the endpoint crashed once more.
-    declared = modelled_endpoint.accelerator(**SIZES)
-    endpoint = modelled_endpoint.ModelledEndpoint(declared)
-    endpoint.restart()
-    view = registry.Registry()
-    view.put(entry(endpoint), b"")
-    orders = modelled_endpoint.orders_of(endpoint, view, modelled_endpoint.Peers())
-    site = sites.Site(view.named(NAME), declared)
+    endpoint, view, orders = started()
+    site = site_of(endpoint, view)
 
     def order(site, model, load=True):
         made = adapters.Order(load, model, "", site.accepted, "vm-1", 1)
@@ -133,7 +145,7 @@
     assert order(site, "a") is adapters.OrderOutcome.UNKNOWN
     endpoint.restart()
     view.put(entry(endpoint), b"")
-    site = sites.Site(view.named(NAME), declared)
+    site = site_of(endpoint, view)
     orders.look(site)
     assert order(site, "b") is adapters.OrderOutcome.ACCEPTED
     assert order(site, "d") is None
@@ -147,13 +159,8 @@
     # crashes behind a cut and is back; the late order is carried out first, and
     # its count is again the one in the holder's books, which show 16 GB. By these
     # books another 50 GB fitted, and the endpoint crashed again.
-    declared = modelled_endpoint.accelerator(**SIZES)
-    endpoint = modelled_endpoint.ModelledEndpoint(declared)
-    endpoint.restart()
-    view = registry.Registry()
-    view.put(entry(endpoint), b"")
-    orders = modelled_endpoint.orders_of(endpoint, view, modelled_endpoint.Peers())
-    site = sites.Site(view.named(NAME), declared)
+    endpoint, view, orders = started()
+    site = site_of(endpoint, view)
     orders.look(site)
     endpoint.faults = ["unanswered"]
     orders.attempt(site, adapters.Order(True, "b", "", 0, "vm-1", 1))
