Late orders: several in a row find room, too

Change: before an order is sent, each sequence in which late orders may follow each other is gone through, from what the endpoint will then hold and from an empty start. Unloads without an answer are remembered, too, since they move the count on.

Deployments whose endpoints do not tell their starts are not touched by it.

--- a/packages/mothworks_gateway/src/mothworks_gateway/late_orders.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/late_orders.py
@@ -1,11 +1,12 @@
-"""Late orders: loads without an answer, which an endpoint may carry out later.
+"""Late orders: those without an answer, which an endpoint may carry out later.
 
 An endpoint carries a late order out only while it has accepted as many orders as
 the order names. Within one incarnation that makes late orders harmless (see
 :mod:`site_orders`). But the count starts anew when the endpoint starts again
-under its name, and an old order may meet its count once more. So each VM
-remembers the loads that got no answer, and whoever holds the lease keeps room
-for them.
+under its name, and an old order may meet its count once more; where another one
+names the next count, that one may follow. So each VM remembers the orders that
+got no answer, and whoever holds the lease sends none after which such a sequence
+would find no room.
 """
 
 import time
@@ -23,29 +24,63 @@
 @messages.message(119)
 @attrs.frozen
 class Unanswered:
-    """Tells all VMs of a load that got no answer.
+    """Tells all VMs of an order that got no answer.
 
     :param endpoint: the endpoint's name, which outlasts its incarnations.
     :param accepted: orders that the endpoint must have accepted to take it.
+    :param load: whether it loads; otherwise it unloads.
     :param model: the model.
     :param adapter: its adapter, or empty.
     """
 
     endpoint: str
     accepted: int
+    load: bool
     model: str
     adapter: str
 
-    def harmless(self, site: sites.Site, beside: dict[str, set[str]]) -> bool:
-        """Return whether an endpoint could carry it out with nothing overfull.
+    def changes(self, held: dict[str, set[str]]) -> bool:
+        """Return whether an endpoint that holds something would be changed by it.
 
-        :param site: the endpoint's site.
-        :param beside: what takes memory there; see :meth:`sites.Site.taking`.
+        :param held: the models that it holds, with their adapters.
         """
-        held = beside.get(self.model)
-        done = held is not None and (not self.adapter or self.adapter in held)
-        refused = bool(self.adapter) and held is None
-        return done or refused or site.fits(self.model, self.adapter, beside)
+        has_model = self.model in held
+        if self.adapter:
+            has_adapter = has_model and self.adapter in held[self.model]
+            return has_adapter != self.load and has_model
+        return has_model != self.load
+
+
+def of_order(endpoint: registry.Endpoint, order: adapters.Order) -> Unanswered:
+    """Return what is told of an order that gets no answer.
+
+    :param endpoint: where it was sent.
+    :param order: the order.
+    """
+    return Unanswered(
+        endpoint.entry.name, order.accepted, order.load, order.model, order.adapter
+    )
+
+
+def fit(
+    late: list[Unanswered], site: sites.Site, held: dict[str, set[str]], accepted: int
+) -> bool:
+    """Return whether late orders find room, in each sequence that may happen.
+
+    :param late: the late orders.
+    :param site: the endpoint's site.
+    :param held: what the endpoint holds; see :meth:`sites.Site.taking`.
+    :param accepted: how many orders it has accepted.
+    """
+    for order in late:
+        if order.accepted != accepted or not order.changes(held):
+            continue
+        if order.load and not site.fits(order.model, order.adapter, held):
+            return False
+        after = sites.carried_out(held, order.load, order.model, order.adapter)
+        if not fit(late, site, after, accepted + 1):
+            return False
+    return True
 
 
 class LateOrders(kernel.Part):
@@ -58,21 +93,20 @@
         super().__init__(node_kernel)
         self.peers = node_kernel.get(peers.Peers)
         #: Monotonic time until which each may be carried out.
-        self.until_by_load: dict[Unanswered, float] = {}
+        self.until_by_order: dict[Unanswered, float] = {}
         self.peers.handle(Unanswered, lambda _, told, __: self._remember(told))
 
     def note(self, endpoint: registry.Endpoint, order: adapters.Order) -> None:
         """Remember an order that got no answer, here and on all other VMs.
 
-        An unload takes no memory, so that it needs no room kept.
+        An endpoint that does not tell its starts gets a new name with each, which
+        a late order does not reach.
 
         :param endpoint: where it was sent.
         :param order: the order.
         """
-        if order.load and endpoint.entry.born:
-            told = Unanswered(
-                endpoint.entry.name, order.accepted, order.model, order.adapter
-            )
+        if endpoint.entry.born:
+            told = of_order(endpoint, order)
             self._remember(told)
             self.peers.send_all(told)
 
@@ -83,13 +117,14 @@
         """
         now = time.monotonic()
         return [
-            load
-            for load, until in self.until_by_load.items()
-            if until > now and load.endpoint == endpoint.entry.name
+            order
+            for order, until in self.until_by_order.items()
+            if until > now and order.endpoint == endpoint.entry.name
         ]
 
     def _remember(self, told: Unanswered) -> None:
         now = time.monotonic()
-        for load in [key for key, until in self.until_by_load.items() if until < now]:
-            del self.until_by_load[load]
-        self.until_by_load[told] = now + LATE_S
+        ended = [key for key, until in self.until_by_order.items() if until < now]
+        for order in ended:
+            del self.until_by_order[order]
+        self.until_by_order[told] = now + LATE_S
--- a/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
@@ -8,9 +8,10 @@
 
 An endpoint that starts again under its name counts anew, and an order of its
 former incarnation may be carried out in the next one. It then takes effect only
-at the number that it names. So no order is sent that would bring the endpoint to
-a number at which such a late order no longer fits; and none is sent to an
-endpoint that may have started again unnoticed.
+at the number that it names. So no order is sent after which such late orders, one
+or several in a row, would find no room: neither from what the endpoint then holds,
+nor from the empty start of its next incarnation. And none is sent to an endpoint
+that may have started again unnoticed.
 """
 
 import time
@@ -224,11 +225,10 @@
             # the number that this order names, with other models.
             site.accepted = None
             return False
-        after = site.after(order)
-        number = order.accepted + 1
-        return all(
-            load.harmless(site, after) for load in late if load.accepted == number
-        )
+        in_flight = [*late, late_orders.of_order(site.endpoint, order)]
+        return late_orders.fit(
+            late, site, site.after(order), order.accepted + 1
+        ) and late_orders.fit(in_flight, site, {}, 0)
 
     def _count_store_load(
         self, site: sites.Site, order: adapters.Order, outcome: adapters.OrderOutcome
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -32,6 +32,31 @@
     return min(MOST_RUNNING_S, RUNNING_S + RUNNING_MORE_S * (running - 1))
 
 
+def carried_out(
+    held: dict[str, set[str]], load: bool, model: str, adapter: str
+) -> dict[str, set[str]]:
+    """Return what an endpoint holds once an order is carried out.
+
+    :param held: what it holds before, models with their adapters.
+    :param load: whether the order loads; otherwise it unloads.
+    :param model: the model.
+    :param adapter: its adapter; empty for the model itself.
+
+    >>> carried_out({"m": {"a1"}}, True, "n", "")
+    {'m': {'a1'}, 'n': set()}
+    """
+    after = {name: set(adapters_held) for name, adapters_held in held.items()}
+    if load and adapter:
+        after.setdefault(model, set()).add(adapter)
+    elif load:
+        after.setdefault(model, set())
+    elif adapter:
+        after.get(model, set()).discard(adapter)
+    else:
+        after.pop(model, None)
+    return after
+
+
 @attrs.frozen
 class Job:
     """Something that a site is to hold.
@@ -173,16 +198,7 @@
 
         :param order: the order.
         """
-        taking = {name: set(held) for name, held in self.taking().items()}
-        if order.load and order.adapter:
-            taking.setdefault(order.model, set()).add(order.adapter)
-        elif order.load:
-            taking.setdefault(order.model, set())
-        elif order.adapter:
-            taking.get(order.model, set()).discard(order.adapter)
-        else:
-            taking.pop(order.model, None)
-        return taking
+        return carried_out(self.taking(), order.load, order.model, order.adapter)
 
     def take(self, seen: adapters.Inventory) -> None:
         """Take over what the endpoint reports.
