--- a/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
@@ -108,8 +108,12 @@
 
     def _inventory(self, site: sites.Site) -> adapters.Inventory | None:
         """Return an endpoint's report; None where this incarnation gives none."""
+        known_born = site.endpoint.entry.born
         match self.protocol.inventory(site.endpoint):
-            case result.Ok(seen) if seen.born == site.endpoint.entry.born:
+            case result.Ok(seen) if not (known_born and seen.born):
+                # One of the two does not tell, so they cannot differ.
+                return seen
+            case result.Ok(seen) if seen.born == known_born:
                 return seen
             case result.Ok(seen):
                 self.registry.restarted(site.endpoint, seen.born)
--- a/packages/mothworks_gateway/tests/test_site_orders.py
+++ b/packages/mothworks_gateway/tests/test_site_orders.py
@@ -53,3 +53,13 @@
     loading = gevent.spawn(orders.order, site, True, "wanted", "")
     assert not loading.get(timeout=2)
     assert not endpoint.crashes
+
+
+def test_an_endpoint_whose_entry_does_not_tell_its_start_is_ordered(orders, endpoint):
+    # Only its report names the start. Taken for another incarnation, it was
+    # believed to be empty, and the entries that followed were left out as older.
+    site = site_of(endpoint, "small")
+    endpoint.born = 7
+    orders.look(site)
+    assert site.adapters_by_model == {"small": set()}
+    assert site.endpoint.id == "i-1"
