--- a/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/ordering.py
@@ -214,7 +214,7 @@
 
         def missed(key: tuple[str, str]) -> tuple[float, float]:
             target = asked.Target(site.endpoint.entry.service, *key)
-            return self.demand.rate(target), site.used_by_adapter.get(key, 0.0)
+            return self.demand.rate(target), site.loaded_at_by_adapter.get(key, 0.0)
 
         return min(self._idle_adapters(site), key=missed, default=None)
 
@@ -226,5 +226,5 @@
             for name, held in site.adapters_by_model.items()
             for adapter in held
             if not self.load.of_adapter(site.endpoint.id, name, adapter)
-            and site.used_by_adapter.get((name, adapter), 0.0) < oldest
+            and site.loaded_at_by_adapter.get((name, adapter), 0.0) < oldest
         ]
--- a/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
@@ -229,10 +229,13 @@
             # the number that this order names, with other models.
             site.accepted = None
             return False
+        after = site.after(order)
+        if not late_orders.fit(late, site, after, order.accepted + 1):
+            return False
+        # This one may be late, too, and meet its number in a next incarnation,
+        # which starts empty.
         in_flight = [*late, late_orders.of_order(site.endpoint, order)]
-        return late_orders.fit(
-            late, site, site.after(order), order.accepted + 1
-        ) and late_orders.fit(in_flight, site, {}, 0)
+        return late_orders.fit(in_flight, site, {}, 0)
 
     def _count_store_load(
         self, site: sites.Site, order: adapters.Order, outcome: adapters.OrderOutcome
--- a/packages/mothworks_gateway/src/mothworks_gateway/sites.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/sites.py
@@ -89,8 +89,7 @@
     :param paused_until: monotonic time until which it gets no orders, after one
         that did not reach it.
     :param copied: models that it was to load once, for a copy on its disk.
-    :param used_by_adapter: monotonic time at which (model, adapter) was last
-        asked for.
+    :param loaded_at_by_adapter: monotonic time at which (model, adapter) was loaded.
     """
 
     endpoint: registry.Endpoint
@@ -104,7 +103,7 @@
     jobs: collections.deque[Job] = attrs.field(factory=collections.deque)
     paused_until: float = 0.0
     copied: set[str] = attrs.field(factory=set)
-    used_by_adapter: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    loaded_at_by_adapter: dict[tuple[str, str], float] = attrs.field(factory=dict)
     woken: gevent.event.Event = attrs.field(factory=gevent.event.Event)
 
     @property
@@ -253,7 +252,7 @@
             self.loading = ""
         self.adapters_by_model = self._without_loading(self.after(order))
         if order.load and order.adapter:
-            self.used_by_adapter[order.model, order.adapter] = time.monotonic()
+            self.loaded_at_by_adapter[order.model, order.adapter] = time.monotonic()
 
     def _without_loading(self, taking: dict[str, set[str]]) -> dict[str, set[str]]:
         if self.loading and self.loading not in self.adapters_by_model:
--- a/packages/mothworks_gateway/tests/test_adapters_in_demand.py
+++ b/packages/mothworks_gateway/tests/test_adapters_in_demand.py
@@ -76,7 +76,7 @@
     site = scheduling_builders.site_of("i-1", ACCELERATOR, ("m",))
     names = [f"a{number}" for number in range(PLACES)]
     site.adapters_by_model["m"] = set(names)
-    site.used_by_adapter = {("m", name): loaded_at for name in names}
+    site.loaded_at_by_adapter = {("m", name): loaded_at for name in names}
     return site
 
 
@@ -95,7 +95,7 @@
     # Adapters that are asked for often, and not at this very moment, were dropped
     # for rare ones when they had been loaded longest ago.
     site = full_site(loaded_at=clock.now - 5.0)
-    site.used_by_adapter["m", "a3"] = clock.now - 60.0
+    site.loaded_at_by_adapter["m", "a3"] = clock.now - 60.0
     made.demand.rate_by_adapter = {f"a{n}": 2.0 for n in range(PLACES) if n != 5}
     assert made._unused_adapter(site) == ("m", "a5")
 
