--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -181,20 +181,25 @@
                 if self.record is not None:
                     self._hold(record, version, sent)
             case result.Err(objects.Unknown()):
-                self._recognise(sent)
+                self._recognise(sent, record)
             case result.Err(objects.Unavailable(reason)):
                 if lease_record.now() > self.trusted_until:
                     self._forget(f"not renewed: {reason}")
             case result.Err(failure):
                 self._forget(f"renewal failed: {failure}")
 
-    def _recognise(self, sent: float) -> None:
-        """Learn whether a write took effect whose reply was lost."""
+    def _recognise(self, sent: float, written: lease_record.Record) -> None:
+        """Learn whether a write took effect whose reply was lost.
+
+        Only that write renews the lease. One that is found as it was before does
+        not: another VM counts from its last renewal, and may order already.
+        """
         match self._read():
-            case (lease_record.Record() as record, version) if record.life == self.life:
+            case (lease_record.Record() as record, version) if record == written:
                 self._hold(record, version, sent)
-            case (lease_record.Record(), _):
-                self._forget("another VM took it")
+            case (lease_record.Record() as record, version):
+                if record.life != self.life:
+                    self._forget("another VM took it")
 
     def _hold(self, record: lease_record.Record, version: str, sent: float) -> None:
         gained = self.record is None or self.record.fence != record.fence
@@ -285,7 +290,7 @@
             case result.Ok(new_version):
                 self._hold(record, new_version, sent)
             case result.Err(objects.Unknown()):
-                self._recognise(sent)
+                self._recognise(sent, record)
             case result.Err(failure):
                 logs.event(log, "lease", reason=str(failure)[:120], outcome="not taken")
         if settled and self.record is not None:
