Broadcast: what the holder tells all VMs is passed on in groups

Cause: each order of the holder is told to all VMs, twice or three times, by the holder itself. Change: the VM divides the others into about as many groups as each has VMs; one of each group passes on. Messages of 20 ms go together, but for an unload, which must be known before its order leaves.

--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -159,11 +159,19 @@
     def send_all(self, message: typing.Any) -> None:
         """Send a message to every live peer of this VM's region.
 
+        :param message: an instance of a registered class.
+        """
+        self.post_all([member.name for member in self.membership.near()], message)
+
+    def post_all(self, vms: collections.abc.Iterable[str], message: typing.Any) -> None:
+        """Send a message to some peers without waiting for connections to open.
+
+        :param vms: the peers' names.
         :param message: an instance of a registered class.
         """
         frame = messages.pack(message)
-        for member in self.membership.near():
-            self._post(member.name, frame)
+        for vm in vms:
+            self._post(vm, frame)
 
     def post(self, vm: str, message: typing.Any) -> None:
         """Send a message without waiting for a connection to open.
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -13,7 +13,7 @@
 import logbook
 
 from mothworks import kernel, logs, messages, peers
-from mothworks_gateway import asked, discovery, lease, pulse, registry
+from mothworks_gateway import asked, broadcast, discovery, lease, pulse, registry
 
 log = logbook.Logger("residency")
 
@@ -105,6 +105,7 @@
         super().__init__(node_kernel)
         self.name = node_kernel.settings.name
         self.peers = node_kernel.get(peers.Peers)
+        self.broadcast = node_kernel.get(broadcast.Broadcast)
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.lease = node_kernel.get(lease.Lease)
         self.pulses = node_kernel.get(pulse.Pulses)
@@ -189,12 +190,16 @@
         elif holder:
             self.peers.post(holder, Missed(endpoint.id))
 
-    def publish(self, told: Holds) -> None:
+    def publish(self, told: Holds, at_once: bool = False) -> None:
         """Tell all VMs, this one included, what an endpoint holds.
 
         :param told: the message.
+        :param at_once: whether it must not wait for others to be sent with it.
         """
-        self.peers.send_all(told)
+        if at_once:
+            self.broadcast.tell_at_once(told)
+        else:
+            self.broadcast.tell(told)
         self._hear_holds(self.name, told, None)
 
     def _repeat(self) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
@@ -292,9 +292,11 @@
         elif without is not None and without.adapter in held.get(without.model, ()):
             held[without.model].remove(without.adapter)
         self.published += 1
-        fence = self.lease.fence
-        self.residency.publish(
-            residency.Holds(
-                fence, self.published, site.endpoint.id, held, site.coming_s()
-            )
+        told = residency.Holds(
+            self.lease.fence,
+            self.published,
+            site.endpoint.id,
+            held,
+            site.coming_s(),
         )
+        self.residency.publish(told, at_once=without is not None)
--- a/packages/mothworks_gateway/tests/gateway_builders.py
+++ b/packages/mothworks_gateway/tests/gateway_builders.py
@@ -45,10 +45,10 @@
     return Kernel({discovery.Discovery: found, **(parts or {})})
 
 
-def make_settings(**fields):
+def make_settings(name="vm-1", **fields):
     """Return the settings of one VM."""
     return settings.Settings(
-        name="vm-1",
+        name=name,
         address="10.0.0.1",
         front="10.0.0.1:80",
         ready="10.0.0.1:81",
--- a/packages/mothworks_gateway/tests/modelled_endpoint.py
+++ b/packages/mothworks_gateway/tests/modelled_endpoint.py
@@ -143,7 +143,7 @@
 class Residency:
     """Stands for what tells the other VMs; nobody listens."""
 
-    def publish(self, _):
+    def publish(self, told, at_once=False):
         pass
 
 
