Watching: two VMs follow the platform's feeds and tell all others

Change: the holder of the lease and one more VM follow; news of the registry is told as it is, a sign twice a second tells how new it is, who is behind a sign reads by one call, who hears no good sign follows by itself. A told batch keeps the last state of each entry only, so batches of two tellers may overlap. Changes gather for a quarter of the time to leave, not 0.6, so that news arrives in time also when all that follow vanish at once. What remains are the holder's own polls (one a change), renewals and five calls of each VM at its start.

--- a/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -32,6 +32,11 @@
         #: Functions to call with a new declaration.
         self.on_change: list = []
 
+    @property
+    def version(self) -> int:
+        """Return the version in force, or 0."""
+        return self.current.version if self.current else 0
+
     def start(self) -> None:
         """Follow the platform."""
         follower = feeding.Follower(
@@ -50,13 +55,12 @@
             case result.Ok(declaration):
                 self._take(declaration, source)
             case result.Err(reason):
-                version = self.current.version if self.current else 0
                 logs.event(
                     log,
                     "declaration unreadable",
                     source=source,
                     reason=reason[:200],
-                    outcome=f"version {version} stays in force",
+                    outcome=f"version {self.version} stays in force",
                 )
 
     def _take_all(self, listing: adapters.Listing) -> None:
@@ -74,7 +78,7 @@
             self.offer(document, "platform")
 
     def _take(self, declaration: declared.Declaration, source: str) -> None:
-        before = self.current.version if self.current else 0
+        before = self.version
         if declaration.version <= before:
             # An older one may come late from a peer; in force it would undo
             # what callers have already seen.
--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -11,9 +11,10 @@
 log = logbook.Logger("discovery")
 
 #: Part of the time in which an endpoint that leaves must be known that changes
-#: gather before the next poll: each poll that returns is a priced call on every
-#: VM. The rest is for the poll itself and for requests that are on their way.
-GATHER_SHARE = 0.6
+#: gather before the next poll of a VM that follows the registry: each poll that
+#: returns is a priced call. Where all that follow it vanish at once, the others
+#: notice within 1.1 s and poll by themselves; the rest is for that.
+GATHER_SHARE = 0.25
 #: Seconds between checks for entries that lapsed and did not come back.
 EXPIRE_S = 0.25
 
@@ -42,6 +43,11 @@
         #: Whether the registry was read, from the platform or a peer.
         self.loaded = False
         self.taken_at = time.monotonic()
+        #: Revision of the last change that this VM knows.
+        self.changed_at = 0
+        #: Functions to call with the revision of the change before, and the
+        #: changes that the platform itself told this VM.
+        self.on_platform_changes: list = []
 
     @property
     def gather_s(self) -> float:
@@ -62,6 +68,32 @@
         if cursor > self.registry.cursor:
             self._take_all(adapters.Listing(cursor, document_by_name))
 
+    def take_told(
+        self, before: int, changes: adapters.Changes, doubt_until: float
+    ) -> None:
+        """Take changes that a peer tells, if they follow on what is known here.
+
+        :param before: revision of the change before them.
+        :param changes: the changes, the last of each entry.
+        :param doubt_until: monotonic time until which removals are in doubt.
+        """
+        if before <= self.registry.cursor < changes.cursor:
+            self._apply(changes, doubt_until)
+            self.follower.cursor = max(self.follower.cursor, changes.cursor)
+
+    def confirm(self, changed_at: int, cursor: int) -> None:
+        """Note that a peer knows of no later change.
+
+        Without it the cursor would stay at the last change, and a poll that begins
+        there meets a history that the platform has dropped.
+
+        :param changed_at: revision of the last change that the peer knows.
+        :param cursor: revision as of which it is the last.
+        """
+        if self.loaded and changed_at <= self.registry.cursor < cursor:
+            self.registry.cursor = cursor
+            self.follower.cursor = max(self.follower.cursor, cursor)
+
     def documents(self) -> dict[str, bytes]:
         """Return all entries, for a peer."""
         return {item.entry.name: item.document for item in self.registry.by_id.values()}
@@ -71,6 +103,8 @@
             # A peer has told of more than this reading saw.
             return
         self.registry.cursor = listing.cursor
+        if listing.document_by_name != {**self.documents(), **self.unreadable_by_name}:
+            self.changed_at = listing.cursor
         doubt_until = self.follower.doubt_until if self.loaded else 0.0
         for name in self.registry.id_by_name.keys() - listing.document_by_name.keys():
             self.registry.remove(name, doubt_until)
@@ -83,14 +117,28 @@
     def _take_changes(self, changes: adapters.Changes) -> None:
         if changes.cursor < self.registry.cursor:
             return
+        before = self.changed_at
+        self._apply(changes, self.follower.doubt_until)
+        if changes.changes:
+            for notify in self.on_platform_changes:
+                notify(before, changes)
+
+    def _apply(self, changes: adapters.Changes, doubt_until: float) -> None:
+        """Take changes, of which some may be known already.
+
+        Only the last of each entry counts: changes that were taken before and come
+        once more, among newer ones, would otherwise bring older states back.
+        """
         self.registry.cursor = changes.cursor
-        for change in changes.changes:
-            if change.document is None:
-                self.unreadable_by_name.pop(change.name, None)
-                self.registry.remove(change.name, self.follower.doubt_until)
+        last_by_name = {change.name: change.document for change in changes.changes}
+        for name, document in last_by_name.items():
+            if document is None:
+                self.unreadable_by_name.pop(name, None)
+                self.registry.remove(name, doubt_until)
             else:
-                self._put(change.name, change.document)
-        if changes.changes:
+                self._put(name, document)
+        if last_by_name:
+            self.changed_at = changes.cursor
             self._done()
 
     def _put(self, name: str, document: bytes) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -28,12 +28,23 @@
 PAUSE_S = 0.1
 MOST_PAUSE_S = 0.5
 PAUSE_GROWTH = 1.6
+#: Time after the first reading before the first poll, seconds: by then a VM that starts
+#: has heard whether others follow for it.
+SETTLE_S = 1.0
+#: Longest wait of a poll for changes that are known to be there, seconds.
+CATCH_UP_S = 0.01
 #: Time after an outage in which entries may be missing because of it, seconds.
 #: Endpoints that live enter themselves again within about 2 s; one that left
 #: just then must get no new work within those 2 s, too.
 DOUBT_S = 1.6
 
 
+def _set_event() -> gevent.event.Event:
+    made = gevent.event.Event()
+    made.set()
+    return made
+
+
 @attrs.define(eq=False)
 class Follower:
     """Follows one feed.
@@ -44,6 +55,7 @@
     :param take_changes: called with changes.
     :param gather_s: time to let further changes gather before they are
         fetched, seconds; each fetch is a call.
+    :param poll_s: longest long poll, seconds.
     :param cursor: the newest revision seen.
     :param lost_at: monotonic time since when the platform does not answer.
     :param back_at: monotonic time at which it last answered again.
@@ -54,25 +66,29 @@
     take_all: collections.abc.Callable[[adapters.Listing], None]
     take_changes: collections.abc.Callable[[adapters.Changes], None]
     gather_s: float = 0.0
+    poll_s: float = WAIT_S
     cursor: int = 0
     lost_at: float | None = None
     back_at: float = -DOUBT_S
     polling_since: float = 0.0
     _impatient: gevent.event.Event = attrs.field(factory=gevent.event.Event)
+    _followed: gevent.event.Event = attrs.field(factory=_set_event)
     _poll: gevent.Greenlet | None = None
 
     def run(self) -> None:
-        """Follow the feed for ever."""
+        """Follow the feed for ever, while it is to be followed here."""
         pause = PAUSE_S
         listed = False
         while True:
+            self._followed.wait()
             match self._poll_once(listed):
                 case result.Ok(_):
+                    rest_s = self.gather_s if listed else max(self.gather_s, SETTLE_S)
                     listed = True
                     pause = PAUSE_S
                     self._note_answer()
                     self._impatient.clear()
-                    self._impatient.wait(self.gather_s)
+                    self._impatient.wait(rest_s)
                 case result.Err(adapters.FeedExpired()):
                     logs.event(log, "history gone", feed=self.name, cursor=self.cursor)
                     listed = False
@@ -82,6 +98,40 @@
                     gevent.sleep(random.uniform(0.5, 1.0) * pause)
                     pause = min(MOST_PAUSE_S, pause * PAUSE_GROWTH)
 
+    @property
+    def polls(self) -> bool:
+        """Return whether a poll is under way."""
+        return self._poll is not None
+
+    def follow(self, follows: bool) -> None:
+        """Go on following, or let others do so.
+
+        :param follows: whether this VM is to follow the feed by itself.
+        """
+        if follows:
+            self._followed.set()
+        elif self._followed.is_set():
+            self._followed.clear()
+            # Others reach the platform, so nothing is in doubt here any longer.
+            self._note_answer()
+
+    def refresh(self) -> bool:
+        """Read all once, while others follow the feed.
+
+        :returns: whether the platform answered.
+        """
+        return self._read().is_ok()
+
+    def catch_up(self) -> bool:
+        """Take what is new since the cursor once, while others follow the feed.
+
+        :returns: whether the platform answered.
+        """
+        caught = self._wait(CATCH_UP_S)
+        if isinstance(caught.err(), adapters.FeedExpired):
+            return self.refresh()
+        return caught.is_ok()
+
     def gather(self, seconds: float) -> None:
         """Change how long changes gather, at once.
 
@@ -113,7 +163,10 @@
 
     def _poll_once(self, listed: bool) -> result.Result:
         self.polling_since = time.monotonic()
-        self._poll = gevent.spawn(self._wait if listed else self._read)
+        if listed:
+            self._poll = gevent.spawn(self._wait, self.poll_s)
+        else:
+            self._poll = gevent.spawn(self._read)
         try:
             self._poll.join()
             outcome = self._poll.value
@@ -130,11 +183,11 @@
         read = self.feed.read()
         if read.is_ok():
             self.take_all(read.ok_value)
-            self.cursor = read.ok_value.cursor
+            self.cursor = max(self.cursor, read.ok_value.cursor)
         return read
 
-    def _wait(self) -> result.Result:
-        waited = self.feed.wait(self.cursor, WAIT_S)
+    def _wait(self, wait_s: float) -> result.Result:
+        waited = self.feed.wait(self.cursor, wait_s)
         if waited.is_ok():
             self.take_changes(waited.ok_value)
             self.cursor = max(self.cursor, waited.ok_value.cursor)
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -24,6 +24,7 @@
     residency,
     scheduler,
     settings,
+    watching,
 )
 
 log = logbook.Logger("node")
@@ -43,6 +44,7 @@
     discovery.Discovery,
     pulse.Pulses,
     lease.Lease,
+    watching.Watching,
     residency.Residency,
     ordering.Ordering,
     scheduler.Scheduler,
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -41,7 +41,7 @@
     """What a VM tells of itself.
 
     :param declaration_version: the declaration in force there.
-    :param registry_cursor: how new its registry is.
+    :param registry_cursor: revision of the last change in its registry.
     :param fence: the fencing token of the lease that it holds, or 0.
     :param lease_version: the stored version of its last renewal, or empty.
     :param running: requests that it has running, by endpoint and model.
@@ -147,7 +147,9 @@
         for fill in self.on_pulse:
             fields.update(fill())
         pulse = Pulse(
-            self._version(), self.discovery.registry.cursor, **{"fence": 0, **fields}
+            self.declarations.version,
+            self.discovery.changed_at,
+            **{"fence": 0, **fields},
         )
         for notify in self.on_heard:
             notify(self.kernel.settings.name, pulse)
@@ -155,10 +157,6 @@
         for member in random.sample(near, min(MOST_PEERS, len(near))):
             self.peers.post(member.name, pulse)
 
-    def _version(self) -> int:
-        current = self.declarations.current
-        return current.version if current else 0
-
     def _hear(self, vm: str, pulse: Pulse, _) -> None:
         self.heard_by_vm[vm] = Heard(pulse, time.monotonic())
         for notify in self.on_heard:
@@ -168,7 +166,7 @@
 
     def _behind(self, pulse: Pulse) -> bool:
         return (
-            pulse.declaration_version > self._version()
+            pulse.declaration_version > self.declarations.version
             or pulse.registry_cursor > self.discovery.registry.cursor
         )
 
@@ -182,13 +180,15 @@
             if not self._behind(pulse):
                 return
             by_name = self.feeding.follower_by_name
-            if pulse.declaration_version > self._version():
+            if pulse.declaration_version > self.declarations.version:
                 by_name["declarations"].hurry(pulse.registry_cursor, PATIENCE_S)
             # The registry's revision also grows with every other write.
             lost = by_name["endpoints"].lost_at is not None
             stuck = pulse.registry_cursor > self.discovery.registry.cursor
-            if pulse.declaration_version > self._version() or (lost and stuck):
-                self._ask(vm)
+            if pulse.declaration_version > self.declarations.version or (
+                lost and stuck
+            ):
+                self.ask(vm)
             elif stuck:
                 by_name["endpoints"].hurry(pulse.registry_cursor, STUCK_S)
         finally:
@@ -204,10 +204,16 @@
             gevent.sleep(ASK_S)
             near = self.membership.near()
             if near:
-                self._ask(random.choice(near).name)
+                self.ask(random.choice(near).name)
+
+    def ask(self, vm: str) -> None:
+        """Take a peer's declaration and registry where they are newer.
 
-    def _ask(self, vm: str) -> None:
-        request = StateRequest(self._version(), self.discovery.registry.cursor)
+        :param vm: the peer.
+        """
+        request = StateRequest(
+            self.declarations.version, self.discovery.registry.cursor
+        )
         match self.peers.call(vm, request, REPLY_S):
             case result.Ok(State(declaration, cursor, document_by_name)):
                 if declaration:
