Evidence: an endpoint that errs for all VMs is passed over by all

Cause: health needs several answers at one VM; at 195 VMs a VM sees an endpoint once in ten seconds. Change: pulses tell how endpoints answered, collectors add it up; one whose errors of the last seconds stand out from its neighbours' is passed over. Only answers count, so a VM that alone does not reach an endpoint decides for itself. Also: a VM that starts waits 0.6 s before it looks at the lease. All of a fleet took it at once, two calls each. Result: at 9, 75 and 195 VMs an endpoint that fails 40 in 100 lookups is passed over by all within 3 s, used again within 4 s of its recovery; usual errors pass none over (test_gathering.py).

--- a/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
@@ -17,7 +17,10 @@
 import attrs
 
 from mothworks import kernel, membership, messages, peers
-from mothworks_gateway import collectors, lease, load, pulse
+from mothworks_gateway import collectors, evidence, lease, load, pulse
+
+#: Time after an endpoint's last error for which its answers are told, seconds.
+DOUBTED_S = 5.0
 
 
 @messages.message(126)
@@ -32,6 +35,8 @@
         totals; else empty.
     :param fence: that VM's fencing token.
     :param lease_version: the stored version of that VM's last renewal.
+    :param answers: how endpoints answered all VMs since the last totals, of those
+        that made errors in the last seconds.
     """
 
     running_by_endpoint: dict[str, int]
@@ -40,6 +45,7 @@
     holder: str = ""
     fence: int = 0
     lease_version: str = ""
+    answers: tuple[pulse.AnswerRow, ...] = ()
 
 
 @attrs.define
@@ -62,6 +68,7 @@
         self.arrived: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self.tokens: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self.late: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.answers = evidence.AnswerCounts()
 
     def add(self, vm: str, told: pulse.Pulse, now: float) -> None:
         """Add a VM's pulse.
@@ -76,6 +83,7 @@
             self.tokens[service, model, adapter] += tokens
         for service, model, count in told.late:
             self.late[service, model] += count
+        self.answers.add(told.answers)
 
     def forget_old(self, now: float) -> None:
         """Forget what VMs ran that have not told for too long.
@@ -108,6 +116,7 @@
             running=tuple((*key, count) for key, count in running.items()),
             arrived=arrived,
             late=late,
+            answers=self.answers.take(),
             sums=True,
         )
 
@@ -132,12 +141,17 @@
         self.own = collectors.OwnCollector(self.name)
         #: The holder's last pulse that was not told on yet, with its name.
         self.news_of_holder: tuple[str, pulse.Pulse] | None = None
+        self.evidence = node_kernel.get(evidence.Evidence)
+        #: How endpoints answered all VMs, to be told with the next totals.
+        self.answers = evidence.AnswerCounts()
+        self.doubted_until_by_id: dict[str, float] = {}
         self.peers.handle(Totals, self._hear_totals)
 
     def _spread(self, told: pulse.Pulse) -> None:
         """Send a pulse of this VM."""
         near = self.membership.near()
         if len(near) <= pulse.MOST_PEERS:
+            self.evidence.hear(told.answers)
             self.peers.post_all([member.name for member in near], told)
             return
         now = time.monotonic()
@@ -146,19 +160,17 @@
         self.sum.forget_old(now)
         members = [vm for vm in self.sum.member_by_vm if vm != self.name]
         if self.name in collecting or members or told.fence:
-            self._tell_sums(told, collecting, members, now)
+            self._tell_sums(told, collecting, members)
         else:
             self.peers.post(self.own.choose(collecting, now), told)
 
     def _tell_sums(
-        self,
-        told: pulse.Pulse,
-        collecting: list[str],
-        members: list[str],
-        now: float,
+        self, told: pulse.Pulse, collecting: list[str], members: list[str]
     ) -> None:
         """Tell collectors and holder the sum, and members what runs in all."""
-        self.sum.add(self.name, told, now)
+        self.evidence.hear(told.answers)
+        self.sum.add(self.name, told, time.monotonic())
+        self.answers.add(told.answers)
         hearing = {*collecting, self.lease.holder()} - {self.name, ""}
         self.peers.post_all(hearing, self.sum.take(told))
         if members:
@@ -172,6 +184,7 @@
             self.load.running_by_endpoint(),
             told.declaration_version,
             told.registry_cursor,
+            answers=self._doubtful_answers(),
         )
         if news is None:
             return totals
@@ -183,9 +196,27 @@
             lease_version=of_holder.lease_version,
         )
 
+    def _doubtful_answers(self) -> tuple[pulse.AnswerRow, ...]:
+        """Return the answers of endpoints that made errors of late.
+
+        The others' would be most of what a VM is told, and decide nothing.
+        """
+        now = time.monotonic()
+        rows = self.answers.take()
+        for endpoint_id, _, errors in rows:
+            if errors:
+                self.doubted_until_by_id[endpoint_id] = now + DOUBTED_S
+        self.doubted_until_by_id = {
+            endpoint_id: until
+            for endpoint_id, until in self.doubted_until_by_id.items()
+            if until > now
+        }
+        return tuple(row for row in rows if row[0] in self.doubted_until_by_id)
+
     def _hear(self, vm: str, told: pulse.Pulse) -> None:
         if vm == self.name:
             return
+        self.answers.add(told.answers)
         if told.fence and not told.relayed:
             self.news_of_holder = (vm, told)
         if not (told.sums or told.relayed or self._is_mesh()):
@@ -198,6 +229,7 @@
     def _hear_totals(self, vm: str, totals: Totals, _: peers.Answer) -> None:
         self.own.heard(vm, time.monotonic())
         self.load.take_totals(totals.running_by_endpoint)
+        self.evidence.hear(totals.answers)
         versions = (totals.declaration_version, totals.registry_cursor)
         self.pulses.hear(vm, pulse.Pulse(*versions, fence=0, relayed=True))
         if totals.holder:
--- a/packages/mothworks_gateway/src/mothworks_gateway/health.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/health.py
@@ -65,6 +65,9 @@
         self.record_by_id: dict[str, Record] = {}
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.registry.on_change.append(self._forget)
+        #: Functions to call with an endpoint that answered, and whether the answer
+        #: was good or an error in the endpoint's own words.
+        self.on_answer: list = []
 
     def record(self, endpoint: registry.Endpoint) -> Record:
         """Return what is known of an endpoint.
@@ -92,6 +95,8 @@
         record.seconds += (seconds - record.seconds) * SMOOTHING
         if record.failing < EXCESS / 2:
             record.pause_s = 0.0
+        for notify in self.on_answer:
+            notify(endpoint, True)
 
     def failed(
         self,
@@ -113,8 +118,11 @@
         record.failing += (weight - record.failing) * SMOOTHING
         if weight >= 1:
             record.in_a_row += in_a_row
+        else:
+            for notify in self.on_answer:
+                notify(endpoint, False)
         if record.in_a_row >= FAILURES_IN_A_ROW or self._stands_out(endpoint, record):
-            self._pass_over(endpoint, record, reason)
+            self.pass_over(endpoint, reason)
 
     def usable(self, candidates: list[registry.Endpoint]) -> list[registry.Endpoint]:
         """Return the candidates that are not passed over now.
@@ -146,9 +154,13 @@
         usual = sorted(others)[len(others) // 2] if others else 0.0
         return record.failing > usual + EXCESS
 
-    def _pass_over(
-        self, endpoint: registry.Endpoint, record: Record, reason: str
-    ) -> None:
+    def pass_over(self, endpoint: registry.Endpoint, reason: str) -> None:
+        """Use an endpoint no more for a while; longer each time.
+
+        :param endpoint: the endpoint.
+        :param reason: why, for the log.
+        """
+        record = self.record(endpoint)
         now = time.monotonic()
         if record.until > now:
             return
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -49,6 +49,9 @@
 MARGIN_S = 0.4
 #: Pause between looks at a lease that another VM may hold, seconds.
 LOOK_S = 0.5
+#: Time before the first look, seconds: a VM that just started knows no others and
+#: takes itself for the first in line; all of a fleet then wrote the lease at once.
+FIRST_LOOK_S = 0.6
 #: Time that each VM leaves to the one before it in line, seconds.
 RANK_S = 0.7
 #: Seconds between signs of life of this VM's own clock, and the longest time
@@ -159,6 +162,7 @@
             gevent.sleep(LOOK_S)
 
     def _run(self) -> None:
+        gevent.sleep(FIRST_LOOK_S * random.uniform(0.8, 1.2))
         while not self.kernel.draining:
             if self.record is not None:
                 self._renew()
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -36,6 +36,10 @@
 REPLY_S = 1.0
 
 
+#: An endpoint's id, its answers that were not errors, and its errors.
+AnswerRow = tuple[str, int, int]
+
+
 @messages.message(110)
 @attrs.frozen
 class Pulse:
@@ -53,6 +57,7 @@
         and model.
     :param sums: whether these are the sums of several VMs.
     :param relayed: whether another VM told it of this one.
+    :param answers: how endpoints answered since the last pulse.
     """
 
     declaration_version: int
@@ -64,6 +69,7 @@
     lease_version: str = ""
     sums: bool = False
     relayed: bool = False
+    answers: tuple[AnswerRow, ...] = ()
 
 
 @messages.message(111)
--- a/packages/mothworks_gateway/tests/test_gathering.py
+++ b/packages/mothworks_gateway/tests/test_gathering.py
@@ -1,4 +1,4 @@
-"""Gathering: each VM knows what runs at each endpoint, the holder all that is asked for.
+"""Gathering: all VMs know what runs at each endpoint, the holder all that is asked for.
 
 The pattern is 195 VMs before 59 endpoints that run ten requests each, in virtual time:
 each VM sends one or two requests a second, so none sees enough by itself.
@@ -17,11 +17,15 @@
     collectors,
     declarations,
     discovery,
+    evidence,
     feeding,
     gathering,
+    health,
     lease,
     load,
     pulse,
+    registry,
+    seen_answers,
 )
 
 VMS = 195
@@ -34,7 +38,7 @@
 
     def __init__(self, monkeypatch):
         self.now = 100.0
-        for module in (gathering, load, pulse):
+        for module in (gathering, health, load, pulse, seen_answers):
             monkeypatch.setattr(module, "time", self)
 
     def monotonic(self):
@@ -47,17 +51,20 @@
     def __init__(self, name, fleet):
         self.held = False
         holder = types.SimpleNamespace(holder=lambda: fleet.holder)
-        registry = types.SimpleNamespace(cursor=1)
+        view = registry.Registry()
+        view.by_id = {item.id: item for item in ENDPOINTS}
         parts = {
             lease.Lease: holder,
             declarations.Declarations: types.SimpleNamespace(version=1),
-            discovery.Discovery: types.SimpleNamespace(registry=registry, changed_at=1),
+            discovery.Discovery: types.SimpleNamespace(registry=view, changed_at=1),
             feeding.Feeding: None,
         }
         kernel = fleet_builders.kernel_of(name, fleet.names, fleet.wire, parts)
         kernel.parts[pulse.Pulses] = self.pulses = pulse.Pulses(kernel)
         self.pulses.on_pulse.append(lambda: {"fence": 3 * (fleet.holder == name)})
         kernel.parts[load.Load] = self.load = load.Load(kernel)
+        kernel.parts[health.Health] = self.health = health.Health(kernel)
+        kernel.parts[evidence.Evidence] = evidence.Evidence(kernel)
         self.gathering = gathering.Gathering(kernel)
         #: Requests that arrived, as this VM heard.
         self.heard = 0
@@ -202,3 +209,73 @@
     fleet.run(1)
     assert fleet.vm_by_name[name].load.totals is not None
     assert fleet.vm_by_name[name].pulses.fresh()[fleet.holder].fence == 3
+
+
+LOOKUPS = [
+    gateway_builders.endpoint(f"lookup-{number}", "lookups") for number in range(6)
+]
+
+
+def answer(fleet, seconds, bad, share):
+    """Let VMs get 100 answers a second from six endpoints, of which some err."""
+    passed_over = set()
+    for _ in range(round(seconds / pulse.PULSE_S)):
+        for _ in range(25):
+            view = fleet.vm_by_name[fleet.draw.choice(fleet.names)].health
+            endpoint = fleet.draw.choice(LOOKUPS)
+            if fleet.draw.random() < (share if endpoint in bad else 0.004):
+                view.failed(endpoint, "status 500", 0.5)
+            else:
+                view.succeeded(endpoint, 0.05)
+        fleet.run(pulse.PULSE_S)
+        passed_over |= {
+            (name, endpoint.id)
+            for name in fleet.names
+            for endpoint in LOOKUPS
+            if endpoint not in fleet.vm_by_name[name].health.usable(LOOKUPS)
+        }
+    return passed_over
+
+
+def with_lookups(monkeypatch, count):
+    fleet = Fleet(monkeypatch, count)
+    for vm in fleet.vm_by_name.values():
+        vm.health.registry.by_id.update({item.id: item for item in LOOKUPS})
+    fleet.run(2)
+    return fleet
+
+
+@pytest.mark.parametrize("count", [9, 75, VMS])
+def test_an_endpoint_that_errs_for_all_is_passed_over_by_all(monkeypatch, count):
+    # One of six endpoints answers 40 in 100 lookups with an error while its health
+    # check is good. A VM among 195 asks it once in twelve seconds, and none of them
+    # passed it over by itself; callers were sent from one failure to the next.
+    fleet = with_lookups(monkeypatch, count)
+    passed_over = answer(fleet, 3, LOOKUPS[:1], 0.4)
+    assert passed_over == {(name, "lookup-0") for name in fleet.names}
+
+
+def test_usual_errors_pass_no_endpoint_over(monkeypatch):
+    # Four in a thousand requests end in an error that they cause themselves.
+    fleet = with_lookups(monkeypatch, VMS)
+    assert answer(fleet, 20, [], 0.0) == set()
+
+
+def test_an_endpoint_that_recovered_is_used_again(monkeypatch):
+    fleet = with_lookups(monkeypatch, VMS)
+    answer(fleet, 3, LOOKUPS[:1], 0.4)
+    answer(fleet, 4, [], 0.0)
+    assert answer(fleet, 3, [], 0.0) == set()
+
+
+def test_a_vm_that_alone_does_not_reach_an_endpoint_judges_for_itself(monkeypatch):
+    # Its link to the endpoint is cut. To the others the endpoint is good, and must
+    # stay in use.
+    fleet = with_lookups(monkeypatch, VMS)
+    alone = fleet.vm_by_name[fleet.names[7]]
+    for _ in range(20):
+        alone.health.failed(LOOKUPS[0], "timed out")
+    fleet.run(1)
+    assert LOOKUPS[0] not in alone.health.usable(LOOKUPS)
+    others = [fleet.vm_by_name[name] for name in fleet.names if name != fleet.names[7]]
+    assert all(LOOKUPS[0] in vm.health.usable(LOOKUPS) for vm in others)
