Lease: one that was just taken is renewed in time; a lone VM polls rarely

Cause: after taking the lease a VM waited for its next look (0.5 s), not for its renewal. Where the two times are close, another VM took the lease of a live holder: seen as two holders in test_one_of_two_holds_it, 8 of 15 runs since VMs no longer look at the lease at the same moment, none of 15 before. Where renewals are 1.2 s apart it cannot show. And a VM that follows the feeds polled once a second also where nobody listens (7 calls in 4 s, the test of a calm node allows 6). Change: the pause after taking is that of a renewal; short polls only with listeners. A test of mine asked whether an endpoint is passed over after the shortest time for which it is; it looks earlier now.

--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -164,12 +164,14 @@
     def _run(self) -> None:
         gevent.sleep(FIRST_LOOK_S * random.uniform(0.8, 1.2))
         while not self.kernel.draining:
-            if self.record is not None:
-                self._renew()
-                gevent.sleep(self.renew_s)
-            else:
+            if self.record is None:
                 self._seek()
-                gevent.sleep(LOOK_S * random.uniform(0.8, 1.2))
+            else:
+                self._renew()
+            # One that was just taken must be renewed like any other: another VM
+            # takes it where it stays unchanged for a little more than renew_s.
+            held = self.record is not None
+            gevent.sleep(self.renew_s if held else LOOK_S * random.uniform(0.8, 1.2))
 
     def _tick(self) -> None:
         """Distrust the lease after a suspension, until it is renewed."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -107,7 +107,8 @@
             )
         self.tells = tells
         endpoints = self.feeding.follower_by_name["endpoints"]
-        endpoints.poll_s = POLL_S if tells else feeding.WAIT_S
+        listened_to = tells and len(ranked) > 1
+        endpoints.poll_s = POLL_S if listened_to else feeding.WAIT_S
         read = self.discovery.loaded and self.declarations.version > 0
         for follower in self.feeding.follower_by_name.values():
             follower.follow(tells or not good or not read)
@@ -137,7 +138,7 @@
             self.discovery.loaded
             and self.declarations.version > 0
             and follower.lost_at is None
-            and (not follower.polls or waited < POLL_S + POLL_GRACE_S)
+            and (not follower.polls or waited < follower.poll_s + POLL_GRACE_S)
         )
 
     def _sign(self) -> None:
