Turns: where VMs are many, a few own all endpoints, and all are connected to them

Cause: an owner is asked only over an open connection, and pulses to random peers had opened them all. Since pulses go to one collector, a VM of 195 would meet most of the 59 owners for the first time with a request, without a connection, and no prompt would get its turn (found by reading). Change: where VMs have more than 16 peers the collectors own all endpoints; each VM keeps connections to owners open. Result: test of 195 VMs in test_turns.py, fails before.

--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -173,6 +173,15 @@
         for vm in vms:
             self._post(vm, frame)
 
+    def open(self, vm: str) -> None:
+        """Open a connection without waiting, for calls that must not wait for it.
+
+        :param vm: the peer's name.
+        """
+        if vm not in self.link_by_vm and vm not in self.frames_by_vm:
+            self.frames_by_vm[vm] = []
+            self.tasks.spawn(self._open_and_send, vm)
+
     def post(self, vm: str, message: typing.Any) -> None:
         """Send a message without waiting for a connection to open.
 
@@ -192,8 +201,8 @@
         if link is not None:
             link.send(frame)
         elif frames is None:
-            self.frames_by_vm[vm] = [frame]
-            self.tasks.spawn(self._open_and_send, vm)
+            self.open(vm)
+            self.frames_by_vm[vm].append(frame)
         elif len(frames) < links.QUEUE_LENGTH:
             frames.append(frame)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/broadcast.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/broadcast.py
@@ -22,11 +22,10 @@
 import msgpack
 
 from mothworks import kernel, logs, membership, messages, ownership, peers
+from mothworks_gateway import collectors
 
 log = logbook.Logger("broadcast")
 
-#: Most VMs to which a sender sends by itself: below it, groups save nothing.
-MOST_DIRECT = 16
 #: Time in which messages gather before they are sent together, seconds: short
 #: beside the ways between VMs and the shortest objective of a caller.
 GATHER_S = 0.02
@@ -139,7 +138,7 @@
     >>> divide("vm-1", ["vm-2", "vm-3"])
     [('vm-2',), ('vm-3',)]
     """
-    if len(vms) <= MOST_DIRECT:
+    if collectors.are_few(vms):
         return [(vm,) for vm in vms]
     shuffled = sorted(vms, key=lambda vm: ownership.weight(sender, vm))
     count = math.isqrt(len(vms))
--- a/packages/mothworks_gateway/src/mothworks_gateway/collectors.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/collectors.py
@@ -11,6 +11,9 @@
 
 from mothworks import ownership
 
+#: Most peers that a VM tells by itself, so that its cost is bounded. Where there are
+#: more, some VMs do for all what each could do for itself.
+MOST_DIRECT = 16
 #: VMs for each collector: it hears each of them four times a second, which takes
 #: some hundredths of a small VM's processor.
 VMS_PER_COLLECTOR = 24
@@ -24,6 +27,14 @@
 AVOIDED_S = 5.0
 
 
+def are_few(peers: collections.abc.Sized) -> bool:
+    """Return whether VMs are few enough to tell each other everything.
+
+    :param peers: all live VMs but one.
+    """
+    return len(peers) <= MOST_DIRECT
+
+
 def collectors(vms: collections.abc.Collection[str]) -> list[str]:
     """Return the VMs that add up, the first in line first.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
@@ -150,7 +150,7 @@
     def _spread(self, told: pulse.Pulse) -> None:
         """Send a pulse of this VM."""
         near = self.membership.near()
-        if len(near) <= pulse.MOST_PEERS:
+        if collectors.are_few(near):
             self.evidence.hear(told.answers)
             self.peers.post_all([member.name for member in near], told)
             return
@@ -224,7 +224,7 @@
 
     def _is_mesh(self) -> bool:
         """Return whether VMs are few enough to tell each other."""
-        return len(self.membership.near()) <= pulse.MOST_PEERS
+        return collectors.are_few(self.membership.near())
 
     def _hear_totals(self, vm: str, totals: Totals, _: peers.Answer) -> None:
         self.own.heard(vm, time.monotonic())
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -21,8 +21,6 @@
 
 #: Seconds between pulses.
 PULSE_S = 0.25
-#: Most peers that each VM tells by itself, so that its cost is bounded.
-MOST_PEERS = 16
 #: Time after which a pulse says nothing any more, seconds.
 STALE_S = 2.0
 #: Time that the platform has to tell by itself what a peer knows, seconds.
--- a/packages/mothworks_gateway/src/mothworks_gateway/turns.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/turns.py
@@ -2,7 +2,8 @@
 
 An endpoint reads prompts between the tokens of the streams that it runs. Where
 several prompts reach it at once, all its streams pause until they are read, and
-each of them is late. So one VM, the endpoint's owner by rendezvous hashing, keeps
+each of them is late. So one VM, the endpoint's owner by rendezvous hashing (among the
+collectors, where VMs are many: each other VM must be connected to it), keeps
 the moment at which the endpoint will have read what it was given, and tells each
 request how long to wait. It answers at once and keeps nothing else: an owner
 that is silent or gone costs one short timeout, and its successor begins anew.
@@ -16,7 +17,7 @@
 import result
 
 from mothworks import kernel, logs, membership, messages, ownership, peers
-from mothworks_gateway import asked, declared, reading, registry
+from mothworks_gateway import asked, collectors, declared, reading, registry
 
 log = logbook.Logger("turns")
 
@@ -43,6 +44,8 @@
 #: Time for which an owner that did not answer is not asked again, seconds:
 #: membership takes a few seconds to notice that a VM is gone.
 SILENT_S = 1.0
+#: Seconds between looks for owners that this VM is not connected to.
+LINK_S = 1.0
 #: Waits that are not worth a timer, seconds.
 LEAST_S = 0.001
 
@@ -135,6 +138,10 @@
             "turn_seconds", "Time that requests waited for their turn."
         )
 
+    def start(self) -> None:
+        """Start to keep connections to owners open."""
+        self.tasks.every(LINK_S, self._open_links)
+
     def wait(self, request: asked.Asked, endpoint: registry.Endpoint) -> None:
         """Wait until it is a request's turn at an endpoint.
 
@@ -169,12 +176,14 @@
     def _ask(self, owner: str, ask: AskTurn) -> float:
         """Return the seconds until a turn; none where the owner does not tell.
 
-        Nobody waits for a connection to an owner: pulses open them, and one
-        that a cut keeps closed would hold up each request.
+        Nobody waits for a connection to an owner: one that a cut keeps closed
+        would hold up each request.
         """
         now = time.monotonic()
-        silent = now < self.silent_until_by_vm.get(owner, 0.0)
-        if silent or not self.peers.linked(owner):
+        if now < self.silent_until_by_vm.get(owner, 0.0):
+            return 0.0
+        if not self.peers.linked(owner):
+            self.peers.open(owner)
             return 0.0
         match self.peers.call(owner, ask, REPLY_S):
             case result.Ok(Turn(wait_s)):
@@ -203,11 +212,25 @@
     def _owner(self, endpoint_id: str) -> str:
         owner = self.owner_by_endpoint.get(endpoint_id)
         if owner is None:
-            names = [self.name, *(item.name for item in self.membership.near())]
-            owner = max(names, key=lambda vm: ownership.weight(endpoint_id, vm))
+            owner = max(
+                self._owners(), key=lambda vm: ownership.weight(endpoint_id, vm)
+            )
             self.owner_by_endpoint[endpoint_id] = owner
         return owner
 
+    def _owners(self) -> list[str]:
+        near = self.membership.near()
+        if collectors.are_few(near):
+            return [self.name, *(item.name for item in near)]
+        staying = [item.name for item in near if not item.leaving]
+        return collectors.collectors([self.name, *staying])
+
+    def _open_links(self) -> None:
+        """Be connected to all that may own an endpoint before a request needs it."""
+        for owner in self._owners():
+            if owner != self.name and not self.peers.linked(owner):
+                self.peers.open(owner)
+
     def _forget(self) -> None:
         """Decide anew who owns what, since VMs came or went."""
         self.owner_by_endpoint.clear()
--- a/packages/mothworks_gateway/tests/test_turns.py
+++ b/packages/mothworks_gateway/tests/test_turns.py
@@ -6,6 +6,7 @@
 import pytest
 import result
 
+import fleet_builders
 import gateway_builders
 from mothworks import membership, messages, peers
 from mothworks_gateway import asked, declared, reading, turns
@@ -20,7 +21,9 @@
         self.names = names
 
     def near(self):
-        return [type("Member", (), {"name": name}) for name in self.names]
+        return [
+            type("Member", (), {"name": name, "leaving": False}) for name in self.names
+        ]
 
 
 class Peers:
@@ -28,7 +31,8 @@
 
     def __init__(self, answer=None, linked=True):
         self.answer = answer
-        self.open = linked
+        self.is_linked = linked
+        self.opened = set()
         self.asked = []
         self.asks = []
 
@@ -36,7 +40,10 @@
         pass
 
     def linked(self, _):
-        return self.open
+        return self.is_linked
+
+    def open(self, vm):
+        self.opened.add(vm)
 
     def call(self, vm, ask, timeout_s):
         self.asked.append(vm)
@@ -159,6 +166,18 @@
     made = make(links, "vm-2")
     made.wait(request(), owned_by("vm-2", "vm-1"))
     assert links.asked == []
+    assert links.opened == {"vm-2"}
+
+
+def test_among_many_vms_owners_are_few_and_connected_to_all():
+    # With 195 VMs and 59 owners each VM met most owners once a day, without a
+    # connection, so no prompt got a turn and streams paused.
+    links = Peers(turns.Turn(0.0), linked=False)
+    made = make(links, *fleet_builders.names_of(195))
+    made._open_links()
+    assert len(links.opened) <= 9
+    owners = {made._owner(f"i-{number}") for number in range(59)}
+    assert owners - {made.name} <= links.opened
 
 
 def test_an_owner_that_is_gone_is_followed_by_another_vm():
