--- a/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
@@ -30,7 +30,7 @@
 
     :param running_by_endpoint: requests that run, from all VMs, by endpoint's id.
     :param declaration_version: the newest declaration that it has.
-    :param registry_cursor: revision of the last change in its registry.
+    :param registry_changed_at: revision of the last change in its registry.
     :param holder: the VM that holds the lease, if it was heard since the last
         totals; else empty.
     :param fence: that VM's fencing token.
@@ -41,7 +41,7 @@
 
     running_by_endpoint: dict[str, int]
     declaration_version: int
-    registry_cursor: int
+    registry_changed_at: int
     holder: str = ""
     fence: int = 0
     lease_version: str = ""
@@ -183,7 +183,7 @@
         totals = Totals(
             self.load.running_by_endpoint(),
             told.declaration_version,
-            told.registry_cursor,
+            told.registry_changed_at,
             answers=self._doubtful_answers(),
         )
         if news is None:
@@ -230,7 +230,7 @@
         self.own.heard(vm, time.monotonic())
         self.load.take_totals(totals.running_by_endpoint)
         self.evidence.hear(totals.answers)
-        versions = (totals.declaration_version, totals.registry_cursor)
+        versions = (totals.declaration_version, totals.registry_changed_at)
         self.pulses.hear(vm, pulse.Pulse(*versions, fence=0, relayed=True))
         if totals.holder:
             of_holder = pulse.Pulse(
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -44,7 +44,7 @@
     """What a VM tells of itself.
 
     :param declaration_version: the declaration in force there.
-    :param registry_cursor: revision of the last change in its registry.
+    :param registry_changed_at: revision of the last change in its registry.
     :param fence: the fencing token of the lease that it holds, or 0.
     :param lease_version: the stored version of its last renewal, or empty.
     :param running: requests that it has running, by endpoint and model.
@@ -59,7 +59,7 @@
     """
 
     declaration_version: int
-    registry_cursor: int
+    registry_changed_at: int
     fence: int
     running: tuple[tuple[str, str, str, int], ...] = ()
     arrived: tuple[tuple[str, str, str, float, int], ...] = ()
@@ -184,7 +184,7 @@
     def _behind(self, pulse: Pulse) -> bool:
         return (
             pulse.declaration_version > self.declarations.version
-            or pulse.registry_cursor > self.discovery.registry.cursor
+            or pulse.registry_changed_at > self.discovery.registry.cursor
         )
 
     def _catch_up(self, vm: str, pulse: Pulse) -> None:
@@ -198,16 +198,16 @@
                 return
             by_name = self.feeding.follower_by_name
             if pulse.declaration_version > self.declarations.version:
-                by_name["declarations"].hurry(pulse.registry_cursor, PATIENCE_S)
+                by_name["declarations"].hurry(pulse.registry_changed_at, PATIENCE_S)
             # The registry's revision also grows with every other write.
             lost = by_name["endpoints"].lost_at is not None
-            stuck = pulse.registry_cursor > self.discovery.registry.cursor
+            stuck = pulse.registry_changed_at > self.discovery.registry.cursor
             if pulse.declaration_version > self.declarations.version or (
                 lost and stuck
             ):
                 self.ask(vm)
             elif stuck:
-                by_name["endpoints"].hurry(pulse.registry_cursor, STUCK_S)
+                by_name["endpoints"].hurry(pulse.registry_changed_at, STUCK_S)
         finally:
             self._asking = False
 
