--- a/packages/mothworks_gateway/tests/test_known_red.py
+++ b/packages/mothworks_gateway/tests/test_known_red.py
@@ -30,4 +30,4 @@
 def test_listed_tests_exist(conftest):
     for known in conftest.read_list(conftest.LIST.read_text()):
         path, _, name = known.test.partition("::")
-        assert f"def {name}(" in (ROOT / path).read_text()
+        assert f"def {name.partition('[')[0]}(" in (ROOT / path).read_text()
