Client accounts: keys, proof of the newest declaration, usage caps by owners

Change: admission checks key and cap before a request takes any place; each VM knows as of when its declaration was the newest (freshness) and honours keys only for so long after; an owner for each account lends credit, all candidates keep its books (credit). Turns and credit share one choice of owners.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -12,7 +12,7 @@
 import result
 
 from mothworks import calls, endpoints, transport
-from mothworks_gateway import asked, declared, registry
+from mothworks_gateway import asked, client_accounts, declared, registry
 
 #: Kinds of plug-ins, beside those of :mod:`mothworks.plugins`.
 FEEDS = "feeds"
@@ -127,6 +127,7 @@
         service: str,
         body: bytes,
         version: int,
+        account: client_accounts.ClientAccount | None = None,
     ) -> result.Result[asked.Asked, str]:
         """Decode a request.
 
@@ -135,6 +136,7 @@
         :param service: the service chosen for it.
         :param body: its whole body.
         :param version: of the declaration that has the route.
+        :param account: whose key it carries; None where callers need no keys.
         :returns: the request, or what is wrong with it.
         """
         raise NotImplementedError
@@ -146,6 +148,13 @@
         """
         raise NotImplementedError
 
+    def key(self, call: calls.Call) -> str:
+        """Return the key that a request carries, or an empty text.
+
+        :param call: the call.
+        """
+        raise NotImplementedError
+
 
 class Verdict(enum.Enum):
     """What the head of an endpoint's answer says."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/asked.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/asked.py
@@ -3,7 +3,7 @@
 import attrs
 import xxhash
 
-from mothworks_gateway import declared
+from mothworks_gateway import client_accounts, declared
 
 
 @attrs.frozen
@@ -55,6 +55,7 @@
     :param prompt: the parts of its prompt, in order.
     :param input_tokens: length of its prompt.
     :param output_tokens: most tokens that it generates.
+    :param account: the caller's account; None where callers need no keys.
     """
 
     id: str
@@ -71,6 +72,14 @@
     prompt: tuple[PromptPart, ...] = ()
     input_tokens: int = 0
     output_tokens: int = 0
+    account: client_accounts.ClientAccount | None = None
+
+    @property
+    def urgency(self) -> int:
+        """Return its rank: the account's, where it has one, else the route's."""
+        if self.account is None or self.account.urgency is None:
+            return self.route.urgency
+        return self.account.urgency
 
     @property
     def own_tokens(self) -> int:
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -0,0 +1,324 @@
+"""Credit: usage caps of client accounts, kept by all VMs together.
+
+Requests of an account reach all VMs, and one of them may be as large as a VM's equal
+part of the cap for ten seconds. So each account has an owner (:mod:`owners`), which
+every VM asks before each request that counts. All candidates for ownership know what
+was granted by whom, from the pulses: where the owner falls silent the next one goes on
+at once, behind by no more than the pulses of half a second.
+
+Two VMs may take themselves for the owner while a partition lasts. So one only lends
+while it hears the majority of the candidates, and while its declaration is fresh. A VM
+that finds nobody to ask goes on with its reserve: a part of what it itself used in the
+last window, so that all reserves together stay within what the deployment tolerates.
+"""
+
+import collections
+import time
+
+import attrs
+import logbook
+import result
+
+from mothworks import kernel, logs, messages, peers
+from mothworks_gateway import (
+    bucket,
+    client_accounts,
+    declarations,
+    freshness,
+    owners,
+    pulse,
+    suspension,
+    windows,
+)
+
+log = logbook.Logger("credit")
+
+#: Time for an owner's answer, seconds: several times the longest way between data
+#: centres of a region, and a busy VM's turn of its loop.
+REPLY_S = 0.04
+#: Time for which an owner that did not answer is not asked, seconds.
+SILENT_S = 1.0
+#: Owners that are asked for one request.
+MOST_ASKED = 2
+#: Time without a pulse after which a candidate counts as not heard, seconds: three of
+#: them.
+HEARD_S = 3 * pulse.PULSE_S
+#: Oldest declaration on which an owner lends, seconds.
+LEND_AGE_S = 2.0
+#: Part of the tolerated excess that is for reserves; the rest covers debts of single
+#: requests, and owners that follow each other.
+RESERVE_SHARE = 0.5
+#: Hint to a caller whose account's cap can't be checked here, seconds: it comes to
+#: another VM.
+UNCHECKED_RETRY_S = 0.2
+
+
+@messages.message(129)
+@attrs.frozen
+class AskCredit:
+    """Asks an owner for the credit of one request.
+
+    :param account: the account's name.
+    :param units: what the request costs.
+    """
+
+    account: str
+    units: float
+
+
+@messages.message(130)
+@attrs.frozen
+class Credit:
+    """Answers.
+
+    :param lends: whether the sender may decide at all now.
+    :param wait_s: 0 where the credit is granted; else the seconds until the request
+        should come back.
+    """
+
+    lends: bool
+    wait_s: float = 0.0
+
+
+@messages.message(131)
+@attrs.frozen
+class ReturnCredit:
+    """Gives the credit of a request that has not run back to its owner.
+
+    :param account: the account's name.
+    :param units: what the request costs.
+    """
+
+    account: str
+    units: float
+
+
+@attrs.frozen
+class Grant:
+    """The credit of one request.
+
+    :param account: the account's name.
+    :param units: what the request costs.
+    :param lender: the VM that granted it; empty for this VM's reserve.
+    """
+
+    account: str
+    units: float
+    lender: str
+
+
+@attrs.frozen
+class Over:
+    """A request is over its account's usage cap.
+
+    :param wait_s: seconds until its credit is there.
+    """
+
+    wait_s: float
+
+
+@attrs.frozen
+class Unchecked:
+    """No owner answers, and the reserve is spent."""
+
+
+Refused = Over | Unchecked
+
+
+class Credits(kernel.Part):
+    """Grants credit for the accounts that this VM owns, and asks for others.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.name = node_kernel.settings.name
+        self.peers = node_kernel.get(peers.Peers)
+        self.declarations = node_kernel.get(declarations.Declarations)
+        self.freshness = node_kernel.get(freshness.Freshness)
+        self.owners = node_kernel.get(owners.Owners)
+        pulses = node_kernel.get(pulse.Pulses)
+        pulses.on_pulse.append(self._fill)
+        pulses.on_heard.append(self._hear)
+        self.bucket_by_account: dict[str, bucket.Bucket] = {}
+        #: Monotonic time since when this VM hears all that is spent.
+        self.hears_since = time.monotonic()
+        self.is_candidate = True
+        #: When the last pulse of each VM came, on the clock of suspension.now.
+        self.heard_at_by_vm: dict[str, float] = {}
+        #: What callers of this VM used since the last pulse, by account and lender.
+        self.spent: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.lent_by_account = self._amounts_by_account()
+        self.reserve_by_account = self._amounts_by_account()
+        self.silent_until_by_vm: dict[str, float] = {}
+        self.owners.on_change.append(self._follow_owners)
+        self.peers.handle(AskCredit, self._serve)
+        self.peers.handle(ReturnCredit, self._take_back)
+        self.asks = node_kernel.metrics.seconds(
+            "credit_seconds", "Time until a request's credit was granted or refused."
+        )
+
+    def admit(
+        self, account: client_accounts.ClientAccount, units: float
+    ) -> result.Result[Grant, Refused]:
+        """Get the credit for one request.
+
+        :param account: whose; it has a usage cap.
+        :param units: what the request costs.
+        """
+        began = time.monotonic()
+        try:
+            return self._admit(account, units, began)
+        finally:
+            self.asks.observe({}, time.monotonic() - began)
+
+    def give_back(self, grant: Grant) -> None:
+        """Return the credit of a request that has not run and never will.
+
+        :param grant: the credit.
+        """
+        self._spend(grant, -grant.units)
+        if grant.lender == self.name:
+            self._note(grant.account, -grant.units)
+        elif grant.lender:
+            self.peers.post(grant.lender, ReturnCredit(grant.account, grant.units))
+
+    def _admit(
+        self, account: client_accounts.ClientAccount, units: float, now: float
+    ) -> result.Result[Grant, Refused]:
+        for owner in self._askable(account.name, now):
+            answer = self._ask(owner, AskCredit(account.name, units))
+            if answer is None or not answer.lends:
+                continue
+            if answer.wait_s:
+                return result.Err(Over(answer.wait_s))
+            return result.Ok(self._take(Grant(account.name, units, owner)))
+        if units > self._reserve(account):
+            return result.Err(Unchecked())
+        return result.Ok(self._take(Grant(account.name, units, "")))
+
+    def _askable(self, account: str, now: float) -> list[str]:
+        ranked = self.owners.ranked(f"cap {account}")
+        heard = [vm for vm in ranked if self.silent_until_by_vm.get(vm, 0.0) <= now]
+        return heard[:MOST_ASKED]
+
+    def _ask(self, owner: str, ask: AskCredit) -> Credit | None:
+        if owner == self.name:
+            return self._lend(ask)
+        if not self.peers.linked(owner):
+            self.peers.open(owner)
+            return None
+        match self.peers.call(owner, ask, REPLY_S):
+            case result.Ok(Credit() as answer):
+                return answer
+            case result.Err(failure):
+                self.silent_until_by_vm[owner] = time.monotonic() + SILENT_S
+                logs.event(
+                    log,
+                    "owner silent",
+                    account=ask.account,
+                    owner=owner,
+                    reason=failure.reason,
+                    outcome=f"not asked for {SILENT_S:g} s",
+                )
+        return None
+
+    def _take(self, grant: Grant) -> Grant:
+        self._spend(grant, grant.units)
+        return grant
+
+    def _spend(self, grant: Grant, units: float) -> None:
+        self.spent[grant.account, grant.lender] += units
+        kept = self.lent_by_account if grant.lender else self.reserve_by_account
+        kept[grant.account].add(units)
+
+    def _reserve(self, account: client_accounts.ClientAccount) -> float:
+        """Return the units that this VM may still use without an owner.
+
+        A window's use of all VMs is what the cap allows at most. If each of them
+        exceeds its own part of it by the same share, all do together.
+        """
+        bounds = self.kernel.settings.bounds
+        allowed = account.cap.most_in(bounds.cap_window_s)
+        excess = bounds.cap_over * allowed + bounds.cap_slack
+        share = RESERVE_SHARE * excess / allowed
+        lent = self.lent_by_account[account.name].total()
+        return share * lent - self.reserve_by_account[account.name].total()
+
+    def _lend(self, ask: AskCredit) -> Credit:
+        known = self._bucket(ask.account)
+        if known is None or not self._may_lend():
+            return Credit(False)
+        return Credit(True, known.take(ask.units, time.monotonic()))
+
+    def _may_lend(self) -> bool:
+        candidates = self.owners.candidates()
+        if self.name not in candidates:
+            return False
+        oldest = suspension.now() - HEARD_S
+        heard = [
+            vm
+            for vm in candidates
+            if vm == self.name or self.heard_at_by_vm.get(vm, 0.0) >= oldest
+        ]
+        if 2 * len(heard) <= len(candidates):
+            return False
+        fresh = self.freshness.age_s() <= LEND_AGE_S
+        return fresh or self.freshness.shared_by_all()
+
+    def _bucket(self, account: str) -> bucket.Bucket | None:
+        """Return an account's bucket; None where it has no cap here."""
+        current = self.declarations.current
+        declared = current and current.accounts
+        known = declared and declared.by_name.get(account)
+        if not known or known.cap is None:
+            return None
+        kept = self.bucket_by_account.get(account)
+        if kept is None:
+            kept = bucket.Bucket(known.cap, self.hears_since)
+            self.bucket_by_account[account] = kept
+        elif kept.cap is not known.cap:
+            kept.change(known.cap, time.monotonic())
+        return kept
+
+    def _note(self, account: str, units: float) -> None:
+        known = self._bucket(account)
+        if known is not None:
+            known.note(units, time.monotonic())
+
+    def _serve(self, _: str, ask: AskCredit, answer: peers.Answer) -> None:
+        answer(self._lend(ask))
+
+    def _take_back(self, _: str, told: ReturnCredit, __: peers.Answer) -> None:
+        self._note(told.account, -told.units)
+
+    def _fill(self) -> dict:
+        spent, self.spent = self.spent, collections.Counter()
+        return {"spent": tuple((*key, units) for key, units in spent.items())}
+
+    def _hear(self, vm: str, told: pulse.Pulse) -> None:
+        """Count what others granted, for the case that this VM follows them."""
+        if told.relayed:
+            return
+        self.heard_at_by_vm[vm] = suspension.now()
+        if not self.is_candidate:
+            return
+        for account, lender, units in told.spent:
+            if lender != self.name:
+                self._note(account, units)
+
+    def _follow_owners(self) -> None:
+        """Begin anew where this VM comes to hear what is spent: with no credit."""
+        candidates = self.owners.candidates()
+        was_candidate = self.is_candidate
+        self.is_candidate = self.name in candidates
+        if self.is_candidate and not was_candidate:
+            self.bucket_by_account.clear()
+            self.hears_since = time.monotonic()
+        for vm in self.heard_at_by_vm.keys() - set(candidates):
+            del self.heard_at_by_vm[vm]
+
+    def _amounts_by_account(self) -> collections.defaultdict[str, windows.Amounts]:
+        seconds = self.kernel.settings.bounds.cap_window_s
+        return collections.defaultdict(lambda: windows.Amounts(seconds))
--- a/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -29,6 +29,9 @@
         self.current: declared.Declaration | None = None
         self.loaded = gevent.event.Event()
         self.taken_at = 0.0
+        #: Whether the platform's last document was understood. While it was not,
+        #: what is in force is known to be old.
+        self.readable = True
         #: Functions to call with a new declaration.
         self.on_change: list = []
 
@@ -53,8 +56,10 @@
         """
         match self.feeds.declaration(document):
             case result.Ok(declaration):
+                self.readable = True
                 self._take(declaration, source)
             case result.Err(reason):
+                self.readable = False
                 logs.event(
                     log,
                     "declaration unreadable",
--- a/packages/mothworks_gateway/src/mothworks_gateway/declared.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declared.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from mothworks_gateway import client_accounts
+
 #: Highest rank of urgency that endpoints tell apart; 0 is the most urgent.
 LEAST_URGENT = 9
 
@@ -44,6 +46,7 @@
         its first event, seconds.
     :param urgency: rank among routes; 0 goes first.
     :param most_endpoints: endpoints that one request may be sent to.
+    :param public: whether callers need no key.
     """
 
     name: str
@@ -59,6 +62,7 @@
     patience_s: float = math.inf
     urgency: int = 0
     most_endpoints: int = 1
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -149,6 +153,7 @@
     :param service_by_name: all services.
     :param limits: bounds on callers.
     :param document: the operator's document as it was read, for peers.
+    :param accounts: who may call; None where callers need no keys.
     """
 
     version: int
@@ -156,6 +161,7 @@
     service_by_name: dict[str, Service]
     limits: CallerLimits = CallerLimits()
     document: bytes = attrs.field(default=b"", repr=False, eq=False)
+    accounts: client_accounts.Accounts | None = attrs.field(default=None, repr=False)
 
     @functools.cached_property
     def routes_by_host(self) -> dict[str, list[Route]]:
--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import math
 import random
 import time
 
@@ -16,7 +17,7 @@
 import result
 
 from mothworks import kernel, logs, plugins
-from mothworks_gateway import adapters
+from mothworks_gateway import adapters, suspension
 
 log = logbook.Logger("feeding")
 
@@ -59,6 +60,9 @@
     :param cursor: the newest revision seen.
     :param lost_at: monotonic time since when the platform does not answer.
     :param back_at: monotonic time at which it last answered again.
+    :param as_of: what was taken is all that there was at this moment, on the clock
+        of :func:`suspension.now`. It is the moment before the last answered call was
+        sent: when within the call the platform looked is not known.
     """
 
     name: str
@@ -70,7 +74,9 @@
     cursor: int = 0
     lost_at: float | None = None
     back_at: float = -DOUBT_S
+    as_of: float = -math.inf
     polling_since: float = 0.0
+    _listed: bool = False
     _impatient: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     _followed: gevent.event.Event = attrs.field(factory=_set_event)
     _poll: gevent.Greenlet | None = None
@@ -78,20 +84,20 @@
     def run(self) -> None:
         """Follow the feed for ever, while it is to be followed here."""
         pause = PAUSE_S
-        listed = False
         while True:
             self._followed.wait()
-            match self._poll_once(listed):
+            match self._poll_once():
                 case result.Ok(_):
-                    rest_s = self.gather_s if listed else max(self.gather_s, SETTLE_S)
-                    listed = True
+                    settle_s = 0.0 if self._listed else SETTLE_S
+                    rest_s = max(self.gather_s, settle_s)
+                    self._listed = True
                     pause = PAUSE_S
                     self._note_answer()
                     self._impatient.clear()
                     self._impatient.wait(rest_s)
                 case result.Err(adapters.FeedExpired()):
                     logs.event(log, "history gone", feed=self.name, cursor=self.cursor)
-                    listed = False
+                    self._listed = False
                     self._note_answer()
                 case result.Err(adapters.FeedDown(reason)):
                     self._note_failure(reason)
@@ -115,6 +121,15 @@
             # Others reach the platform, so nothing is in doubt here any longer.
             self._note_answer()
 
+    def poll_for(self, seconds: float) -> None:
+        """Change how long polls last; one under way that lasts longer ends at once.
+
+        :param seconds: see :attr:`poll_s`.
+        """
+        if seconds < self.poll_s and self._poll is not None and self._listed:
+            self._poll.kill(block=False)
+        self.poll_s = seconds
+
     def refresh(self) -> bool:
         """Read all once, while others follow the feed.
 
@@ -161,9 +176,9 @@
             return time.monotonic() + DOUBT_S
         return self.back_at + DOUBT_S
 
-    def _poll_once(self, listed: bool) -> result.Result:
+    def _poll_once(self) -> result.Result:
         self.polling_since = time.monotonic()
-        if listed:
+        if self._listed:
             self._poll = gevent.spawn(self._wait, self.poll_s)
         else:
             self._poll = gevent.spawn(self._read)
@@ -180,17 +195,21 @@
         return outcome
 
     def _read(self) -> result.Result:
+        sent = suspension.now()
         read = self.feed.read()
         if read.is_ok():
             self.take_all(read.ok_value)
             self.cursor = max(self.cursor, read.ok_value.cursor)
+            self.as_of = max(self.as_of, sent)
         return read
 
     def _wait(self, wait_s: float) -> result.Result:
+        sent = suspension.now()
         waited = self.feed.wait(self.cursor, wait_s)
         if waited.is_ok():
             self.take_changes(waited.ok_value)
             self.cursor = max(self.cursor, waited.ok_value.cursor)
+            self.as_of = max(self.as_of, sent)
         return waited
 
     def _note_failure(self, reason: str) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -26,6 +26,8 @@
 )
 from mothworks_gateway import (
     adapters,
+    admission,
+    asked,
     declarations,
     declared,
     discovery,
@@ -54,6 +56,8 @@
 #: Share of the descriptors that callers may take; the rest is for endpoints and
 #: peers.
 CALLER_SHARE = 0.6
+#: Longest body that is read away when its request is refused, bytes.
+SHORT_BODY_BYTES = 64 << 10
 
 Environ = dict[str, typing.Any]
 
@@ -70,6 +74,7 @@
         self.declarations = node_kernel.get(declarations.Declarations)
         self.discovery = node_kernel.get(discovery.Discovery)
         self.dispatch = node_kernel.get(dispatch.Dispatch)
+        self.admission = node_kernel.get(admission.Admission)
         self.callers: adapters.Callers = plugins.find(
             adapters.CALLERS, chosen.adapter
         )()
@@ -125,6 +130,7 @@
             not self.kernel.draining
             and self.declarations.current is not None
             and self.discovery.loaded
+            and self.admission.open
         )
 
     def _status_addresses(self, chosen: settings.Settings) -> list[tuple[str, int]]:
@@ -184,28 +190,44 @@
         if route is None:
             refusal = outcomes.invalid("no route matches", "no_route", 404)
             return self._refused(call, refusal, declaration.version)
+        match self.admission.identify(route, self.callers.key(call)):
+            case result.Ok(account):
+                pass
+            case result.Err(refusal):
+                self._drop_body(call)
+                return self._refused(call, refusal, declaration.version)
         match call.body():
             case result.Ok(body):
                 pass
             case result.Err(refusal):
                 return self._refused(call, refusal, declaration.version)
-        return self._run(call, route, body, declaration.version)
-
-    def _run(
-        self, call: calls.Call, route: declared.Route, body: bytes, version: int
-    ) -> calls.Reply:
         service = self.dispatch.choice.service(route)
-        match self.callers.read(call, route, service, body, version):
+        version = declaration.version
+        match self.callers.read(call, route, service, body, version, account):
             case result.Ok(request):
-                pass
+                return self._run(call, request)
             case result.Err(reason):
                 return self._refused(call, outcomes.invalid(reason), version)
+
+    def _drop_body(self, call: calls.Call) -> None:
+        """Read a short body away, so that the caller's connection stays usable."""
+        if int(call.environ.get("CONTENT_LENGTH") or 0) <= SHORT_BODY_BYTES:
+            call.body()
+
+    def _run(self, call: calls.Call, request: asked.Asked) -> calls.Reply:
+        match self.admission.admit(request):
+            case result.Ok(grant):
+                pass
+            case result.Err(refusal):
+                return self.refuse(refusal)
         # From here on a caller that leaves ends this task.
         call.start_watch()
         match self.dispatch.run(request):
             case result.Ok(reply):
                 return reply
             case result.Err(refusal):
+                if grant is not None and refusal.ran is outcomes.Ran.NO:
+                    self.admission.credits.give_back(grant)
                 return self.refuse(refusal)
 
     def _refused(
--- a/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
@@ -61,7 +61,9 @@
 
 
 class PulseSum:
-    """Adds up pulses: what runs, of the last of each VM; what arrived, of all."""
+    """Adds up pulses: what runs, of the last of each VM; what arrived or was
+    spent, of all.
+    """
 
     def __init__(self):
         self.member_by_vm: dict[str, _Member] = {}
@@ -69,6 +71,7 @@
         self.tokens: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self.late: collections.Counter[tuple[str, str]] = collections.Counter()
         self.answers = evidence.AnswerCounts()
+        self.spent: collections.Counter[tuple[str, str]] = collections.Counter()
 
     def add(self, vm: str, told: pulse.Pulse, now: float) -> None:
         """Add a VM's pulse.
@@ -84,6 +87,8 @@
         for service, model, count in told.late:
             self.late[service, model] += count
         self.answers.add(told.answers)
+        for account, lender, units in told.spent:
+            self.spent[account, lender] += units
 
     def forget_old(self, now: float) -> None:
         """Forget what VMs ran that have not told for too long.
@@ -108,15 +113,18 @@
             (*key, count, self.tokens[key]) for key, count in self.arrived.items()
         )
         late = tuple((*key, count) for key, count in self.late.items())
+        spent = tuple((*key, units) for key, units in self.spent.items())
         self.arrived.clear()
         self.tokens.clear()
         self.late.clear()
+        self.spent.clear()
         return attrs.evolve(
             own,
             running=tuple((*key, count) for key, count in running.items()),
             arrived=arrived,
             late=late,
             answers=self.answers.take(),
+            spent=spent,
             sums=True,
         )
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -29,7 +29,7 @@
 import result
 
 from mothworks import kernel, logs, membership, objects, ownership
-from mothworks_gateway import lease_record, pulse, relayed_objects
+from mothworks_gateway import lease_record, pulse, relayed_objects, suspension
 
 log = logbook.Logger("lease")
 
@@ -95,7 +95,7 @@
         self.trusted_until = 0.0
         self.orders_from = 0.0
         self.heard: lease_record.Heard | None = None
-        self.ticked_at = lease_record.now()
+        self.ticked_at = suspension.now()
         #: Functions to call after this VM became the holder.
         self.on_gained: list = []
         self._refused_fence = 0
@@ -116,8 +116,8 @@
         return (
             self.record is not None
             and self.record.holder == self.name
-            and self.orders_from <= lease_record.now() < self.trusted_until
-            and lease_record.now() - self.ticked_at < MOST_TICK_S
+            and self.orders_from <= suspension.now() < self.trusted_until
+            and suspension.now() - self.ticked_at < MOST_TICK_S
         )
 
     def holder(self) -> str:
@@ -155,7 +155,7 @@
         While the store is away no other VM could take it, and models must
         still be loaded: the holder goes on until the store answers again.
         """
-        while self.record is not None and lease_record.now() < self.trusted_until:
+        while self.record is not None and suspension.now() < self.trusted_until:
             if self._read() is not None:
                 self.give_up("shutting down")
                 return
@@ -175,13 +175,13 @@
 
     def _tick(self) -> None:
         """Distrust the lease after a suspension, until it is renewed."""
-        if lease_record.now() - self.ticked_at >= MOST_TICK_S:
+        if suspension.now() - self.ticked_at >= MOST_TICK_S:
             self.trusted_until = 0.0
-        self.ticked_at = lease_record.now()
+        self.ticked_at = suspension.now()
 
     def _renew(self) -> None:
         record = attrs.evolve(self.record, renewals=self.record.renewals + 1)
-        sent = lease_record.now()
+        sent = suspension.now()
         match self.api.put(KEY, record.body(), self.version):
             case result.Ok(version):
                 if self.record is not None:
@@ -189,7 +189,7 @@
             case result.Err(objects.Unknown()):
                 self._recognise(sent, record)
             case result.Err(objects.Unavailable(reason)):
-                if lease_record.now() > self.trusted_until:
+                if suspension.now() > self.trusted_until:
                     self._forget(f"not renewed: {reason}")
             case result.Err(failure):
                 self._forget(f"renewal failed: {failure}")
@@ -213,7 +213,7 @@
         self.version = version
         self.trusted_until = sent + self.duration_s - MARGIN_S
         if gained:
-            self.orders_from = lease_record.now() + self.settle_s
+            self.orders_from = suspension.now() + self.settle_s
             logs.event(
                 log, "lease", fence=record.fence, version=version, outcome="held"
             )
@@ -241,7 +241,7 @@
         is_news = told.lease_version != known.version
         if is_news and told.fence >= known.fence:
             self.heard = lease_record.Heard(
-                told.fence, told.lease_version, lease_record.now()
+                told.fence, told.lease_version, suspension.now()
             )
 
     def _seek(self) -> None:
@@ -259,9 +259,7 @@
             self._take(record.fence, version)
         else:
             if self.heard is None or self.heard.version != version:
-                self.heard = lease_record.Heard(
-                    record.fence, version, lease_record.now()
-                )
+                self.heard = lease_record.Heard(record.fence, version, suspension.now())
             self._take_over(self.heard)
 
     def _take_over(self, heard: lease_record.Heard) -> None:
@@ -272,9 +270,9 @@
 
     def _wait_out(self, heard: lease_record.Heard) -> bool:
         """Wait until a lease that was heard of may be taken; return whether so."""
-        while lease_record.now() < heard.at + self.watch_s:
+        while suspension.now() < heard.at + self.watch_s:
             gevent.sleep(
-                max(0.01, min(LOOK_S, heard.at + self.watch_s - lease_record.now()))
+                max(0.01, min(LOOK_S, heard.at + self.watch_s - suspension.now()))
             )
             if self.holder():
                 return False
@@ -291,7 +289,7 @@
         record = lease_record.Record(
             self.name, max(fence, self._refused_fence) + 1, 0, self.life
         )
-        sent = lease_record.now()
+        sent = suspension.now()
         match self.api.put(KEY, record.body(), version):
             case result.Ok(new_version):
                 self._hold(record, new_version, sent)
@@ -300,7 +298,7 @@
             case result.Err(failure):
                 logs.event(log, "lease", reason=str(failure)[:120], outcome="not taken")
         if settled and self.record is not None:
-            self.orders_from = max(lease_record.now(), settled)
+            self.orders_from = max(suspension.now(), settled)
 
     def _read(self) -> tuple[lease_record.Record | None, str | None] | None:
         """Return the stored lease and its version; None if not answered."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
@@ -1,16 +1,9 @@
 """The lease as it is stored, and as other VMs hear of it."""
 
-import time
-
 import attrs
 import orjson
 
 
-def now() -> float:
-    """Return seconds on the clock that also counts suspended time."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @attrs.frozen
 class Record:
     """The lease as it is stored.
@@ -55,7 +48,8 @@
 
     :param fence: the fencing token of the lease.
     :param version: the stored object's version after it.
-    :param at: when this VM first heard of it, seconds, see :func:`now`.
+    :param at: when this VM first heard of it, seconds, see
+        :func:`suspension.now`.
     """
 
     fence: int
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -14,9 +14,12 @@
 
 from mothworks import exchange, kernel, logs, membership, peers, ports, vm_list
 from mothworks_gateway import (
+    admission,
+    credit,
     declarations,
     discovery,
     feeding,
+    freshness,
     front,
     gathering,
     lease,
@@ -47,6 +50,9 @@
     lease.Lease,
     gathering.Gathering,
     watching.Watching,
+    freshness.Freshness,
+    credit.Credits,
+    admission.Admission,
     residency.Residency,
     ordering.Ordering,
     scheduler.Scheduler,
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -56,6 +56,8 @@
     :param sums: whether these are the sums of several VMs.
     :param relayed: whether another VM told it of this one.
     :param answers: how endpoints answered since the last pulse.
+    :param spent: units of client accounts' usage caps that requests used since the
+        last pulse, by account and lender; see :class:`credit.Grant`.
     """
 
     declaration_version: int
@@ -68,6 +70,7 @@
     sums: bool = False
     relayed: bool = False
     answers: tuple[AnswerRow, ...] = ()
+    spent: tuple[tuple[str, str, float], ...] = ()
 
 
 @messages.message(111)
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -140,7 +140,7 @@
         """
         line = self.line_by_target.setdefault(request.target, _Line())
         line.count += 1
-        line.urgency = min(line.urgency, request.route.urgency)
+        line.urgency = min(line.urgency, request.urgency)
         objective_at = request.arrived + request.route.objective_s
         line.objective_at = min(line.objective_at, objective_at)
         if line.count == 1:
--- a/packages/mothworks_gateway/src/mothworks_gateway/settings.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of one VM, read once at start from JSON with comments."""
 
 import ipaddress
+import math
 import pathlib
 
 import attrs
@@ -25,6 +26,11 @@
         )
 
 
+def _check_not_negative(_: object, attribute: attrs.Attribute, value: float) -> None:
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{attribute.name}: expected 0 or more, found {value!r}")
+
+
 def split_address(value: str) -> tuple[str, int]:
     """Return IP number and port of a checked address.
 
@@ -65,6 +71,12 @@
     :param load_factor: loads in that time, as a multiple of the store's rate.
     :param stop_s: time from the signal to stop until the process is killed,
         seconds.
+    :param revoke_ms: time after which a key that was taken away must not work on
+        any VM, in touch with the platform or not, milliseconds; 0 for no such bound.
+    :param cap_window_s: time over which usage caps are checked, seconds.
+    :param cap_over: part of what a cap allows in that time by which all VMs together
+        may exceed it.
+    :param cap_slack: units by which they may exceed it beside that.
     """
 
     retry_share: float = 0.1
@@ -84,6 +96,12 @@
     )
     load_factor: float = 1.0
     stop_s: float = attrs.field(default=8.0, validator=node_settings.check_positive)
+    revoke_ms: float = attrs.field(default=0.0, validator=_check_not_negative)
+    cap_window_s: float = attrs.field(
+        default=10.0, validator=node_settings.check_positive
+    )
+    cap_over: float = attrs.field(default=0.0, validator=_check_not_negative)
+    cap_slack: float = attrs.field(default=0.0, validator=_check_not_negative)
 
 
 @attrs.frozen
--- a/packages/mothworks_gateway/src/mothworks_gateway/turns.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/turns.py
@@ -16,8 +16,8 @@
 import logbook
 import result
 
-from mothworks import kernel, logs, membership, messages, ownership, peers
-from mothworks_gateway import asked, collectors, declared, ranking, reading, registry
+from mothworks import kernel, logs, messages, peers
+from mothworks_gateway import asked, declared, owners, reading, registry
 
 log = logbook.Logger("turns")
 
@@ -127,13 +127,11 @@
         super().__init__(node_kernel)
         self.name = node_kernel.settings.name
         self.peers = node_kernel.get(peers.Peers)
-        self.membership = node_kernel.get(membership.Membership)
+        self.owners = node_kernel.get(owners.Owners)
         self.reading = node_kernel.get(reading.Reading)
-        self.ranking = ranking.Ranking(collectors.DUTY, self.name, self.membership)
         self.plan_by_endpoint: dict[str, Plan] = {}
-        self.owner_by_endpoint: dict[str, str] = {}
         self.silent_until_by_vm: dict[str, float] = {}
-        self.membership.on_change.append(self._forget)
+        self.owners.on_change.append(self.plan_by_endpoint.clear)
         self.peers.handle(AskTurn, self._serve)
         self.waits = node_kernel.metrics.seconds(
             "turn_seconds", "Time that requests waited for their turn."
@@ -154,8 +152,8 @@
         tokens = min(request.own_tokens, MOST_TOKENS)
         speed = self.reading.tokens_per_s(request.target.service, USUAL_SPEED)
         pace = PACE * speed
-        ask = AskTurn(endpoint.id, tokens, request.route.urgency, pace)
-        owner = self._owner(endpoint.id)
+        ask = AskTurn(endpoint.id, tokens, request.urgency, pace)
+        owner = self.owners.ranked(endpoint.id)[0]
         turn_s = self._reserve(ask) if owner == self.name else self._ask(owner, ask)
         wait_s = min(turn_s, WAIT_SHARE * request.route.objective_s)
         self.waits.observe({"service": request.target.service}, wait_s)
@@ -210,28 +208,8 @@
         pace = max(ask.tokens_per_s, LEAST_TOKENS_PER_S)
         return plan.reserve(ask.tokens, urgency, time.monotonic(), pace)
 
-    def _owner(self, endpoint_id: str) -> str:
-        owner = self.owner_by_endpoint.get(endpoint_id)
-        if owner is None:
-            owner = max(
-                self._owners(), key=lambda vm: ownership.weight(endpoint_id, vm)
-            )
-            self.owner_by_endpoint[endpoint_id] = owner
-        return owner
-
-    def _owners(self) -> list[str]:
-        near = self.membership.near()
-        if collectors.are_few(near):
-            return [self.name, *(item.name for item in near)]
-        return collectors.first_of(self.ranking.vms)
-
     def _open_links(self) -> None:
         """Be connected to all that may own an endpoint before a request needs it."""
-        for owner in self._owners():
+        for owner in self.owners.candidates():
             if owner != self.name and not self.peers.linked(owner):
                 self.peers.open(owner)
-
-    def _forget(self) -> None:
-        """Decide anew who owns what, since VMs came or went."""
-        self.owner_by_endpoint.clear()
-        self.plan_by_endpoint.clear()
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -38,6 +38,9 @@
 #: Longest poll of a VM that tells, seconds. A platform that falls silent to it shows
 #: by a poll that does not end; others rely on its word until then.
 POLL_S = 1.0
+#: Longest poll of the declaration where callers need keys, seconds: what a poll shows
+#: is only as new as its beginning (:mod:`freshness`).
+FRESH_POLL_S = 0.5
 #: Time beyond a poll's wait after which the platform counts as silent, seconds.
 POLL_GRACE_S = 0.5
 #: Time that told changes may take on their way before this VM reads them, seconds.
@@ -111,6 +114,7 @@
         endpoints = self.feeding.follower_by_name["endpoints"]
         listened_to = tells and len(ranked) > 1
         endpoints.poll_s = POLL_S if listened_to else feeding.WAIT_S
+        self._poll_declaration()
         read = self.discovery.loaded and self.declarations.version > 0
         for follower in self.feeding.follower_by_name.values():
             follower.follow(tells or not good or not read)
@@ -119,6 +123,12 @@
         elif now - self.signed_at > SIGN_S - LOOK_S / 2:
             self._sign()
 
+    def _poll_declaration(self) -> None:
+        current = self.declarations.current
+        keyed = current is not None and current.accounts is not None
+        follower = self.feeding.follower_by_name["declarations"]
+        follower.poll_for(FRESH_POLL_S if keyed else feeding.WAIT_S)
+
     def _may_tell(self, ranked: list[str], now: float) -> bool:
         if self.kernel.draining:
             return False
--- a/packages/mothworks_gateway/tests/test_turns.py
+++ b/packages/mothworks_gateway/tests/test_turns.py
@@ -9,7 +9,7 @@
 import fleet_builders
 import gateway_builders
 from mothworks import membership, messages, peers
-from mothworks_gateway import asked, declared, reading, turns
+from mothworks_gateway import asked, declared, owners, reading, turns
 
 #: Tokens that an endpoint reads in 100 ms, as turns are planned.
 TENTH_S = int(turns.READ_TOKENS_PER_S / 10)
@@ -58,6 +58,7 @@
     parts = {peers.Peers: links, membership.Membership: Membership(*names)}
     kernel = gateway_builders.Kernel(parts)
     parts[reading.Reading] = reading.Reading(kernel)
+    parts[owners.Owners] = owners.Owners(kernel)
     return turns.Turns(kernel)
 
 
@@ -84,7 +85,7 @@
     for number in range(1000):
         found = gateway_builders.endpoint(f"i-{number}")
         weights = {
-            name: turns.ownership.weight(found.id, name) for name in (vm, *others)
+            name: owners.ownership.weight(found.id, name) for name in (vm, *others)
         }
         if max(weights, key=weights.get) == vm:
             return found
@@ -176,8 +177,8 @@
     made = make(links, *fleet_builders.names_of(195))
     made._open_links()
     assert len(links.opened) <= 9
-    owners = {made._owner(f"i-{number}") for number in range(59)}
-    assert owners - {made.name} <= links.opened
+    chosen = {made.owners.ranked(f"i-{number}")[0] for number in range(59)}
+    assert chosen - {made.name} <= links.opened
 
 
 def test_an_owner_that_is_gone_is_followed_by_another_vm():
@@ -185,8 +186,8 @@
     made = make(links, "vm-2")
     endpoint = owned_by("vm-2", "vm-1")
     made.wait(request(), endpoint)
-    made.membership.names = ()
-    for notify in made.membership.on_change:
+    made.owners.ranking.membership.names = ()
+    for notify in made.owners.ranking.membership.on_change:
         notify()
     made.wait(request(), endpoint)
     assert links.asked == ["vm-2"]
