--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -45,6 +45,9 @@
 HEARD_S = 3 * pulse.PULSE_S
 #: Oldest declaration on which an owner lends, seconds.
 LEND_AGE_S = 2.0
+#: Time for which a VM that knows no other does not lend, seconds: where all start at
+#: once, each of them would lend the whole cap until they know each other.
+ALONE_S = 1.5
 #: Part of the tolerated excess that is for reserves; the rest covers debts of single
 #: requests, and owners that follow each other.
 RESERVE_SHARE = 0.5
@@ -256,6 +259,9 @@
         candidates = self.owners.candidates()
         if self.name not in candidates:
             return False
+        alone = len(candidates) == 1
+        if alone and time.monotonic() - self.hears_since < ALONE_S:
+            return False
         oldest = suspension.now() - HEARD_S
         heard = [
             vm
--- a/packages/mothworks_gateway/src/mothworks_gateway/freshness.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/freshness.py
@@ -45,6 +45,9 @@
 MARGIN_SHARE = 0.2
 #: Time for which an answer shows that others are reached, seconds.
 REACHED_S = 2.0
+#: Time for which the VMs that were there once are remembered, seconds: longer than a
+#: partition of which callers should know.
+REMEMBERED_S = 60.0
 
 
 @messages.message(127)
@@ -86,6 +89,9 @@
         #: The VM that answered last; empty where it failed to.
         self.source = ""
         self.reached_at = -math.inf
+        #: Most VMs that were live of late, and when.
+        self.most_vms = 1
+        self.most_at = -math.inf
         self.proven = True
         self.peers.handle(AskFreshness, self._serve)
 
@@ -123,7 +129,7 @@
         the rest, callers are better off elsewhere.
         """
         others = len(self.membership.near())
-        if 2 * (others + 1) < len(self.membership.listed_by_name):
+        if 2 * (others + 1) < self.most_vms:
             return False
         return not others or suspension.now() - self.reached_at <= REACHED_S
 
@@ -132,11 +138,19 @@
             return
         if self.declarations.current.accounts is None:
             return
+        self._count_vms()
         least_s = OWN_AGE_S if self.watching.tells else 0.0
         if self.age_s() > least_s:
             self._ask(self._choose())
         self._note()
 
+    def _count_vms(self) -> None:
+        vms = 1 + len(self.membership.near())
+        now = suspension.now()
+        if vms >= self.most_vms or now - self.most_at > REMEMBERED_S:
+            self.most_vms = vms
+            self.most_at = now
+
     def _choose(self) -> str:
         """Return whom to ask: one that answers, and reaches the platform."""
         sources = self._sources()
--- /dev/null
+++ b/packages/mothworks_gateway/tests/test_bucket.py
@@ -0,0 +1,60 @@
+"""Bucket: a cap's credit, its debts, and the order in which the refused return."""
+
+import random
+
+import pytest
+
+from mothworks_gateway import bucket, client_accounts
+
+CAP = client_accounts.UsageCap(4200.0, 4200.0, client_accounts.CapUnit.TOKENS, 200)
+
+
+def test_what_is_granted_stays_within_the_cap_and_one_request():
+    # An account asks for six times its cap with requests of 800 to 9,000 tokens.
+    draw = random.Random(5)
+    made = bucket.Bucket(CAP, since=0.0)
+    granted = []
+    now = 0.0
+    while now < 60.0:
+        now += draw.expovariate(10.0)
+        units = draw.uniform(800, 9000)
+        if not made.take(units, now):
+            granted.append((now, units))
+    for begin, _ in granted:
+        used = sum(units for at, units in granted if begin <= at < begin + 8.0)
+        assert used <= CAP.most_in(8.0) + 9000
+    assert sum(units for _, units in granted) >= 0.95 * CAP.per_s * 60.0
+
+
+def test_a_request_greater_than_the_burst_runs():
+    # Refused until the bucket holds it, it would come back for ever.
+    made = bucket.Bucket(CAP, since=0.0)
+    assert made.take(9000, now=1.0) == 0.0
+    assert made.take(800, now=1.0) == pytest.approx(4800 / 4200)
+
+
+def test_the_refused_are_told_to_come_back_one_after_another():
+    # Told the same moment, forty callers return together and all but one in vain.
+    made = bucket.Bucket(CAP, since=0.0)
+    made.take(8400, now=1.0)
+    waits = [made.take(420, now=1.0) for _ in range(40)]
+    assert waits == sorted(waits)
+    steps = [later - earlier for earlier, later in zip(waits, waits[1:], strict=False)]
+    assert steps == pytest.approx([0.1] * 39)
+
+
+def test_who_comes_back_when_told_is_served():
+    made = bucket.Bucket(CAP, since=0.0)
+    made.take(8400, now=1.0)
+    waits = [made.take(420, now=1.0) for _ in range(10)]
+    assert all(not made.take(420, now=1.001 + wait) for wait in waits)
+
+
+def test_a_lower_cap_counts_at_once_and_a_higher_one_adds_no_credit():
+    made = bucket.Bucket(CAP, since=0.0)
+    made.change(client_accounts.UsageCap(100.0, 100.0), now=10.0)
+    assert made.take(100, now=10.0) == 0.0
+    assert made.take(1, now=10.0) > 0.0
+    made.change(client_accounts.UsageCap(1000.0, 1000.0), now=10.0)
+    assert made.take(1, now=10.0) > 0.0
+    assert made.take(1, now=10.01) == 0.0
