--- a/packages/mothworks_gateway/src/mothworks_gateway/bucket.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/bucket.py
@@ -12,36 +12,41 @@
 class Bucket:
     """A token bucket, and the order in which refused requests may return.
 
-    A request is granted while there is any credit, and may leave a debt: one that is
-    greater than the burst could otherwise never run. The account pays the debt before
-    its next request.
+    A request that costs more than the burst needs a full bucket and leaves a debt: it
+    could otherwise never run. The account pays the debt before its next request.
 
     :param cap: the account's usage cap.
     :param since: monotonic time at which it was empty.
+    :param grace: units that may be granted beyond the credit that is there.
 
     >>> cap = client_accounts.UsageCap(per_s=10.0, burst=20.0)
     >>> bucket = Bucket(cap, since=0.0)
-    >>> bucket.take(15, now=1.0)
+    >>> bucket.take(15, now=2.0)
     0.0
-    >>> bucket.take(5, now=1.0), bucket.take(5, now=1.0)
-    (0.5, 1.0)
+    >>> bucket.take(10, now=2.0), bucket.take(10, now=2.0)
+    (0.5, 1.5)
     """
 
-    def __init__(self, cap: client_accounts.UsageCap, since: float):
+    def __init__(self, cap: client_accounts.UsageCap, since: float, grace: float = 0.0):
         self.cap = cap
+        self.grace = grace
         self.level = 0.0
         self.at = since
         #: Monotonic time at which the credit of all who were told to return is there.
         self.promised_at = since
 
-    def change(self, cap: client_accounts.UsageCap, now: float) -> None:
+    def change(
+        self, cap: client_accounts.UsageCap, now: float, grace: float = 0.0
+    ) -> None:
         """Put another cap in force.
 
         :param cap: the cap.
         :param now: monotonic time.
+        :param grace: see :class:`Bucket`.
         """
         self._refill(now)
         self.cap = cap
+        self.grace = grace
         self.level = min(self.level, cap.burst)
 
     def take(self, units: float, now: float) -> float:
@@ -52,10 +57,11 @@
         :returns: 0 if it is granted; else the seconds until it should come back.
         """
         self._refill(now)
-        if self.level > 0:
+        lacking = min(units, self.cap.burst) - self.level - self.grace
+        if lacking <= 0:
             self.level -= units
             return 0.0
-        ready_at = max(now - self.level / self.cap.per_s, self.promised_at)
+        ready_at = max(now + lacking / self.cap.per_s, self.promised_at)
         ready_at = min(ready_at, now + MOST_AHEAD_S)
         self.promised_at = ready_at + units / self.cap.per_s
         return max(LEAST_AHEAD_S, ready_at - now)
--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -48,8 +48,10 @@
 #: Time for which a VM that knows no other does not lend, seconds: where all start at
 #: once, each of them would lend the whole cap until they know each other.
 ALONE_S = 1.5
-#: Part of the tolerated excess that is for reserves; the rest covers debts of single
-#: requests, and owners that follow each other.
+#: Parts of the tolerated excess: that which an owner grants beyond the credit that is
+#: there, so that requests that come together run; and that for reserves. The rest
+#: covers owners that follow each other.
+GRACE_SHARE = 0.25
 RESERVE_SHARE = 0.5
 #: Hint to a caller whose account's cap can't be checked here, seconds: it comes to
 #: another VM.
@@ -242,13 +244,16 @@
         A window's use of all VMs is what the cap allows at most. If each of them
         exceeds its own part of it by the same share, all do together.
         """
-        bounds = self.kernel.settings.bounds
-        allowed = account.cap.most_in(bounds.cap_window_s)
-        excess = bounds.cap_over * allowed + bounds.cap_slack
-        share = RESERVE_SHARE * excess / allowed
+        allowed = account.cap.most_in(self.kernel.settings.bounds.cap_window_s)
+        share = RESERVE_SHARE * self._excess(account.cap) / allowed
         lent = self.lent_by_account[account.name].total()
         return share * lent - self.reserve_by_account[account.name].total()
 
+    def _excess(self, cap: client_accounts.UsageCap) -> float:
+        """Return the units by which a window's use may exceed a cap."""
+        bounds = self.kernel.settings.bounds
+        return bounds.cap_over * cap.most_in(bounds.cap_window_s) + bounds.cap_slack
+
     def _lend(self, ask: AskCredit) -> Credit:
         known = self._bucket(ask.account)
         if known is None or not self._may_lend():
@@ -281,11 +286,12 @@
         if not known or known.cap is None:
             return None
         kept = self.bucket_by_account.get(account)
+        grace = GRACE_SHARE * self._excess(known.cap)
         if kept is None:
-            kept = bucket.Bucket(known.cap, self.hears_since)
+            kept = bucket.Bucket(known.cap, self.hears_since, grace)
             self.bucket_by_account[account] = kept
         elif kept.cap is not known.cap:
-            kept.change(known.cap, time.monotonic())
+            kept.change(known.cap, time.monotonic(), grace)
         return kept
 
     def _note(self, account: str, units: float) -> None:
--- a/packages/mothworks_gateway/tests/test_credit.py
+++ b/packages/mothworks_gateway/tests/test_credit.py
@@ -355,6 +355,10 @@
         "small", frozenset(), None, counted
     )
     assert counted.cost(9000) == 1
+    exact = settings.Bounds(cap_window_s=8.0)
+    for name, vm in fleet.vm_by_name.items():
+        kept = gateway_builders.make_settings(name=name, bounds=exact)
+        vm.credits.kernel.settings = kept
     outcomes = [fleet.admit(vm, "small", counted.cost(9000)) for vm in fleet.names[:4]]
     assert [item.is_ok() for item in outcomes] == [True, True, False, False]
 
