Pulses and gathering: call what peers have, one class for what was heard

Cause: telling all near VMs and the record of a VM's last pulse stood twice. Change: Peers.send_all and pulse.Heard serve both.

--- a/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/gathering.py
@@ -48,25 +48,13 @@
     answers: tuple[pulse.AnswerRow, ...] = ()
 
 
-@attrs.define
-class _Member:
-    """A VM that tells this one.
-
-    :param told: its last pulse.
-    :param at: monotonic time at which it came.
-    """
-
-    told: pulse.Pulse
-    at: float
-
-
 class PulseSum:
     """Adds up pulses: what runs, of the last of each VM; what arrived or was
     spent, of all.
     """
 
     def __init__(self):
-        self.member_by_vm: dict[str, _Member] = {}
+        self.member_by_vm: dict[str, pulse.Heard] = {}
         self.arrived: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self.tokens: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self.late: collections.Counter[tuple[str, str]] = collections.Counter()
@@ -80,7 +68,7 @@
         :param told: its pulse.
         :param now: monotonic time.
         """
-        self.member_by_vm[vm] = _Member(told, now)
+        self.member_by_vm[vm] = pulse.Heard(told, now)
         for service, model, adapter, count, tokens in told.arrived:
             self.arrived[service, model, adapter] += count
             self.tokens[service, model, adapter] += tokens
@@ -107,7 +95,7 @@
         """
         running: collections.Counter[tuple[str, str, str]] = collections.Counter()
         for member in self.member_by_vm.values():
-            for endpoint, model, adapter, count in member.told.running:
+            for endpoint, model, adapter, count in member.pulse.running:
                 running[endpoint, model, adapter] += count
         arrived = tuple(
             (*key, count, self.tokens[key]) for key, count in self.arrived.items()
@@ -161,7 +149,7 @@
         near = self.membership.near()
         if collectors.are_few(near):
             self.evidence.hear(told.answers)
-            self.peers.post_all([member.name for member in near], told)
+            self.peers.send_all(told)
             return
         now = time.monotonic()
         collecting = collectors.first_of(self.ranking.vms)
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -132,7 +132,7 @@
         #: Functions to call with a VM's name and its pulse, this VM's own too.
         self.on_heard: list = []
         #: Sends a pulse of this VM to others.
-        self.spread: collections.abc.Callable[[Pulse], None] = self._tell_near
+        self.spread: collections.abc.Callable[[Pulse], None] = self.peers.send_all
         self._asking = False
         self.peers.handle(Pulse, lambda vm, told, _: self.hear(vm, told))
         self.peers.handle(StateRequest, self._serve_state)
@@ -169,9 +169,6 @@
             notify(self.kernel.settings.name, pulse)
         self.spread(pulse)
 
-    def _tell_near(self, pulse: Pulse) -> None:
-        self.peers.post_all([item.name for item in self.membership.near()], pulse)
-
     def hear(self, vm: str, pulse: Pulse) -> None:
         """Take what a peer tells, or what another one tells of it.
 
--- a/packages/mothworks_gateway/tests/fleet_builders.py
+++ b/packages/mothworks_gateway/tests/fleet_builders.py
@@ -30,11 +30,13 @@
 
     :param name: the VM.
     :param wire: what carries its messages.
+    :param names: all VMs.
     """
 
-    def __init__(self, name, wire):
+    def __init__(self, name, wire, names=()):
         self.name = name
         self.wire = wire
+        self.names = names
         self.handler_by_class = {}
         wire.peers_by_vm[name] = self
 
@@ -47,6 +49,9 @@
     def post(self, vm, message):
         self.post_all([vm], message)
 
+    def send_all(self, message):
+        self.post_all([vm for vm in self.names if vm != self.name], message)
+
     def post_all(self, vms, message):
         frame = messages.pack(message)
         for vm in vms:
@@ -81,7 +86,7 @@
     view = types.SimpleNamespace(near=lambda: near, on_change=[])
     parts = {
         membership.Membership: view,
-        peers.Peers: Peers(name, wire),
+        peers.Peers: Peers(name, wire, names),
         **(parts or {}),
     }
     made = gateway_builders.Kernel(parts)
--- a/packages/mothworks_gateway/tests/test_credit.py
+++ b/packages/mothworks_gateway/tests/test_credit.py
@@ -115,7 +115,7 @@
         }
         kernel = fleet_builders.kernel_of(name, fleet.names, fleet.wire, parts)
         kernel.settings = gateway_builders.make_settings(name=name, bounds=BOUNDS)
-        kernel.parts[peers.Peers] = Peers(name, fleet.wire)
+        kernel.parts[peers.Peers] = Peers(name, fleet.wire, fleet.names)
         kernel.parts[pulse.Pulses] = self.pulses = pulse.Pulses(kernel)
         kernel.parts[load.Load] = load.Load(kernel)
         kernel.parts[health.Health] = health.Health(kernel)
