--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -51,8 +51,8 @@
 #: Parts of the tolerated excess: that which an owner grants beyond the credit that is
 #: there, so that requests that come together run; and that for reserves. The rest
 #: covers owners that follow each other.
-GRACE_SHARE = 0.25
-RESERVE_SHARE = 0.5
+GRACE_SHARE = 0.4
+RESERVE_SHARE = 0.3
 #: Hint to a caller whose account's cap can't be checked here, seconds: it comes to
 #: another VM.
 UNCHECKED_RETRY_S = 0.2
