Links: what VMs tell each other is compressed, one small stream a direction

Change: both ends say in their greeting that they understand it; all that follows is one deflate stream of 4 KB window, 20 KB a connection.

--- a/packages/mothworks/src/mothworks/links.py
+++ b/packages/mothworks/src/mothworks/links.py
@@ -1,12 +1,20 @@
-"""One connection between two VMs: frames out, arrays in, both bounded."""
+"""One connection between two VMs: frames out, arrays in, both bounded.
+
+VMs tell each other the same names again and again, so each direction is one compressed
+stream once both ends have said that they can. The streams are small, since a VM has
+hundreds of connections.
+"""
 
 import collections.abc
 import socket
+import zlib
 
 import gevent.queue
 import logbook
 import msgpack
 
+from mothworks import messages
+
 log = logbook.Logger("peers")
 
 #: Most messages that wait for one peer.
@@ -17,6 +25,12 @@
 UNACKED_MS = 5_000
 #: Bytes taken from a socket at once.
 RECEIVE_BYTES = 64 << 10
+#: What a compressed stream remembers, as a power of two of bytes: some messages that
+#: repeat each other. A larger one would take most of a VM's memory.
+WINDOW_BITS = 12
+#: Memory of the compressor, and its effort, both of 9.
+MEMORY_LEVEL = 3
+EFFORT = 1
 
 
 class Link:
@@ -37,6 +51,19 @@
         self.writing = False
         self.sent_bytes = 0
         self.received_bytes = 0
+        self._deflate = None
+        self._inflate = None
+
+    def compress(self) -> None:
+        """Compress all that is sent from now on; the peer must understand that."""
+        if self._deflate is None and self.send(messages.pack(messages.Compressed())):
+            self._deflate = zlib.compressobj(
+                EFFORT, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL
+            )
+
+    def decompress(self) -> None:
+        """Take all that follows the message just read as compressed."""
+        self._inflate = zlib.decompressobj(-WINDOW_BITS)
 
     def send(self, frame: bytes) -> bool:
         """Write a frame at once where the socket takes it, else queue it.
@@ -44,15 +71,18 @@
         :param frame: a packed message.
         :returns: whether there was room.
         """
+        if self.queue.full():
+            # Nothing is compressed that is not sent: the stream would not go on.
+            return False
+        if self._deflate is not None:
+            frame = self._deflate.compress(frame)
+            frame += self._deflate.flush(zlib.Z_SYNC_FLUSH)
         if not self.writing and self.queue.empty():
             # Through the writing task a message costs a turn of the loop.
             frame = frame[self._send_now(frame) :]
             if not frame:
                 return True
-        try:
-            self.queue.put_nowait(frame)
-        except gevent.queue.Full:
-            return False
+        self.queue.put_nowait(frame)
         return True
 
     def write_all(self) -> None:
@@ -91,12 +121,27 @@
                 return
             self.received_bytes += len(data)
             try:
-                unpacker.feed(data)
-                yield from unpacker
-            except (msgpack.UnpackException, ValueError) as error:
+                yield from self._unpack(unpacker, data)
+            except (msgpack.UnpackException, ValueError, zlib.error) as error:
                 log.warning("bad message from a peer: {}", error)
                 return
 
+    def _unpack(
+        self, unpacker: msgpack.Unpacker, data: bytes
+    ) -> collections.abc.Iterator[list]:
+        """Yield the arrays that end in some received bytes."""
+        if self._inflate is not None:
+            data = self._inflate.decompress(data)
+        unpacker.feed(data)
+        plain = self._inflate is None
+        for array in unpacker:
+            yield array
+            if plain and self._inflate is not None:
+                # What follows in the same bytes is compressed already.
+                rest = unpacker.read_bytes(len(data))
+                yield from self._unpack(unpacker, rest)
+                return
+
     def close(self) -> None:
         """Close the connection; both of its tasks end."""
         try:
--- a/packages/mothworks/src/mothworks/messages.py
+++ b/packages/mothworks/src/mothworks/messages.py
@@ -78,8 +78,16 @@
     :param version: :data:`PROTOCOL_VERSION` of the sender.
     :param name: the sender's VM name.
     :param deployment: the sender's deployment.
+    :param inflates: whether the sender understands :class:`Compressed`.
     """
 
     version: int
     name: str
     deployment: str = ""
+    inflates: bool = False
+
+
+@message(2)
+@attrs.frozen
+class Compressed:
+    """Tells that all further bytes of the sender are a compressed stream."""
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -255,7 +255,7 @@
     def _greet(self, link: links.Link) -> None:
         own = self.kernel.settings
         version = messages.PROTOCOL_VERSION
-        hello = messages.Hello(version, own.name, own.deployment)
+        hello = messages.Hello(version, own.name, own.deployment, inflates=True)
         link.send(messages.pack(hello))
 
     def _run(self, link: links.Link) -> None:
@@ -283,6 +283,8 @@
         match message:
             case messages.Hello():
                 return self._take_hello(link, message)
+            case messages.Compressed():
+                link.decompress()
             case _ if call < 0:
                 waiting = self.waiting_by_call.get(-call)
                 if waiting is not None:
@@ -304,6 +306,8 @@
         if link.vm is None:
             link.vm = hello.name
             self.link_by_vm.setdefault(hello.name, link)
+        if hello.inflates:
+            link.compress()
         # A list that lags names a VM by an address that another has now.
         return link.vm == hello.name
 
