--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -43,8 +43,9 @@
 #: Time without a pulse after which a candidate counts as not heard, seconds: three of
 #: them.
 HEARD_S = 3 * pulse.PULSE_S
-#: Oldest declaration on which an owner lends, seconds.
-LEND_AGE_S = 2.0
+#: Oldest declaration on which an owner lends, seconds: more than one that others tell
+#: has in calm times, less than membership takes to forget those that are cut off.
+LEND_AGE_S = 2.5
 #: Time for which a VM that knows no other does not lend, seconds: where all start at
 #: once, each of them would lend the whole cap until they know each other.
 ALONE_S = 1.5
--- a/packages/mothworks_gateway/src/mothworks_gateway/freshness.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/freshness.py
@@ -39,7 +39,7 @@
 #: of its polls.
 OWN_AGE_S = 1.2
 #: Time for an answer, seconds.
-REPLY_S = 0.5
+REPLY_S = 0.3
 #: Part of the bound that is kept back: the platform's watches may be mute for a
 #: second before it drops its history.
 MARGIN_SHARE = 0.2
@@ -88,6 +88,8 @@
         self.told_as_of = -math.inf
         #: The VM that answered last; empty where it failed to.
         self.source = ""
+        #: The VM that failed to answer last.
+        self.silent = ""
         self.reached_at = -math.inf
         #: Most VMs that were live of late, and when.
         self.most_vms = 1
@@ -156,7 +158,8 @@
         sources = self._sources()
         if self.source in sources:
             return self.source
-        return random.choice(sources) if sources else ""
+        others = [vm for vm in sources if vm != self.silent]
+        return random.choice(others or sources or [""])
 
     def _sources(self) -> list[str]:
         """Return the VMs that should know.
@@ -172,7 +175,7 @@
         return candidates
 
     def _ask(self, vm: str) -> None:
-        self.source = ""
+        self.source, self.silent = "", vm
         if not vm:
             return
         if not self.peers.linked(vm):
@@ -192,7 +195,7 @@
         """
         if version <= self.declarations.version and as_of > self.told_as_of:
             self.told_as_of = as_of
-            self.source = vm
+            self.source, self.silent = vm, ""
 
     def _serve(self, _: str, __: AskFreshness, answer: peers.Answer) -> None:
         answer(Fresh(self.declarations.version, self.age_s()))
