--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -17,10 +17,9 @@
 import time
 
 import attrs
-import logbook
 import result
 
-from mothworks import kernel, logs, messages, peers
+from mothworks import kernel, messages, peers
 from mothworks_gateway import (
     bucket,
     client_accounts,
@@ -32,18 +31,14 @@
     windows,
 )
 
-log = logbook.Logger("credit")
-
 #: Time for an owner's answer, seconds: several times the longest way between data
 #: centres of a region, and a busy VM's turn of its loop.
 REPLY_S = 0.04
-#: Time for which an owner that did not answer is not asked, seconds.
-SILENT_S = 1.0
 #: Owners that are asked for one request.
 MOST_ASKED = 2
 #: Time without a pulse after which a candidate counts as not heard, seconds: two of
-#: them, and some lateness.
-HEARD_S = 2.4 * pulse.PULSE_S
+#: them. Longer, and two parts of a partition would each lend a burst.
+HEARD_S = 2 * pulse.PULSE_S
 #: Oldest declaration on which an owner lends, seconds: more than one that others tell
 #: has in calm times, less than membership takes to forget those that are cut off.
 LEND_AGE_S = 2.5
@@ -167,7 +162,6 @@
         self.reserve_by_account = self._amounts_by_account()
         #: Accounts that were far from their caps when an owner last told.
         self.calm_accounts: set[str] = set()
-        self.silent_until_by_vm: dict[str, float] = {}
         self.owners.on_change.append(self._follow_owners)
         self.peers.handle(AskCredit, self._serve)
         self.peers.handle(ReturnCredit, self._take_back)
@@ -185,7 +179,7 @@
         """
         began = time.monotonic()
         try:
-            return self._admit(account, units, began)
+            return self._admit(account, units)
         finally:
             self.asks.observe({}, time.monotonic() - began)
 
@@ -201,9 +195,9 @@
             self.peers.post(grant.lender, ReturnCredit(grant.account, grant.units))
 
     def _admit(
-        self, account: client_accounts.ClientAccount, units: float, now: float
+        self, account: client_accounts.ClientAccount, units: float
     ) -> result.Result[Grant, Refused]:
-        for owner in self._askable(account.name, now):
+        for owner in self._askable(account.name):
             answer = self._ask(owner, AskCredit(account.name, units))
             if answer is None or not answer.lends:
                 continue
@@ -223,30 +217,16 @@
         else:
             self.calm_accounts.discard(account)
 
-    def _askable(self, account: str, now: float) -> list[str]:
+    def _askable(self, account: str) -> list[str]:
         ranked = self.owners.ranked(f"cap {account}")
-        heard = [vm for vm in ranked if self.silent_until_by_vm.get(vm, 0.0) <= now]
-        return heard[:MOST_ASKED]
+        return [vm for vm in ranked if not self.owners.is_silent(vm)][:MOST_ASKED]
 
     def _ask(self, owner: str, ask: AskCredit) -> Credit | None:
         if owner == self.name:
             return self._lend(ask)
-        if not self.peers.linked(owner):
-            self.peers.open(owner)
-            return None
-        match self.peers.call(owner, ask, REPLY_S):
-            case result.Ok(Credit() as answer):
+        match self.owners.ask(owner, ask, REPLY_S, f"the cap of {ask.account}"):
+            case Credit() as answer:
                 return answer
-            case result.Err(failure):
-                self.silent_until_by_vm[owner] = time.monotonic() + SILENT_S
-                logs.event(
-                    log,
-                    "owner silent",
-                    account=ask.account,
-                    owner=owner,
-                    reason=failure.reason,
-                    outcome=f"not asked for {SILENT_S:g} s",
-                )
         return None
 
     def _take(self, grant: Grant) -> Grant:
--- a/packages/mothworks_gateway/src/mothworks_gateway/turns.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/turns.py
@@ -14,7 +14,6 @@
 import attrs
 import gevent
 import logbook
-import result
 
 from mothworks import kernel, logs, messages, peers
 from mothworks_gateway import asked, declared, owners, reading, registry
@@ -41,9 +40,6 @@
 #: Time for an owner to answer, seconds: several times the longest way between
 #: data centres of a region.
 REPLY_S = 0.02
-#: Time for which an owner that did not answer is not asked again, seconds:
-#: membership takes a few seconds to notice that a VM is gone.
-SILENT_S = 1.0
 #: Seconds between looks for owners that this VM is not connected to.
 LINK_S = 1.0
 #: Waits that are not worth a timer, seconds.
@@ -130,7 +126,6 @@
         self.owners = node_kernel.get(owners.Owners)
         self.reading = node_kernel.get(reading.Reading)
         self.plan_by_endpoint: dict[str, Plan] = {}
-        self.silent_until_by_vm: dict[str, float] = {}
         self.owners.on_change.append(self.plan_by_endpoint.clear)
         self.peers.handle(AskTurn, self._serve)
         self.waits = node_kernel.metrics.seconds(
@@ -173,30 +168,10 @@
         gevent.sleep(wait_s)
 
     def _ask(self, owner: str, ask: AskTurn) -> float:
-        """Return the seconds until a turn; none where the owner does not tell.
-
-        Nobody waits for a connection to an owner: one that a cut keeps closed
-        would hold up each request.
-        """
-        now = time.monotonic()
-        if now < self.silent_until_by_vm.get(owner, 0.0):
-            return 0.0
-        if not self.peers.linked(owner):
-            self.peers.open(owner)
-            return 0.0
-        match self.peers.call(owner, ask, REPLY_S):
-            case result.Ok(Turn(wait_s)):
+        """Return the seconds until a turn; none where the owner does not tell."""
+        match self.owners.ask(owner, ask, REPLY_S, f"turns at {ask.endpoint}"):
+            case Turn(wait_s):
                 return wait_s
-            case result.Err(failure):
-                self.silent_until_by_vm[owner] = now + SILENT_S
-                logs.event(
-                    log,
-                    "owner silent",
-                    endpoint=ask.endpoint,
-                    owner=owner,
-                    reason=failure.reason,
-                    outcome=f"not asked for {SILENT_S:g} s",
-                )
         return 0.0
 
     def _serve(self, _: str, ask: AskTurn, answer: peers.Answer) -> None:
--- a/packages/mothworks_gateway/tests/test_credit.py
+++ b/packages/mothworks_gateway/tests/test_credit.py
@@ -133,7 +133,16 @@
     """
 
     def __init__(self, monkeypatch, count, caps, seed=1):
-        modules = (credit, gathering, health, load, pulse, seen_answers, windows)
+        modules = (
+            credit,
+            owners,
+            gathering,
+            health,
+            load,
+            pulse,
+            seen_answers,
+            windows,
+        )
         self.clock = virtual_time.Clock(monkeypatch, *modules)
         self.draw = random.Random(seed)
         # Reserves are drawn by lot.
