--- a/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -34,6 +34,9 @@
         self.readable = True
         #: Functions to call with a new declaration.
         self.on_change: list = []
+        #: Functions to call with a document that the platform itself told, and that
+        #: is in force now.
+        self.on_platform: list = []
 
     @property
     def version(self) -> int:
@@ -79,8 +82,13 @@
     def _take_document(self, document: bytes | None) -> None:
         # Before the operator has declared anything there is none, and one that
         # was removed leaves the last version in force.
-        if document is not None:
-            self.offer(document, "platform")
+        if document is None:
+            return
+        before = self.version
+        self.offer(document, "platform")
+        if self.version > before:
+            for notify in self.on_platform:
+                notify(document)
 
     def _take(self, declaration: declared.Declaration, source: str) -> None:
         before = self.version
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -16,6 +16,7 @@
 from mothworks_gateway import (
     admission,
     credit,
+    declaration_news,
     declarations,
     discovery,
     feeding,
@@ -50,6 +51,7 @@
     lease.Lease,
     gathering.Gathering,
     watching.Watching,
+    declaration_news.DeclarationNews,
     freshness.Freshness,
     credit.Credits,
     admission.Admission,
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -45,7 +45,9 @@
 POLL_GRACE_S = 0.5
 #: Time that told changes may take on their way before this VM reads them, seconds.
 PATIENCE_S = 0.35
-#: Time over which the VMs spread their readings of a new declaration, seconds.
+#: Time in which a new declaration is usually told, and over which the VMs that miss it
+#: spread their readings, seconds.
+TOLD_S = 0.1
 SPREAD_S = 0.25
 
 
@@ -224,7 +226,11 @@
             self._reading.discard(read)
 
     def _read_declaration(self) -> bool:
-        gevent.sleep(random.uniform(0.0, SPREAD_S))
+        gevent.sleep(TOLD_S + random.uniform(0.0, SPREAD_S))
+        good = self.duty.good_signs(time.monotonic()).values()
+        newest = max((sign.declaration_version for sign in good), default=0)
+        if newest <= self.declarations.version:
+            return True
         return self.feeding.follower_by_name["declarations"].refresh()
 
     def _read_registry(self) -> bool:
