--- a/packages/mothworks_gateway/src/mothworks_gateway/declaration_news.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declaration_news.py
@@ -1,7 +1,8 @@
 """Declaration news: a new declaration is told to all VMs, instead of each reading it.
 
-If each VM reads a new version from the platform by itself, a change costs as many priced
-calls as there are VMs. A document of usual size costs less on its way in groups
+If each VM reads a new version from the platform by itself, a change costs as many
+priced calls as there are VMs. A document of usual size costs less on its way in
+groups
 (:mod:`broadcast`). A VM that misses it reads it.
 """
 
