--- a/packages/mothworks_gateway/src/mothworks_gateway/declaration_news.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declaration_news.py
@@ -2,8 +2,7 @@
 
 If each VM reads a new version from the platform by itself, a change costs as many
 priced calls as there are VMs. A document of usual size costs less on its way in
-groups
-(:mod:`broadcast`). A VM that misses it reads it.
+groups (:mod:`broadcast`). A VM that misses it reads it.
 """
 
 import attrs
