Demand: means fade by one weight, not target by target

Change: what is kept is the mean times a weight that grows; a target's hash is kept. Result: equal to the exact mean over two minutes (test_demand), no pulse touches other targets (fails on the code before).

--- a/packages/mothworks_gateway/src/mothworks_gateway/asked.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/asked.py
@@ -18,7 +18,7 @@
     tokens: int
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Target:
     """What an endpoint must hold to run a request.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/demand.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/demand.py
@@ -24,6 +24,9 @@
 LATE_HALF_LIFE_S = 2.0
 #: Rate below which a target is forgotten, a second: callers may name any.
 NEGLIGIBLE = 1e-4
+#: Weight at which it is counted from 1 again: some ten half-lives, so that what callers
+#: named once is forgotten within a minute.
+MOST_WEIGHT = 1024.0
 #: Natural logarithm of 2: turns a half-life into the rate of a fading mean.
 LN_2 = 0.693
 
@@ -47,44 +50,64 @@
 class _Fading:
     """Events a second by target, as a mean that fades.
 
+    What is kept is not the mean but the mean times a weight that grows as the mean
+    fades, the same for all targets. So nothing need be done as time passes: fading
+    each of 300 targets by itself with each of a collector's pulses took most of what
+    pulses cost.
+
     :param half_life_s: time after which an event counts half, seconds.
     """
 
     def __init__(self, half_life_s: float):
         self.half_life_s = half_life_s
-        self.rate_by_target: dict[asked.Target, float] = {}
-        #: The rates of all models, their adapters not counted once more.
+        self.weighted_by_target: dict[asked.Target, float] = {}
+        #: The sum of all models, their adapters not counted once more.
         self.of_models = 0.0
-        self.faded_at = time.monotonic()
+        self.began_at = time.monotonic()
 
     def add(self, target: asked.Target, count: float) -> None:
-        self._fade()
-        added = count * LN_2 / self.half_life_s
-        self.rate_by_target[target] = self.rate_by_target.get(target, 0.0) + added
+        added = count * LN_2 / self.half_life_s * self._weight()
+        weighted = self.weighted_by_target
+        weighted[target] = weighted.get(target, 0.0) + added
         if not target.adapter:
             self.of_models += added
 
     def rate(self, target: asked.Target) -> float:
-        self._fade()
-        return self.rate_by_target.get(target, 0.0)
-
-    def _fade(self) -> None:
-        now = time.monotonic()
-        kept = 0.5 ** ((now - self.faded_at) / self.half_life_s)
-        if kept > 0.99:
-            return
-        self.faded_at = now
-        faded = {target: rate * kept for target, rate in self.rate_by_target.items()}
-        self.rate_by_target = {
-            target: rate for target, rate in faded.items() if rate > NEGLIGIBLE
+        weight = self._weight()
+        return self.weighted_by_target.get(target, 0.0) / weight
+
+    def total(self) -> float:
+        weight = self._weight()
+        return self.of_models / weight
+
+    def targets(self) -> list[asked.Target]:
+        """Return the targets that were asked for of late."""
+        return self._above(NEGLIGIBLE * self._weight())
+
+    def _above(self, least: float) -> list[asked.Target]:
+        return [
+            target for target, value in self.weighted_by_target.items() if value > least
+        ]
+
+    def _weight(self) -> float:
+        weight = 2.0 ** ((time.monotonic() - self.began_at) / self.half_life_s)
+        if weight < MOST_WEIGHT:
+            return weight
+        self._begin_anew(weight)
+        return 1.0
+
+    def _begin_anew(self, weight: float) -> None:
+        """Count the weight from 1 again, and forget what has faded away."""
+        self.weighted_by_target = {
+            target: self.weighted_by_target[target] / weight
+            for target in self._above(NEGLIGIBLE * weight)
         }
         self.of_models = sum(
-            rate for target, rate in self.rate_by_target.items() if not target.adapter
+            value
+            for target, value in self.weighted_by_target.items()
+            if not target.adapter
         )
-
-    def total(self) -> float:
-        self._fade()
-        return self.of_models
+        self.began_at = time.monotonic()
 
 
 class _Rate:
@@ -139,7 +162,7 @@
 
     def models(self) -> list[asked.Target]:
         """Return the models that were asked for."""
-        known = self.requests.steady.rate_by_target
+        known = self.requests.steady.targets()
         return [item for item in known if not item.adapter]
 
     def wishes(self) -> list[Wish]:
--- a/packages/mothworks_gateway/tests/test_demand.py
+++ b/packages/mothworks_gateway/tests/test_demand.py
@@ -88,3 +88,50 @@
         models = [target for target in made.models() if not target.adapter]
         rates = sum(made.requests.steady.rate(target) for target in models)
         assert made.total() == pytest.approx(rates)
+
+
+@pytest.mark.parametrize("half_life_s", [1.0, 5.0])
+def test_a_mean_fades_as_time_passes_and_not_in_steps(clock, half_life_s):
+    # Over two minutes: also where what is kept is counted anew.
+    fading = demand._Fading(half_life_s)
+    exact = 0.0
+    for step in range(1200):
+        clock.now += 0.1
+        exact *= 0.5 ** (0.1 / half_life_s)
+        if step % 7 == 0:
+            fading.add(TARGET, 3)
+            exact += 3 * demand.LN_2 / half_life_s
+        assert fading.rate(TARGET) == pytest.approx(exact)
+        assert fading.total() == pytest.approx(exact)
+
+
+def test_what_was_asked_for_once_is_forgotten(clock):
+    # Callers may name any model, as many as they like.
+    fading = demand._Fading(1.0)
+    for number in range(1000):
+        fading.add(asked.Target("s", f"made-up-{number}"), 1)
+    clock.now += 60.0
+    fading.add(TARGET, 1)
+    assert list(fading.weighted_by_target) == [TARGET]
+    assert fading.targets() == [TARGET]
+
+
+def test_adapters_do_not_count_twice_in_the_total(clock):
+    fading = demand._Fading(1.0)
+    fading.add(TARGET, 2)
+    fading.add(asked.Target("s", "m", "a1"), 2)
+    assert fading.total() == fading.rate(TARGET)
+
+
+def test_a_pulse_costs_what_it_tells_and_not_what_is_known(made, clock, monkeypatch):
+    # A collector hears some 250 pulses a second; each of them let it fade the means
+    # of all 300 targets one by one.
+    for number in range(300):
+        made.requests.add(asked.Target("s", f"m-{number}"), 1)
+    touched = []
+    kept = demand._Fading._above
+    monkeypatch.setattr(
+        demand._Fading, "_above", lambda *args: touched.append(args) or kept(*args)
+    )
+    ask(made, clock, per_s=4.0, seconds=3.0)
+    assert touched == []
