Known failures: four tests of relayed objects are traced and mended

Cause: VMs of test_gathering took their registry for older than what pulses said, and left a task each time to ask for it: 6,014 in one process. They ended with tracebacks once a later test entered the loop; the first call of that test waited past its 0.45 s. Change: the registry of those VMs is as new as their pulses; a test that none is left. Conclusion: not load; mended.

--- a/packages/mothworks_gateway/tests/test_credit.py
+++ b/packages/mothworks_gateway/tests/test_credit.py
@@ -104,6 +104,8 @@
 
     def __init__(self, name, fleet):
         view = registry.Registry()
+        # As new as all pulses say, so that nobody asks for what it lacks.
+        view.cursor = 1
         parts = {
             lease.Lease: types.SimpleNamespace(holder=lambda: ""),
             declarations.Declarations: types.SimpleNamespace(
--- a/packages/mothworks_gateway/tests/test_gathering.py
+++ b/packages/mothworks_gateway/tests/test_gathering.py
@@ -54,6 +54,8 @@
         holder = types.SimpleNamespace(holder=lambda: fleet.holder)
         view = registry.Registry()
         view.by_id = {item.id: item for item in ENDPOINTS}
+        # As new as all pulses say, so that nobody asks for what it lacks.
+        view.cursor = 1
         parts = {
             lease.Lease: holder,
             declarations.Declarations: types.SimpleNamespace(version=1),
@@ -307,3 +309,13 @@
     know(part.membership, part.membership.near()[1:])
     assert len(part.ranking.vms) == VMS - 1
     assert len(weighed) == VMS - 1
+
+
+def test_a_fleet_leaves_no_tasks_to_other_tests(monkeypatch):
+    # Each VM asked for a registry that it took for newer than its own. Thousands of
+    # such tasks ended with a traceback as soon as another test in the same process
+    # entered the loop, and kept that test's calls waiting past their timeouts.
+    fleet = Fleet(monkeypatch)
+    fleet.run(1)
+    left = [vm for vm in fleet.vm_by_name.values() if len(vm.pulses.tasks.group)]
+    assert left == []
