--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -290,11 +290,13 @@
         if not known or known.cap is None:
             return None
         kept = self.bucket_by_account.get(account)
+        if kept is not None and kept.cap is known.cap:
+            return kept
         grace = GRACE_SHARE * self._excess(known.cap)
         if kept is None:
             kept = bucket.Bucket(known.cap, self.hears_since, grace)
             self.bucket_by_account[account] = kept
-        elif kept.cap is not known.cap:
+        else:
             kept.change(known.cap, time.monotonic(), grace)
         return kept
 
