Observability: logs and metrics tell how old the view of each feed is

Seen: callers were served by versions up to 18 older than the newest. Cause: not known yet; the logs said nothing of a poll that hangs, nor which feed a VM's published health speaks of, so three hypotheses could not be told apart. Change: one line when a feed that a VM follows gets no answer for 2 s, one a feed when a watcher's published health changes (seconds since an answer, length of the poll), three gauges a feed. No decision changed.

--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -38,6 +38,11 @@
 #: Endpoints that live enter themselves again within about 2 s; one that left
 #: just then must get no new work within those 2 s, too.
 DOUBT_S = 1.6
+#: Seconds between reports of how old the feeds are.
+REPORT_S = 0.5
+#: Age at which the view of a feed that is followed here is logged as stale, seconds:
+#: no answer of the platform is older where polls end in time.
+STALE_S = 2.0
 
 
 def _set_event() -> gevent.event.Event:
@@ -60,6 +65,7 @@
     :param cursor: the newest revision seen.
     :param lost_at: monotonic time since when the platform does not answer.
     :param back_at: monotonic time at which it last answered again.
+    :param answered_at: monotonic time at which the platform last answered a call.
     :param as_of: what was taken is all that there was at this moment, on the clock
         of :func:`suspension.now`. It is the moment before the last answered call was
         sent: when within the call the platform looked is not known.
@@ -74,6 +80,7 @@
     cursor: int = 0
     lost_at: float | None = None
     back_at: float = -DOUBT_S
+    answered_at: float = attrs.field(factory=lambda: time.monotonic())
     as_of: float = -math.inf
     polling_since: float = 0.0
     _listed: bool = False
@@ -109,6 +116,21 @@
         """Return whether a poll is under way."""
         return self._poll is not None
 
+    @property
+    def followed(self) -> bool:
+        """Return whether this VM follows the feed by itself."""
+        return self._followed.is_set()
+
+    @property
+    def polling_s(self) -> float:
+        """Return how long the poll under way has lasted, seconds; 0 without one."""
+        return time.monotonic() - self.polling_since if self.polls else 0.0
+
+    @property
+    def unanswered_s(self) -> float:
+        """Return the seconds since the platform last answered a call."""
+        return time.monotonic() - self.answered_at
+
     def follow(self, follows: bool) -> None:
         """Go on following, or let others do so.
 
@@ -198,6 +220,7 @@
         sent = suspension.now()
         read = self.feed.read()
         if read.is_ok():
+            self.answered_at = time.monotonic()
             self.take_all(read.ok_value)
             self.cursor = max(self.cursor, read.ok_value.cursor)
             self.as_of = max(self.as_of, sent)
@@ -206,6 +229,8 @@
     def _wait(self, wait_s: float) -> result.Result:
         sent = suspension.now()
         waited = self.feed.wait(self.cursor, wait_s)
+        if waited.is_ok() or isinstance(waited.err(), adapters.FeedExpired):
+            self.answered_at = time.monotonic()
         if waited.is_ok():
             self.take_changes(waited.ok_value)
             self.cursor = max(self.cursor, waited.ok_value.cursor)
@@ -239,7 +264,7 @@
 
 
 class Feeding(kernel.Part):
-    """Holds the platform's feeds and their followers.
+    """Holds the platform's feeds and their followers, and reports how old they are.
 
     :param node_kernel: the node's kernel.
     """
@@ -251,6 +276,21 @@
             chosen, node_kernel.metrics
         )
         self.follower_by_name: dict[str, Follower] = {}
+        self._stale: set[str] = set()
+        make_gauge = node_kernel.metrics.gauge
+        self.unanswered_seconds = make_gauge(
+            "feed_unanswered_seconds", "Seconds since the platform answered, by feed."
+        )
+        self.poll_seconds = make_gauge(
+            "feed_poll_seconds", "Seconds that the poll under way has lasted, by feed."
+        )
+        self.followed = make_gauge(
+            "feed_followed", "Whether this VM follows a feed by itself."
+        )
+
+    def start(self) -> None:
+        """Start to report."""
+        self.tasks.every(REPORT_S, self._report)
 
     def add(self, follower: Follower) -> None:
         """Make a follower known by its name.
@@ -258,3 +298,34 @@
         :param follower: the follower.
         """
         self.follower_by_name[follower.name] = follower
+
+    def _report(self) -> None:
+        for name, follower in self.follower_by_name.items():
+            labels = {"feed": name}
+            self.unanswered_seconds.set(labels, round(follower.unanswered_s, 3))
+            self.poll_seconds.set(labels, round(follower.polling_s, 3))
+            self.followed.set(labels, int(follower.followed))
+            self._note_age(follower)
+
+    def _note_age(self, follower: Follower) -> None:
+        """Log when the view of a feed that is followed here becomes stale, or fresh."""
+        stale = follower.followed and follower.unanswered_s > STALE_S
+        if stale == (follower.name in self._stale):
+            return
+        self._stale ^= {follower.name}
+        logs.event(
+            log,
+            "feed",
+            feed=follower.name,
+            cursor=follower.cursor,
+            unanswered_s=round(follower.unanswered_s, 3),
+            polling_s=round(follower.polling_s, 3),
+            lost=follower.lost_at is not None,
+            outcome=_age_outcome(follower, stale),
+        )
+
+
+def _age_outcome(follower: Follower, stale: bool) -> str:
+    if stale:
+        return "stale"
+    return "fresh" if follower.followed else "left to others"
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -88,6 +88,8 @@
         self.ranking = ranking.Ranking("watch", self.name, self.membership)
         self.tells = True
         self.signed_at = 0.0
+        #: Whether this VM's last sign said that the platform answers it.
+        self.signed_good: bool | None = None
         self.behind_since: float | None = None
         self._reading: set[collections.abc.Callable[[], bool]] = set()
         node_peers = node_kernel.get(peers.Peers)
@@ -108,9 +110,13 @@
         good = self.duty.good_signs(now)
         tells = self._may_tell(ranked, now)
         if tells != self.tells:
-            reason = f"{len(good)} others tell"
+            self.signed_good = None
             logs.event(
-                log, "watch", reason=reason, outcome="tells" if tells else "hears"
+                log,
+                "watch",
+                reason=f"{len(good)} others tell",
+                others=sorted(good),
+                outcome="tells" if tells else "hears",
             )
         self.tells = tells
         endpoints = self.feeding.follower_by_name["endpoints"]
@@ -155,15 +161,35 @@
         if not self.tells:
             return
         self.signed_at = time.monotonic()
+        good = self._good()
+        self._note_good(good)
         self.broadcast.tell(
             watch_duty.Sign(
-                self._good(),
+                good,
                 self.discovery.registry.cursor,
                 self.discovery.changed_at,
                 self.declarations.version,
             )
         )
 
+    def _note_good(self, good: bool) -> None:
+        """Log a change of what this VM publishes of the platform, feed by feed."""
+        if good == self.signed_good:
+            return
+        self.signed_good = good
+        for follower in self.feeding.follower_by_name.values():
+            logs.event(
+                log,
+                "health published",
+                feed=follower.name,
+                declaration=self.declarations.version,
+                cursor=follower.cursor,
+                unanswered_s=round(follower.unanswered_s, 3),
+                polling_s=round(follower.polling_s, 3),
+                lost=follower.lost_at is not None,
+                outcome="good" if good else "bad",
+            )
+
     def _tell_changes(self, before: int, changes: adapters.Changes) -> None:
         """Tell all VMs of changes that the platform told this one."""
         if not self.tells:
--- /dev/null
+++ b/packages/mothworks_gateway/tests/test_feed_reports.py
@@ -0,0 +1,85 @@
+"""What a VM reports of the platform's feeds: from logs and metrics alone, on-call
+engineers tell a view that is old from one that has not changed.
+"""
+
+import types
+
+import logbook
+import pytest
+
+import gateway_builders
+import virtual_time
+from mothworks import plugins
+from mothworks_gateway import adapters, feeding
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    return virtual_time.Clock(monkeypatch, feeding)
+
+
+@pytest.fixture
+def owner(clock, monkeypatch):
+    monkeypatch.setattr(plugins, "find", lambda *_: lambda *_: None)
+    made = feeding.Feeding(gateway_builders.Kernel({}))
+    made.add(feeding.Follower("declarations", None, None, None))
+    return made
+
+
+def report(owner):
+    """Report once; returns the lines that were logged."""
+    with logbook.TestHandler() as handler:
+        owner._report()
+    return [types.SimpleNamespace(**record.extra) for record in handler.records]
+
+
+def value(gauge):
+    return gauge.get({"feed": "declarations"})
+
+
+def test_a_feed_without_answers_is_logged_once_with_its_age(owner, clock):
+    follower = owner.follower_by_name["declarations"]
+    follower.cursor = 7
+    clock.advance(feeding.STALE_S + 0.5)
+    [line] = report(owner)
+    assert (line.feed, line.outcome, line.cursor) == ("declarations", "stale", 7)
+    assert line.unanswered_s == feeding.STALE_S + 0.5
+    assert report(owner) == []
+    follower.answered_at = clock.monotonic()
+    [line] = report(owner)
+    assert line.outcome == "fresh"
+
+
+def test_a_feed_that_others_follow_is_not_logged_as_stale(owner, clock):
+    owner.follower_by_name["declarations"].follow(False)
+    clock.advance(60)
+    assert report(owner) == []
+
+
+def test_a_stale_feed_that_is_left_to_others_does_not_count_as_answered(owner, clock):
+    clock.advance(feeding.STALE_S + 1)
+    report(owner)
+    owner.follower_by_name["declarations"].follow(False)
+    [line] = report(owner)
+    assert line.outcome == "left to others"
+
+
+def test_the_age_of_a_feed_is_a_metric(owner, clock):
+    clock.advance(0.25)
+    report(owner)
+    assert value(owner.unanswered_seconds) == 0.25
+    assert value(owner.followed) == 1
+    owner.follower_by_name["declarations"].follow(False)
+    report(owner)
+    assert value(owner.followed) == 0
+
+
+def test_history_that_is_gone_is_an_answer(clock):
+    class Feed:
+        def wait(self, cursor, wait_s):
+            return feeding.result.Err(adapters.FeedExpired())
+
+    follower = feeding.Follower("declarations", Feed(), None, None)
+    clock.advance(5)
+    follower._wait(1.0)
+    assert follower.unanswered_s == 0
