--- /dev/null
+++ b/packages/mothworks_gateway/tests/test_silent_polls.py
@@ -0,0 +1,165 @@
+"""Polls that the platform does not answer: silence is never taken for health."""
+
+import types
+
+import gevent
+import gevent.event
+import pytest
+import result
+
+import gateway_builders
+import virtual_time
+from mothworks import membership, peers, plugins
+from mothworks_gateway import (
+    adapters,
+    broadcast,
+    declarations,
+    discovery,
+    feeding,
+    lease,
+    pulse,
+    watch_duty,
+    watching,
+)
+
+
+class SilentFeed(adapters.Feed):
+    """A feed that counts calls and answers none until it is told to."""
+
+    def __init__(self):
+        self.calls = []
+        self.answers = gevent.event.Event()
+
+    def read(self):
+        self.calls.append("read")
+        self.answers.wait()
+        return result.Ok(adapters.Listing(5, {}))
+
+    def wait(self, cursor, wait_s):
+        self.calls.append(("wait", cursor))
+        self.answers.wait()
+        gevent.sleep(0.01)
+        return result.Ok(adapters.Changes(cursor, ()))
+
+
+@pytest.fixture
+def feed():
+    return SilentFeed()
+
+
+@pytest.fixture
+def follower(feed, monkeypatch):
+    monkeypatch.setattr(feeding, "SETTLE_S", 0.0)
+    made = feeding.Follower("declarations", feed, lambda _: None, lambda _: None)
+    task = gevent.spawn(made.run)
+    yield made
+    task.kill()
+
+
+def until(condition):
+    with gevent.Timeout(5):
+        while not condition():
+            gevent.sleep(0.002)
+
+
+# Guards against a VM that the platform refuses and that publishes health.
+def test_a_poll_that_is_interrupted_is_no_answer(follower, feed):
+    feed.answers.set()
+    until(lambda: len(feed.calls) > 2)
+    feed.answers.clear()
+    follower.lost_at = feeding.time.monotonic()
+    calls = len(feed.calls)
+    gevent.sleep(0.05)
+    follower.hurry(follower.cursor + 1, 0.0)
+    until(lambda: len(feed.calls) > calls)
+    assert follower.lost_at is not None
+
+
+# Guards against following from a revision at which nothing was ever read.
+def test_a_first_reading_that_is_interrupted_is_made_again(follower, feed):
+    until(lambda: feed.calls == ["read"])
+    follower.hurry(1, 0.0)
+    until(lambda: len(feed.calls) > 1)
+    assert feed.calls[1] == "read"
+
+
+class Watcher:
+    """One VM that watches for all, in virtual time, without network.
+
+    :param monkeypatch: pytest's fixture.
+    """
+
+    def __init__(self, monkeypatch):
+        self.clock = virtual_time.Clock(monkeypatch, feeding, watching)
+        self.published = []
+        self.feed_by_name = {"declarations": SilentFeed(), "endpoints": SilentFeed()}
+        monkeypatch.setattr(plugins, "find", lambda *_: lambda *_: None)
+        kernel = gateway_builders.Kernel({})
+        kernel.parts.update(self._parts(kernel))
+        self.part = watching.Watching(kernel)
+
+    def _parts(self, kernel):
+        owner = feeding.Feeding(kernel)
+        for name, feed in self.feed_by_name.items():
+            owner.add(feeding.Follower(name, feed, lambda _: None, lambda _: None))
+        view = types.SimpleNamespace(near=lambda: [], on_change=[])
+        link = types.SimpleNamespace(handle=lambda *_: None)
+        declared = types.SimpleNamespace(version=1, current=None, on_change=[])
+        found = types.SimpleNamespace(
+            loaded=True,
+            changed_at=1,
+            registry=types.SimpleNamespace(cursor=1),
+            on_platform_changes=[],
+            follower=owner.follower_by_name["endpoints"],
+        )
+        return {
+            feeding.Feeding: owner,
+            membership.Membership: view,
+            peers.Peers: link,
+            broadcast.Broadcast: types.SimpleNamespace(tell=self.published.append),
+            lease.Lease: types.SimpleNamespace(held=lambda: True),
+            pulse.Pulses: None,
+            declarations.Declarations: declared,
+            discovery.Discovery: found,
+        }
+
+    def answer(self, *names):
+        """Let the platform answer a poll of some feeds."""
+        for name in names:
+            feed = self.feed_by_name[name]
+            feed.answers.set()
+            self.part.feeding.follower_by_name[name]._wait(0.0)
+            feed.answers.clear()
+
+    def good(self):
+        """Return whether this VM publishes that the platform answers it."""
+        self.part._sign()
+        [heartbeat] = [
+            one for one in self.published if isinstance(one, watch_duty.Sign)
+        ]
+        self.published.clear()
+        return heartbeat.good
+
+
+@pytest.fixture
+def watcher(monkeypatch):
+    return Watcher(monkeypatch)
+
+
+# Guards against a feed that hangs behind another one that answers.
+def test_health_is_published_only_while_each_feed_is_answered(watcher):
+    watcher.answer("declarations", "endpoints")
+    assert watcher.good()
+    for _ in range(10):
+        watcher.clock.advance(0.5)
+        watcher.answer("endpoints")
+    assert not watcher.good()
+
+
+# Guards against watchers that take over while the platform refuses them.
+def test_a_vm_that_begins_to_watch_publishes_no_health_before_an_answer(watcher):
+    watcher.clock.advance(20)
+    watcher.part.tells = True
+    assert not watcher.good()
+    watcher.answer("declarations", "endpoints")
+    assert watcher.good()
