Feeding: a poll that this VM interrupts is no answer

Cause: a VM that the store refused without a word ended its polls whenever a peer knew a newer revision, every 1.3 s. The end counted as an answer: the outage was taken for over (dependency regained at 15.559 s, nothing answered until 20.003 s), the VM published good, and the others relied on it. An interrupted first reading counted as read, too: the next call waited for changes after revision 0. Change: Interrupted is an outcome of its own, which changes nothing that is known of the platform.

The test of the poll noted the outage while an answer could be on its way; it does so later now, and both tests fail on the code before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -45,6 +45,11 @@
 STALE_S = 2.0
 
 
+@attrs.frozen
+class Interrupted:
+    """A call was given up by this VM, which says nothing of the platform."""
+
+
 def _set_event() -> gevent.event.Event:
     made = gevent.event.Event()
     made.set()
@@ -102,6 +107,8 @@
                     self._note_answer()
                     self._impatient.clear()
                     self._impatient.wait(rest_s)
+                case result.Err(Interrupted()):
+                    pass
                 case result.Err(adapters.FeedExpired()):
                     logs.event(log, "history gone", feed=self.name, cursor=self.cursor)
                     self._listed = False
@@ -213,7 +220,7 @@
         if poll.exception is not None:
             raise poll.exception
         if isinstance(outcome, gevent.GreenletExit):
-            return result.Ok(None)
+            return result.Err(Interrupted())
         return outcome
 
     def _read(self) -> result.Result:
--- a/packages/mothworks_gateway/tests/test_silent_polls.py
+++ b/packages/mothworks_gateway/tests/test_silent_polls.py
@@ -67,9 +67,9 @@
     feed.answers.set()
     until(lambda: len(feed.calls) > 2)
     feed.answers.clear()
+    gevent.sleep(0.05)
     follower.lost_at = feeding.time.monotonic()
     calls = len(feed.calls)
-    gevent.sleep(0.05)
     follower.hurry(follower.cursor + 1, 0.0)
     until(lambda: len(feed.calls) > calls)
     assert follower.lost_at is not None
