Watching: health is what the answers about each feed show; a silent poll ends in time

Cause: a poll of the declaration that was sent while the store was silent stayed open for up to 11.5 s after the store was back. Whether the platform answers a VM was read from the feed of endpoints alone, whose polls are short, and was assumed until a poll failed; so the watchers published good, the other VMs relied on them, and nobody read the declaration. Change: each feed has a time by which the platform must answer again. Only an answer sets it; a poll that passes it ends and counts as a failure. A VM publishes health only while all feeds are answered, at once when that changes, and not before its first answer when it takes over, which it gets by a call that does not wait. Polls of all feeds last 1 s where there are other VMs (10 s for the declaration before). A VM whose watchers publish no health follows at once. A poll from before a change of duty is given up. Why it works: silence is found within 1.5 s by those who rely on the feed, whatever else answers; the bound is 2 s. A lone VM keeps its long polls.

--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -21,9 +21,13 @@
 
 log = logbook.Logger("feeding")
 
-#: Longest long poll, seconds. A poll that hangs on a dead connection ends after
-#: it; shorter ones cost more calls.
-WAIT_S = 10.0
+#: Longest long poll, seconds, and the time beyond it after which the platform counts as
+#: silent: together less than the time in which a change must be in force.
+POLL_S = 1.0
+POLL_GRACE_S = 0.5
+#: Longest long poll of a VM that knows no other VMs, seconds: nobody relies on it, and
+#: each poll is a priced call.
+LONE_POLL_S = 10.0
 #: Pause between attempts while the platform is away, seconds: the first, the
 #: longest, and how the pause grows.
 PAUSE_S = 0.1
@@ -50,6 +54,10 @@
     """A call was given up by this VM, which says nothing of the platform."""
 
 
+def _do_nothing() -> None:
+    """Stand for a callback that nobody set."""
+
+
 def _set_event() -> gevent.event.Event:
     made = gevent.event.Event()
     made.set()
@@ -67,10 +75,13 @@
     :param gather_s: time to let further changes gather before they are
         fetched, seconds; each fetch is a call.
     :param poll_s: longest long poll, seconds.
+    :param on_health: called when the platform stops answering, and with its first
+        answer after that or after this VM began to follow the feed.
     :param cursor: the newest revision seen.
     :param lost_at: monotonic time since when the platform does not answer.
     :param back_at: monotonic time at which it last answered again.
     :param answered_at: monotonic time at which the platform last answered a call.
+    :param due_at: monotonic time by which it must have answered again.
     :param as_of: what was taken is all that there was at this moment, on the clock
         of :func:`suspension.now`. It is the moment before the last answered call was
         sent: when within the call the platform looked is not known.
@@ -81,17 +92,22 @@
     take_all: collections.abc.Callable[[adapters.Listing], None]
     take_changes: collections.abc.Callable[[adapters.Changes], None]
     gather_s: float = 0.0
-    poll_s: float = WAIT_S
+    poll_s: float = POLL_S
+    on_health: collections.abc.Callable[[], None] = _do_nothing
     cursor: int = 0
     lost_at: float | None = None
     back_at: float = -DOUBT_S
     answered_at: float = attrs.field(factory=lambda: time.monotonic())
+    due_at: float = -math.inf
     as_of: float = -math.inf
     polling_since: float = 0.0
     _listed: bool = False
     _impatient: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     _followed: gevent.event.Event = attrs.field(factory=_set_event)
     _poll: gevent.Greenlet | None = None
+    #: Whether the next poll only asks for what is there already.
+    _catches_up: bool = False
+    _was_healthy: bool = False
 
     def run(self) -> None:
         """Follow the feed for ever, while it is to be followed here."""
@@ -128,6 +144,15 @@
         """Return whether this VM follows the feed by itself."""
         return self._followed.is_set()
 
+    @property
+    def healthy(self) -> bool:
+        """Return whether the platform answers what this VM asks about the feed.
+
+        Only an answer shows it, and only for the time that the next one may take: a
+        platform that falls silent on an open connection never fails a call by itself.
+        """
+        return self.lost_at is None and time.monotonic() < self.due_at
+
     @property
     def polling_s(self) -> float:
         """Return how long the poll under way has lasted, seconds; 0 without one."""
@@ -143,20 +168,28 @@
 
         :param follows: whether this VM is to follow the feed by itself.
         """
+        if follows == self.followed:
+            return
+        # A poll from before may hang on a connection that went silent meanwhile.
+        self._interrupt()
         if follows:
+            self.due_at = -math.inf
+            self._was_healthy = False
+            self._catches_up = True
+            self._impatient.set()
             self._followed.set()
-        elif self._followed.is_set():
+        else:
             self._followed.clear()
             # Others reach the platform, so nothing is in doubt here any longer.
-            self._note_answer()
+            self._end_outage("left to others")
 
     def poll_for(self, seconds: float) -> None:
         """Change how long polls last; one under way that lasts longer ends at once.
 
         :param seconds: see :attr:`poll_s`.
         """
-        if seconds < self.poll_s and self._poll is not None and self._listed:
-            self._poll.kill(block=False)
+        if seconds < self.poll_s and self._listed:
+            self._interrupt()
         self.poll_s = seconds
 
     def refresh(self) -> bool:
@@ -196,7 +229,7 @@
             logs.event(
                 log, "poll ended", feed=self.name, cursor=self.cursor, peer=cursor
             )
-            self._poll.kill(block=False)
+            self._interrupt()
 
     @property
     def doubt_until(self) -> float:
@@ -207,27 +240,45 @@
 
     def _poll_once(self) -> result.Result:
         self.polling_since = time.monotonic()
+        # The calls of a reading, of which there may be several, end by themselves.
+        limit_s = None
         if self._listed:
-            self._poll = gevent.spawn(self._wait, self.poll_s)
+            wait_s = self._take_wait_s()
+            limit_s = wait_s + POLL_GRACE_S
+            self.due_at = min(self.due_at, self.polling_since + limit_s)
+            poll = gevent.spawn(self._wait, wait_s)
         else:
-            self._poll = gevent.spawn(self._read)
+            poll = gevent.spawn(self._read)
+        self._poll = poll
         try:
-            self._poll.join()
-            outcome = self._poll.value
+            poll.join(limit_s)
+            late = not poll.dead
         finally:
-            poll, self._poll = self._poll, None
+            self._poll = None
             poll.kill(block=False)
+        if late:
+            return result.Err(adapters.FeedDown("no answer in time"))
         if poll.exception is not None:
             raise poll.exception
-        if isinstance(outcome, gevent.GreenletExit):
+        if isinstance(poll.value, gevent.GreenletExit):
             return result.Err(Interrupted())
-        return outcome
+        return poll.value
+
+    def _take_wait_s(self) -> float:
+        """Return how long the next poll may wait for changes, seconds."""
+        catches_up, self._catches_up = self._catches_up, False
+        return CATCH_UP_S if catches_up else self.poll_s
+
+    def _interrupt(self) -> None:
+        """End the call under way, if there is one."""
+        if self._poll is not None:
+            self._poll.kill(block=False)
 
     def _read(self) -> result.Result:
         sent = suspension.now()
         read = self.feed.read()
         if read.is_ok():
-            self.answered_at = time.monotonic()
+            self._note_call_answered()
             self.take_all(read.ok_value)
             self.cursor = max(self.cursor, read.ok_value.cursor)
             self.as_of = max(self.as_of, sent)
@@ -237,13 +288,19 @@
         sent = suspension.now()
         waited = self.feed.wait(self.cursor, wait_s)
         if waited.is_ok() or isinstance(waited.err(), adapters.FeedExpired):
-            self.answered_at = time.monotonic()
+            self._note_call_answered()
         if waited.is_ok():
             self.take_changes(waited.ok_value)
             self.cursor = max(self.cursor, waited.ok_value.cursor)
             self.as_of = max(self.as_of, sent)
         return waited
 
+    def _note_call_answered(self) -> None:
+        now = time.monotonic()
+        rest_s = max(self.gather_s, SETTLE_S)
+        self.answered_at = now
+        self.due_at = now + rest_s + self.poll_s + POLL_GRACE_S
+
     def _note_failure(self, reason: str) -> None:
         if self.lost_at is None:
             self.lost_at = time.monotonic()
@@ -255,19 +312,32 @@
                 reason=reason[:200],
                 cursor=self.cursor,
             )
+        self._note_health()
 
     def _note_answer(self) -> None:
-        if self.lost_at is not None:
-            self.back_at = time.monotonic()
-            logs.event(
-                log,
-                "dependency regained",
-                dependency="platform",
-                feed=self.name,
-                away_s=round(self.back_at - self.lost_at, 3),
-                cursor=self.cursor,
-            )
-            self.lost_at = None
+        self._end_outage("answered")
+        self._note_health()
+
+    def _note_health(self) -> None:
+        healthy = self.healthy
+        if healthy != self._was_healthy:
+            self._was_healthy = healthy
+            self.on_health()
+
+    def _end_outage(self, outcome: str) -> None:
+        if self.lost_at is None:
+            return
+        self.back_at = time.monotonic()
+        logs.event(
+            log,
+            "dependency regained",
+            dependency="platform",
+            feed=self.name,
+            away_s=round(self.back_at - self.lost_at, 3),
+            cursor=self.cursor,
+            outcome=outcome,
+        )
+        self.lost_at = None
 
 
 class Feeding(kernel.Part):
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -35,14 +35,9 @@
 #: Seconds between looks at who tells, and between signs of those that do.
 LOOK_S = 0.25
 SIGN_S = 0.5
-#: Longest poll of a VM that tells, seconds. A platform that falls silent to it shows
-#: by a poll that does not end; others rely on its word until then.
-POLL_S = 1.0
 #: Longest poll of the declaration where callers need keys, seconds: what a poll shows
 #: is only as new as its beginning (:mod:`freshness`).
 FRESH_POLL_S = 0.5
-#: Time beyond a poll's wait after which the platform counts as silent, seconds.
-POLL_GRACE_S = 0.5
 #: Time that told changes may take on their way before this VM reads them, seconds.
 PATIENCE_S = 0.35
 #: Time in which a new declaration is usually told, and over which the VMs that miss it
@@ -100,6 +95,8 @@
 
     def start(self) -> None:
         """Start to decide who follows, and to tell."""
+        for follower in self.feeding.follower_by_name.values():
+            follower.on_health = self._on_health
         self.tasks.every(LOOK_S, self._look)
 
     def _look(self) -> None:
@@ -118,24 +115,32 @@
                 others=sorted(good),
                 outcome="tells" if tells else "hears",
             )
+        took_over = tells and not self.tells
         self.tells = tells
-        endpoints = self.feeding.follower_by_name["endpoints"]
-        listened_to = tells and len(ranked) > 1
-        endpoints.poll_s = POLL_S if listened_to else feeding.WAIT_S
-        self._poll_declaration()
-        read = self.discovery.loaded and self.declarations.version > 0
-        for follower in self.feeding.follower_by_name.values():
-            follower.follow(tells or not good or not read)
+        self._set_poll_times(alone=len(ranked) == 1)
+        self._follow_feeds(good)
         if not tells:
             self._read_what_lacks(good, now)
-        elif now - self.signed_at > SIGN_S - LOOK_S / 2:
+        elif not took_over and now - self.signed_at > SIGN_S - LOOK_S / 2:
+            # One that has just taken over says nothing before it may have an answer.
             self._sign()
 
-    def _poll_declaration(self) -> None:
+    def _follow_feeds(self, good: dict[str, watch_duty.Sign]) -> None:
+        """Follow the feeds where this VM is to, or where nobody is known to be able to.
+
+        :param good: the recent signs of VMs that the platform answers, by VM.
+        """
+        read = self.discovery.loaded and self.declarations.version > 0
+        for follower in self.feeding.follower_by_name.values():
+            follower.follow(self.tells or not good or not read)
+
+    def _set_poll_times(self, alone: bool) -> None:
         current = self.declarations.current
         keyed = current is not None and current.accounts is not None
-        follower = self.feeding.follower_by_name["declarations"]
-        follower.poll_for(FRESH_POLL_S if keyed else feeding.WAIT_S)
+        poll_s = feeding.LONE_POLL_S if alone else feeding.POLL_S
+        by_name = self.feeding.follower_by_name
+        by_name["endpoints"].poll_for(poll_s)
+        by_name["declarations"].poll_for(FRESH_POLL_S if keyed else poll_s)
 
     def _may_tell(self, ranked: list[str], now: float) -> bool:
         if self.kernel.draining:
@@ -147,16 +152,18 @@
         return self.name in self.duty.tellers(others, now)
 
     def _good(self) -> bool:
-        """Return whether the platform answers this VM."""
-        follower = self.feeding.follower_by_name["endpoints"]
-        waited = time.monotonic() - follower.polling_since
+        """Return whether the platform answers this VM about all that others rely on."""
         return (
             self.discovery.loaded
             and self.declarations.version > 0
-            and follower.lost_at is None
-            and (not follower.polls or waited < follower.poll_s + POLL_GRACE_S)
+            and all(item.healthy for item in self.feeding.follower_by_name.values())
         )
 
+    def _on_health(self) -> None:
+        """Publish at once that the platform stopped answering, or answers again."""
+        if self._good() != bool(self.signed_good):
+            self._sign()
+
     def _sign(self) -> None:
         if not self.tells:
             return
@@ -210,6 +217,7 @@
     def _hear_sign(self, vm: str, sign: watch_duty.Sign, _: peers.Answer) -> None:
         self.duty.hear(vm, sign, time.monotonic())
         if not sign.good:
+            self._follow_feeds(self.duty.good_signs(time.monotonic()))
             return
         self.discovery.confirm(sign.changed_at, sign.cursor)
         if self.tells:
