Watching: the store's return is noticed by any call, and old polls are given up

Change: when the store answers a call for the lease after one that it did not answer, polls that were sent meanwhile are given up for a call that does not wait. It also brings the holder of the lease back sooner where there are others. Left: a lone VM whose poll alone goes silent, without any other call failing, notices after 10.5 s.

--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -171,11 +171,10 @@
         if follows == self.followed:
             return
         # A poll from before may hang on a connection that went silent meanwhile.
-        self._interrupt()
+        self.poll_anew()
         if follows:
             self.due_at = -math.inf
             self._was_healthy = False
-            self._catches_up = True
             self._impatient.set()
             self._followed.set()
         else:
@@ -192,6 +191,11 @@
             self._interrupt()
         self.poll_s = seconds
 
+    def poll_anew(self) -> None:
+        """Ask at once what is new, in place of a poll that may wait for nothing."""
+        self._catches_up = True
+        self._interrupt()
+
     def refresh(self) -> bool:
         """Read all once, while others follow the feed.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/relayed_objects.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/relayed_objects.py
@@ -94,6 +94,10 @@
         self.own = objects.Client(plugin, node_kernel.metrics)
         self.peers = node_kernel.get(peers.Peers)
         self.membership = node_kernel.get(membership.Membership)
+        #: Whether the store answered the last call that this VM made.
+        self.answered = True
+        #: Functions to call when the store answers this VM after it failed to.
+        self.on_return: list = []
         self.peers.handle(RelayedRead, self._serve_read)
         self.peers.handle(RelayedWrite, self._serve_write)
 
@@ -150,8 +154,16 @@
         task.join(OWN_S)
         if task.exception is not None:
             raise task.exception
+        self._note(task.value is not None and not _unanswered(task.value))
         return task.value
 
+    def _note(self, answered: bool) -> None:
+        returned = answered and not self.answered
+        self.answered = answered
+        if returned:
+            for notify in self.on_return:
+                notify()
+
     def _ask(self, message: RelayedRead | RelayedWrite) -> typing.Iterator[Relayed]:
         """Yield the answers of some peers, in turn."""
         near = [item.name for item in self.membership.near()]
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -27,6 +27,7 @@
     lease,
     pulse,
     ranking,
+    relayed_objects,
     watch_duty,
 )
 
@@ -92,6 +93,8 @@
         node_peers.handle(RegistryNews, self._hear_news)
         self.discovery.on_platform_changes.append(self._tell_changes)
         self.declarations.on_change.append(lambda _: self._sign())
+        store = node_kernel.get(relayed_objects.RelayedObjects)
+        store.on_return.append(self._poll_anew)
 
     def start(self) -> None:
         """Start to decide who follows, and to tell."""
@@ -159,6 +162,12 @@
             and all(item.healthy for item in self.feeding.follower_by_name.values())
         )
 
+    def _poll_anew(self) -> None:
+        """Give up polls that were sent during an outage: they may never be answered."""
+        for follower in self.feeding.follower_by_name.values():
+            if follower.followed:
+                follower.poll_anew()
+
     def _on_health(self) -> None:
         """Publish at once that the platform stopped answering, or answers again."""
         if self._good() != bool(self.signed_good):
--- a/packages/mothworks_gateway/tests/test_silent_polls.py
+++ b/packages/mothworks_gateway/tests/test_silent_polls.py
@@ -18,6 +18,7 @@
     feeding,
     lease,
     pulse,
+    relayed_objects,
     watch_duty,
     watching,
 )
@@ -119,6 +120,7 @@
             broadcast.Broadcast: types.SimpleNamespace(tell=self.published.append),
             lease.Lease: types.SimpleNamespace(held=lambda: True),
             pulse.Pulses: None,
+            relayed_objects.RelayedObjects: types.SimpleNamespace(on_return=[]),
             declarations.Declarations: declared,
             discovery.Discovery: found,
         }
