--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -68,10 +68,10 @@
         if cursor > self.registry.cursor:
             self._take_all(adapters.Listing(cursor, document_by_name))
 
-    def take_told(
+    def take_published(
         self, before: int, changes: adapters.Changes, doubt_until: float
     ) -> None:
-        """Take changes that a peer tells, if they follow on what is known here.
+        """Take changes that a peer publishes, if they follow on what is known here.
 
         :param before: revision of the change before them.
         :param changes: the changes, the last of each entry.
--- a/packages/mothworks_gateway/src/mothworks_gateway/freshness.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/freshness.py
@@ -141,7 +141,7 @@
         if self.declarations.current.accounts is None:
             return
         self._count_vms()
-        least_s = OWN_AGE_S if self.watching.tells else 0.0
+        least_s = OWN_AGE_S if self.watching.is_watcher else 0.0
         if self.age_s() > least_s:
             self._ask(self._choose())
         self._note()
@@ -168,10 +168,10 @@
         collectors, which the others ask.
         """
         candidates = self.owners.candidates()
-        tellers = list(self.watching.duty.good_signs(time.monotonic()))
+        watchers = list(self.watching.election.healthy_watchers(time.monotonic()))
         everybody = collectors.are_few(self.membership.near())
         if everybody or self.name in candidates:
-            return tellers or [vm for vm in candidates if vm != self.name]
+            return watchers or [vm for vm in candidates if vm != self.name]
         return candidates
 
     def _ask(self, vm: str) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -1,15 +1,16 @@
-"""Watching: a few VMs follow the platform's feeds, and tell all others what changes.
-
-If every VM follows by itself, calls to the platform grow with VMs times changes: 195
-VMs made 15,000 calls in 50 s, 80 each, to learn the same. Now the holder of the
-lease and one more VM follow the feeds (:mod:`watch_duty`). They tell changes of the
-registry as they are, and by a sign twice a second how new their view is. A VM that is
-behind such a sign reads what it lacks, by one call; one that hears no good sign
-follows by itself. So a message that is lost, or a teller that is, delays news by the
-time of a sign, and hides none.
+"""Watching: a few VMs follow the platform's feeds and publish changes to all others.
+
+If every VM followed by itself, calls to the platform would grow with VMs times changes.
+So the holder of the lease and one more VM follow the feeds (:mod:`watcher_election`).
+They publish changes of the registry as they are, and a status twice a second: whether
+the platform answers them, and how new their view is. A VM that is behind a status reads
+what it misses by one call; one that knows no healthy watcher follows by itself. So a
+message or a watcher that is lost delays a change by the time of a status, and hides
+none.
 """
 
 import collections.abc
+import itertools
 import random
 import time
 
@@ -28,29 +29,31 @@
     pulse,
     ranking,
     relayed_objects,
-    watch_duty,
+    watcher_election,
 )
 
 log = logbook.Logger("watching")
 
-#: Seconds between looks at who tells, and between signs of those that do.
-LOOK_S = 0.25
-SIGN_S = 0.5
+StatusByVm = dict[str, watcher_election.Status]
+
+#: Seconds between checks of who watches, and between statuses of those that do.
+CHECK_S = 0.25
+STATUS_S = 0.5
 #: Longest poll of the declaration where callers need keys, seconds: what a poll shows
 #: is only as new as its beginning (:mod:`freshness`).
 FRESH_POLL_S = 0.5
-#: Time that told changes may take on their way before this VM reads them, seconds.
-PATIENCE_S = 0.35
-#: Time in which a new declaration is usually told, and over which the VMs that miss it
-#: spread their readings, seconds.
-TOLD_S = 0.1
+#: Time that published changes may take on their way before this VM reads them, seconds.
+CATCH_UP_DELAY_S = 0.35
+#: Time in which a new declaration is usually published, and over which the VMs that
+#: miss it spread their readings, seconds.
+PUBLISH_DELAY_S = 0.1
 SPREAD_S = 0.25
 
 
 @messages.message(125)
 @attrs.frozen
-class RegistryNews:
-    """Tells all VMs of changes in the registry.
+class RegistryUpdate:
+    """Changes in the registry, for all VMs.
 
     :param before: revision of the change before the first of these.
     :param cursor: revision as of which these are all changes since.
@@ -65,7 +68,7 @@
 
 
 class Watching(kernel.Part):
-    """Follows the feeds for all VMs, or hears of them.
+    """Follows the feeds for all VMs, or takes what watchers publish.
 
     :param node_kernel: the node's kernel.
     """
@@ -80,62 +83,65 @@
         self.declarations = node_kernel.get(declarations.Declarations)
         self.discovery = node_kernel.get(discovery.Discovery)
         self.feeding = node_kernel.get(feeding.Feeding)
-        self.duty = watch_duty.WatchDuty(self.name)
+        self.election = watcher_election.WatcherElection(self.name)
         self.ranking = ranking.Ranking("watch", self.name, self.membership)
-        self.tells = True
-        self.signed_at = 0.0
-        #: Whether this VM's last sign said that the platform answers it.
-        self.signed_good: bool | None = None
+        self.is_watcher = True
+        self.published_at = 0.0
+        #: What this VM's last status said of the platform; None before one.
+        self.published_health: bool | None = None
         self.behind_since: float | None = None
         self._reading: set[collections.abc.Callable[[], bool]] = set()
         node_peers = node_kernel.get(peers.Peers)
-        node_peers.handle(watch_duty.Sign, self._hear_sign)
-        node_peers.handle(RegistryNews, self._hear_news)
-        self.discovery.on_platform_changes.append(self._tell_changes)
-        self.declarations.on_change.append(lambda _: self._sign())
+        node_peers.handle(watcher_election.Status, self._on_status)
+        node_peers.handle(RegistryUpdate, self._on_registry_update)
+        self.discovery.on_platform_changes.append(self._publish_changes)
+        self.declarations.on_change.append(lambda _: self._publish_status())
         store = node_kernel.get(relayed_objects.RelayedObjects)
         store.on_return.append(self._poll_anew)
 
     def start(self) -> None:
-        """Start to decide who follows, and to tell."""
+        """Start to check who watches, and to publish."""
         for follower in self.feeding.follower_by_name.values():
             follower.on_health = self._on_health
-        self.tasks.every(LOOK_S, self._look)
+        self.tasks.every(CHECK_S, self._check)
 
-    def _look(self) -> None:
-        """Decide whether this VM follows the feeds, and whether it tells."""
+    def _check(self) -> None:
+        """Decide whether this VM watches, and which feeds it follows."""
         now = time.monotonic()
         ranked = self.ranking.vms
-        self.duty.forget(set(ranked))
-        good = self.duty.good_signs(now)
-        tells = self._may_tell(ranked, now)
-        if tells != self.tells:
-            self.signed_good = None
-            logs.event(
-                log,
-                "watch",
-                reason=f"{len(good)} others tell",
-                others=sorted(good),
-                outcome="tells" if tells else "hears",
-            )
-        took_over = tells and not self.tells
-        self.tells = tells
+        self.election.forget(set(ranked))
+        healthy = self.election.healthy_watchers(now)
+        elected = self._is_elected(ranked, now)
+        took_over = elected and not self.is_watcher
+        if elected != self.is_watcher:
+            self._set_duty(elected, healthy)
         self._set_poll_times(alone=len(ranked) == 1)
-        self._follow_feeds(good)
-        if not tells:
-            self._read_what_lacks(good, now)
-        elif not took_over and now - self.signed_at > SIGN_S - LOOK_S / 2:
-            # One that has just taken over says nothing before it may have an answer.
-            self._sign()
+        self._follow_feeds(healthy)
+        if not elected:
+            self._catch_up_registry(healthy, now)
+        elif not took_over and now - self.published_at > STATUS_S - CHECK_S / 2:
+            # One that has just taken over has had no time for an answer.
+            self._publish_status()
+
+    def _set_duty(self, elected: bool, healthy: StatusByVm) -> None:
+        self.is_watcher = elected
+        self.published_health = None
+        logs.event(
+            log,
+            "watch",
+            reason=f"{len(healthy)} other healthy watchers",
+            others=sorted(healthy),
+            outcome="watcher" if elected else "not a watcher",
+        )
 
-    def _follow_feeds(self, good: dict[str, watch_duty.Sign]) -> None:
-        """Follow the feeds where this VM is to, or where nobody is known to be able to.
+    def _follow_feeds(self, healthy: StatusByVm) -> None:
+        """Follow the feeds as a watcher, or where no healthy watcher is known.
 
-        :param good: the recent signs of VMs that the platform answers, by VM.
+        :param healthy: the recent statuses of healthy watchers, by VM.
         """
         read = self.discovery.loaded and self.declarations.version > 0
         for follower in self.feeding.follower_by_name.values():
-            follower.follow(self.tells or not good or not read)
+            follower.follow(self.is_watcher or not healthy or not read)
 
     def _set_poll_times(self, alone: bool) -> None:
         current = self.declarations.current
@@ -145,16 +151,17 @@
         by_name["endpoints"].poll_for(poll_s)
         by_name["declarations"].poll_for(FRESH_POLL_S if keyed else poll_s)
 
-    def _may_tell(self, ranked: list[str], now: float) -> bool:
+    def _is_elected(self, ranked: list[str], now: float) -> bool:
         if self.kernel.draining:
             return False
         if self.lease.held():
             return True
         holder = self.lease.holder()
         others = [vm for vm in ranked if vm != holder]
-        return self.name in self.duty.tellers(others, now)
+        return self.name in self.election.watchers(others, now)
 
-    def _good(self) -> bool:
+    @property
+    def healthy(self) -> bool:
         """Return whether the platform answers this VM about all that others rely on."""
         return (
             self.discovery.loaded
@@ -170,29 +177,29 @@
 
     def _on_health(self) -> None:
         """Publish at once that the platform stopped answering, or answers again."""
-        if self._good() != bool(self.signed_good):
-            self._sign()
+        if self.healthy != bool(self.published_health):
+            self._publish_status()
 
-    def _sign(self) -> None:
-        if not self.tells:
+    def _publish_status(self) -> None:
+        if not self.is_watcher:
             return
-        self.signed_at = time.monotonic()
-        good = self._good()
-        self._note_good(good)
+        self.published_at = time.monotonic()
+        healthy = self.healthy
+        self._note_health(healthy)
         self.broadcast.tell(
-            watch_duty.Sign(
-                good,
+            watcher_election.Status(
+                healthy,
                 self.discovery.registry.cursor,
                 self.discovery.changed_at,
                 self.declarations.version,
             )
         )
 
-    def _note_good(self, good: bool) -> None:
+    def _note_health(self, healthy: bool) -> None:
         """Log a change of what this VM publishes of the platform, feed by feed."""
-        if good == self.signed_good:
+        if healthy == self.published_health:
             return
-        self.signed_good = good
+        self.published_health = healthy
         for follower in self.feeding.follower_by_name.values():
             logs.event(
                 log,
@@ -203,56 +210,62 @@
                 unanswered_s=round(follower.unanswered_s, 3),
                 polling_s=round(follower.polling_s, 3),
                 lost=follower.lost_at is not None,
-                outcome="good" if good else "bad",
+                outcome="healthy" if healthy else "unhealthy",
             )
 
-    def _tell_changes(self, before: int, changes: adapters.Changes) -> None:
-        """Tell all VMs of changes that the platform told this one."""
-        if not self.tells:
+    def _publish_changes(self, before: int, changes: adapters.Changes) -> None:
+        """Publish changes that the platform returned to this VM."""
+        if not self.is_watcher:
             return
         doubt_s = self.discovery.follower.doubt_until - time.monotonic()
         documents = {item.name: item.document for item in changes.changes}
-        news = RegistryNews(before, changes.cursor, documents, max(0.0, doubt_s))
-        self.broadcast.tell(news)
-
-    def _hear_news(self, _: str, news: RegistryNews, __: peers.Answer) -> None:
-        changes = tuple(
-            adapters.Change(name, document) for name, document in news.documents.items()
+        update = RegistryUpdate(before, changes.cursor, documents, max(0.0, doubt_s))
+        self.broadcast.tell(update)
+
+    def _on_registry_update(
+        self, _: str, update: RegistryUpdate, __: peers.Answer
+    ) -> None:
+        changes = tuple(itertools.starmap(adapters.Change, update.documents.items()))
+        doubt_until = time.monotonic() + update.doubt_s if update.doubt_s else 0.0
+        self.discovery.take_published(
+            update.before, adapters.Changes(update.cursor, changes), doubt_until
         )
-        doubt_until = time.monotonic() + news.doubt_s if news.doubt_s else 0.0
-        told = adapters.Changes(news.cursor, changes)
-        self.discovery.take_told(news.before, told, doubt_until)
-
-    def _hear_sign(self, vm: str, sign: watch_duty.Sign, _: peers.Answer) -> None:
-        self.duty.hear(vm, sign, time.monotonic())
-        if not sign.good:
-            self._follow_feeds(self.duty.good_signs(time.monotonic()))
+
+    def _on_status(
+        self, vm: str, status: watcher_election.Status, _: peers.Answer
+    ) -> None:
+        now = time.monotonic()
+        self.election.receive(vm, status, now)
+        if not status.healthy:
+            self._follow_feeds(self.election.healthy_watchers(now))
             return
-        self.discovery.confirm(sign.changed_at, sign.cursor)
-        if self.tells:
-            self._hurry(sign)
-        elif sign.declaration_version > self.declarations.version:
+        self.discovery.confirm(status.changed_at, status.cursor)
+        if self.is_watcher:
+            self._interrupt_stale_polls(status)
+        elif status.declaration_version > self.declarations.version:
             self._read_soon(self._read_declaration, vm)
 
-    def _hurry(self, sign: watch_duty.Sign) -> None:
+    def _interrupt_stale_polls(self, status: watcher_election.Status) -> None:
         """End polls of this VM's own that miss what another one has seen."""
         by_name = self.feeding.follower_by_name
-        if sign.declaration_version > self.declarations.version:
-            by_name["declarations"].hurry(sign.cursor, pulse.PATIENCE_S)
-        if sign.changed_at > self.discovery.registry.cursor:
-            by_name["endpoints"].hurry(sign.changed_at, pulse.STUCK_S)
-
-    def _read_what_lacks(self, good: dict[str, watch_duty.Sign], now: float) -> None:
-        """Read the registry once where news did not arrive."""
-        newest = max(good.values(), key=lambda sign: sign.changed_at, default=None)
+        if status.declaration_version > self.declarations.version:
+            by_name["declarations"].hurry(status.cursor, pulse.PATIENCE_S)
+        if status.changed_at > self.discovery.registry.cursor:
+            by_name["endpoints"].hurry(status.changed_at, pulse.STUCK_S)
+
+    def _catch_up_registry(self, healthy: StatusByVm, now: float) -> None:
+        """Read the registry once where an update did not arrive."""
+        newest = max(
+            healthy.values(), key=lambda status: status.changed_at, default=None
+        )
         if newest is None or newest.changed_at <= self.discovery.registry.cursor:
             self.behind_since = None
             return
         if self.behind_since is None:
             self.behind_since = now
-        if now - self.behind_since > PATIENCE_S:
+        if now - self.behind_since > CATCH_UP_DELAY_S:
             self.behind_since = None
-            vm = next(vm for vm, sign in good.items() if sign is newest)
+            vm = next(vm for vm, status in healthy.items() if status is newest)
             self._read_soon(self._read_registry, vm)
 
     def _read_soon(self, read: collections.abc.Callable[[], bool], vm: str) -> None:
@@ -269,9 +282,9 @@
             self._reading.discard(read)
 
     def _read_declaration(self) -> bool:
-        gevent.sleep(TOLD_S + random.uniform(0.0, SPREAD_S))
-        good = self.duty.good_signs(time.monotonic()).values()
-        newest = max((sign.declaration_version for sign in good), default=0)
+        gevent.sleep(PUBLISH_DELAY_S + random.uniform(0.0, SPREAD_S))
+        healthy = self.election.healthy_watchers(time.monotonic()).values()
+        newest = max((status.declaration_version for status in healthy), default=0)
         if newest <= self.declarations.version:
             return True
         return self.feeding.follower_by_name["declarations"].refresh()
--- a/packages/mothworks_gateway/tests/test_freshness.py
+++ b/packages/mothworks_gateway/tests/test_freshness.py
@@ -94,7 +94,7 @@
     :param names: all VMs.
     """
 
-    def __init__(self, name, platform, link, names, tells=False):
+    def __init__(self, name, platform, link, names, is_watcher=False):
         self.platform = platform
         self.declarations = types.SimpleNamespace(
             version=0,
@@ -108,7 +108,7 @@
             types.SimpleNamespace(name=vm, leaving=False) for vm in names if vm != name
         ]
         view = types.SimpleNamespace(near=lambda: near, on_change=[])
-        signs = types.SimpleNamespace(good_signs=lambda now: {"teller": None})
+        election = types.SimpleNamespace(healthy_watchers=lambda now: {"watcher": None})
         kernel = gateway_builders.Kernel(
             {
                 membership.Membership: view,
@@ -117,7 +117,9 @@
                 feeding.Feeding: types.SimpleNamespace(
                     follower_by_name={"declarations": self.follower}
                 ),
-                watching.Watching: types.SimpleNamespace(tells=tells, duty=signs),
+                watching.Watching: types.SimpleNamespace(
+                    is_watcher=is_watcher, election=election
+                ),
             }
         )
         kernel.settings = gateway_builders.make_settings(
@@ -142,14 +144,14 @@
         self.clock = virtual_time.Clock(monkeypatch, freshness, feeding)
         self.platform = Platform(self.clock)
         self.link = Link(self.clock)
-        names = ["teller", "hearer"]
-        self.teller = Vm("teller", self.platform, self.link, names, tells=True)
-        self.hearer = Vm("hearer", self.platform, self.link, names)
-        self.teller.poll()
-        self.hearer.take(adapters.Listing(1, {"main": b"1"}))
+        names = ["watcher", "follower"]
+        self.watcher = Vm("watcher", self.platform, self.link, names, is_watcher=True)
+        self.follower = Vm("follower", self.platform, self.link, names)
+        self.watcher.poll()
+        self.follower.take(adapters.Listing(1, {"main": b"1"}))
 
     def pass_on(self):
-        self.hearer.freshness._look()
+        self.follower.freshness._look()
 
 
 @pytest.fixture
@@ -157,13 +159,13 @@
     return Pair(monkeypatch)
 
 
-def test_keys_are_honoured_while_others_tell(pair):
+def test_keys_are_honoured_while_others_watch(pair):
     for _ in range(40):
         pair.clock.advance(0.4)
-        pair.teller.poll()
+        pair.watcher.poll()
         pair.pass_on()
-        assert pair.hearer.freshness.holds()
-    assert pair.hearer.follower.as_of < 0
+        assert pair.follower.freshness.holds()
+    assert pair.follower.follower.as_of < 0
 
 
 def test_a_vm_that_is_cut_off_stops_to_honour_keys(pair):
@@ -176,14 +178,14 @@
         pair.clock.advance(0.4)
         pair.pass_on()
     assert pair.clock.now - pair.platform.acked_at_by_version[2] < REVOKE_S
-    assert not pair.hearer.freshness.holds()
+    assert not pair.follower.freshness.holds()
 
 
 def test_a_vm_that_was_suspended_honours_no_key(pair):
     # The steady clock says that nothing happened for ten seconds.
     pair.pass_on()
     pair.clock.suspend(10.0)
-    assert not pair.hearer.freshness.holds()
+    assert not pair.follower.freshness.holds()
 
 
 def test_an_answer_that_lay_in_a_socket_is_as_old_as_its_question(pair):
@@ -191,13 +193,13 @@
     # Taken as news, it let a key work that was taken away nine seconds ago.
     pair.link.back_s = 10.0
     pair.pass_on()
-    assert not pair.hearer.freshness.holds()
+    assert not pair.follower.freshness.holds()
 
 
 def test_what_a_peer_knows_is_as_old_as_its_own_proof(pair):
     pair.clock.advance(3.0)
     pair.pass_on()
-    assert pair.hearer.freshness.age_s() == pytest.approx(3.0)
+    assert pair.follower.freshness.age_s() == pytest.approx(3.0)
 
 
 def test_an_answer_of_the_platform_is_as_old_as_its_question(pair):
@@ -205,25 +207,25 @@
     # platform looked is not known.
     pair.clock.advance(10.0)
     pair.platform.back_s = 6.0
-    pair.teller.poll()
-    assert not pair.teller.freshness.holds()
+    pair.watcher.poll()
+    assert not pair.watcher.freshness.holds()
 
 
 def test_a_newer_version_elsewhere_proves_nothing_here(pair):
     pair.clock.advance(10.0)
     pair.platform.declare()
-    pair.teller.poll()
+    pair.watcher.poll()
     pair.pass_on()
-    assert not pair.hearer.freshness.holds()
+    assert not pair.follower.freshness.holds()
 
 
 def test_a_document_that_is_not_understood_ends_the_proof(pair):
     # The newest declaration can't be read; the one in force is not the newest.
-    pair.teller.poll()
-    pair.teller.declarations.readable = False
-    assert not pair.teller.freshness.holds()
+    pair.watcher.poll()
+    pair.watcher.declarations.readable = False
+    assert not pair.watcher.freshness.holds()
     pair.pass_on()
-    assert not pair.hearer.freshness.holds()
+    assert not pair.follower.freshness.holds()
 
 
 def test_a_vm_alone_in_a_cut_takes_no_connections_and_all_together_do(pair):
@@ -231,12 +233,12 @@
     # is down for all, leaving the balancer would only close the house.
     pair.clock.advance(10.0)
     pair.pass_on()
-    assert pair.hearer.freshness.shared_by_all()
+    assert pair.follower.freshness.shared_by_all()
     pair.link.up = False
     for _ in range(8):
         pair.clock.advance(0.4)
         pair.pass_on()
-    assert not pair.hearer.freshness.shared_by_all()
+    assert not pair.follower.freshness.shared_by_all()
 
 
 def test_a_vm_that_lost_all_others_knows_that_it_is_cut_off(pair):
@@ -244,15 +246,15 @@
     # only one, and its callers stayed with it, in vain.
     pair.pass_on()
     pair.link.up = False
-    pair.hearer.freshness.membership.near().clear()
-    pair.hearer.freshness.most_vms = 3
+    pair.follower.freshness.membership.near().clear()
+    pair.follower.freshness.most_vms = 3
     pair.clock.advance(10.0)
     pair.pass_on()
-    assert not pair.hearer.freshness.shared_by_all()
+    assert not pair.follower.freshness.shared_by_all()
 
 
 def test_a_deployment_without_accounts_asks_nobody(pair):
-    pair.hearer.declarations.current.accounts = None
+    pair.follower.declarations.current.accounts = None
     pair.pass_on()
     assert pair.link.asked == 0
 
@@ -287,7 +289,7 @@
     def poll(self, there, back, answers):
         platform = self.pair.platform
         platform.there_s, platform.back_s, platform.answers = there, back, answers
-        self.pair.teller.poll()
+        self.pair.watcher.poll()
 
     @hypothesis.stateful.rule(there=SECONDS, back=SECONDS, up=st.booleans())
     def ask(self, there, back, up):
@@ -297,14 +299,14 @@
 
     @hypothesis.stateful.rule()
     def tell_version(self):
-        """Let the hearer learn the teller's version, without any proof."""
-        version = self.pair.teller.declarations.version
-        self.pair.hearer.take(adapters.Listing(version, {"main": b"%d" % version}))
+        """Let the follower learn the watcher's version, without any proof."""
+        version = self.pair.watcher.declarations.version
+        self.pair.follower.take(adapters.Listing(version, {"main": b"%d" % version}))
 
     @hypothesis.stateful.invariant()
     def no_key_outlives_its_bound(self):
         now = self.pair.clock.now
-        for vm in (self.pair.teller, self.pair.hearer):
+        for vm in (self.pair.watcher, self.pair.follower):
             later = vm.declarations.version + 1
             acked_at = self.pair.platform.acked_at_by_version.get(later, now)
             if vm.freshness.holds():
--- a/packages/mothworks_gateway/tests/test_told_changes.py
+++ b/packages/mothworks_gateway/tests/test_published_changes.py
@@ -1,7 +1,7 @@
-"""Changes of the registry that peers tell: in whatever order, the newest state holds.
+"""Changes that peers publish of the registry: in any order, the newest state holds.
 
-Two VMs follow the registry and each tells all others what it saw, in batches of its
-own. So a VM hears each change twice, and parts of it late or never.
+Two VMs follow the registry and each publishes what it saw to all others, in batches of
+its own. So a VM hears each change twice, and parts of it late or never.
 """
 
 import itertools
@@ -52,7 +52,7 @@
 
 
 def test_told_changes_are_taken(part):
-    part.take_told(10, changes(12, ("i-1", None), ("i-3", b"12")), 0.0)
+    part.take_published(10, changes(12, ("i-1", None), ("i-3", b"12")), 0.0)
     assert state(part) == {"i-2": "7", "i-3": "12"}
     assert part.registry.cursor == part.follower.cursor == part.changed_at == 12
 
@@ -60,7 +60,7 @@
 def test_changes_after_a_gap_are_left_to_a_reading_of_its_own(part):
     # A message was lost: this VM knows revision 10, and hears what came after 12.
     # With it, an endpoint that left at 12 would stay for good.
-    part.take_told(12, changes(14, ("i-3", b"14")), 0.0)
+    part.take_published(12, changes(14, ("i-3", b"14")), 0.0)
     assert state(part) == {"i-1": "5", "i-2": "7"}
     assert part.registry.cursor == 10
 
@@ -68,12 +68,12 @@
 def test_changes_that_come_once_more_bring_no_older_state_back(part):
     # One VM told of the write at 11 and of the removal at 13; the batch of another
     # one, which also has the write at 15, comes later and holds all three.
-    part.take_told(10, changes(11, ("i-1", b"11")), 0.0)
-    part.take_told(11, changes(13, ("i-1", None)), 0.0)
+    part.take_published(10, changes(11, ("i-1", b"11")), 0.0)
+    part.take_published(11, changes(13, ("i-1", None)), 0.0)
     seen = []
     part.registry.on_change.append(lambda: seen.append(state(part)))
     later = changes(15, ("i-1", b"11"), ("i-1", None), ("i-2", b"15"))
-    part.take_told(10, later, 0.0)
+    part.take_published(10, later, 0.0)
     assert seen == [{"i-2": "15"}]
 
 
@@ -87,7 +87,7 @@
 def test_only_the_platforms_own_word_is_told_on(part):
     told = []
     part.on_platform_changes.append(lambda before, news: told.append((before, news)))
-    part.take_told(10, changes(12, ("i-3", b"12")), 0.0)
+    part.take_published(10, changes(12, ("i-3", b"12")), 0.0)
     assert told == []
     news = changes(15, ("i-3", None))
     part._take_changes(news)
@@ -95,8 +95,8 @@
 
 
 @pytest.mark.parametrize("seed", range(200))
-def test_two_tellers_whatever_is_lost_lead_to_the_last_state(seed):
-    # Each teller batches the same history in its own way; a tenth of the messages is
+def test_two_watchers_whatever_is_lost_lead_to_the_last_state(seed):
+    # Each watcher batches the same history in its own way; a tenth of the messages is
     # lost, the others come in any order of the two. What was not complete shows in
     # a cursor behind the last change, and one reading completes it.
     draw = random.Random(seed)
@@ -111,7 +111,7 @@
     while any(streams):
         before, news = draw.choice([item for item in streams if item]).pop(0)
         if draw.random() < 0.9:
-            part.take_told(before, news, 0.0)
+            part.take_published(before, news, 0.0)
     expected = {"i-1": "5", "i-2": "7"}
     for _, name, document in history:
         expected.pop(name, None)
@@ -127,7 +127,7 @@
 
 
 def _batches(history, draw):
-    """Return a history as one teller tells it: (revision before, changes)."""
+    """Return a history as one watcher publishes it: (revision before, changes)."""
     left, before, batches = list(history), 10, []
     while left:
         count = draw.randint(1, 4)
--- a/packages/mothworks_gateway/tests/test_silent_polls.py
+++ b/packages/mothworks_gateway/tests/test_silent_polls.py
@@ -19,7 +19,7 @@
     lease,
     pulse,
     relayed_objects,
-    watch_duty,
+    watcher_election,
     watching,
 )
 
@@ -135,12 +135,12 @@
 
     def good(self):
         """Return whether this VM publishes that the platform answers it."""
-        self.part._sign()
-        [heartbeat] = [
-            one for one in self.published if isinstance(one, watch_duty.Sign)
+        self.part._publish_status()
+        [status] = [
+            one for one in self.published if isinstance(one, watcher_election.Status)
         ]
         self.published.clear()
-        return heartbeat.good
+        return status.healthy
 
 
 @pytest.fixture
@@ -161,7 +161,7 @@
 # Guards against watchers that take over while the platform refuses them.
 def test_a_vm_that_begins_to_watch_publishes_no_health_before_an_answer(watcher):
     watcher.clock.advance(20)
-    watcher.part.tells = True
+    watcher.part.is_watcher = True
     assert not watcher.good()
     watcher.answer("declarations", "endpoints")
     assert watcher.good()
