Feeding: the field's terms (batch, suspect, interrupt); a lone VM's long poll is not stale

doubt, gather, hurry and impatient become suspect, batch, interrupt_if_behind and wake; no behaviour changed by that. Found while reading: a VM without peers polls for 10 s, so the new line said stale 2 s into each poll in which nothing changed.

--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -11,10 +11,10 @@
 log = logbook.Logger("discovery")
 
 #: Part of the time in which an endpoint that leaves must be known that changes
-#: gather before the next poll of a VM that follows the registry: each poll that
+#: are collected before the next poll of a VM that follows the registry: each poll that
 #: returns is a priced call. Where all that follow it vanish at once, the others
 #: notice within 1.1 s and poll by themselves; the rest is for that.
-GATHER_SHARE = 0.25
+BATCH_SHARE = 0.25
 #: Seconds between checks for entries that lapsed and did not come back.
 EXPIRE_S = 0.25
 
@@ -35,7 +35,7 @@
             self.feeds.endpoints,
             self._take_all,
             self._take_changes,
-            self.gather_s,
+            self.batch_s,
         )
         owner.add(self.follower)
         #: Entries that were left out and said so, to say it once.
@@ -50,9 +50,9 @@
         self.on_platform_changes: list = []
 
     @property
-    def gather_s(self) -> float:
-        """Return how long changes gather before the next poll, seconds."""
-        return GATHER_SHARE * self.kernel.settings.bounds.leave_ms / 1000
+    def batch_s(self) -> float:
+        """Return how long changes are collected before the next poll, seconds."""
+        return BATCH_SHARE * self.kernel.settings.bounds.leave_ms / 1000
 
     def start(self) -> None:
         """Follow the platform's registry."""
@@ -69,16 +69,16 @@
             self._take_all(adapters.Listing(cursor, document_by_name))
 
     def take_published(
-        self, before: int, changes: adapters.Changes, doubt_until: float
+        self, before: int, changes: adapters.Changes, suspect_until: float
     ) -> None:
         """Take changes that a peer publishes, if they follow on what is known here.
 
         :param before: revision of the change before them.
         :param changes: the changes, the last of each entry.
-        :param doubt_until: monotonic time until which removals are in doubt.
+        :param suspect_until: monotonic time until which removals are suspect.
         """
         if before <= self.registry.cursor < changes.cursor:
-            self._apply(changes, doubt_until)
+            self._apply(changes, suspect_until)
             self.follower.cursor = max(self.follower.cursor, changes.cursor)
 
     def confirm(self, changed_at: int, cursor: int) -> None:
@@ -105,9 +105,9 @@
         self.registry.cursor = listing.cursor
         if listing.document_by_name != {**self.documents(), **self.unreadable_by_name}:
             self.changed_at = listing.cursor
-        doubt_until = self.follower.doubt_until if self.loaded else 0.0
+        suspect_until = self.follower.suspect_until if self.loaded else 0.0
         for name in self.registry.id_by_name.keys() - listing.document_by_name.keys():
-            self.registry.remove(name, doubt_until)
+            self.registry.remove(name, suspect_until)
         for name in self.unreadable_by_name.keys() - listing.document_by_name.keys():
             del self.unreadable_by_name[name]
         for name, document in listing.document_by_name.items():
@@ -118,12 +118,12 @@
         if changes.cursor < self.registry.cursor:
             return
         before = self.changed_at
-        self._apply(changes, self.follower.doubt_until)
+        self._apply(changes, self.follower.suspect_until)
         if changes.changes:
             for notify in self.on_platform_changes:
                 notify(before, changes)
 
-    def _apply(self, changes: adapters.Changes, doubt_until: float) -> None:
+    def _apply(self, changes: adapters.Changes, suspect_until: float) -> None:
         """Take changes, of which some may be known already.
 
         Only the last of each entry counts: changes that were taken before and come
@@ -134,7 +134,7 @@
         for name, document in last_by_name.items():
             if document is None:
                 self.unreadable_by_name.pop(name, None)
-                self.registry.remove(name, doubt_until)
+                self.registry.remove(name, suspect_until)
             else:
                 self._put(name, document)
         if last_by_name:
@@ -156,8 +156,8 @@
         for as long as one whose entry lapsed in an outage, since it may write its
         entry again.
         """
-        doubt_until = time.monotonic() + feeding.DOUBT_S
-        self.registry.remove(name, doubt_until, "its entry can't be read")
+        suspect_until = time.monotonic() + feeding.SUSPECT_S
+        self.registry.remove(name, suspect_until, "its entry can't be read")
         if self.unreadable_by_name.get(name) == document:
             return
         self.unreadable_by_name[name] = document
--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -41,12 +41,12 @@
 #: Time after an outage in which entries may be missing because of it, seconds.
 #: Endpoints that live enter themselves again within about 2 s; one that left
 #: just then must get no new work within those 2 s, too.
-DOUBT_S = 1.6
+SUSPECT_S = 1.6
 #: Seconds between reports of how old the feeds are.
 REPORT_S = 0.5
-#: Age at which the view of a feed that is followed here is logged as stale, seconds:
-#: no answer of the platform is older where polls end in time.
-STALE_S = 2.0
+#: Time beyond a poll's longest wait after which the view of a feed that is followed
+#: here is logged as stale, seconds.
+STALE_MARGIN_S = 1.0
 
 
 @attrs.frozen
@@ -72,7 +72,7 @@
     :param feed: what is followed.
     :param take_all: called with a whole listing.
     :param take_changes: called with changes.
-    :param gather_s: time to let further changes gather before they are
+    :param batch_s: time in which further changes are collected before they are
         fetched, seconds; each fetch is a call.
     :param poll_s: longest long poll, seconds.
     :param on_health: called when the platform stops answering, and with its first
@@ -91,18 +91,18 @@
     feed: adapters.Feed
     take_all: collections.abc.Callable[[adapters.Listing], None]
     take_changes: collections.abc.Callable[[adapters.Changes], None]
-    gather_s: float = 0.0
+    batch_s: float = 0.0
     poll_s: float = POLL_S
     on_health: collections.abc.Callable[[], None] = _do_nothing
     cursor: int = 0
     lost_at: float | None = None
-    back_at: float = -DOUBT_S
+    back_at: float = -SUSPECT_S
     answered_at: float = attrs.field(factory=lambda: time.monotonic())
     due_at: float = -math.inf
     as_of: float = -math.inf
     polling_since: float = 0.0
     _listed: bool = False
-    _impatient: gevent.event.Event = attrs.field(factory=gevent.event.Event)
+    _wake: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     _followed: gevent.event.Event = attrs.field(factory=_set_event)
     _poll: gevent.Greenlet | None = None
     #: Whether the next poll only asks for what is there already.
@@ -117,12 +117,12 @@
             match self._poll_once():
                 case result.Ok(_):
                     settle_s = 0.0 if self._listed else SETTLE_S
-                    rest_s = max(self.gather_s, settle_s)
+                    rest_s = max(self.batch_s, settle_s)
                     self._listed = True
                     pause = PAUSE_S
                     self._note_answer()
-                    self._impatient.clear()
-                    self._impatient.wait(rest_s)
+                    self._wake.clear()
+                    self._wake.wait(rest_s)
                 case result.Err(Interrupted()):
                     pass
                 case result.Err(adapters.FeedExpired()):
@@ -175,11 +175,11 @@
         if follows:
             self.due_at = -math.inf
             self._was_healthy = False
-            self._impatient.set()
+            self._wake.set()
             self._followed.set()
         else:
             self._followed.clear()
-            # Others reach the platform, so nothing is in doubt here any longer.
+            # Others reach the platform, so no removal is suspect here any longer.
             self._end_outage("left to others")
 
     def poll_for(self, seconds: float) -> None:
@@ -213,16 +213,16 @@
             return self.refresh()
         return caught.is_ok()
 
-    def gather(self, seconds: float) -> None:
-        """Change how long changes gather, at once.
+    def batch_for(self, seconds: float) -> None:
+        """Change how long changes are collected, at once.
 
-        :param seconds: see :attr:`gather_s`.
+        :param seconds: see :attr:`batch_s`.
         """
-        if seconds < self.gather_s:
-            self._impatient.set()
-        self.gather_s = seconds
+        if seconds < self.batch_s:
+            self._wake.set()
+        self.batch_s = seconds
 
-    def hurry(self, cursor: int, waited_s: float) -> None:
+    def interrupt_if_behind(self, cursor: int, waited_s: float) -> None:
         """End a poll that misses changes which a peer has already seen.
 
         :param cursor: the peer's revision.
@@ -236,11 +236,11 @@
             self._interrupt()
 
     @property
-    def doubt_until(self) -> float:
+    def suspect_until(self) -> float:
         """Return until when entries may be missing because of an outage."""
         if self.lost_at is not None:
-            return time.monotonic() + DOUBT_S
-        return self.back_at + DOUBT_S
+            return time.monotonic() + SUSPECT_S
+        return self.back_at + SUSPECT_S
 
     def _poll_once(self) -> result.Result:
         self.polling_since = time.monotonic()
@@ -301,7 +301,7 @@
 
     def _note_call_answered(self) -> None:
         now = time.monotonic()
-        rest_s = max(self.gather_s, SETTLE_S)
+        rest_s = max(self.batch_s, SETTLE_S)
         self.answered_at = now
         self.due_at = now + rest_s + self.poll_s + POLL_GRACE_S
 
@@ -390,7 +390,8 @@
 
     def _note_age(self, follower: Follower) -> None:
         """Log when the view of a feed that is followed here becomes stale, or fresh."""
-        stale = follower.followed and follower.unanswered_s > STALE_S
+        limit_s = follower.poll_s + STALE_MARGIN_S
+        stale = follower.followed and follower.unanswered_s > limit_s
         if stale == (follower.name in self._stale):
             return
         self._stale ^= {follower.name}
--- a/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/pulse.py
@@ -198,7 +198,9 @@
                 return
             by_name = self.feeding.follower_by_name
             if pulse.declaration_version > self.declarations.version:
-                by_name["declarations"].hurry(pulse.registry_changed_at, PATIENCE_S)
+                by_name["declarations"].interrupt_if_behind(
+                    pulse.registry_changed_at, PATIENCE_S
+                )
             # The registry's revision also grows with every other write.
             lost = by_name["endpoints"].lost_at is not None
             stuck = pulse.registry_changed_at > self.discovery.registry.cursor
@@ -207,7 +209,9 @@
             ):
                 self.ask(vm)
             elif stuck:
-                by_name["endpoints"].hurry(pulse.registry_changed_at, STUCK_S)
+                by_name["endpoints"].interrupt_if_behind(
+                    pulse.registry_changed_at, STUCK_S
+                )
         finally:
             self._asking = False
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -154,23 +154,23 @@
     def remove(
         self,
         name: str,
-        doubt_until: float = 0.0,
+        suspect_until: float = 0.0,
         reason: str = "lapsed during an outage",
     ) -> None:
         """Take note that an entry vanished.
 
         :param name: whose.
-        :param doubt_until: monotonic time until which the endpoint may live
+        :param suspect_until: monotonic time until which the endpoint may live
             although its entry is missing.
         :param reason: why that is in doubt, for the log.
         """
         known = self.named(name)
         if known is None:
             return
-        if time.monotonic() < doubt_until:
+        if time.monotonic() < suspect_until:
             if known.lapsed_until is None:
                 self._say(known.entry, reason)
-            known.lapsed_until = doubt_until
+            known.lapsed_until = suspect_until
             return
         self._forget(known, "removed")
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -90,7 +90,7 @@
 #: adapter that waits there; a full batch counts 1.
 OCCUPIED = 5.0
 QUEUED = 0.2
-#: Time that the holder lets changes of the registry gather, seconds: a model
+#: Time in which the holder collects changes of the registry, seconds: a model
 #: that was loaded is used at once.
 HOLDER_GATHER_S = 0.05
 
@@ -136,8 +136,8 @@
             self.woken.clear()
             holding = self.lease.held()
             # The holder follows the registry closely; all others hear from it.
-            gather_s = HOLDER_GATHER_S if holding else self.discovery.gather_s
-            self.discovery.follower.gather(gather_s)
+            batch_s = HOLDER_GATHER_S if holding else self.discovery.batch_s
+            self.discovery.follower.batch_for(batch_s)
             if holding and self.declarations.current is not None:
                 began = time.monotonic()
                 self._schedule(self.declarations.current)
--- a/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/site_orders.py
@@ -45,7 +45,7 @@
 MOST_CONFLICT_S = 0.25
 CONFLICT_GROWTH = 1.7
 #: Time of conflicts after which the endpoint is asked what it holds, seconds.
-DOUBT_S = 1.0
+SUSPECT_S = 1.0
 #: Pause between looks at an endpoint that carries out an order, seconds.
 LOOK_S = 0.5
 #: Time beyond a load's usual duration before the endpoint is asked, and between
@@ -134,14 +134,14 @@
         :param adapter: its adapter; empty for the model itself.
         """
         until = time.monotonic() + JOB_S
-        look_at = time.monotonic() + DOUBT_S
+        look_at = time.monotonic() + SUSPECT_S
         pause = CONFLICT_S
         refused = unanswered = False
         self._let_unload_end(site)
         while time.monotonic() < until and self.lease.held() and site.open:
             if not site.known:
                 self.look(site)
-                look_at = time.monotonic() + DOUBT_S
+                look_at = time.monotonic() + SUSPECT_S
                 if not site.known:
                     gevent.sleep(LOOK_S)
                     continue
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -58,13 +58,13 @@
     :param before: revision of the change before the first of these.
     :param cursor: revision as of which these are all changes since.
     :param documents: each entry as the platform spells it, by name; None if removed.
-    :param doubt_s: seconds for which removals may come from an outage.
+    :param suspect_s: seconds for which removals may come from an outage.
     """
 
     before: int
     cursor: int
     documents: dict[str, bytes | None]
-    doubt_s: float = 0.0
+    suspect_s: float = 0.0
 
 
 class Watching(kernel.Part):
@@ -217,18 +217,18 @@
         """Publish changes that the platform returned to this VM."""
         if not self.is_watcher:
             return
-        doubt_s = self.discovery.follower.doubt_until - time.monotonic()
+        suspect_s = self.discovery.follower.suspect_until - time.monotonic()
         documents = {item.name: item.document for item in changes.changes}
-        update = RegistryUpdate(before, changes.cursor, documents, max(0.0, doubt_s))
+        update = RegistryUpdate(before, changes.cursor, documents, max(0.0, suspect_s))
         self.broadcast.tell(update)
 
     def _on_registry_update(
         self, _: str, update: RegistryUpdate, __: peers.Answer
     ) -> None:
         changes = tuple(itertools.starmap(adapters.Change, update.documents.items()))
-        doubt_until = time.monotonic() + update.doubt_s if update.doubt_s else 0.0
+        suspect_until = time.monotonic() + update.suspect_s if update.suspect_s else 0.0
         self.discovery.take_published(
-            update.before, adapters.Changes(update.cursor, changes), doubt_until
+            update.before, adapters.Changes(update.cursor, changes), suspect_until
         )
 
     def _on_status(
@@ -249,9 +249,9 @@
         """End polls of this VM's own that miss what another one has seen."""
         by_name = self.feeding.follower_by_name
         if status.declaration_version > self.declarations.version:
-            by_name["declarations"].hurry(status.cursor, pulse.PATIENCE_S)
+            by_name["declarations"].interrupt_if_behind(status.cursor, pulse.PATIENCE_S)
         if status.changed_at > self.discovery.registry.cursor:
-            by_name["endpoints"].hurry(status.changed_at, pulse.STUCK_S)
+            by_name["endpoints"].interrupt_if_behind(status.changed_at, pulse.STUCK_S)
 
     def _catch_up_registry(self, healthy: StatusByVm, now: float) -> None:
         """Read the registry once where an update did not arrive."""
