Watching: a watcher whose answers are overdue says so at its next check

Found while reading: a poll that is interrupted again and again passes the time by which an answer is due without failing; the change of health then waited for the next status, up to 0.5 s. Now a check (0.25 s) publishes it.

--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -119,8 +119,13 @@
         self._follow_feeds(healthy)
         if not elected:
             self._catch_up_registry(healthy, now)
-        elif not took_over and now - self.published_at > STATUS_S - CHECK_S / 2:
+        elif not took_over:
             # One that has just taken over has had no time for an answer.
+            self._publish_status_if_due(now)
+
+    def _publish_status_if_due(self, now: float) -> None:
+        due = now - self.published_at > STATUS_S - CHECK_S / 2
+        if due or self.healthy != self.published_health:
             self._publish_status()
 
     def _set_duty(self, elected: bool, healthy: StatusByVm) -> None:
