--- a/packages/mothworks_gateway/tests/test_feed_reports.py
+++ b/packages/mothworks_gateway/tests/test_feed_reports.py
@@ -12,7 +12,6 @@
 from mothworks import plugins
 from mothworks_gateway import adapters, feeding
 
-
 #: Time without an answer after which a feed is stale that is polled as usual, seconds.
 STALE_S = feeding.POLL_S + feeding.STALE_MARGIN_S
 
