Start: a hangup that arrives before the node can take it stays pending

Cause: until the node has its handlers, a hangup ends a process; that takes a second of imports on a busy machine. Change: the program blocks the signal before it imports anything, and the node unblocks it once it can read its settings anew. Result: test_start.py fails before (the signal is not held back) and passes after. What remains: the interpreter's own start, before our first line.

--- a/deploy/mothworks_node.py
+++ b/deploy/mothworks_node.py
@@ -6,8 +6,12 @@
 
 import os
 import pathlib
+import signal
 import sys
 
+# Unhandled, a hangup ends the process. It stays pending until the node can take it.
+signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PACKAGES = ("packages/mothworks", "packages/mothworks_gateway", "platform")
 #: The environment variable that names the settings file.
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -101,6 +101,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal.signal(number, lambda *_: gevent.spawn(self.shut_down))
         gevent.signal.signal(signal.SIGHUP, lambda *_: gevent.spawn(self.reload))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
         self.start()
         logs.event(
             log,
