--- a/packages/mothworks_gateway/src/mothworks_gateway/broadcast.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/broadcast.py
@@ -6,9 +6,9 @@
 on within it: 14 sends for the sender, 13 for each of those that pass it on. The
 groups differ from sender to sender.
 
-Messages may be lost with the VM that was to pass them on, so what is told must also
-be noticed otherwise: by a version that is told again and again, by the platform, or
-by an endpoint's own refusal.
+Messages may be lost with the VM that was to pass them on, so what is published must
+also be noticed otherwise: by a version that is repeated, by the platform, or by an
+endpoint's own refusal.
 """
 
 import collections.abc
@@ -26,10 +26,10 @@
 
 log = logbook.Logger("broadcast")
 
-#: Time in which messages gather before they are sent together, seconds: a tenth of the
-#: shortest objective of usual callers. It bounds what each VM takes from one sender to
-#: 25 messages a second, where a holder before 59 endpoints has some 70 to tell.
-GATHER_S = 0.04
+#: Time in which messages are collected before they are sent together, seconds: a tenth
+#: of the shortest objective of usual callers. It bounds what each VM takes from one
+#: sender to 25 messages a second.
+BATCH_DELAY_S = 0.04
 
 
 @messages.message(123)
@@ -37,7 +37,7 @@
 class Passed:
     """Messages of one VM, on their way to the VMs of a group.
 
-    :param origin: the VM that told them.
+    :param origin: the VM that published them.
     :param to: the VMs to which the receiver is to pass them on.
     :param frames: the packed messages, in order.
     """
@@ -48,7 +48,7 @@
 
 
 class Broadcast(kernel.Part):
-    """Tells messages to all VMs of this VM's region.
+    """Publishes messages to all VMs of this VM's region.
 
     :param node_kernel: the node's kernel.
     """
@@ -58,34 +58,34 @@
         self.name = node_kernel.settings.name
         self.peers = node_kernel.get(peers.Peers)
         self.membership = node_kernel.get(membership.Membership)
-        self.gathered: list[bytes] = []
+        self.batch: list[bytes] = []
         self.groups: list[tuple[str, ...]] | None = None
         self.membership.on_change.append(self._forget)
         self.peers.handle(Passed, self._take)
 
-    def tell(self, message: typing.Any) -> None:
-        """Send a message to all other VMs within :data:`GATHER_S`.
+    def publish(self, message: typing.Any) -> None:
+        """Send a message to all other VMs within :data:`BATCH_DELAY_S`.
 
         :param message: an instance of a registered class.
         """
-        self.gathered.append(messages.pack(message))
-        if len(self.gathered) == 1:
+        self.batch.append(messages.pack(message))
+        if len(self.batch) == 1:
             self.tasks.spawn(self._flush_soon)
 
-    def tell_at_once(self, message: typing.Any) -> None:
-        """Send a message to all other VMs now, after those that gather.
+    def publish_now(self, message: typing.Any) -> None:
+        """Send a message to all other VMs now, after those that wait.
 
         :param message: an instance of a registered class.
         """
-        self.gathered.append(messages.pack(message))
+        self.batch.append(messages.pack(message))
         self._flush()
 
     def _flush_soon(self) -> None:
-        gevent.sleep(GATHER_S)
+        gevent.sleep(BATCH_DELAY_S)
         self._flush()
 
     def _flush(self) -> None:
-        frames, self.gathered = tuple(self.gathered), []
+        frames, self.batch = tuple(self.batch), []
         if not frames:
             return
         for group in self._groups():
--- a/packages/mothworks_gateway/src/mothworks_gateway/declaration_news.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declaration_updates.py
@@ -1,4 +1,4 @@
-"""Declaration news: a new declaration is told to all VMs, instead of each reading it.
+"""Declaration updates: a new declaration is published, instead of each VM reading it.
 
 If each VM reads a new version from the platform by itself, a change costs as many
 priced calls as there are VMs. A document of usual size costs less on its way in
@@ -10,15 +10,15 @@
 from mothworks import kernel, messages, peers
 from mothworks_gateway import broadcast, declarations, lease
 
-#: Longest document that is told, bytes. The links of small VMs carry a longer one to a
-#: group no faster than the platform answers all of them.
+#: Longest document that is published, bytes. The links of small VMs carry a longer one
+#: to a group no faster than the platform answers all of them.
 MOST_BYTES = 64 << 10
 
 
 @messages.message(132)
 @attrs.frozen
 class Declared:
-    """Tells all VMs a new declaration.
+    """A new declaration, for all VMs.
 
     :param document: the operator's document.
     """
@@ -26,8 +26,10 @@
     document: bytes
 
 
-class DeclarationNews(kernel.Part):
-    """Tells what the platform declares, on the holder of the lease; takes it elsewhere.
+class DeclarationUpdates(kernel.Part):
+    """Publishes what the platform declares, where this VM holds the lease.
+
+    Elsewhere it takes what the holder publishes.
 
     :param node_kernel: the node's kernel.
     """
@@ -37,12 +39,12 @@
         self.broadcast = node_kernel.get(broadcast.Broadcast)
         self.lease = node_kernel.get(lease.Lease)
         self.declarations = node_kernel.get(declarations.Declarations)
-        self.declarations.on_platform.append(self._tell)
-        node_kernel.get(peers.Peers).handle(Declared, self._hear)
+        self.declarations.on_platform.append(self._publish)
+        node_kernel.get(peers.Peers).handle(Declared, self._on_update)
 
-    def _tell(self, document: bytes) -> None:
+    def _publish(self, document: bytes) -> None:
         if self.lease.held() and len(document) <= MOST_BYTES:
-            self.broadcast.tell(Declared(document))
+            self.broadcast.publish(Declared(document))
 
-    def _hear(self, vm: str, told: Declared, _: peers.Answer) -> None:
-        self.declarations.offer(told.document, f"peer {vm}")
+    def _on_update(self, vm: str, update: Declared, _: peers.Answer) -> None:
+        self.declarations.offer(update.document, f"peer {vm}")
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -16,7 +16,7 @@
 from mothworks_gateway import (
     admission,
     credit,
-    declaration_news,
+    declaration_updates,
     declarations,
     discovery,
     feeding,
@@ -51,7 +51,7 @@
     lease.Lease,
     gathering.Gathering,
     watching.Watching,
-    declaration_news.DeclarationNews,
+    declaration_updates.DeclarationUpdates,
     freshness.Freshness,
     credit.Credits,
     admission.Admission,
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -212,9 +212,9 @@
         :param at_once: whether it must not wait for others to be sent with it.
         """
         if at_once:
-            self.broadcast.tell_at_once(told)
+            self.broadcast.publish_now(told)
         else:
-            self.broadcast.tell(told)
+            self.broadcast.publish(told)
         self._hear_holds(self.name, told, None)
 
     def _repeat(self) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -191,7 +191,7 @@
         self.published_at = time.monotonic()
         healthy = self.healthy
         self._note_health(healthy)
-        self.broadcast.tell(
+        self.broadcast.publish(
             watcher_election.Status(
                 healthy,
                 self.discovery.registry.cursor,
@@ -225,7 +225,7 @@
         suspect_s = self.discovery.follower.suspect_until - time.monotonic()
         documents = {item.name: item.document for item in changes.changes}
         update = RegistryUpdate(before, changes.cursor, documents, max(0.0, suspect_s))
-        self.broadcast.tell(update)
+        self.broadcast.publish(update)
 
     def _on_registry_update(
         self, _: str, update: RegistryUpdate, __: peers.Answer
--- a/packages/mothworks_gateway/tests/test_broadcast.py
+++ b/packages/mothworks_gateway/tests/test_broadcast.py
@@ -33,17 +33,17 @@
         part.peers.handle(poison.Broke, hear)
         return part
 
-    def tell(self, name, *words):
+    def publish(self, name, *words):
         part = self.part_by_vm[name]
         for word in words[:-1]:
-            part.gathered.append(broadcast.messages.pack(poison.Broke(word, "i-1")))
-        part.tell_at_once(poison.Broke(words[-1], "i-1"))
+            part.batch.append(broadcast.messages.pack(poison.Broke(word, "i-1")))
+        part.publish_now(poison.Broke(words[-1], "i-1"))
 
 
 @pytest.mark.parametrize("count", [1, 2, 17, 18, VMS])
 def test_all_others_hear_each_message_once_and_in_order(count):
     fleet = Fleet(count)
-    fleet.tell("vm-0", "first", "second")
+    fleet.publish("vm-0", "first", "second")
     expected = [("vm-0", "first"), ("vm-0", "second")]
     assert fleet.heard_by_vm == dict.fromkeys(fleet.names[1:], expected)
 
@@ -52,7 +52,7 @@
     # One message to each of 194 VMs took more processor time than a VM has, at 40
     # messages a second. The square root of 194 is 14.
     fleet = Fleet(VMS)
-    fleet.tell("vm-0", "word")
+    fleet.publish("vm-0", "word")
     assert sum(fleet.wire.sent_by_vm.values()) == VMS - 1
     assert max(fleet.wire.sent_by_vm.values()) <= 14
 
@@ -76,7 +76,7 @@
     part.peers.linked = lambda vm: True
     fleet.wire.down.add(part._groups()[0][0])
     for number in range(40):
-        fleet.tell("vm-0", f"word {number}")
+        fleet.publish("vm-0", f"word {number}")
     living = set(fleet.names[1:]) - fleet.wire.down
     assert min(len(fleet.heard_by_vm[name]) for name in living) >= 30
 
@@ -84,12 +84,12 @@
 def test_vms_that_come_are_told():
     fleet = Fleet(18)
     part = fleet.part_by_vm["vm-0"]
-    fleet.tell("vm-0", "before")
+    fleet.publish("vm-0", "before")
     part.membership.near().append(fleet_builders.member("vm-new"))
     fleet.part_by_vm["vm-new"] = fleet.make("vm-new")
     for notify in part.membership.on_change:
         notify()
-    fleet.tell("vm-0", "after")
+    fleet.publish("vm-0", "after")
     assert fleet.heard_by_vm["vm-new"] == [("vm-0", "after")]
 
 
@@ -101,14 +101,14 @@
     fleet = Fleet(VMS)
     part = fleet.part_by_vm["vm-0"]
     part.tasks.spawn = lambda flush: waiting.append(
-        (now[0] + broadcast.GATHER_S, flush)
+        (now[0] + broadcast.BATCH_DELAY_S, flush)
     )
     monkeypatch.setattr(broadcast.gevent, "sleep", lambda _: None)
     for number in range(70):
         now[0] = number / 70
         while waiting and waiting[0][0] <= now[0]:
             waiting.pop(0)[1]()
-        part.tell(poison.Broke(str(number), "i-1"))
+        part.publish(poison.Broke(str(number), "i-1"))
     while waiting:
         waiting.pop(0)[1]()
     assert len(fleet.heard_by_vm["vm-77"]) == 70
--- a/packages/mothworks_gateway/tests/test_declaration_news.py
+++ b/packages/mothworks_gateway/tests/test_declaration_updates.py
@@ -13,7 +13,7 @@
 from mothworks_gateway import (
     adapters,
     broadcast,
-    declaration_news,
+    declaration_updates,
     declarations,
     feeding,
     lease,
@@ -52,10 +52,10 @@
         }
         kernel = fleet_builders.kernel_of(name, self.names, self.wire, parts)
         kernel.parts[broadcast.Broadcast] = sender = broadcast.Broadcast(kernel)
-        sender.tell = sender.tell_at_once
+        sender.publish = sender.publish_now
         known = declarations.Declarations(kernel)
         kernel.parts[declarations.Declarations] = known
-        declaration_news.DeclarationNews(kernel)
+        declaration_updates.DeclarationUpdates(kernel)
         return known
 
     def platform_tells(self, name, document):
@@ -97,7 +97,7 @@
 @pytest.mark.parametrize("rest", [0, 1])
 def test_a_long_document_is_left_to_the_platform(rest):
     # 300 KB to each of 58 VMs would keep the links of small VMs busy for seconds.
-    document = b"7 " + b"x" * (declaration_news.MOST_BYTES - 2 + rest)
+    document = b"7 " + b"x" * (declaration_updates.MOST_BYTES - 2 + rest)
     fleet = Fleet("vm-3")
     fleet.platform_tells("vm-3", document)
     assert fleet.versions() == ({7} if not rest else {7, 0})
--- a/packages/mothworks_gateway/tests/test_silent_polls.py
+++ b/packages/mothworks_gateway/tests/test_silent_polls.py
@@ -117,7 +117,7 @@
             feeding.Feeding: owner,
             membership.Membership: view,
             peers.Peers: link,
-            broadcast.Broadcast: types.SimpleNamespace(tell=self.published.append),
+            broadcast.Broadcast: types.SimpleNamespace(publish=self.published.append),
             lease.Lease: types.SimpleNamespace(held=lambda: True),
             pulse.Pulses: None,
             relayed_objects.RelayedObjects: types.SimpleNamespace(on_return=[]),
