--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feed_reports.py
@@ -0,0 +1,78 @@
+"""Feed reports: how old this VM's view of each feed is, in logs and metrics."""
+
+import logbook
+
+from mothworks import kernel, logs
+from mothworks_gateway import feeding
+
+log = logbook.Logger("feeding")
+
+#: Seconds between reports.
+REPORT_S = 0.5
+#: Time beyond a poll's longest wait after which the view of a feed that is followed
+#: here is logged as stale, seconds.
+STALE_MARGIN_S = 1.0
+
+
+class FeedReports(kernel.Part):
+    """Reports the age of each feed.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.feeding = node_kernel.get(feeding.Feeding)
+        self._stale: set[str] = set()
+        make_gauge = node_kernel.metrics.gauge
+        self.unanswered_seconds = make_gauge(
+            "feed_unanswered_seconds", "Seconds since the platform answered, by feed."
+        )
+        self.poll_seconds = make_gauge(
+            "feed_poll_seconds", "Seconds that the poll under way has lasted, by feed."
+        )
+        self.followed = make_gauge(
+            "feed_followed", "Whether this VM follows a feed by itself."
+        )
+
+    def start(self) -> None:
+        """Start to report."""
+        self.tasks.every(REPORT_S, self.report)
+
+    def report(self) -> None:
+        """Set the gauges, and log what changed."""
+        for name, follower in self.feeding.follower_by_name.items():
+            labels = {"feed": name}
+            self.unanswered_seconds.set(labels, round(follower.unanswered_s, 3))
+            self.poll_seconds.set(labels, round(follower.polling_s, 3))
+            self.followed.set(labels, int(follower.followed))
+            self._note_age(follower)
+
+    def _note_age(self, follower: feeding.Follower) -> None:
+        """Log when the view of a feed that is followed here becomes stale, or fresh."""
+        limit_s = follower.poll_s + STALE_MARGIN_S
+        stale = follower.followed and follower.unanswered_s > limit_s
+        if stale == (follower.name in self._stale):
+            return
+        self._stale ^= {follower.name}
+        logs.event(log, "feed", **describe(follower), outcome=_outcome(follower, stale))
+
+
+def describe(follower: feeding.Follower) -> dict[str, object]:
+    """Return what a log line says of a follower.
+
+    :param follower: the follower.
+    """
+    return {
+        "feed": follower.name,
+        "cursor": follower.cursor,
+        "unanswered_s": round(follower.unanswered_s, 3),
+        "polling_s": round(follower.polling_s, 3),
+        "lost": follower.lost_at is not None,
+    }
+
+
+def _outcome(follower: feeding.Follower, stale: bool) -> str:
+    if stale:
+        return "stale"
+    return "fresh" if follower.followed else "left to others"
--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -42,11 +42,6 @@
 #: Endpoints that live enter themselves again within about 2 s; one that left
 #: just then must get no new work within those 2 s, too.
 SUSPECT_S = 1.6
-#: Seconds between reports of how old the feeds are.
-REPORT_S = 0.5
-#: Time beyond a poll's longest wait after which the view of a feed that is followed
-#: here is logged as stale, seconds.
-STALE_MARGIN_S = 1.0
 
 
 @attrs.frozen
@@ -345,7 +340,7 @@
 
 
 class Feeding(kernel.Part):
-    """Holds the platform's feeds and their followers, and reports how old they are.
+    """Holds the platform's feeds and their followers.
 
     :param node_kernel: the node's kernel.
     """
@@ -357,21 +352,6 @@
             chosen, node_kernel.metrics
         )
         self.follower_by_name: dict[str, Follower] = {}
-        self._stale: set[str] = set()
-        make_gauge = node_kernel.metrics.gauge
-        self.unanswered_seconds = make_gauge(
-            "feed_unanswered_seconds", "Seconds since the platform answered, by feed."
-        )
-        self.poll_seconds = make_gauge(
-            "feed_poll_seconds", "Seconds that the poll under way has lasted, by feed."
-        )
-        self.followed = make_gauge(
-            "feed_followed", "Whether this VM follows a feed by itself."
-        )
-
-    def start(self) -> None:
-        """Start to report."""
-        self.tasks.every(REPORT_S, self._report)
 
     def add(self, follower: Follower) -> None:
         """Make a follower known by its name.
@@ -379,35 +359,3 @@
         :param follower: the follower.
         """
         self.follower_by_name[follower.name] = follower
-
-    def _report(self) -> None:
-        for name, follower in self.follower_by_name.items():
-            labels = {"feed": name}
-            self.unanswered_seconds.set(labels, round(follower.unanswered_s, 3))
-            self.poll_seconds.set(labels, round(follower.polling_s, 3))
-            self.followed.set(labels, int(follower.followed))
-            self._note_age(follower)
-
-    def _note_age(self, follower: Follower) -> None:
-        """Log when the view of a feed that is followed here becomes stale, or fresh."""
-        limit_s = follower.poll_s + STALE_MARGIN_S
-        stale = follower.followed and follower.unanswered_s > limit_s
-        if stale == (follower.name in self._stale):
-            return
-        self._stale ^= {follower.name}
-        logs.event(
-            log,
-            "feed",
-            feed=follower.name,
-            cursor=follower.cursor,
-            unanswered_s=round(follower.unanswered_s, 3),
-            polling_s=round(follower.polling_s, 3),
-            lost=follower.lost_at is not None,
-            outcome=_age_outcome(follower, stale),
-        )
-
-
-def _age_outcome(follower: Follower, stale: bool) -> str:
-    if stale:
-        return "stale"
-    return "fresh" if follower.followed else "left to others"
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -24,6 +24,7 @@
     broadcast,
     declarations,
     discovery,
+    feed_reports,
     feeding,
     lease,
     pulse,
@@ -209,12 +210,8 @@
             logs.event(
                 log,
                 "health published",
-                feed=follower.name,
+                **feed_reports.describe(follower),
                 declaration=self.declarations.version,
-                cursor=follower.cursor,
-                unanswered_s=round(follower.unanswered_s, 3),
-                polling_s=round(follower.polling_s, 3),
-                lost=follower.lost_at is not None,
                 outcome="healthy" if healthy else "unhealthy",
             )
 
--- a/packages/mothworks_gateway/tests/test_feed_reports.py
+++ b/packages/mothworks_gateway/tests/test_feed_reports.py
@@ -10,10 +10,10 @@
 import gateway_builders
 import virtual_time
 from mothworks import plugins
-from mothworks_gateway import adapters, feeding
+from mothworks_gateway import adapters, feed_reports, feeding
 
 #: Time without an answer after which a feed is stale that is polled as usual, seconds.
-STALE_S = feeding.POLL_S + feeding.STALE_MARGIN_S
+STALE_S = feeding.POLL_S + feed_reports.STALE_MARGIN_S
 
 
 @pytest.fixture
@@ -22,17 +22,19 @@
 
 
 @pytest.fixture
-def owner(clock, monkeypatch):
+def reports(clock, monkeypatch):
     monkeypatch.setattr(plugins, "find", lambda *_: lambda *_: None)
-    made = feeding.Feeding(gateway_builders.Kernel({}))
-    made.add(feeding.Follower("declarations", None, None, None))
+    kernel = gateway_builders.Kernel({})
+    kernel.parts[feeding.Feeding] = feeding.Feeding(kernel)
+    made = feed_reports.FeedReports(kernel)
+    made.feeding.add(feeding.Follower("declarations", None, None, None))
     return made
 
 
-def report(owner):
+def report(reports):
     """Report once; returns the lines that were logged."""
     with logbook.TestHandler() as handler:
-        owner._report()
+        reports.report()
     return [types.SimpleNamespace(**record.extra) for record in handler.records]
 
 
@@ -40,47 +42,47 @@
     return gauge.get({"feed": "declarations"})
 
 
-def test_a_feed_without_answers_is_logged_once_with_its_age(owner, clock):
-    follower = owner.follower_by_name["declarations"]
+def test_a_feed_without_answers_is_logged_once_with_its_age(reports, clock):
+    follower = reports.feeding.follower_by_name["declarations"]
     follower.cursor = 7
     clock.advance(STALE_S + 0.5)
-    [line] = report(owner)
+    [line] = report(reports)
     assert (line.feed, line.outcome, line.cursor) == ("declarations", "stale", 7)
     assert line.unanswered_s == STALE_S + 0.5
-    assert report(owner) == []
+    assert report(reports) == []
     follower.answered_at = clock.monotonic()
-    [line] = report(owner)
+    [line] = report(reports)
     assert line.outcome == "fresh"
 
 
-def test_a_long_poll_without_changes_is_not_stale(owner, clock):
-    owner.follower_by_name["declarations"].poll_for(feeding.LONE_POLL_S)
+def test_a_long_poll_without_changes_is_not_stale(reports, clock):
+    reports.feeding.follower_by_name["declarations"].poll_for(feeding.LONE_POLL_S)
     clock.advance(feeding.LONE_POLL_S)
-    assert report(owner) == []
+    assert report(reports) == []
 
 
-def test_a_feed_that_others_follow_is_not_logged_as_stale(owner, clock):
-    owner.follower_by_name["declarations"].follow(False)
+def test_a_feed_that_others_follow_is_not_logged_as_stale(reports, clock):
+    reports.feeding.follower_by_name["declarations"].follow(False)
     clock.advance(60)
-    assert report(owner) == []
+    assert report(reports) == []
 
 
-def test_a_stale_feed_that_is_left_to_others_does_not_count_as_answered(owner, clock):
+def test_a_stale_feed_that_is_left_to_others_does_not_count_as_answered(reports, clock):
     clock.advance(STALE_S + 1)
-    report(owner)
-    owner.follower_by_name["declarations"].follow(False)
-    [line] = report(owner)
+    report(reports)
+    reports.feeding.follower_by_name["declarations"].follow(False)
+    [line] = report(reports)
     assert line.outcome == "left to others"
 
 
-def test_the_age_of_a_feed_is_a_metric(owner, clock):
+def test_the_age_of_a_feed_is_a_metric(reports, clock):
     clock.advance(0.25)
-    report(owner)
-    assert value(owner.unanswered_seconds) == 0.25
-    assert value(owner.followed) == 1
-    owner.follower_by_name["declarations"].follow(False)
-    report(owner)
-    assert value(owner.followed) == 0
+    report(reports)
+    assert value(reports.unanswered_seconds) == 0.25
+    assert value(reports.followed) == 1
+    reports.feeding.follower_by_name["declarations"].follow(False)
+    report(reports)
+    assert value(reports.followed) == 0
 
 
 def test_history_that_is_gone_is_an_answer(clock):
