--- a/packages/mothworks_gateway/tests/test_published_changes.py
+++ b/packages/mothworks_gateway/tests/test_published_changes.py
@@ -1,7 +1,7 @@
 """Changes that peers publish of the registry: in any order, the newest state holds.
 
 Two VMs follow the registry and each publishes what it saw to all others, in batches of
-its own. So a VM hears each change twice, and parts of it late or never.
+its own. So a VM receives each change twice, and parts of it late or never.
 """
 
 import itertools
--- a/packages/mothworks_gateway/tests/test_silent_polls.py
+++ b/packages/mothworks_gateway/tests/test_silent_polls.py
@@ -25,7 +25,7 @@
 
 
 class SilentFeed(adapters.Feed):
-    """A feed that counts calls and answers none until it is told to."""
+    """A feed that counts calls and answers none until its event is set."""
 
     def __init__(self):
         self.calls = []
