Log what endpoints announce: that they leave, or that a VM backs off

No line told whether an endpoint's answer announced its shutdown (Server-Leaving) or a pause (Retry-After of a refusal), so a header of another name than assumed looked like one that isn't read. No decision changes yet.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -307,6 +307,25 @@
         """
         raise NotImplementedError
 
+    def is_leaving(self, answer: transport.HttpAnswer) -> bool:
+        """Return whether an answer announces that the endpoint is shutting down.
+
+        :param answer: any answer of the endpoint, its body not read.
+        """
+        raise NotImplementedError
+
+    def backoff_s(
+        self, answer: transport.HttpAnswer
+    ) -> result.Result[float | None, str]:
+        """Return how long an endpoint that refused a request wants no other, seconds.
+
+        This applies to the requests of the VM that the endpoint answered.
+
+        :param answer: any answer of the endpoint, its body not read.
+        :returns: the time, None if it asks for none; or why it is unreadable.
+        """
+        raise NotImplementedError
+
     def inventory(self, endpoint: registry.Endpoint) -> result.Result[Inventory, str]:
         """Request what a model endpoint holds.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -17,6 +17,7 @@
     adapters,
     caller_request,
     endpoint_limits,
+    endpoint_notices,
     endpoint_selection,
     endpoints_client,
     health,
@@ -75,6 +76,7 @@
         self.registry = self.endpoint_selection.registry
         self.health = node_kernel.get(health.Health)
         self.limits = node_kernel.get(endpoint_limits.EndpointLimits)
+        self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.slots = node_kernel.get(send_slots.SendSlots)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
@@ -147,7 +149,7 @@
             case result.Ok(answer):
                 pass
         kind = self.protocol.classify_response(request, answer)
-        self.update_limit(request, endpoint, answer, kind, started_at)
+        self.observe_notices(request, endpoint, answer, kind, started_at)
         if kind not in (adapters.ResponseKind.ANSWER, adapters.ResponseKind.FAILED):
             answer.close()
             self._handle_kind(request, endpoint, progress, kind)
@@ -163,7 +165,7 @@
             return None
         return self._read(request, endpoint, progress, answer, kind, started_at)
 
-    def update_limit(
+    def observe_notices(
         self,
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
@@ -171,7 +173,7 @@
         kind: adapters.ResponseKind,
         sent_at: float,
     ) -> None:
-        """Update an endpoint's rate limit from its answer.
+        """Record what an endpoint announces in its answer, its rate limit among it.
 
         :param request: the request.
         :param endpoint: the endpoint.
@@ -179,10 +181,10 @@
         :param kind: the classification of the answer.
         :param sent_at: monotonic time at which the request was sent.
         """
-        if kind not in (
-            adapters.ResponseKind.UNRECOGNIZED,
-            adapters.ResponseKind.MISDIRECTED,
-        ):
+        if kind is adapters.ResponseKind.MISDIRECTED:
+            return
+        self.notices.observe(endpoint, answer, request.id)
+        if kind is not adapters.ResponseKind.UNRECOGNIZED:
             ran = kind is adapters.ResponseKind.ANSWER
             self.limits.observe(endpoint, answer, sent_at, request.id, ran)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -151,7 +151,7 @@
         match sent:
             case result.Ok(answer):
                 kind = protocol.classify_response(self.request, answer)
-                self.attempts.update_limit(
+                self.attempts.observe_notices(
                     self.request, endpoint, answer, kind, sent_at
                 )
                 resumed = kind is adapters.ResponseKind.ANSWER
