--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
@@ -32,7 +32,7 @@
         self.backoff_until_by_id: dict[str, float] = {}
         self.notices_total = node_kernel.metrics.counter(
             "endpoint_notices_total",
-            "Answers in which endpoints announced that they leave or asked to back off.",
+            "Answers in which endpoints announced leaving or asked for a backoff.",
         )
 
     def observe(
