Stop sending to endpoints that announce in their answers that they leave

Callers' requests reached an endpoint up to 6.6 s after the VM had passed on an answer that announced its shutdown (allowed: 2 s).

The registry now excludes an endpoint on its own announcement, at once. The VM that learns it publishes it to all others, so that one answer is enough for the fleet, and the lease holder also reads it in reports, so that it loads nothing there. The exclusion holds for one incarnation and is kept when an entry lapses during an outage and is written again; it is bounded to 4,096 endpoints.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -203,6 +203,7 @@
     :param running: number of running requests.
     :param queued: number of requests queued on it.
     :param started_ms: its start time; see :class:`registry.Entry`.
+    :param leaving: whether it announces that it is shutting down.
     """
 
     accepted_orders: int
@@ -212,6 +213,7 @@
     running: int = 0
     queued: int = 0
     started_ms: int = 0
+    leaving: bool = False
 
 
 class OrderOutcome(enum.Enum):
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
@@ -1,21 +1,33 @@
 """Endpoint notices: what endpoints announce about themselves in their answers.
 
-An endpoint announces that it is leaving, or asks this VM to back off: to send it
-nothing for a time. Rate limits, which apply to all VMs together, are in
+An endpoint announces that it is leaving, which a VM that learns it publishes to all
+VMs, or asks this VM to back off: to send it nothing for a time. Rate limits are in
 :mod:`endpoint_limits`.
 """
 
 import time
 
+import attrs
 import logbook
 import result
 
-from mothworks import kernel, logs, transport
-from mothworks_gateway import discovery, endpoints_client, registry
+from mothworks import kernel, logs, messages, peers, transport
+from mothworks_gateway import broadcast, discovery, endpoints_client, registry
 
 log = logbook.Logger("endpoint_notices")
 
 
+@messages.message(136)
+@attrs.frozen
+class EndpointLeaving:
+    """Publishes that an endpoint announced that it is leaving.
+
+    :param endpoint_id: the endpoint.
+    """
+
+    endpoint_id: str
+
+
 class EndpointNotices(kernel.Part):
     """Tracks which endpoints are leaving, and which asked this VM to back off.
 
@@ -27,7 +39,8 @@
         self.protocol = node_kernel.get(endpoints_client.EndpointsClient).protocol
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.registry.on_change.append(self._remove_gone)
-        self.leaving_ids: set[str] = set()
+        self.broadcast = node_kernel.get(broadcast.Broadcast)
+        node_kernel.get(peers.Peers).handle(EndpointLeaving, self._on_leaving)
         #: Monotonic time until which an endpoint wants no requests from this VM.
         self.backoff_until_by_id: dict[str, float] = {}
         self.notices_total = node_kernel.metrics.counter(
@@ -48,7 +61,7 @@
         :param request_id: the request's id, for the log.
         """
         if self.protocol.is_leaving(answer):
-            self._record_leaving(endpoint, request_id)
+            self.record_leaving(endpoint, request=request_id)
         match self.protocol.backoff_s(answer):
             case result.Ok(None):
                 pass
@@ -64,18 +77,20 @@
                     outcome="unreadable, left out",
                 )
 
-    def _record_leaving(self, endpoint: registry.Endpoint, request_id: str) -> None:
+    def record_leaving(self, endpoint: registry.Endpoint, **source: str) -> None:
+        """Record that an endpoint announced that it is leaving, and publish it once.
+
+        :param endpoint: the endpoint.
+        :param source: where it was announced, for the log.
+        """
         self.notices_total.inc({"kind": "leaving"})
-        if endpoint.id in self.leaving_ids:
-            return
-        self.leaving_ids.add(endpoint.id)
-        logs.event(
-            log,
-            "endpoint leaving",
-            endpoint=endpoint.id,
-            request=request_id,
-            outcome="announced",
-        )
+        if self.registry.record_leaving(endpoint.id):
+            _log_leaving(endpoint.id, **source)
+            self.broadcast.publish_now(EndpointLeaving(endpoint.id))
+
+    def _on_leaving(self, vm: str, message: EndpointLeaving, _: peers.Reply) -> None:
+        if self.registry.record_leaving(message.endpoint_id):
+            _log_leaving(message.endpoint_id, vm=vm)
 
     def _record_backoff(
         self, endpoint: registry.Endpoint, seconds: float, request_id: str
@@ -96,6 +111,11 @@
 
     def _remove_gone(self) -> None:
         """Remove what endpoints announced that are gone."""
-        self.leaving_ids &= self.registry.by_id.keys()
         for endpoint_id in self.backoff_until_by_id.keys() - self.registry.by_id.keys():
             del self.backoff_until_by_id[endpoint_id]
+
+
+def _log_leaving(endpoint_id: str, **source: str) -> None:
+    logs.event(
+        log, "endpoint leaving", endpoint=endpoint_id, **source, outcome="announced"
+    )
--- a/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
@@ -25,6 +25,7 @@
     adapters,
     declaration_types,
     discovery,
+    endpoint_notices,
     endpoint_state,
     endpoints_client,
     late_orders,
@@ -69,6 +70,7 @@
         self.name = node_kernel.settings.name
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.protocol = node_kernel.get(endpoints_client.EndpointsClient).protocol
+        self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.lease = node_kernel.get(lease.Lease)
         self.late_orders = node_kernel.get(late_orders.LateOrders)
         self.residency = node_kernel.get(residency.Residency)
@@ -106,6 +108,8 @@
         if inventory is None:
             state.accepted_orders = None
             return
+        if inventory.leaving:
+            self.notices.record_leaving(state.endpoint, source="its report")
         state.apply_inventory(inventory)
         if state.known and state.adapters_by_model != state.endpoint.adapters_by_model:
             # If both agree, all VMs know the holdings from the registry already.
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -19,6 +19,12 @@
 
 log = logbook.Logger("registry")
 
+#: Maximum number of leaving endpoints to remember: many times as many as leave while
+#: the platform is unreachable.
+MAX_LEAVING = 4096
+#: Why an endpoint that announced that it is leaving gets no new requests.
+LEAVING_REASON = "it announced that it is leaving"
+
 
 @attrs.frozen
 class Entry:
@@ -104,6 +110,10 @@
         self.by_id: dict[str, Endpoint] = {}
         #: The id of the newest incarnation of each endpoint.
         self.id_by_name: dict[str, str] = {}
+        #: Ids of endpoints that announced that they are leaving, the latest last. They
+        #: are kept after an endpoint's removal: an entry that lapsed during an outage
+        #: may be written again.
+        self.leaving_ids: dict[str, None] = {}
         #: The platform's revision up to which the registry is complete.
         self.cursor = 0
         #: Functions to call after a change, without arguments.
@@ -213,6 +223,22 @@
             self._log(endpoint.entry, f"dismissed: {reason}")
             self.notify_changed()
 
+    def record_leaving(self, endpoint_id: str) -> bool:
+        """Exclude an endpoint that announced that it is leaving.
+
+        :param endpoint_id: the endpoint; its entry may arrive later.
+        :returns: whether this was not known yet.
+        """
+        if endpoint_id in self.leaving_ids:
+            return False
+        self.leaving_ids[endpoint_id] = None
+        if len(self.leaving_ids) > MAX_LEAVING:
+            del self.leaving_ids[next(iter(self.leaving_ids))]
+        endpoint = self.by_id.get(endpoint_id)
+        if endpoint is not None:
+            self.exclude(endpoint, LEAVING_REASON)
+        return True
+
     def notify_changed(self) -> None:
         """Call the :attr:`on_change` callbacks."""
         for notify in self.on_change:
@@ -220,7 +246,8 @@
 
     def _add(self, entry: Entry, document: bytes) -> None:
         adapters_by_model = dict(entry.adapters_by_model or {})
-        self.by_id[entry.id] = Endpoint(entry, document, adapters_by_model)
+        reason = LEAVING_REASON if entry.id in self.leaving_ids else ""
+        self.by_id[entry.id] = Endpoint(entry, document, adapters_by_model, reason)
         self.id_by_name[entry.name] = entry.id
         self._log(entry, "appeared")
 
--- a/packages/mothworks_gateway/tests/modelled_endpoint.py
+++ b/packages/mothworks_gateway/tests/modelled_endpoint.py
@@ -15,6 +15,7 @@
     adapters,
     declaration_types,
     discovery,
+    endpoint_notices,
     endpoints_client,
     late_orders,
     lease,
@@ -50,6 +51,7 @@
         self.declared_as = declared_as
         self.crashes = 0
         self.started_ms = 0
+        self.leaving = False
         #: Faults of the next orders' responses; None for a normal response.
         self.faults = []
         #: Orders without a response, which may be executed later.
@@ -74,7 +76,11 @@
         )
         return result.Ok(
             adapters.Inventory(
-                self.accepted_orders, self.busy, holdings, started_ms=self.started_ms
+                self.accepted_orders,
+                self.busy,
+                holdings,
+                started_ms=self.started_ms,
+                leaving=self.leaving,
             )
         )
 
@@ -180,6 +186,9 @@
         lease.Lease: held_lease or Lease(),
         peers.Peers: vms,
         residency.Residency: Residency(),
+        endpoint_notices.EndpointNotices: types.SimpleNamespace(
+            record_leaving=lambda endpoint, **_: view.record_leaving(endpoint.id)
+        ),
     }
     kernel = gateway_builders.Kernel(parts)
     parts[late_orders.LateOrders] = late_orders.LateOrders(kernel)
--- a/packages/mothworks_gateway/tests/test_order_sender.py
+++ b/packages/mothworks_gateway/tests/test_order_sender.py
@@ -64,3 +64,13 @@
     orders.refresh(state)
     assert state.adapters_by_model == {"small": set()}
     assert state.endpoint.id == "i-1"
+
+
+# Guards against loads at an endpoint that announces in its report that it leaves.
+def test_a_report_that_announces_leaving_excludes_its_endpoint(orders, endpoint):
+    state = state_of(endpoint, "small")
+    orders.refresh(state)
+    assert not orders.registry.leaving_ids
+    endpoint.leaving = True
+    orders.refresh(state)
+    assert list(orders.registry.leaving_ids) == ["i-1"]
--- a/packages/mothworks_gateway/tests/test_registry.py
+++ b/packages/mothworks_gateway/tests/test_registry.py
@@ -100,3 +100,31 @@
     assert not endpoints.find_by_name("i-2").holds("m", "")
     endpoints.put(attrs.evolve(entry, started_ms=5), b"")
     assert endpoints.find_by_name("i-2").entry.started_ms == 9
+
+
+# Guards against requests to a leaving endpoint whose entry lapsed during an outage of
+# the platform and was written again.
+def test_an_endpoint_that_announced_leaving_stays_excluded(endpoints, logged_outcomes):
+    entry = endpoints.by_id["i-1"].entry
+    assert endpoints.record_leaving("i-1")
+    assert endpoints.of_service("s") == []
+    endpoints.remove("i-1")
+    endpoints.put(entry, b"")
+    assert endpoints.of_service("s") == []
+    assert not endpoints.record_leaving("i-1")
+
+
+# Guards against a restarted endpoint that gets no requests.
+def test_a_restart_ends_the_exclusion_of_a_leaving_endpoint(endpoints, logged_outcomes):
+    entry = gateway_builders.endpoint("i-2", service="t").entry
+    endpoints.put(attrs.evolve(entry, started_ms=5), b"")
+    endpoints.record_leaving("i-2@5")
+    endpoints.put(attrs.evolve(entry, started_ms=9), b"")
+    assert [item.id for item in endpoints.of_service("t")] == ["i-2@9"]
+
+
+def test_the_number_of_remembered_leaving_endpoints_is_bounded(endpoints):
+    for number in range(registry.MAX_LEAVING + 10):
+        endpoints.record_leaving(f"i-{number}")
+    assert len(endpoints.leaving_ids) == registry.MAX_LEAVING
+    assert "i-0" not in endpoints.leaving_ids
