Respect the time for which an endpoint wants no requests from a VM

Callers whose model it held were refused one after another, each after four attempts.

endpoint_notices.py keeps until when each endpoint wants nothing. Selection leaves such endpoints out before it looks at health, which falls back to all candidates when most are ejected. Whether an endpoint may be sent a request is one function now, EndpointSelection.accepts, asked after each wait and once more right before the first byte, for resumed streams too: these did not ask again after waiting for a send slot. A request that is withheld there does not count as a failure of the endpoint.

Where all endpoints that hold a model are in a backoff, callers are refused at once and told when the first one accepts requests again, or when a load ends elsewhere.

--- a/packages/mothworks/src/mothworks/endpoints.py
+++ b/packages/mothworks/src/mothworks/endpoints.py
@@ -23,12 +23,15 @@
     :param refused: whether the endpoint refused the request before running it.
     :param answered: whether the endpoint answered with an error, which shows
         that its process is alive.
+    :param withheld: whether the sender itself did not send the request, because it was
+        no longer valid once the connection was open.
     """
 
     reason: str
     may_have_arrived: bool
     refused: bool = False
     answered: bool = False
+    withheld: bool = False
 
 
 @attrs.frozen
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -389,7 +389,9 @@
             return result.Err(endpoints.SendFailure(f"connect: {error}", False))
         if options.may_send is not None and not options.may_send():
             pool.return_socket(sock)
-            return result.Err(endpoints.SendFailure("no longer valid", False))
+            return result.Err(
+                endpoints.SendFailure("no longer valid", False, withheld=True)
+            )
         head = _encode_head(options.host or address, method, path, headers, len(body))
         try:
             sock.settimeout(self._timeout_s(options))
--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -6,6 +6,7 @@
 ``adapter`` names both the module to import and the key to register under.
 """
 
+import collections.abc
 import enum
 
 import attrs
@@ -273,6 +274,7 @@
         request: caller_request.CallerRequest,
         left_s: float,
         deadline: float,
+        may_send: collections.abc.Callable[[], bool],
         after_event: str = "",
     ) -> result.Result[transport.HttpAnswer, endpoints.SendFailure]:
         """Send a request once and wait for the head of the answer.
@@ -281,6 +283,8 @@
         :param request: the request.
         :param left_s: time limit stated to the endpoint, seconds.
         :param deadline: monotonic time until which to wait for the head.
+        :param may_send: called right before the first byte is sent; the request is sent
+            only if it returns true.
         :param after_event: id of the last event that the caller has received, to resume
             after.
         """
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -142,7 +142,13 @@
                 MIN_ABANDON_S, ABANDON_SHARE * request.route.objective_s
             )
             head_deadline = min(head_deadline, started_at + abandon_after_s)
-        sent = self.protocol.send(endpoint, request, left_s, head_deadline)
+        sent = self.protocol.send(
+            endpoint,
+            request,
+            left_s,
+            head_deadline,
+            lambda: self.endpoint_selection.accepts(endpoint, request.target),
+        )
         match sent:
             case result.Err(failure):
                 return self._handle_send_failure(request, endpoint, progress, failure)
@@ -251,6 +257,8 @@
         if not failure.may_have_arrived:
             # Nothing was sent, so the endpoint does not count as tried.
             progress.tried.discard(endpoint.id)
+            if failure.withheld:
+                return
             self.health.record_failure(endpoint, failure.reason, consecutive_failures=2)
             return
         self._handle_broken_answer(request, endpoint, progress, failure.reason)
@@ -284,5 +292,5 @@
             case adapters.ResponseKind.UNRECOGNIZED:
                 progress.may_have_run = True
                 self.health.record_failure(endpoint, "not an answer to the request")
-            case adapters.ResponseKind.BUSY:
+            case adapters.ResponseKind.BUSY if not self.notices.in_backoff(endpoint):
                 gevent.sleep(BUSY_PAUSE_S)
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -93,9 +93,12 @@
                         may_send = self.slots.wait(slot)
                         if may_send:
                             self.prefill_pacing.wait(request, endpoint)
-                    if not (may_send and _accepts(endpoint, request.target)):
-                        # During the wait, the endpoint left, unloaded the model or
-                        # lowered its limit.
+                    if not (
+                        may_send
+                        and self.endpoint_selection.accepts(endpoint, request.target)
+                    ):
+                        # During the wait, the endpoint left, unloaded the model,
+                        # lowered its limit or asked this VM to back off.
                         continue
                     reply = self.attempts.send_once(request, endpoint, progress)
                 case result.Err() as refused:
@@ -126,6 +129,8 @@
                 # Its model is held only by endpoints that it must not be sent to; the
                 # caller may retry.
                 return self._refuse(request, progress, 503, BUSY_RETRY_S)
+            if candidates.backoff_until:
+                return self._refuse_in_backoff(request, progress, candidates, now)
             if candidates.all:
                 refused = self._wait_for_model(request, progress, candidates, now)
             else:
@@ -190,6 +195,27 @@
         self.residency.wait(request, wait_until - now)
         return None
 
+    def _refuse_in_backoff(
+        self,
+        request: caller_request.CallerRequest,
+        progress: attempts.RequestProgress,
+        candidates: endpoint_selection.Candidates,
+        now: float,
+    ) -> result.Err[outcomes.Refusal]:
+        """Refuse a request because all endpoints that hold its model are in a backoff.
+
+        The caller is told when the first of them accepts requests again, or when
+        another endpoint has loaded the model, whichever is sooner.
+        """
+        backoff_s = candidates.backoff_until - now
+        ready_in_s = self.residency.ready_in_s(request.target)
+        retry_after_s = backoff_s if ready_in_s is None else min(backoff_s, ready_in_s)
+        progress.reason = (
+            f"{progress.reason}; its endpoints want no requests from this VM for "
+            f"{backoff_s:.1f} s"
+        )
+        return self._refuse(request, progress, 503, retry_after_s)
+
     def _ready_in_s(
         self,
         request: caller_request.CallerRequest,
@@ -287,7 +313,3 @@
     def _count(self, request: caller_request.CallerRequest, outcome: str) -> None:
         labels = {"service": request.target.service, "outcome": outcome}
         self.requests_total.inc(labels)
-
-
-def _accepts(endpoint: registry.Endpoint, target: caller_request.Target) -> bool:
-    return endpoint.available and endpoint.holds(target.model, target.adapter)
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
@@ -38,7 +38,7 @@
         super().__init__(node_kernel)
         self.protocol = node_kernel.get(endpoints_client.EndpointsClient).protocol
         self.registry = node_kernel.get(discovery.Discovery).registry
-        self.registry.on_change.append(self._remove_gone)
+        self.registry.on_change.append(self._remove_expired)
         self.broadcast = node_kernel.get(broadcast.Broadcast)
         node_kernel.get(peers.Peers).handle(EndpointLeaving, self._on_leaving)
         #: Monotonic time until which an endpoint wants no requests from this VM.
@@ -77,6 +77,21 @@
                     outcome="unreadable, left out",
                 )
 
+    def backoff_until(self, endpoint: registry.Endpoint) -> float:
+        """Return the monotonic time from which an endpoint accepts requests.
+
+        :param endpoint: the endpoint.
+        :returns: 0.0 if it never asked this VM to back off.
+        """
+        return self.backoff_until_by_id.get(endpoint.id, 0.0)
+
+    def in_backoff(self, endpoint: registry.Endpoint) -> bool:
+        """Return whether an endpoint wants no requests from this VM now.
+
+        :param endpoint: the endpoint.
+        """
+        return time.monotonic() < self.backoff_until(endpoint)
+
     def record_leaving(self, endpoint: registry.Endpoint, **source: str) -> None:
         """Record that an endpoint announced that it is leaving, and publish it once.
 
@@ -109,10 +124,14 @@
                 outcome="begins",
             )
 
-    def _remove_gone(self) -> None:
-        """Remove what endpoints announced that are gone."""
-        for endpoint_id in self.backoff_until_by_id.keys() - self.registry.by_id.keys():
-            del self.backoff_until_by_id[endpoint_id]
+    def _remove_expired(self) -> None:
+        """Remove the backoffs that have ended."""
+        now = time.monotonic()
+        self.backoff_until_by_id = {
+            endpoint_id: until
+            for endpoint_id, until in self.backoff_until_by_id.items()
+            if until > now
+        }
 
 
 def _log_leaving(endpoint_id: str, **source: str) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
@@ -17,6 +17,7 @@
     caller_request,
     declaration_types,
     discovery,
+    endpoint_notices,
     health,
     registry,
     running_requests,
@@ -37,12 +38,16 @@
 class Candidates:
     """Endpoints that could run a request.
 
-    :param ready: endpoints that hold the request's model and adapter, the best first.
+    :param ready: endpoints that hold the request's model and adapter and accept
+        requests, the best first.
     :param all: all available endpoints of the service.
+    :param backoff_until: monotonic time from which one that holds them accepts requests
+        again, if all of those are in a backoff; otherwise 0.0.
     """
 
     ready: tuple[registry.Endpoint, ...]
     all: tuple[registry.Endpoint, ...]
+    backoff_until: float = 0.0
 
 
 class EndpointSelection(kernel.Part):
@@ -56,6 +61,7 @@
         self.data_centre = node_kernel.settings.data_centre
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.health = node_kernel.get(health.Health)
+        self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
 
     def service(self, route: declaration_types.Route) -> str:
@@ -78,8 +84,27 @@
         holding = [
             item for item in endpoints if item.holds(target.model, target.adapter)
         ]
-        ready = self.health.healthy(holding) if holding else []
-        return Candidates(tuple(self._order(ready, request)), tuple(endpoints))
+        accepting = [item for item in holding if not self.notices.in_backoff(item)]
+        backoff_until = 0.0
+        if holding and not accepting:
+            backoff_until = min(map(self.notices.backoff_until, holding))
+        ready = self.health.healthy(accepting) if accepting else []
+        ranked = tuple(self._order(ready, request))
+        return Candidates(ranked, tuple(endpoints), backoff_until)
+
+    def accepts(
+        self, endpoint: registry.Endpoint, target: caller_request.Target
+    ) -> bool:
+        """Return whether an endpoint may be sent a request now.
+
+        :param endpoint: the endpoint.
+        :param target: the request's target.
+        """
+        return (
+            endpoint.available
+            and endpoint.holds(target.model, target.adapter)
+            and not self.notices.in_backoff(endpoint)
+        )
 
     def _order(
         self, ready: list[registry.Endpoint], request: caller_request.CallerRequest
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -146,7 +146,16 @@
         last_id = self.event_splitter.last_id
         deadline = self.request.deadline
         sent_at = time.monotonic()
-        sent = protocol.send(endpoint, self.request, left_s, deadline, last_id)
+        sent = protocol.send(
+            endpoint,
+            self.request,
+            left_s,
+            deadline,
+            lambda: self.attempts.endpoint_selection.accepts(
+                endpoint, self.request.target
+            ),
+            last_id,
+        )
         resumed = False
         match sent:
             case result.Ok(answer):
--- a/packages/mothworks_gateway/tests/test_endpoint_selection.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_selection.py
@@ -3,6 +3,7 @@
 import gateway_builders
 from mothworks_gateway import (
     caller_request,
+    endpoint_notices,
     endpoint_selection,
     health,
     registry,
@@ -15,11 +16,25 @@
         return candidates
 
 
-def make_selection(endpoints, running=()):
+class Notices:
+    """Stub with fixed ends of backoffs by endpoint."""
+
+    def __init__(self, backoff_until_by_id):
+        self.backoff_until_by_id = backoff_until_by_id
+
+    def backoff_until(self, endpoint):
+        return self.backoff_until_by_id.get(endpoint.id, 0.0)
+
+    def in_backoff(self, endpoint):
+        return endpoint.id in self.backoff_until_by_id
+
+
+def make_selection(endpoints, running=(), backoff_until_by_id=()):
     view = registry.Registry()
     view.by_id = {item.id: item for item in endpoints}
     parts = {
         health.Health: Health(),
+        endpoint_notices.EndpointNotices: Notices(dict(backoff_until_by_id)),
         running_requests.RunningRequests: gateway_builders.RunningRequests(running),
     }
     return endpoint_selection.EndpointSelection(
@@ -82,6 +97,31 @@
     assert candidates.all == (staying,)
 
 
+# Guards against requests to an endpoint that asked this VM to back off.
+def test_an_endpoint_in_a_backoff_is_not_ready():
+    endpoints = [gateway_builders.endpoint(f"i-{n}", models=("m",)) for n in range(2)]
+    target = caller_request.Target("s", "m")
+    request = gateway_builders.request(target=target)
+    selection = make_selection(endpoints, backoff_until_by_id={"i-0": 12.0})
+    assert selection.candidates(request).ready == (endpoints[1],)
+    assert selection.candidates(request).backoff_until == 0.0
+    assert selection.accepts(endpoints[1], target)
+    assert not selection.accepts(endpoints[0], target)
+
+
+# Guards against callers that wait for a model that its endpoints hold.
+def test_a_backoff_of_all_holders_is_reported_with_its_first_end():
+    holders = [gateway_builders.endpoint(f"i-{n}", models=("m",)) for n in range(2)]
+    other = gateway_builders.endpoint("i-2", models=("n",))
+    request = gateway_builders.request(target=caller_request.Target("s", "m"))
+    selection = make_selection(
+        [*holders, other], backoff_until_by_id={"i-0": 12.0, "i-1": 11.0}
+    )
+    candidates = selection.candidates(request)
+    assert candidates.ready == ()
+    assert candidates.backoff_until == 11.0
+
+
 def test_a_large_batch_does_not_hide_a_busier_endpoint():
     # Endpoints have 96 batch slots, and the prefill of a dozen prompts keeps one busy.
     # One that ran nine requests more than the other, a tenth of its slots, still
--- a/packages/mothworks_gateway/tests/test_published_notices.py
+++ b/packages/mothworks_gateway/tests/test_published_notices.py
@@ -82,3 +82,27 @@
     vms[0].registry.record_leaving("i-2")
     vms[0].registry.put(gateway_builders.endpoint("i-2").entry, b"")
     assert not vms[0].registry.by_id["i-2"].available
+
+
+# Guards against a backoff that another refusal shortens, or that is forgotten when the
+# endpoint's entry lapses and is written again.
+def test_the_longest_backoff_is_kept(vms):
+    vm = vms[0]
+    endpoint = vm.registry.by_id["i-1"]
+    assert not vm.notices.in_backoff(endpoint)
+    vm.observe(backoff_s=30.0)
+    until = vm.notices.backoff_until(endpoint)
+    vm.observe(backoff_s=0.0)
+    vm.registry.remove("i-1")
+    vm.registry.notify_changed()
+    vm.registry.put(endpoint.entry, b"")
+    assert vm.notices.backoff_until(vm.registry.by_id["i-1"]) == until
+    assert vm.notices.in_backoff(endpoint)
+    assert not vms[1].notices.in_backoff(endpoint)
+
+
+def test_ended_backoffs_are_removed(vms):
+    vm = vms[0]
+    vm.observe(backoff_s=0.0)
+    vm.registry.notify_changed()
+    assert vm.notices.backoff_until_by_id == {}
