Placement: an endpoint in a backoff has no capacity for its models

An endpoint that refuses everything for seconds was still counted as a full replica: callers of a model that only it holds were refused until it took requests again, while other endpoints were idle. The lease holder now counts an endpoint in a backoff as no capacity, as it counts a limited one in part, loads nothing there while others are open, and gives its models another endpoint where their prompts need one. Models whose holders have no capacity at all were left out before, also for a limit of 0.

Virtual time, 6 requests a second for such a model: loaded elsewhere within 0.5 s, not at all before (test failed).

--- a/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
@@ -14,6 +14,7 @@
     declaration_types,
     demand,
     endpoint_limits,
+    endpoint_notices,
     endpoint_state,
     job_execution,
     prefill_speed,
@@ -118,6 +119,7 @@
         self.demand = node_kernel.get(demand.Demand)
         self.prefill_speed = node_kernel.get(prefill_speed.PrefillSpeed)
         self.limits = node_kernel.get(endpoint_limits.EndpointLimits)
+        self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.holders_by_target: dict[
             caller_request.Target, list[endpoint_state.EndpointState]
         ] = {}
@@ -143,6 +145,8 @@
         return sum(map(self._capacity, states))
 
     def _capacity(self, state: endpoint_state.EndpointState) -> float:
+        if self.notices.in_backoff(state.endpoint):
+            return 0.0
         per_s = self.limits.per_s(state.endpoint.id)
         if per_s is None:
             return 1.0
@@ -245,21 +249,22 @@
         return candidates
 
     def _loadable(self, service: str) -> list[endpoint_state.EndpointState]:
-        """Return a service's available endpoints without those that report a limit.
+        """Return a service's endpoints that have capacity for a further model.
 
-        A limited endpoint serves fewer requests than the models that it already holds
-        attract. If all of them are limited, all are returned: a load on any of them is
-        better than none.
+        An endpoint in a backoff or with a rate limit serves fewer requests than the
+        models that it already holds attract. If there are only such endpoints, all are
+        returned: a load on any of them is better than none.
         """
         open_states = [
             state for state in self.job_executor.of_service(service) if state.available
         ]
-        unlimited = [
+        unrestricted = [
             state
             for state in open_states
             if self.limits.per_s(state.endpoint.id) is None
+            and not self.notices.in_backoff(state.endpoint)
         ]
-        return unlimited or open_states
+        return unrestricted or open_states
 
     def _unmet_models(self, service: str) -> set[str]:
         """Return the models of a service that callers wait for."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -283,8 +283,11 @@
         several times within two seconds. Adding one endpoint per second, each only once
         the previous one was full, left the model overloaded for ten seconds.
         """
-        replicas = self.placement.capacity(self.placement.holders(target))
-        while replicas and replicas < self.placement.endpoints_needed(target):
+        holders = self.placement.holders(target)
+        if not holders:
+            return
+        replicas = self.placement.capacity(holders)
+        while replicas < self.placement.endpoints_needed(target):
             value = self.placement.replica_value(target, replicas + 1)
             candidate = self._place_model(
                 target,
--- a/packages/mothworks_gateway/tests/scheduling_builders.py
+++ b/packages/mothworks_gateway/tests/scheduling_builders.py
@@ -12,6 +12,7 @@
     demand,
     discovery,
     endpoint_limits,
+    endpoint_notices,
     endpoint_state,
     heartbeat,
     job_execution,
@@ -70,6 +71,8 @@
         self.running_requests = RunningRequests()
         #: Rate limits that endpoints report, requests per second.
         self.limit_by_id = {}
+        #: Endpoints that want no requests from the lease holder.
+        self.backoff_ids = set()
         self.job_executor = types.SimpleNamespace(
             of_service=lambda _: list(self.states),
             update_endpoints=lambda _: None,
@@ -91,6 +94,9 @@
             endpoint_limits.EndpointLimits: types.SimpleNamespace(
                 per_s=self.limit_by_id.get
             ),
+            endpoint_notices.EndpointNotices: types.SimpleNamespace(
+                in_backoff=lambda endpoint: endpoint.id in self.backoff_ids
+            ),
         }
         kernel = gateway_builders.Kernel(parts)
         parts[prefill_speed.PrefillSpeed] = self.prefill_speed = (
--- a/packages/mothworks_gateway/tests/test_limited_endpoints.py
+++ b/packages/mothworks_gateway/tests/test_limited_endpoints.py
@@ -1,7 +1,8 @@
-"""Scheduling does not count endpoints at their rate limits as idle capacity.
+"""Scheduling does not count endpoints that accept few or no requests as idle capacity.
 
 Each of five endpoints has memory for two models. One reports a limit of 1.5 requests
-per second, while callers send six per second for a model that only this one holds.
+per second or wants no requests for a time, while callers send six per second for a
+model that only this one holds.
 """
 
 import pytest
@@ -55,3 +56,29 @@
     scheduling.limit_by_id.update({f"i-{number}": 6.0 for number in range(5)})
     scheduling.send_requests("busy", PER_S, TOKENS, seconds=2.0)
     assert scheduling.holders("busy") >= 2
+
+
+# Guards against a model that no caller reaches while its only endpoint is in a backoff.
+def test_a_model_whose_endpoint_is_in_a_backoff_is_loaded_elsewhere(scheduling):
+    scheduling.send_requests("busy", PER_S, TOKENS, seconds=2.0)
+    assert loading_endpoint_ids(scheduling) == []
+    scheduling.backoff_ids.add("i-0")
+    scheduling.send_requests("busy", PER_S, TOKENS, seconds=0.5)
+    assert scheduling.holders("busy") == 2
+
+
+# Guards against loads at an endpoint that refuses requests.
+def test_nothing_is_loaded_at_an_endpoint_in_a_backoff(scheduling):
+    scheduling.backoff_ids.update(f"i-{number}" for number in range(4))
+    scheduling.send_requests("busy", 10 * PER_S, 3 * TOKENS, seconds=4.0)
+    assert set(loading_endpoint_ids(scheduling)) == {"i-4"}
+
+
+def test_a_backoff_costs_no_load_where_another_endpoint_suffices(scheduling):
+    scheduling.send_requests("busy", 10 * PER_S, 3 * TOKENS, seconds=4.0)
+    holders = scheduling.holders("busy")
+    assert holders > 1
+    scheduling.send_requests("busy", 1.0, TOKENS, seconds=30.0)
+    scheduling.backoff_ids.add("i-0")
+    scheduling.send_requests("busy", 1.0, TOKENS, seconds=1.0)
+    assert scheduling.holders("busy") == holders
