Callers refused in a backoff return in order, not all when it ends

All callers that were refused during a backoff were told to come when it ends: they return at the same moment, and the endpoint refuses most of them again. They are now told to come after a whole backoff, so they return in the order in which they were refused, or when another endpoint has loaded the model.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -292,5 +292,5 @@
             case adapters.ResponseKind.UNRECOGNIZED:
                 progress.may_have_run = True
                 self.health.record_failure(endpoint, "not an answer to the request")
-            case adapters.ResponseKind.BUSY if not self.notices.in_backoff(endpoint):
+            case adapters.ResponseKind.BUSY if self.notices.backoff(endpoint) is None:
                 gevent.sleep(BUSY_PAUSE_S)
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -15,6 +15,7 @@
 from mothworks_gateway import (
     attempts,
     caller_request,
+    endpoint_notices,
     endpoint_selection,
     poison_requests,
     prefill_pacing,
@@ -129,8 +130,8 @@
                 # Its model is held only by endpoints that it must not be sent to; the
                 # caller may retry.
                 return self._refuse(request, progress, 503, BUSY_RETRY_S)
-            if candidates.backoff_until:
-                return self._refuse_in_backoff(request, progress, candidates, now)
+            if candidates.backoff is not None:
+                return self._refuse_in_backoff(request, progress, candidates.backoff)
             if candidates.all:
                 refused = self._wait_for_model(request, progress, candidates, now)
             else:
@@ -199,20 +200,22 @@
         self,
         request: caller_request.CallerRequest,
         progress: attempts.RequestProgress,
-        candidates: endpoint_selection.Candidates,
-        now: float,
+        backoff: endpoint_notices.Backoff,
     ) -> result.Err[outcomes.Refusal]:
         """Refuse a request because all endpoints that hold its model are in a backoff.
 
-        The caller is told when the first of them accepts requests again, or when
-        another endpoint has loaded the model, whichever is sooner.
+        Callers return in the order in which they were refused, spread over a backoff's
+        length: if all returned when it ends, the endpoint would refuse most of them
+        again. If another endpoint is loading the model, they return once it is ready.
         """
-        backoff_s = candidates.backoff_until - now
         ready_in_s = self.residency.ready_in_s(request.target)
-        retry_after_s = backoff_s if ready_in_s is None else min(backoff_s, ready_in_s)
+        retry_after_s = backoff.seconds
+        if ready_in_s is not None:
+            retry_after_s = min(retry_after_s, ready_in_s)
+        left_s = max(0.0, backoff.until - time.monotonic())
         progress.reason = (
-            f"{progress.reason}; its endpoints want no requests from this VM for "
-            f"{backoff_s:.1f} s"
+            f"{progress.reason}; its endpoints want no requests from this VM "
+            f"for {left_s:.1f} s"
         )
         return self._refuse(request, progress, 503, retry_after_s)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_notices.py
@@ -28,6 +28,18 @@
     endpoint_id: str
 
 
+@attrs.frozen
+class Backoff:
+    """A time for which an endpoint wants no requests from this VM.
+
+    :param seconds: its length.
+    :param until: monotonic time of its end.
+    """
+
+    seconds: float
+    until: float
+
+
 class EndpointNotices(kernel.Part):
     """Tracks which endpoints are leaving, and which asked this VM to back off.
 
@@ -41,8 +53,7 @@
         self.registry.on_change.append(self._remove_expired)
         self.broadcast = node_kernel.get(broadcast.Broadcast)
         node_kernel.get(peers.Peers).handle(EndpointLeaving, self._on_leaving)
-        #: Monotonic time until which an endpoint wants no requests from this VM.
-        self.backoff_until_by_id: dict[str, float] = {}
+        self.backoff_by_id: dict[str, Backoff] = {}
         self.notices_total = node_kernel.metrics.counter(
             "endpoint_notices_total",
             "Answers in which endpoints announced leaving or asked for a backoff.",
@@ -77,20 +88,13 @@
                     outcome="unreadable, left out",
                 )
 
-    def backoff_until(self, endpoint: registry.Endpoint) -> float:
-        """Return the monotonic time from which an endpoint accepts requests.
+    def backoff(self, endpoint: registry.Endpoint) -> Backoff | None:
+        """Return an endpoint's backoff; None if it accepts requests from this VM now.
 
         :param endpoint: the endpoint.
-        :returns: 0.0 if it never asked this VM to back off.
         """
-        return self.backoff_until_by_id.get(endpoint.id, 0.0)
-
-    def in_backoff(self, endpoint: registry.Endpoint) -> bool:
-        """Return whether an endpoint wants no requests from this VM now.
-
-        :param endpoint: the endpoint.
-        """
-        return time.monotonic() < self.backoff_until(endpoint)
+        current = self.backoff_by_id.get(endpoint.id)
+        return current if current and time.monotonic() < current.until else None
 
     def record_leaving(self, endpoint: registry.Endpoint, **source: str) -> None:
         """Record that an endpoint announced that it is leaving, and publish it once.
@@ -111,10 +115,11 @@
         self, endpoint: registry.Endpoint, seconds: float, request_id: str
     ) -> None:
         self.notices_total.inc({"kind": "backoff"})
-        now = time.monotonic()
-        previous = self.backoff_until_by_id.get(endpoint.id, 0.0)
-        self.backoff_until_by_id[endpoint.id] = max(previous, now + seconds)
-        if previous <= now:
+        previous = self.backoff(endpoint)
+        backoff = Backoff(seconds, time.monotonic() + seconds)
+        if previous is None or previous.until < backoff.until:
+            self.backoff_by_id[endpoint.id] = backoff
+        if previous is None:
             logs.event(
                 log,
                 "endpoint backoff",
@@ -127,10 +132,10 @@
     def _remove_expired(self) -> None:
         """Remove the backoffs that have ended."""
         now = time.monotonic()
-        self.backoff_until_by_id = {
-            endpoint_id: until
-            for endpoint_id, until in self.backoff_until_by_id.items()
-            if until > now
+        self.backoff_by_id = {
+            endpoint_id: backoff
+            for endpoint_id, backoff in self.backoff_by_id.items()
+            if backoff.until > now
         }
 
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
@@ -41,13 +41,13 @@
     :param ready: endpoints that hold the request's model and adapter and accept
         requests, the best first.
     :param all: all available endpoints of the service.
-    :param backoff_until: monotonic time from which one that holds them accepts requests
-        again, if all of those are in a backoff; otherwise 0.0.
+    :param backoff: if all endpoints that hold them are in a backoff, the one that ends
+        first.
     """
 
     ready: tuple[registry.Endpoint, ...]
     all: tuple[registry.Endpoint, ...]
-    backoff_until: float = 0.0
+    backoff: endpoint_notices.Backoff | None = None
 
 
 class EndpointSelection(kernel.Part):
@@ -84,13 +84,15 @@
         holding = [
             item for item in endpoints if item.holds(target.model, target.adapter)
         ]
-        accepting = [item for item in holding if not self.notices.in_backoff(item)]
-        backoff_until = 0.0
-        if holding and not accepting:
-            backoff_until = min(map(self.notices.backoff_until, holding))
+        backoffs = [self.notices.backoff(item) for item in holding]
+        if holding and all(backoffs):
+            first = min(backoffs, key=lambda backoff: backoff.until)
+            return Candidates((), tuple(endpoints), first)
+        accepting = [
+            item for item, backoff in zip(holding, backoffs, strict=True) if not backoff
+        ]
         ready = self.health.healthy(accepting) if accepting else []
-        ranked = tuple(self._order(ready, request))
-        return Candidates(ranked, tuple(endpoints), backoff_until)
+        return Candidates(tuple(self._order(ready, request)), tuple(endpoints))
 
     def accepts(
         self, endpoint: registry.Endpoint, target: caller_request.Target
@@ -103,7 +105,7 @@
         return (
             endpoint.available
             and endpoint.holds(target.model, target.adapter)
-            and not self.notices.in_backoff(endpoint)
+            and self.notices.backoff(endpoint) is None
         )
 
     def _order(
--- a/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
@@ -145,7 +145,7 @@
         return sum(map(self._capacity, states))
 
     def _capacity(self, state: endpoint_state.EndpointState) -> float:
-        if self.notices.in_backoff(state.endpoint):
+        if self.notices.backoff(state.endpoint) is not None:
             return 0.0
         per_s = self.limits.per_s(state.endpoint.id)
         if per_s is None:
@@ -262,7 +262,7 @@
             state
             for state in open_states
             if self.limits.per_s(state.endpoint.id) is None
-            and not self.notices.in_backoff(state.endpoint)
+            and self.notices.backoff(state.endpoint) is None
         ]
         return unrestricted or open_states
 
--- a/packages/mothworks_gateway/tests/scheduling_builders.py
+++ b/packages/mothworks_gateway/tests/scheduling_builders.py
@@ -71,8 +71,8 @@
         self.running_requests = RunningRequests()
         #: Rate limits that endpoints report, requests per second.
         self.limit_by_id = {}
-        #: Endpoints that want no requests from the lease holder.
-        self.backoff_ids = set()
+        #: Backoffs that endpoints asked the lease holder for.
+        self.backoff_by_id = {}
         self.job_executor = types.SimpleNamespace(
             of_service=lambda _: list(self.states),
             update_endpoints=lambda _: None,
@@ -95,7 +95,7 @@
                 per_s=self.limit_by_id.get
             ),
             endpoint_notices.EndpointNotices: types.SimpleNamespace(
-                in_backoff=lambda endpoint: endpoint.id in self.backoff_ids
+                backoff=lambda endpoint: self.backoff_by_id.get(endpoint.id)
             ),
         }
         kernel = gateway_builders.Kernel(parts)
--- a/packages/mothworks_gateway/tests/test_endpoint_selection.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_selection.py
@@ -10,6 +10,9 @@
     running_requests,
 )
 
+SHORT_BACKOFF = endpoint_notices.Backoff(3.0, 11.0)
+LONG_BACKOFF = endpoint_notices.Backoff(3.0, 12.0)
+
 
 class Health:
     def healthy(self, candidates):
@@ -17,24 +20,21 @@
 
 
 class Notices:
-    """Stub with fixed ends of backoffs by endpoint."""
-
-    def __init__(self, backoff_until_by_id):
-        self.backoff_until_by_id = backoff_until_by_id
+    """Stub with fixed backoffs by endpoint."""
 
-    def backoff_until(self, endpoint):
-        return self.backoff_until_by_id.get(endpoint.id, 0.0)
+    def __init__(self, backoff_by_id):
+        self.backoff_by_id = backoff_by_id
 
-    def in_backoff(self, endpoint):
-        return endpoint.id in self.backoff_until_by_id
+    def backoff(self, endpoint):
+        return self.backoff_by_id.get(endpoint.id)
 
 
-def make_selection(endpoints, running=(), backoff_until_by_id=()):
+def make_selection(endpoints, running=(), backoff_by_id=()):
     view = registry.Registry()
     view.by_id = {item.id: item for item in endpoints}
     parts = {
         health.Health: Health(),
-        endpoint_notices.EndpointNotices: Notices(dict(backoff_until_by_id)),
+        endpoint_notices.EndpointNotices: Notices(dict(backoff_by_id)),
         running_requests.RunningRequests: gateway_builders.RunningRequests(running),
     }
     return endpoint_selection.EndpointSelection(
@@ -102,9 +102,9 @@
     endpoints = [gateway_builders.endpoint(f"i-{n}", models=("m",)) for n in range(2)]
     target = caller_request.Target("s", "m")
     request = gateway_builders.request(target=target)
-    selection = make_selection(endpoints, backoff_until_by_id={"i-0": 12.0})
+    selection = make_selection(endpoints, backoff_by_id={"i-0": SHORT_BACKOFF})
     assert selection.candidates(request).ready == (endpoints[1],)
-    assert selection.candidates(request).backoff_until == 0.0
+    assert selection.candidates(request).backoff is None
     assert selection.accepts(endpoints[1], target)
     assert not selection.accepts(endpoints[0], target)
 
@@ -115,11 +115,11 @@
     other = gateway_builders.endpoint("i-2", models=("n",))
     request = gateway_builders.request(target=caller_request.Target("s", "m"))
     selection = make_selection(
-        [*holders, other], backoff_until_by_id={"i-0": 12.0, "i-1": 11.0}
+        [*holders, other], backoff_by_id={"i-0": LONG_BACKOFF, "i-1": SHORT_BACKOFF}
     )
     candidates = selection.candidates(request)
     assert candidates.ready == ()
-    assert candidates.backoff_until == 11.0
+    assert candidates.backoff is SHORT_BACKOFF
 
 
 def test_a_large_batch_does_not_hide_a_busier_endpoint():
--- a/packages/mothworks_gateway/tests/test_limited_endpoints.py
+++ b/packages/mothworks_gateway/tests/test_limited_endpoints.py
@@ -8,6 +8,7 @@
 import pytest
 
 import scheduling_builders
+from mothworks_gateway import endpoint_notices
 
 MODELS_PER_ENDPOINT = [
     ("busy", "rare-0"),
@@ -15,6 +16,7 @@
 ]
 TOKENS = 600
 PER_S = 6.0
+BACKOFF = endpoint_notices.Backoff(3.0, 110.0)
 
 
 @pytest.fixture
@@ -62,14 +64,14 @@
 def test_a_model_whose_endpoint_is_in_a_backoff_is_loaded_elsewhere(scheduling):
     scheduling.send_requests("busy", PER_S, TOKENS, seconds=2.0)
     assert loading_endpoint_ids(scheduling) == []
-    scheduling.backoff_ids.add("i-0")
+    scheduling.backoff_by_id["i-0"] = BACKOFF
     scheduling.send_requests("busy", PER_S, TOKENS, seconds=0.5)
     assert scheduling.holders("busy") == 2
 
 
 # Guards against loads at an endpoint that refuses requests.
 def test_nothing_is_loaded_at_an_endpoint_in_a_backoff(scheduling):
-    scheduling.backoff_ids.update(f"i-{number}" for number in range(4))
+    scheduling.backoff_by_id.update({f"i-{number}": BACKOFF for number in range(4)})
     scheduling.send_requests("busy", 10 * PER_S, 3 * TOKENS, seconds=4.0)
     assert set(loading_endpoint_ids(scheduling)) == {"i-4"}
 
@@ -79,6 +81,6 @@
     holders = scheduling.holders("busy")
     assert holders > 1
     scheduling.send_requests("busy", 1.0, TOKENS, seconds=30.0)
-    scheduling.backoff_ids.add("i-0")
+    scheduling.backoff_by_id["i-0"] = BACKOFF
     scheduling.send_requests("busy", 1.0, TOKENS, seconds=1.0)
     assert scheduling.holders("busy") == holders
--- a/packages/mothworks_gateway/tests/test_published_notices.py
+++ b/packages/mothworks_gateway/tests/test_published_notices.py
@@ -89,20 +89,20 @@
 def test_the_longest_backoff_is_kept(vms):
     vm = vms[0]
     endpoint = vm.registry.by_id["i-1"]
-    assert not vm.notices.in_backoff(endpoint)
+    assert vm.notices.backoff(endpoint) is None
     vm.observe(backoff_s=30.0)
-    until = vm.notices.backoff_until(endpoint)
-    vm.observe(backoff_s=0.0)
+    backoff = vm.notices.backoff(endpoint)
+    vm.observe(backoff_s=1.0)
     vm.registry.remove("i-1")
     vm.registry.notify_changed()
     vm.registry.put(endpoint.entry, b"")
-    assert vm.notices.backoff_until(vm.registry.by_id["i-1"]) == until
-    assert vm.notices.in_backoff(endpoint)
-    assert not vms[1].notices.in_backoff(endpoint)
+    assert vm.notices.backoff(vm.registry.by_id["i-1"]) == backoff
+    assert vms[1].notices.backoff(endpoint) is None
 
 
 def test_ended_backoffs_are_removed(vms):
     vm = vms[0]
     vm.observe(backoff_s=0.0)
+    assert vm.notices.backoff(vm.registry.by_id["i-1"]) is None
     vm.registry.notify_changed()
-    assert vm.notices.backoff_until_by_id == {}
+    assert vm.notices.backoff_by_id == {}
