Slots: pause grants for as long as a refusing engine asks

Requests whose target ends before the pause are refused at once instead of waiting for it, and callers are told to come after it.

--- a/packages/mothworks/src/mothworks/batches.py
+++ b/packages/mothworks/src/mothworks/batches.py
@@ -21,7 +21,7 @@
 
 #: Minimum time after which a refused request may be retried, milliseconds.
 MIN_RETRY_AFTER_MS = 200
-#: Time without grants after the endpoint refused a request, seconds.
+#: Shortest time without grants after the endpoint refused a request, seconds.
 REFUSAL_PAUSE_S = 0.5
 #: Mean time until the next free slot above which slots are reserved for work more
 #: urgent than bulk, seconds; a quarter of the default target for the first token.
@@ -147,9 +147,14 @@
             running = len(self.slot_by_key)
             self.limit.observe(ratio, running, slot.since, time.monotonic())
 
-    def pause(self) -> None:
-        """Stop granting for :data:`REFUSAL_PAUSE_S` after the endpoint refused."""
-        self.paused_until = time.monotonic() + REFUSAL_PAUSE_S
+    def pause(self, seconds: float = 0.0) -> None:
+        """Stop granting after the endpoint refused a request.
+
+        :param seconds: time for which the endpoint wants no requests; at least
+            :data:`REFUSAL_PAUSE_S` is used.
+        """
+        until = time.monotonic() + max(REFUSAL_PAUSE_S, seconds)
+        self.paused_until = max(self.paused_until, until)
 
     def grant_waiting(self, now: float) -> None:
         """Grant free slots to queued requests.
@@ -329,7 +334,8 @@
         return now + request.target_ms / 1000 - self.usage.first_token_s
 
     def _expected_wait_s(self, rank: int, ahead: int) -> float:
-        return (ahead + 1) * self._next_free_s(rank)
+        paused_s = max(0.0, self.paused_until - time.monotonic())
+        return paused_s + (ahead + 1) * self._next_free_s(rank)
 
     def _non_bulk_running(self) -> int:
         return sum(
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -275,7 +275,9 @@
             self.release(grant, slots.RequestEnd(slots.Outcome.CANCELLED))
             raise
         if sent.is_err():
-            self.release(grant, slots.RequestEnd(sent.err_value.outcome))
+            failed = sent.err_value
+            end = slots.RequestEnd(failed.outcome, pause_s=failed.pause_s)
+            self.release(grant, end)
         name = grant.endpoint.name
         return sent.map_err(lambda failed: attrs.evolve(failed, endpoint=name))
 
--- a/packages/mothworks/src/mothworks/endpoints.py
+++ b/packages/mothworks/src/mothworks/endpoints.py
@@ -23,6 +23,8 @@
     :param refused: whether the endpoint refused the request before running it.
     :param answered: whether the endpoint answered with an error, which shows
         that its process is alive.
+    :param retry_after_s: time for which an endpoint that refused wants no requests,
+        seconds; 0 if it named none.
     :param withheld: whether the sender itself did not send the request, because it was
         no longer valid once the connection was open.
     """
@@ -31,6 +33,7 @@
     may_have_arrived: bool
     refused: bool = False
     answered: bool = False
+    retry_after_s: float = 0.0
     withheld: bool = False
 
 
--- a/packages/mothworks/src/mothworks/failed_attempts.py
+++ b/packages/mothworks/src/mothworks/failed_attempts.py
@@ -19,6 +19,7 @@
     :param uses_retry_budget: whether a retry consumes the retry budget.
     :param outcome: the outcome reported to the endpoint's owner.
     :param endpoint: the endpoint's name; empty if no slot was granted.
+    :param pause_s: time for which the endpoint wants no requests, seconds.
     """
 
     refusal: outcomes.Refusal
@@ -26,6 +27,7 @@
     uses_retry_budget: bool
     outcome: slots.Outcome
     endpoint: str = ""
+    pause_s: float = 0.0
 
 
 def no_endpoint(request: requests.Request) -> outcomes.Refusal:
@@ -56,5 +58,8 @@
         outcome = slots.Outcome.FAILED if failure.answered else crashed
         return FailedAttempt(outcomes.unknown(message), True, True, outcome)
     message = f"the endpoint did not accept the request: {failure.reason}"
-    refusal = outcomes.overloaded(message, REFUSED_RETRY_AFTER_S)
-    return FailedAttempt(refusal, False, True, slots.Outcome.FAILED)
+    retry_after_s = max(REFUSED_RETRY_AFTER_S, failure.retry_after_s)
+    refusal = outcomes.overloaded(message, retry_after_s)
+    return FailedAttempt(
+        refusal, False, True, slots.Outcome.FAILED, pause_s=failure.retry_after_s
+    )
--- a/packages/mothworks/src/mothworks/slot_messages.py
+++ b/packages/mothworks/src/mothworks/slot_messages.py
@@ -99,6 +99,7 @@
     :param first_token_ms: see ``slots.RequestEnd``, whole milliseconds.
     :param between_tokens_us: see ``slots.RequestEnd``, whole microseconds.
     :param tokens: see ``slots.RequestEnd``.
+    :param pause_ms: see ``slots.RequestEnd``, whole milliseconds.
     """
 
     number: int
@@ -106,6 +107,7 @@
     first_token_ms: int = 0
     between_tokens_us: int = 0
     tokens: int = 0
+    pause_ms: int = 0
 
 
 @messages.message(13)
--- a/packages/mothworks/src/mothworks/slot_owner.py
+++ b/packages/mothworks/src/mothworks/slot_owner.py
@@ -141,7 +141,7 @@
         elif slot is not None:
             batch.limit.count_unmeasured()
         if message.outcome == slot_messages.Outcome.FAILED:
-            batch.pause()
+            batch.pause(message.pause_ms / 1000)
         batch.release(key, message.first_token_ms)
 
     def running_requests(self, endpoint: str, target: str) -> frozenset[str]:
--- a/packages/mothworks/src/mothworks/slots.py
+++ b/packages/mothworks/src/mothworks/slots.py
@@ -48,12 +48,15 @@
     :param between_tokens_ms: mean time between tokens, milliseconds; 0 if fewer
         than two tokens arrived.
     :param tokens: number of tokens that the endpoint generated.
+    :param pause_s: time for which an endpoint that refused the request wants no other,
+        seconds.
     """
 
     outcome: Outcome = Outcome.OK
     first_token_ms: float = 0.0
     between_tokens_ms: float = 0.0
     tokens: int = 0
+    pause_s: float = 0.0
 
 
 @attrs.frozen
@@ -135,6 +138,7 @@
                 round(end.first_token_ms),
                 round(end.between_tokens_ms * 1000),
                 end.tokens,
+                round(end.pause_s * 1000),
             )
             self._send_release(reservation, message)
 
--- a/packages/mothworks/tests/test_answers.py
+++ b/packages/mothworks/tests/test_answers.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 import gevent
 import gevent.server
 import orjson
@@ -9,7 +10,7 @@
 import result
 
 import served
-from mothworks import dispatch, retries, transport
+from mothworks import batches, dispatch, retries, transport
 from mothworks_fakes import gates, processes, web
 
 EVENT = b'data: {"choices": []}\n\n'
@@ -100,6 +101,20 @@
     assert len(working.runs) == 6
 
 
+# Guards against requests to an engine that refused one and asked for a pause.
+def test_an_engine_that_asks_for_a_pause_gets_no_requests_meanwhile(serve):
+    def refuse(_):
+        reply = web.json_reply({}, "503 Busy")
+        return attrs.evolve(reply, headers=[*reply.headers, ("Retry-After", "30")])
+
+    busy = served.ScriptedEngine(refuse)
+    node = serve(busy, served.ScriptedEngine(None))
+    send_until_engine_tried(node, busy, max_tokens=1)
+    gevent.sleep(1.2 * batches.REFUSAL_PAUSE_S)
+    assert [node.chat(max_tokens=1).status for _ in range(20)] == [200] * 20
+    assert len(busy.bodies) == 1
+
+
 def test_a_failed_request_is_retried_at_another_engine(serve):
     # The engine responds with 500: it is alive, but the request may have run there.
     failing = served.ScriptedEngine(lambda _: web.json_reply({}, "500 Broken"))
--- a/packages/mothworks/tests/test_slots.py
+++ b/packages/mothworks/tests/test_slots.py
@@ -237,6 +237,27 @@
     assert owner.last_status("next") is slot_messages.SlotStatus.GRANTED
 
 
+# Guards against grants for an endpoint that refused a request and named the time for
+# which it wants no other, and against a later refusal that shortens that time.
+def test_grants_pause_for_as_long_as_an_endpoint_asks():
+    owner = Owner(slots=2)
+    owner.batch.pause(3.0)
+    owner.batch.pause()
+    assert owner.request("next", BULK) is slot_messages.SlotStatus.QUEUED
+    owner.batch.sweep(time.monotonic() + 2.5)
+    assert owner.last_status("next") is slot_messages.SlotStatus.QUEUED
+    owner.batch.sweep(time.monotonic() + 3.0)
+    assert owner.last_status("next") is slot_messages.SlotStatus.GRANTED
+
+
+# Guards against requests that wait for a pause to end although they are late by then.
+def test_a_pause_that_outlasts_the_target_refuses_at_once():
+    owner = Owner(slots=2)
+    owner.batch.pause(3.0)
+    assert owner.request("late", target_ms=1600) is slot_messages.SlotStatus.REFUSED
+    assert 1300 < owner.replies_by_request["late"][-1].wait_ms < 1500
+
+
 def test_a_new_owner_does_not_overfill_the_batch():
     """Guards against a second full batch on top of the one already running.
 
