--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -214,8 +214,7 @@
             retry_after_s = min(retry_after_s, ready_in_s)
         left_s = max(0.0, backoff.until - time.monotonic())
         progress.reason = (
-            f"{progress.reason}; its endpoints want no requests from this VM "
-            f"for {left_s:.1f} s"
+            f"its endpoints want no requests from this VM for {left_s:.1f} s"
         )
         return self._refuse(request, progress, 503, retry_after_s)
 
