--- /dev/null
+++ b/packages/mothworks/src/mothworks/header_values.py
@@ -0,0 +1,25 @@
+"""Values of HTTP headers from untrusted senders."""
+
+import re
+
+import result
+
+#: No sign, no exponent, and short enough to be finite.
+DECIMAL = re.compile(r"\d{1,12}(\.\d{0,60})?|\.\d{1,60}", re.ASCII)
+
+
+def decode_decimal(text: str) -> result.Result[float | None, str]:
+    """Decode a decimal number that is not negative.
+
+    :param text: the header's value; empty if the header is absent.
+    :returns: the number, None for an absent header; or why it is unreadable.
+
+    >>> decode_decimal(" 1.5 ")
+    Ok(1.5)
+    """
+    value = text.strip()
+    if not value:
+        return result.Ok(None)
+    if not DECIMAL.fullmatch(value):
+        return result.Err(f"not a decimal number: {value[:20]!r}")
+    return result.Ok(float(value))
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -5,13 +5,18 @@
 agent, at the same address and port.
 """
 
-import re
-
 import attrs
 import orjson
 import result
 
-from mothworks import catalogue, endpoints, plugins, requests, transport
+from mothworks import (
+    catalogue,
+    endpoints,
+    header_values,
+    plugins,
+    requests,
+    transport,
+)
 
 #: Header that requests a stream from an event offset; the engine confirms the
 #: offset in the same response header.
@@ -19,8 +24,6 @@
 #: Statuses by which an engine refuses a request before running it: overloaded,
 #: draining, or the model was unloaded since the placement map was read.
 REFUSED_STATUSES = frozenset((404, 429, 503))
-#: Seconds in a Retry-After header: no sign, no exponent, and short enough to be finite.
-SECONDS = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 #: Lowest status that reports a failure of the engine.
 MIN_ERROR_STATUS = 500
 
@@ -96,7 +99,13 @@
     refused = answer.status in REFUSED_STATUSES
     verb = "refused" if refused else "failed"
     reason = f"the endpoint {verb} with status {answer.status}"
-    retry_after_s = _retry_after_s(answer) if refused else 0.0
+    retry_after_s = 0.0
+    if refused:
+        match header_values.decode_decimal(answer.header("retry-after")):
+            case result.Ok(seconds):
+                retry_after_s = seconds or 0.0
+            case result.Err(problem):
+                reason += f"; its Retry-After is {problem}"
     return result.Err(
         endpoints.SendFailure(
             reason, True, refused, answered=True, retry_after_s=retry_after_s
@@ -104,12 +113,6 @@
     )
 
 
-def _retry_after_s(answer: transport.HttpAnswer) -> float:
-    """Return the seconds of a Retry-After header; 0 if it is absent or a date."""
-    value = answer.header("retry-after").strip()
-    return float(value) if SECONDS.fullmatch(value) else 0.0
-
-
 def _check_resumption(answer: transport.HttpAnswer, offset: int):
     """Check that the engine confirms a requested resumption.
 
