--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -103,6 +103,13 @@
     def _apply_snapshot(self, snapshot: adapters.Snapshot) -> None:
         if snapshot.cursor < self.registry.cursor:
             # Changes published by a peer are newer than this snapshot.
+            logs.event(
+                log,
+                "snapshot",
+                cursor=snapshot.cursor,
+                known=self.registry.cursor,
+                outcome="older than what is known, left out",
+            )
             return
         self.registry.cursor = snapshot.cursor
         if snapshot.document_by_name != {**self.documents(), **self.unreadable_by_name}:
