Order the platform's changes by era, then by revision

The store had come back from a copy: its revision was about 102 where all VMs had 116. VMs took cursors to grow. After each 410 a watcher read the whole registry, left it out since 102 is less than 116, kept 116, and polled into the next 410, until the store had given out 116 again at about 24.4 s. Where it does so before the next poll, the poll is answered as if nothing had happened, and the changes in between are never seen.

The registry of a new era is older than what VMs know. An entry that contradicts it (the endpoint has left, or differs) takes effect only if it is not written again within 5 s; entries that the copy lacks stay in use for as long as after an outage.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -38,14 +38,14 @@
 
 @attrs.frozen
 class CursorExpired:
-    """The platform no longer has the changes since a cursor."""
+    """The platform no longer has the changes since a cursor, or was restored."""
 
 
 @attrs.frozen
 class Snapshot:
-    """All objects of one kind at one revision.
+    """All objects of one kind at one cursor.
 
-    :param cursor: the platform's revision; it grows.
+    :param cursor: the platform's cursor; see :mod:`cursors`.
     :param document_by_name: each object in the platform's format.
     """
 
@@ -69,7 +69,7 @@
 class Changes:
     """The changes since a cursor.
 
-    :param cursor: the platform's revision after the changes.
+    :param cursor: the platform's cursor after the changes.
     :param changes: in the order in which they happened.
     """
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -1,12 +1,14 @@
 """Discovery: keeps this VM's registry in step with the platform's."""
 
+import collections.abc
 import time
 
+import attrs
 import logbook
 import result
 
 from mothworks import kernel, logs
-from mothworks_gateway import adapters, feeding, registry
+from mothworks_gateway import adapters, cursors, feeding, registry
 
 log = logbook.Logger("discovery")
 
@@ -19,6 +21,23 @@
 EXPIRE_CHECK_S = 0.25
 
 
+@attrs.frozen
+class Update:
+    """Changes that this VM received from the platform itself.
+
+    :param changes: the changes, the last of each entry.
+    :param base_revision: cursor of the last change before these.
+    :param base_cursor: where the changes were found by comparing a full snapshot with
+        the registry, the cursor up to which the registry was complete; otherwise 0.
+    :param suspect_until: monotonic time until which removals are suspect.
+    """
+
+    changes: adapters.Changes
+    base_revision: int
+    base_cursor: int
+    suspect_until: float
+
+
 class Discovery(kernel.Part):
     """Owns the registry and updates it from the platform and from peers.
 
@@ -33,7 +52,7 @@
         self.follower = feeding.Follower(
             "endpoints",
             self.feeds.endpoints,
-            self._apply_snapshot,
+            self._apply_platform_snapshot,
             self._apply_platform_changes,
             self.batch_s,
         )
@@ -43,11 +62,13 @@
         #: Whether the registry was read, from the platform or a peer.
         self.loaded = False
         self.updated_at = time.monotonic()
-        #: Revision of the last change that this VM has applied.
+        #: Cursor of the last change that this VM has applied.
         self.changed_at = 0
-        #: Functions to call with the revision of the previous change and with changes
-        #: that this VM received from the platform itself.
-        self.on_platform_changes: list = []
+        #: Functions to call with each :class:`Update`.
+        self.on_platform_changes: list[collections.abc.Callable[[Update], None]] = []
+        #: Functions to call after the registry of a platform that was restored from a
+        #: copy was applied, without arguments.
+        self.on_restored: list[collections.abc.Callable[[], None]] = []
 
     @property
     def batch_s(self) -> float:
@@ -64,24 +85,25 @@
     ) -> None:
         """Apply a peer's registry if it is newer than this VM's.
 
-        :param cursor: the platform's revision up to which it is complete.
+        :param cursor: the platform's cursor up to which it is complete.
         :param document_by_name: the entries.
         """
         if cursor > self.registry.cursor:
             self._apply_snapshot(adapters.Snapshot(cursor, document_by_name))
 
-    def apply_published(
-        self, base_revision: int, changes: adapters.Changes, suspect_until: float
-    ) -> None:
+    def apply_published(self, update: Update) -> None:
         """Apply changes that a peer published, if none is missing before them.
 
-        :param base_revision: revision of the last change before these.
-        :param changes: the changes, the last of each entry.
-        :param suspect_until: monotonic time until which removals are suspect.
+        Changes that the peer found by comparing a snapshot with its registry do not fit
+        a registry that had changes which the peer did not know.
+
+        :param update: the changes.
         """
-        if base_revision <= self.registry.cursor < changes.cursor:
-            self._apply_changes(changes, suspect_until)
-            self.follower.cursor = max(self.follower.cursor, changes.cursor)
+        cursor = update.changes.cursor
+        follows = update.base_revision <= self.registry.cursor < cursor
+        if follows and not 0 < update.base_cursor < self.changed_at:
+            self._apply_changes(update.changes, update.suspect_until)
+            self.follower.cursor = max(self.follower.cursor, cursor)
 
     def confirm_unchanged(self, changed_at: int, cursor: int) -> None:
         """Advance the cursor, since a peer knows of no later change.
@@ -100,7 +122,7 @@
         """Return all entries, for a peer."""
         return {item.entry.name: item.document for item in self.registry.by_id.values()}
 
-    def _apply_snapshot(self, snapshot: adapters.Snapshot) -> None:
+    def _apply_platform_snapshot(self, snapshot: adapters.Snapshot) -> None:
         if snapshot.cursor < self.registry.cursor:
             # Changes published by a peer are newer than this snapshot.
             logs.event(
@@ -111,26 +133,73 @@
                 outcome="older than what is known, left out",
             )
             return
-        self.registry.cursor = snapshot.cursor
-        if snapshot.document_by_name != {**self.documents(), **self.unreadable_by_name}:
-            self.changed_at = snapshot.cursor
-        suspect_until = self.follower.suspect_until if self.loaded else 0.0
-        for name in self.registry.id_by_name.keys() - snapshot.document_by_name.keys():
-            self.registry.remove(name, suspect_until)
-        for name in self.unreadable_by_name.keys() - snapshot.document_by_name.keys():
-            del self.unreadable_by_name[name]
-        for name, document in snapshot.document_by_name.items():
-            self._put(name, document)
+        was_loaded = self.loaded
+        base_revision, base_cursor = self.changed_at, self.registry.cursor
+        update = self._apply_snapshot(snapshot)
+        if was_loaded and self.changed_at != base_revision:
+            self._notify_updated(
+                attrs.evolve(
+                    update, base_revision=base_revision, base_cursor=base_cursor
+                )
+            )
+
+    def _apply_snapshot(self, snapshot: adapters.Snapshot) -> Update:
+        """Apply a snapshot; return what it changed, without a base."""
+        suspect_until = self._suspect_until(snapshot.cursor)
+        changes = self._compare(snapshot)
+        self._apply_changes(changes, suspect_until)
         self._notify_changed()
+        return Update(changes, 0, 0, suspect_until)
+
+    def _suspect_until(self, cursor: int) -> float:
+        """Return until when the removals in a snapshot are suspect, monotonic time.
+
+        Entries that were written after the copy from which the platform was restored
+        are missing until their endpoints write them again.
+        """
+        if not self.loaded:
+            return 0.0
+        if self._is_restored(cursor):
+            return time.monotonic() + feeding.SUSPECT_REMOVAL_S
+        return self.follower.suspect_until
+
+    def _is_restored(self, cursor: int) -> bool:
+        """Return whether the platform was restored between the registry and a cursor.
+
+        :param cursor: the newer cursor.
+        """
+        return self.loaded and cursors.era(cursor) > cursors.era(self.registry.cursor)
+
+    def _compare(self, snapshot: adapters.Snapshot) -> adapters.Changes:
+        """Return the changes from the registry to a snapshot."""
+        known = {**self.unreadable_by_name}
+        for endpoint in self.registry.by_id.values():
+            if endpoint.lapsed_until is None:
+                known[endpoint.entry.name] = endpoint.document
+        for name, restored in self.registry.restored_by_name.items():
+            known[name] = restored.document
+        changes = [
+            adapters.Change(name, document)
+            for name, document in snapshot.document_by_name.items()
+            if known.get(name) != document
+        ]
+        names = self.registry.id_by_name.keys() | known.keys()
+        missing = names - snapshot.document_by_name.keys()
+        changes += [adapters.Change(name, None) for name in missing]
+        return adapters.Changes(snapshot.cursor, tuple(changes))
 
     def _apply_platform_changes(self, changes: adapters.Changes) -> None:
         if changes.cursor < self.registry.cursor:
             return
         base_revision = self.changed_at
-        self._apply_changes(changes, self.follower.suspect_until)
+        suspect_until = self.follower.suspect_until
+        self._apply_changes(changes, suspect_until)
         if changes.changes:
-            for notify in self.on_platform_changes:
-                notify(base_revision, changes)
+            self._notify_updated(Update(changes, base_revision, 0, suspect_until))
+
+    def _notify_updated(self, update: Update) -> None:
+        for notify in self.on_platform_changes:
+            notify(update)
 
     def _apply_changes(self, changes: adapters.Changes, suspect_until: float) -> None:
         """Apply changes, some of which may have been applied before.
@@ -138,23 +207,45 @@
         Only the last change of each entry is applied. Otherwise, earlier changes that
         arrive again with newer ones would briefly restore older states.
         """
-        self.registry.cursor = changes.cursor
+        is_restored = self._is_restored(changes.cursor)
+        put = self.registry.put_restored if is_restored else self.registry.put
+        previous, self.registry.cursor = self.registry.cursor, changes.cursor
         last_by_name = {change.name: change.document for change in changes.changes}
         for name, document in last_by_name.items():
             if document is None:
                 self.unreadable_by_name.pop(name, None)
                 self.registry.remove(name, suspect_until)
             else:
-                self._put(name, document)
-        if last_by_name:
+                self._put(name, document, put)
+        if last_by_name or is_restored:
             self.changed_at = changes.cursor
             self._notify_changed()
+        if is_restored:
+            self._notify_restored(previous, len(last_by_name))
 
-    def _put(self, name: str, document: bytes) -> None:
+    def _notify_restored(self, previous: int, change_count: int) -> None:
+        logs.event(
+            log,
+            "platform restored",
+            cursor=self.registry.cursor,
+            previous=previous,
+            changes=change_count,
+            left_out=len(self.registry.restored_by_name),
+            outcome="its registry is applied",
+        )
+        for notify in self.on_restored:
+            notify()
+
+    def _put(
+        self,
+        name: str,
+        document: bytes,
+        put: collections.abc.Callable[[registry.Entry, bytes], None],
+    ) -> None:
         match self.feeds.endpoint(name, document):
             case result.Ok(entry):
                 self.unreadable_by_name.pop(name, None)
-                self.registry.put(entry, document)
+                put(entry, document)
             case result.Err(reason):
                 self._skip_entry(name, document, reason)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -19,9 +19,13 @@
 
 log = logbook.Logger("registry")
 
-#: Maximum number of leaving endpoints to remember: many times as many as leave while
-#: the platform is unreachable.
-MAX_LEAVING = 4096
+#: Maximum number of leaving endpoints to remember, and of removed ones: many times as
+#: many as leave while the platform is unreachable.
+MAX_REMEMBERED = 4096
+#: Time for which a restored entry that contradicts what is known is left out, seconds:
+#: longer than running endpoints take to write their entries again, and than the
+#: platform takes to remove those of endpoints that are gone.
+RESTORED_HOLD_S = 5.0
 #: Why an endpoint that announced that it is leaving gets no new requests.
 LEAVING_REASON = "it announced that it is leaving"
 
@@ -103,6 +107,20 @@
         return adapters is not None and (not adapter or adapter in adapters)
 
 
+@attrs.frozen
+class RestoredEntry:
+    """An entry of a restored platform that contradicts what this VM knows.
+
+    :param entry: the entry.
+    :param document: the platform's document of the entry.
+    :param until: monotonic time until which it is left out.
+    """
+
+    entry: Entry
+    document: bytes
+    until: float
+
+
 class Registry:
     """All known endpoints; notifies of changes."""
 
@@ -114,6 +132,10 @@
         #: are kept after an endpoint's removal: an entry that lapsed during an outage
         #: may be written again.
         self.leaving_ids: dict[str, None] = {}
+        #: Ids of endpoints that were removed, the latest last.
+        self.removed_ids: dict[str, None] = {}
+        #: Restored entries that are left out for now.
+        self.restored_by_name: dict[str, RestoredEntry] = {}
         #: The platform's revision up to which the registry is complete.
         self.cursor = 0
         #: Functions to call after a change, without arguments.
@@ -136,6 +158,7 @@
         :param entry: the endpoint's entry.
         :param document: the platform's document of the entry.
         """
+        self.restored_by_name.pop(entry.name, None)
         endpoint = self.find_by_name(entry.name)
         if endpoint is not None and entry.started_ms < endpoint.entry.started_ms:
             # Written before the endpoint restarted, and arrived late.
@@ -155,6 +178,26 @@
         if previous.draining != entry.draining:
             self._log(entry, "leaves" if entry.draining else "stays")
 
+    def put_restored(self, entry: Entry, document: bytes) -> None:
+        """Add or update an entry that the platform has after it was restored.
+
+        The entry may be older than what is known: the endpoint may have left since. If
+        the entry contradicts that, it takes effect only if the endpoint does not write
+        another one for a while.
+
+        :param entry: the endpoint's entry.
+        :param document: the platform's document of the entry.
+        """
+        if not self._contradicts(entry):
+            self.put(entry, document)
+            return
+        endpoint = self.by_id.get(entry.id)
+        if endpoint is not None:
+            endpoint.lapsed_until = None
+        until = time.monotonic() + RESTORED_HOLD_S
+        self.restored_by_name[entry.name] = RestoredEntry(entry, document, until)
+        self._log(entry, "restored, left out for now")
+
     def find_by_name(self, name: str) -> Endpoint | None:
         """Return the newest incarnation of an endpoint; None if it is unknown.
 
@@ -175,6 +218,7 @@
             although its entry is missing; it stays in use until then.
         :param reason: why it may be running, for the log.
         """
+        self.restored_by_name.pop(name, None)
         endpoint = self.find_by_name(name)
         if endpoint is None:
             return
@@ -205,8 +249,17 @@
             self.notify_changed()
 
     def expire(self) -> None:
-        """Remove endpoints whose lapsed entries did not return in time."""
+        """Apply what no newer entry has replaced in time.
+
+        Endpoints whose lapsed entries did not return are removed, and restored entries
+        that were left out take effect.
+        """
         now = time.monotonic()
+        due = [item for item in self.restored_by_name.values() if now > item.until]
+        for restored in due:
+            self.put(restored.entry, restored.document)
+        if due:
+            self.notify_changed()
         for item in list(self.by_id.values()):
             if item.lapsed_until is not None and now > item.lapsed_until:
                 self._remove(item, "removed")
@@ -231,9 +284,7 @@
         """
         if endpoint_id in self.leaving_ids:
             return False
-        self.leaving_ids[endpoint_id] = None
-        if len(self.leaving_ids) > MAX_LEAVING:
-            del self.leaving_ids[next(iter(self.leaving_ids))]
+        _remember(self.leaving_ids, endpoint_id)
         endpoint = self.by_id.get(endpoint_id)
         if endpoint is not None:
             self.exclude(endpoint, LEAVING_REASON)
@@ -244,16 +295,28 @@
         for notify in self.on_change:
             notify()
 
+    def _contradicts(self, restored: Entry) -> bool:
+        """Return whether a restored entry contradicts what is known.
+
+        That an endpoint is draining is never older news than that it is not.
+        """
+        endpoint = self.by_id.get(restored.id)
+        if endpoint is None:
+            return restored.id in self.removed_ids
+        return restored != endpoint.entry and not restored.draining
+
     def _add(self, entry: Entry, document: bytes) -> None:
         adapters_by_model = dict(entry.adapters_by_model or {})
         reason = LEAVING_REASON if entry.id in self.leaving_ids else ""
         self.by_id[entry.id] = Endpoint(entry, document, adapters_by_model, reason)
         self.id_by_name[entry.name] = entry.id
+        self.removed_ids.pop(entry.id, None)
         self._log(entry, "appeared")
 
     def _remove(self, endpoint: Endpoint, outcome: str) -> None:
         del self.by_id[endpoint.id]
         del self.id_by_name[endpoint.entry.name]
+        _remember(self.removed_ids, endpoint.id)
         self._log(endpoint.entry, outcome)
 
     def _update_models(self, endpoint: Endpoint, previous: Entry, entry: Entry) -> None:
@@ -284,3 +347,11 @@
             on_disk=len(entry.on_disk),
             outcome=outcome,
         )
+
+
+def _remember(ids: dict[str, None], endpoint_id: str) -> None:
+    """Add an id as the latest one; the oldest one is dropped if there are too many."""
+    ids.pop(endpoint_id, None)
+    ids[endpoint_id] = None
+    if len(ids) > MAX_REMEMBERED:
+        del ids[next(iter(ids))]
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -56,16 +56,18 @@
 class RegistryUpdate:
     """Changes of the registry, published to all VMs.
 
-    :param base_revision: revision of the last change before these.
-    :param cursor: revision up to which these are all changes after that one.
+    :param base_revision: cursor of the last change before these.
+    :param cursor: cursor up to which these are all changes after that one.
     :param document_by_name: the platform's document of each entry; None if removed.
     :param suspect_s: time for which removals may be caused by an outage, seconds.
+    :param base_cursor: see :class:`discovery.Update`.
     """
 
     base_revision: int
     cursor: int
     document_by_name: dict[str, bytes | None]
     suspect_s: float = 0.0
+    base_cursor: int = 0
 
 
 class Watching(kernel.Part):
@@ -219,16 +221,20 @@
                 outcome="healthy" if healthy else "unhealthy",
             )
 
-    def _publish_changes(self, base_revision: int, changes: adapters.Changes) -> None:
+    def _publish_changes(self, update: discovery.Update) -> None:
         """Publish changes received from the platform, if this VM is a watcher."""
         if not self.is_watcher:
             return
-        suspect_s = self.discovery.follower.suspect_until - time.monotonic()
-        document_by_name = {item.name: item.document for item in changes.changes}
-        update = RegistryUpdate(
-            base_revision, changes.cursor, document_by_name, max(0.0, suspect_s)
+        changes = update.changes
+        self.broadcast.publish(
+            RegistryUpdate(
+                update.base_revision,
+                changes.cursor,
+                {item.name: item.document for item in changes.changes},
+                max(0.0, update.suspect_until - time.monotonic()),
+                update.base_cursor,
+            )
         )
-        self.broadcast.publish(update)
 
     def _on_registry_update(
         self, _: str, update: RegistryUpdate, __: peers.Reply
@@ -236,11 +242,13 @@
         changes = tuple(
             itertools.starmap(adapters.Change, update.document_by_name.items())
         )
-        suspect_until = time.monotonic() + update.suspect_s if update.suspect_s else 0.0
         self.discovery.apply_published(
-            update.base_revision,
-            adapters.Changes(update.cursor, changes),
-            suspect_until,
+            discovery.Update(
+                adapters.Changes(update.cursor, changes),
+                update.base_revision,
+                update.base_cursor,
+                time.monotonic() + update.suspect_s if update.suspect_s else 0.0,
+            )
         )
 
     def _on_status(
--- a/packages/mothworks_gateway/tests/test_registry.py
+++ b/packages/mothworks_gateway/tests/test_registry.py
@@ -124,7 +124,7 @@
 
 
 def test_the_number_of_remembered_leaving_endpoints_is_bounded(endpoints):
-    for number in range(registry.MAX_LEAVING + 10):
+    for number in range(registry.MAX_REMEMBERED + 10):
         endpoints.record_leaving(f"i-{number}")
-    assert len(endpoints.leaving_ids) == registry.MAX_LEAVING
+    assert len(endpoints.leaving_ids) == registry.MAX_REMEMBERED
     assert "i-0" not in endpoints.leaving_ids
