A lease is valid in one era of the platform; tokens grow across restores

The next fencing token was the stored one plus one.

A token now begins with the platform's era, so all tokens of an era are higher than those before, also where no VM remembers them. A VM that learns of a new era drops its lease and acquires it again at once, ahead of the order by rank. A lease that turns out to be written in a later era than its token gets a new token. Where endpoints ignore tokens, a VM that did not hold the lease waits until a holder that does not know of the restore has lost it, and for the time that separates two holders.

test_no_fencing_token_is_used_again_after_a_restore (both) and test_a_lease_that_was_lost_in_a_restore_has_one_holder (new; orders allowed 0.5 s early) failed before. test_a_holder_acquires_the_lease_again_after_a_restore is new and passed before, too.

--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -18,18 +18,31 @@
 moment, the holder has not renewed in between. So no VM has to start watching the store
 when the holder falls silent, and models are loaded again three seconds sooner: six
 seconds after the holder's last renewal instead of nine.
+
+A platform that was restored from a copy has lost the newest renewals, and possibly the
+lease. A lease is therefore valid only in the era in which it was acquired: its holder
+acquires it again with a fencing token of the new era.
 """
 
+import math
 import random
 import time
 
 import attrs
 import gevent
+import gevent.event
 import logbook
 import result
 
 from mothworks import kernel, logs, membership, objects, ownership
-from mothworks_gateway import boot_clock, heartbeat, lease_record, relayed_objects
+from mothworks_gateway import (
+    boot_clock,
+    cursors,
+    discovery,
+    heartbeat,
+    lease_record,
+    relayed_objects,
+)
 
 log = logbook.Logger("lease")
 
@@ -87,11 +100,16 @@
         # Where endpoints check fencing tokens, they reject a late order of the former
         # holder; elsewhere only a delay keeps the orders of the two apart.
         self.order_delay_s = 0.0 if fenced else lease_s
+        #: Time after a restore of the platform in which a former holder may not know
+        #: of it and still rely on its lease, seconds.
+        self.restored_delay_s = 0.0 if fenced else self.duration_s
         self.api = node_kernel.get(relayed_objects.RelayedObjects)
         self.membership = node_kernel.get(membership.Membership)
         self.heartbeats = node_kernel.get(heartbeat.Heartbeats)
         self.heartbeats.field_providers.append(self._heartbeat_fields)
         self.heartbeats.on_received.append(self._on_heartbeat)
+        self.discovery = node_kernel.get(discovery.Discovery)
+        self.discovery.on_restored.append(self._on_restored)
         node_kernel.on_draining.append(lambda: self.tasks.spawn(self._release_on_drain))
         self.started_at = time.monotonic()
         #: The lease as this VM last wrote it, and the stored object's version; None if
@@ -107,6 +125,16 @@
         #: Functions to call after this VM acquired the lease.
         self.on_acquired: list = []
         self._rejected_fence = 0
+        #: The platform's era as of this VM's last call for the lease; None before one.
+        self.era: int | None = None
+        #: Time at which this VM learnt of a restore, on the clock of
+        #: :func:`boot_clock.now`.
+        self.restored_at = -math.inf
+        #: Whether this VM held the lease when the platform was restored, and no other
+        #: VM is known to have acquired it since.
+        self._reclaims = False
+        #: Ends the pause before the next attempt to acquire or renew the lease.
+        self._wake = gevent.event.Event()
 
     def start(self) -> None:
         """Start the tasks that acquire and renew the lease."""
@@ -181,11 +209,12 @@
             # A lease that was just acquired is renewed on the same schedule: another VM
             # takes over once it stays unchanged for little more than one interval.
             has_lease = self.record is not None
-            gevent.sleep(
+            self._wake.wait(
                 self.renew_interval_s
                 if has_lease
                 else POLL_INTERVAL_S * random.uniform(0.8, 1.2)
             )
+            self._wake.clear()
 
     def _check_suspension(self) -> None:
         """Stop trusting the lease after a suspension, until it is renewed."""
@@ -224,6 +253,11 @@
     def _accept(
         self, record: lease_record.Record, version: str, sent_at: float
     ) -> None:
+        self._observe_era(cursors.era(int(version)))
+        if lease_record.fence_era(record.fence) < self.era:
+            # The platform was restored since the token was chosen.
+            self._acquire(record.fence, version)
+            return
         acquired = self.record is None or self.record.fence != record.fence
         self.record = record
         self.version = version
@@ -244,6 +278,34 @@
         self.version = None
         self.valid_until = 0.0
 
+    def _give_up(self, reason: str) -> None:
+        """Drop a lease that the platform may have lost, and acquire it again at once.
+
+        :param reason: the reason, for the log.
+        """
+        self._drop(reason)
+        self._reclaims = True
+        self._wake.set()
+
+    def _on_restored(self) -> None:
+        self.era = self.era or 0
+        self._observe_era(cursors.era(self.discovery.registry.cursor))
+
+    def _observe_era(self, era: int) -> None:
+        """Record the platform's era; a lease of an earlier era is not valid any more.
+
+        :param era: the era of an answer.
+        """
+        if self.era is None:
+            self.era = era
+        if era <= self.era:
+            return
+        self.era = era
+        self.restored_at = boot_clock.now()
+        self.observed_renewal = None
+        if self.record is not None:
+            self._give_up("the platform was restored from a copy")
+
     def _heartbeat_fields(self) -> dict:
         if not self.held():
             return {"fence": 0}
@@ -262,7 +324,11 @@
 
     def _try_acquire(self) -> None:
         """Acquire the lease where no VM holds it and this VM is next by rank."""
-        if self.holder() or self._rank() > 0 and not self._higher_ranks_timed_out():
+        if self.holder():
+            self._reclaims = False
+            return
+        is_next = self._rank() == 0 or self._higher_ranks_timed_out()
+        if not (is_next or self._reclaims):
             return
         stored = self._read()
         if stored is None:
@@ -314,9 +380,10 @@
         :param orders_from: time from which this VM may send orders, where the last
             renewal is known; by default the order delay counts from the write.
         """
-        record = lease_record.Record(
-            self.name, max(fence, self._rejected_fence) + 1, 0, self.life
-        )
+        era = cursors.era(int(version) if version else self.discovery.registry.cursor)
+        new_fence = lease_record.next_fence(era, fence, self._rejected_fence)
+        record = lease_record.Record(self.name, new_fence, 0, self.life)
+        reclaims, self._reclaims = self._reclaims, False
         sent_at = boot_clock.now()
         match self.api.put(KEY, record.body(), version):
             case result.Ok(new_version):
@@ -325,13 +392,21 @@
                 self._verify_write(sent_at, record)
             case result.Err(failure):
                 logs.event(log, "lease", reason=str(failure)[:120], outcome="not taken")
-        if orders_from and self.record is not None:
+        if self.record is None:
+            return
+        if orders_from:
             self.orders_from = max(boot_clock.now(), orders_from)
+        if not reclaims:
+            # The former holder may not know of a restore, and its lease must have ended
+            # for the time that separates the orders of two holders.
+            former_until = self.restored_at + self.restored_delay_s
+            self.orders_from = max(self.orders_from, former_until + self.order_delay_s)
 
     def _read(self) -> tuple[lease_record.Record | None, str | None] | None:
         """Return the stored lease and its version; None without an answer."""
         match self.api.get(KEY):
             case result.Ok(stored):
+                self._observe_era(cursors.era(int(stored.version)))
                 try:
                     return lease_record.read_record(stored.body), stored.version
                 except ValueError as error:
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
@@ -3,13 +3,16 @@
 import attrs
 import orjson
 
+#: Fencing tokens of one era of the platform (see :mod:`cursors`).
+TOKENS_PER_ERA = 10**6
+
 
 @attrs.frozen
 class Record:
     """The lease as it is stored.
 
     :param holder: the VM that holds it; empty once it was released.
-    :param fence: the fencing token; grows by one with each holder.
+    :param fence: the fencing token; grows with each holder (:func:`next_fence`).
     :param renewals: grows by one with each renewal, so that each write changes it.
     :param life: random id of the holder's process, by which it recognises its write.
     """
@@ -42,6 +45,26 @@
         raise ValueError(f"not a lease record: {error!r}")
 
 
+def next_fence(era: int, *known: int) -> int:
+    """Return a fencing token that no holder has used before.
+
+    The platform may have lost the newest tokens when it was restored from a copy. All
+    tokens of an era are therefore higher than those of earlier eras.
+
+    :param era: the platform's era.
+    :param known: earlier tokens.
+    """
+    return max(era * TOKENS_PER_ERA, *known) + 1
+
+
+def fence_era(fence: int) -> int:
+    """Return the era of a fencing token.
+
+    :param fence: the token.
+    """
+    return fence // TOKENS_PER_ERA
+
+
 @attrs.frozen
 class ObservedRenewal:
     """A renewal of another VM, as this VM first observed it.
