VMs register again after the platform was restored from a copy

A VM registers itself in the platform once per process. A copy from before that lacks it, so VMs that start later do not find it; if the copy lacks all of them, a VM that starts finds only itself and does not try the seeds.

When the registry shows that the platform was restored, the VM registers and reads the list again at the next read, a second later at most.

--- a/packages/mothworks/src/mothworks/vm_list.py
+++ b/packages/mothworks/src/mothworks/vm_list.py
@@ -74,6 +74,9 @@
         :param node_settings: the settings.
         """
 
+    def refresh(self) -> None:
+        """Read everything anew at the next read: the platform has lost writes."""
+
 
 @plugins.register(plugins.VM_LIST, "http")
 class HttpVmList(Source):
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -79,6 +79,8 @@
         self.kernel = kernel.Kernel(attrs.evolve(checked, limits=limits))
         for part in PARTS:
             self.kernel.get(part)
+        source = self.kernel.get(vm_list.VmList).source
+        self.kernel.get(discovery.Discovery).on_restored.append(source.refresh)
 
     def start(self) -> None:
         """Start every part and return."""
