Poll at once after lost history was read again

After a 410 a watcher read the whole registry and waited 1 s before the next poll, as a VM does that starts. An endpoint that said right then that it leaves was noticed up to 1 s later than otherwise, of the 2 s in which all VMs must have learnt of it.

The new test fails without the change.

--- a/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feeding.py
@@ -3,7 +3,7 @@
 A follower tolerates a platform that is down, slow, or unresponsive on an open
 connection. Where the platform no longer has the changes since the cursor, the follower
 reads a full snapshot again. A poll ends early once a peer is known to have a newer
-revision, since an unresponsive connection reports no error by itself.
+cursor, since an unresponsive connection reports no error by itself.
 """
 
 import collections.abc
@@ -85,7 +85,7 @@
         answers slowly.
     :param on_health: called when the platform stops answering, and with its first
         answer after that or after this VM started to follow the feed.
-    :param cursor: the newest revision received.
+    :param cursor: the newest cursor received.
     :param outage_since: monotonic time at which the platform stopped answering; None
         while it answers.
     :param outage_ended_at: monotonic time at which the last outage ended.
@@ -115,6 +115,8 @@
     poll_started_at: float = 0.0
     #: Whether a snapshot was read, so that polls can continue from the cursor.
     _listed: bool = False
+    #: Whether a snapshot has ever been read.
+    _has_started: bool = False
     #: Ends the pause before the next poll.
     _wake: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     #: Set while this VM itself follows the feed.
@@ -132,9 +134,9 @@
             self._followed.wait()
             match self._poll_once():
                 case result.Ok(_):
-                    first_delay_s = 0.0 if self._listed else FIRST_POLL_DELAY_S
+                    first_delay_s = 0.0 if self._has_started else FIRST_POLL_DELAY_S
                     delay_s = max(self.batch_s, first_delay_s)
-                    self._listed = True
+                    self._listed = self._has_started = True
                     retry_delay_s = MIN_RETRY_DELAY_S
                     self._record_answer()
                     self._wake.clear()
@@ -258,7 +260,7 @@
     def interrupt_if_behind(self, cursor: int, waited_s: float) -> None:
         """Cancel a poll that has not returned changes which a peer already has.
 
-        :param cursor: the peer's revision.
+        :param cursor: the peer's cursor.
         :param waited_s: how long the poll must have been in flight, seconds.
         """
         stuck = time.monotonic() - self.poll_started_at > waited_s
--- a/packages/mothworks_gateway/tests/test_published_changes.py
+++ b/packages/mothworks_gateway/tests/test_published_changes.py
@@ -117,6 +117,8 @@
     def __init__(self):
         self.polls = 0
         self.revisions = itertools.count(2)
+        #: Whether the next poll finds that the history is gone.
+        self.expired = False
 
     def read(self):
         return result.Ok(adapters.Snapshot(1, {}))
@@ -124,6 +126,9 @@
     def poll(self, cursor, wait_s):
         self.polls += 1
         feeding.gevent.sleep(0.001)
+        if self.expired:
+            self.expired = False
+            return result.Err(adapters.CursorExpired())
         return result.Ok(adapters.Changes(next(self.revisions), ()))
 
 
@@ -146,6 +151,23 @@
         task.kill()
 
 
+# Guards against changes that are noticed late because the platform dropped its history.
+def test_a_feed_is_polled_at_once_after_its_history_was_read_again(monkeypatch):
+    feed = Feed()
+    follower = feeding.Follower("endpoints", feed, lambda _: None, lambda _: None)
+    monkeypatch.setattr(feeding, "FIRST_POLL_DELAY_S", 0.0)
+    task = feeding.gevent.spawn(follower.run)
+    try:
+        _until(lambda: feed.polls)
+        monkeypatch.setattr(feeding, "FIRST_POLL_DELAY_S", 60.0)
+        feed.expired = True
+        _until(lambda: not feed.expired)
+        polls = feed.polls
+        _until(lambda: feed.polls > polls)
+    finally:
+        task.kill()
+
+
 def _until(condition):
     with feeding.gevent.Timeout(5):
         while not condition():
