The settings page names only the plug-ins that ship

test_reference_page[settings.md] failed where a test module that registers a plug-in, or the platform's adapter, was imported before it in the same process: the page was made of all plug-ins that were registered. It now names those of the node's own package. The new test failed before.

--- a/packages/mothworks_fakes/src/mothworks_fakes/reference.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/reference.py
@@ -14,6 +14,7 @@
 import attrs
 import defopt
 
+import mothworks
 from mothworks import (
     builtin,  # noqa: F401
     catalogue,
@@ -189,10 +190,21 @@
         return ""
     lines = ["\n## Plug-ins that ship with the node\n"]
     for kind in kinds_by_class[root]:
-        names = ", ".join(f"`{name}`" for name in plugins.keys(kind))
+        names = ", ".join(
+            f"`{name}`" for name in plugins.keys(kind) if _ships(kind, name)
+        )
         lines.append(f"- {kind}: {names}")
     return "\n".join(lines) + "\n"
 
 
+def _ships(kind: str, name: str) -> bool:
+    """Return whether a plug-in belongs to the node's own package.
+
+    An adapter or a test may have registered others in this process.
+    """
+    module = plugins.find(kind, name).__module__
+    return module.partition(".")[0] == mothworks.__name__
+
+
 if __name__ == "__main__":
     defopt.run(write)
--- a/packages/mothworks_fakes/tests/test_pages.py
+++ b/packages/mothworks_fakes/tests/test_pages.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mothworks import plugins
 from mothworks_fakes import capacity, reference, slopes, sweep_slopes
 
 ROOT = pathlib.Path(__file__).parents[3]
@@ -20,6 +21,16 @@
     assert page.read_text(encoding="utf-8") == PAGES[name]
 
 
+# Guards against a page that names plug-ins which a test or an adapter has registered.
+def test_a_reference_page_names_only_plugins_that_ship(monkeypatch):
+    class Foreign:
+        pass
+
+    by_key = {**plugins._plugins_by_kind[plugins.VM_LIST], "foreign": Foreign}
+    monkeypatch.setitem(plugins._plugins_by_kind, plugins.VM_LIST, by_key)
+    assert reference.pages() == PAGES
+
+
 def test_every_field_is_described():
     for name, text in PAGES.items():
         undescribed = [line for line in text.splitlines() if line.endswith("|  |")]
