A request that is withheld costs no unit of the retry budget

A request that this VM withholds right before its first byte, since its endpoint has left or asked for a backoff meanwhile, reaches no endpoint. Sending it elsewhere still spent a unit of the retry budget, which others then lacked.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -55,12 +55,15 @@
     :param may_have_run: whether one of them may have run it.
     :param sends: number of attempts.
     :param reason: why the last attempt failed.
+    :param withheld: whether this VM withheld the last attempt, so that no endpoint got
+        it.
     """
 
     tried: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     sends: int = 0
     reason: str = "no endpoint"
+    withheld: bool = False
 
 
 class Attempts(kernel.Part):
@@ -102,6 +105,7 @@
         """
         progress.tried.add(endpoint.id)
         progress.sends += 1
+        progress.withheld = False
         started_at = time.monotonic()
         self.running_requests.request_started(endpoint, request.target)
         has_reply = False
@@ -258,6 +262,7 @@
             # Nothing was sent, so the endpoint does not count as tried.
             progress.tried.discard(endpoint.id)
             if failure.withheld:
+                progress.withheld = True
                 return
             self.health.record_failure(endpoint, failure.reason, consecutive_failures=2)
             return
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -270,7 +270,8 @@
             return False
         if time.monotonic() + MIN_TIME_LEFT_S > request.deadline:
             return False
-        return self.retry_budget.try_spend(request.target.service)
+        # An attempt that no endpoint got is no retry for the deployment.
+        return progress.withheld or self.retry_budget.try_spend(request.target.service)
 
     def _give_up(
         self, request: caller_request.CallerRequest, progress: attempts.RequestProgress
