--- a/packages/mothworks/src/mothworks/swim.py
+++ b/packages/mothworks/src/mothworks/swim.py
@@ -228,10 +228,10 @@
             received = messages.unpack(msgpack.unpackb(data[TAG_BYTES:]))
         except (ValueError, TypeError, msgpack.UnpackException):
             received = None
-        if received is None:
+        message, _ = received or (None, 0)
+        if not isinstance(message, Probe | ProbeAck | IndirectProbeRequest):
             log.warning("ignoring an invalid datagram from {}", address[0])
             return
-        message, _ = received
         for row in message.updates:
             self.table.merge(row)
         match message:
--- a/packages/mothworks/tests/test_membership.py
+++ b/packages/mothworks/tests/test_membership.py
@@ -215,6 +215,8 @@
         b"\x93\x1e",
         b"\x95\x1e\x00\x01\x02\x91\x03",
         b"x" * 1500,
+        # A message of another kind.
+        messages.pack(messages.Hello(messages.PROTOCOL_VERSION, "odd", "odd")),
     ):
         sender.sendto(data, address)
         sender.sendto(swim.tag(five_vms.deployment, "vm-1") + data, address)
