A suspended holder does not reclaim the lease without a wait

A VM that learns that the platform was restored acquires its lease again ahead of all others and, where endpoints ignore fencing tokens, without waiting for a former holder. It did so, too, when it had been suspended and its lease was not valid any more, so another VM might have acquired it before the restore. Found by reading the diff.

Names: what changes are based on is base_changed_at, a cursor like changed_at; the registry itself says which documents it knows; two times that nothing read are gone.

--- a/packages/mothworks_gateway/src/mothworks_gateway/aggregation.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/aggregation.py
@@ -37,7 +37,7 @@
 
     :param running_by_endpoint: running requests of all VMs, by endpoint's id.
     :param declaration_version: version of the collector's declaration.
-    :param registry_changed_at: revision of the last change of its registry.
+    :param registry_changed_at: cursor of the last change of its registry.
     :param holder: the lease holder, if a heartbeat of it arrived since the last
         totals; else empty.
     :param fence: the holder's fencing token.
--- a/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -4,7 +4,6 @@
 answer. Its version never decreases during the life of the process.
 """
 
-import time
 
 import gevent
 import gevent.event
@@ -28,7 +27,6 @@
         self.feeds = node_kernel.get(feeding.FeedFollowers).feeds
         self.current: declaration_types.Declaration | None = None
         self.loaded = gevent.event.Event()
-        self.updated_at = 0.0
         #: Whether the last document received could be decoded. If not, the declaration
         #: in force is known to be outdated.
         self.readable = True
@@ -100,7 +98,6 @@
             # changes that callers have already observed.
             return
         self.current = declaration
-        self.updated_at = time.monotonic()
         logs.event(
             log,
             "declaration",
--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -26,14 +26,14 @@
     """Changes that this VM received from the platform itself.
 
     :param changes: the changes, the last of each entry.
-    :param base_revision: cursor of the last change before these.
+    :param base_changed_at: cursor of the last change before these.
     :param base_cursor: where the changes were found by comparing a full snapshot with
         the registry, the cursor up to which the registry was complete; otherwise 0.
     :param suspect_until: monotonic time until which removals are suspect.
     """
 
     changes: adapters.Changes
-    base_revision: int
+    base_changed_at: int
     base_cursor: int
     suspect_until: float
 
@@ -61,7 +61,6 @@
         self.unreadable_by_name: dict[str, bytes] = {}
         #: Whether the registry was read, from the platform or a peer.
         self.loaded = False
-        self.updated_at = time.monotonic()
         #: Cursor of the last change that this VM has applied.
         self.changed_at = 0
         #: Functions to call with each :class:`Update`.
@@ -100,7 +99,7 @@
         :param update: the changes.
         """
         cursor = update.changes.cursor
-        follows = update.base_revision <= self.registry.cursor < cursor
+        follows = update.base_changed_at <= self.registry.cursor < cursor
         if follows and not 0 < update.base_cursor < self.changed_at:
             self._apply_changes(update.changes, update.suspect_until)
             self.follower.cursor = max(self.follower.cursor, cursor)
@@ -111,8 +110,8 @@
         Otherwise the cursor would stay at the last change, and the platform may have
         dropped the history from there by the next poll.
 
-        :param changed_at: revision of the last change that the peer knows.
-        :param cursor: revision up to which it is the last change.
+        :param changed_at: cursor of the last change that the peer knows.
+        :param cursor: cursor up to which it is the last change.
         """
         if self.loaded and changed_at <= self.registry.cursor < cursor:
             self.registry.cursor = cursor
@@ -134,12 +133,12 @@
             )
             return
         was_loaded = self.loaded
-        base_revision, base_cursor = self.changed_at, self.registry.cursor
+        base_changed_at, base_cursor = self.changed_at, self.registry.cursor
         update = self._apply_snapshot(snapshot)
-        if was_loaded and self.changed_at != base_revision:
+        if was_loaded and self.changed_at != base_changed_at:
             self._notify_updated(
                 attrs.evolve(
-                    update, base_revision=base_revision, base_cursor=base_cursor
+                    update, base_changed_at=base_changed_at, base_cursor=base_cursor
                 )
             )
 
@@ -172,12 +171,7 @@
 
     def _compare(self, snapshot: adapters.Snapshot) -> adapters.Changes:
         """Return the changes from the registry to a snapshot."""
-        known = {**self.unreadable_by_name}
-        for endpoint in self.registry.by_id.values():
-            if endpoint.lapsed_until is None:
-                known[endpoint.entry.name] = endpoint.document
-        for name, restored in self.registry.restored_by_name.items():
-            known[name] = restored.document
+        known = {**self.unreadable_by_name, **self.registry.known_documents()}
         changes = [
             adapters.Change(name, document)
             for name, document in snapshot.document_by_name.items()
@@ -191,11 +185,11 @@
     def _apply_platform_changes(self, changes: adapters.Changes) -> None:
         if changes.cursor < self.registry.cursor:
             return
-        base_revision = self.changed_at
+        base_changed_at = self.changed_at
         suspect_until = self.follower.suspect_until
         self._apply_changes(changes, suspect_until)
         if changes.changes:
-            self._notify_updated(Update(changes, base_revision, 0, suspect_until))
+            self._notify_updated(Update(changes, base_changed_at, 0, suspect_until))
 
     def _notify_updated(self, update: Update) -> None:
         for notify in self.on_platform_changes:
@@ -271,5 +265,4 @@
 
     def _notify_changed(self) -> None:
         self.loaded = True
-        self.updated_at = time.monotonic()
         self.registry.notify_changed()
--- a/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
@@ -48,7 +48,7 @@
     """The state that a VM publishes.
 
     :param declaration_version: version of the declaration in force at the VM.
-    :param registry_changed_at: revision of the last change of its registry.
+    :param registry_changed_at: cursor of the last change of its registry.
     :param fence: fencing token of the lease that it holds, or 0.
     :param lease_version: stored version of its last lease renewal, or empty.
     :param running: number of running requests, by endpoint, model and adapter.
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -130,8 +130,8 @@
         #: Time at which this VM learnt of a restore, on the clock of
         #: :func:`boot_clock.now`.
         self.restored_at = -math.inf
-        #: Whether this VM held the lease when the platform was restored, and no other
-        #: VM is known to have acquired it since.
+        #: Whether this VM held the lease when it learnt of a restore, and no other VM
+        #: is known to have acquired it since.
         self._reclaims = False
         #: Ends the pause before the next attempt to acquire or renew the lease.
         self._wake = gevent.event.Event()
@@ -283,8 +283,8 @@
 
         :param reason: the reason, for the log.
         """
+        self._reclaims = boot_clock.now() < self.valid_until
         self._drop(reason)
-        self._reclaims = True
         self._wake.set()
 
     def _on_restored(self) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -136,7 +136,7 @@
         self.removed_ids: dict[str, None] = {}
         #: Restored entries that are left out for now.
         self.restored_by_name: dict[str, RestoredEntry] = {}
-        #: The platform's revision up to which the registry is complete.
+        #: The platform's cursor up to which the registry is complete.
         self.cursor = 0
         #: Functions to call after a change, without arguments.
         self.on_change: list[collections.abc.Callable[[], None]] = []
@@ -152,6 +152,17 @@
             if item.available and item.entry.service == service
         ]
 
+    def known_documents(self) -> dict[str, bytes]:
+        """Return the documents that the platform has as far as known, by name."""
+        document_by_name = {
+            item.entry.name: item.document
+            for item in self.by_id.values()
+            if item.lapsed_until is None
+        }
+        for name, restored in self.restored_by_name.items():
+            document_by_name[name] = restored.document
+        return document_by_name
+
     def put(self, entry: Entry, document: bytes) -> None:
         """Add or update an entry.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/watcher_election.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watcher_election.py
@@ -31,8 +31,8 @@
     """A watcher's health and versions, published to all VMs.
 
     :param healthy: whether the platform answers the watcher's calls for each feed.
-    :param cursor: the platform's revision up to which its registry is complete.
-    :param changed_at: revision of the last change in its registry.
+    :param cursor: the platform's cursor up to which its registry is complete.
+    :param changed_at: cursor of the last change in its registry.
     :param declaration_version: version of its declaration.
     """
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -56,14 +56,14 @@
 class RegistryUpdate:
     """Changes of the registry, published to all VMs.
 
-    :param base_revision: cursor of the last change before these.
+    :param base_changed_at: cursor of the last change before these.
     :param cursor: cursor up to which these are all changes after that one.
     :param document_by_name: the platform's document of each entry; None if removed.
     :param suspect_s: time for which removals may be caused by an outage, seconds.
     :param base_cursor: see :class:`discovery.Update`.
     """
 
-    base_revision: int
+    base_changed_at: int
     cursor: int
     document_by_name: dict[str, bytes | None]
     suspect_s: float = 0.0
@@ -228,7 +228,7 @@
         changes = update.changes
         self.broadcast.publish(
             RegistryUpdate(
-                update.base_revision,
+                update.base_changed_at,
                 changes.cursor,
                 {item.name: item.document for item in changes.changes},
                 max(0.0, update.suspect_until - time.monotonic()),
@@ -245,7 +245,7 @@
         self.discovery.apply_published(
             discovery.Update(
                 adapters.Changes(update.cursor, changes),
-                update.base_revision,
+                update.base_changed_at,
                 update.base_cursor,
                 time.monotonic() + update.suspect_s if update.suspect_s else 0.0,
             )
--- a/packages/mothworks_gateway/tests/registry_builders.py
+++ b/packages/mothworks_gateway/tests/registry_builders.py
@@ -31,9 +31,9 @@
     return adapters.Changes(cursor, tuple(adapters.Change(*pair) for pair in pairs))
 
 
-def publish(part, base_revision, update, base_cursor=0):
+def publish(part, base_changed_at, update, base_cursor=0):
     """Let a part receive changes that a peer published."""
-    part.apply_published(discovery.Update(update, base_revision, base_cursor, 0.0))
+    part.apply_published(discovery.Update(update, base_changed_at, base_cursor, 0.0))
 
 
 def state(part):
--- a/packages/mothworks_gateway/tests/test_published_changes.py
+++ b/packages/mothworks_gateway/tests/test_published_changes.py
@@ -63,7 +63,9 @@
     assert published == []
     update = registry_builders.changes(15, ("i-3", None))
     part._apply_platform_changes(update)
-    assert [(item.base_revision, item.changes) for item in published] == [(12, update)]
+    assert [(item.base_changed_at, item.changes) for item in published] == [
+        (12, update)
+    ]
 
 
 @pytest.mark.parametrize("seed", range(200))
@@ -81,9 +83,9 @@
     part._apply_snapshot(adapters.Snapshot(10, {"i-1": b"5", "i-2": b"7"}))
     pending = [_batches(history, rng) for _ in range(2)]
     while any(pending):
-        base_revision, update = rng.choice([item for item in pending if item]).pop(0)
+        base_changed_at, update = rng.choice([item for item in pending if item]).pop(0)
         if rng.random() < 0.9:
-            registry_builders.publish(part, base_revision, update)
+            registry_builders.publish(part, base_changed_at, update)
     expected = {"i-1": "5", "i-2": "7"}
     for _, name, document in history:
         expected.pop(name, None)
@@ -100,14 +102,14 @@
 
 def _batches(history, rng):
     """Return a history as one watcher publishes it: (base revision, changes)."""
-    remaining, base_revision, batches = list(history), 10, []
+    remaining, base_changed_at, batches = list(history), 10, []
     while remaining:
         count = rng.randint(1, 4)
         batch, remaining = remaining[:count], remaining[count:]
         cursor = batch[-1][0]
         pairs = [(name, document) for _, name, document in batch]
-        batches.append((base_revision, registry_builders.changes(cursor, *pairs)))
-        base_revision = cursor
+        batches.append((base_changed_at, registry_builders.changes(cursor, *pairs)))
+        base_changed_at = cursor
     return batches
 
 
