Plainer names: headroom, pace, endpoints that hold a model

Credit: an account far from its cap has headroom (CALM_S, calm before). prefill_pacing: DEFAULT_PACE_TOKENS_PER_S, since it is the pace at which prompts are sent. FailedAttempt.may_have_run (sent), Planner.region_plan (state), endpoints_holding (holders, in both compositions), AnsweredRequest (one of two RunningRequest). The capacity page says updates, not news. No behaviour changes; names of messages' fields are not sent.

--- a/packages/mothworks/src/mothworks/answer_recording.py
+++ b/packages/mothworks/src/mothworks/answer_recording.py
@@ -14,7 +14,7 @@
 MAX_STORED_BYTES = 32 << 10
 
 
-class RunningRequest(typing.Protocol):
+class AnsweredRequest(typing.Protocol):
     """Interface of a request whose answer has begun, as dispatch returns it."""
 
     answer: endpoints.Answer
@@ -29,7 +29,7 @@
 
 
 class Replay:
-    """A stored answer with the interface of :class:`RunningRequest`.
+    """A stored answer with the interface of :class:`AnsweredRequest`.
 
     :param stored: the stored answer.
     """
@@ -48,7 +48,7 @@
 
 
 class RecordedRequest:
-    """A running request under a claim, with the interface of :class:`RunningRequest`.
+    """A running request under a claim, with the interface of :class:`AnsweredRequest`.
 
     It is its own iterator: when a caller disconnects, the iterator is closed,
     and the rest of the answer must still be read then.
@@ -59,7 +59,7 @@
     """
 
     def __init__(
-        self, running: RunningRequest, claim: claiming.Claim, node_tasks: tasks.Tasks
+        self, running: AnsweredRequest, claim: claiming.Claim, node_tasks: tasks.Tasks
     ):
         self.running = running
         self.answer = running.answer
--- a/packages/mothworks/src/mothworks/caller_protocol.py
+++ b/packages/mothworks/src/mothworks/caller_protocol.py
@@ -60,8 +60,8 @@
         raise NotImplementedError
 
     def response_body(
-        self, running: answer_recording.RunningRequest
-    ) -> collections.abc.Iterable[bytes] | answer_recording.RunningRequest:
+        self, running: answer_recording.AnsweredRequest
+    ) -> collections.abc.Iterable[bytes] | answer_recording.AnsweredRequest:
         """Return the body of the response to the caller.
 
         :param running: the running request.
--- a/packages/mothworks/src/mothworks/deferred_runs.py
+++ b/packages/mothworks/src/mothworks/deferred_runs.py
@@ -117,7 +117,7 @@
 
 
 def _read_answer(
-    work: deferred_records.Work, running: answer_recording.RunningRequest
+    work: deferred_records.Work, running: answer_recording.AnsweredRequest
 ) -> deferred_records.Finished:
     chunks, size = [], 0
     for chunk in running:
--- a/packages/mothworks/src/mothworks/dispatch.py
+++ b/packages/mothworks/src/mothworks/dispatch.py
@@ -70,7 +70,7 @@
         self,
         request: requests.Request,
         watch: caller_watch.DisconnectWatch | None = None,
-    ) -> result.Result[answer_recording.RunningRequest, outcomes.Refusal]:
+    ) -> result.Result[answer_recording.AnsweredRequest, outcomes.Refusal]:
         """Send a request and wait for the first bytes of its response.
 
         :param request: the request.
@@ -105,7 +105,7 @@
         trace: decisions.Trace,
         watch: caller_watch.DisconnectWatch | None,
         claim: claiming.Claim,
-    ) -> result.Result[answer_recording.RunningRequest, outcomes.Refusal]:
+    ) -> result.Result[answer_recording.AnsweredRequest, outcomes.Refusal]:
         """Run a request with an Idempotency-Key unless a duplicate runs or has run."""
         previous = claim.find_duplicate()
         if previous is not None:
@@ -233,7 +233,7 @@
             self.suspects.report_broken(request, endpoint)
 
     def _trace_closed(self, request: requests.Request, trace: decisions.Trace) -> None:
-        for name in self.placement.holders(request.target):
+        for name in self.placement.endpoints_holding(request.target):
             trace.add_step(name, self.placement.closed_reason(name) or "already tried")
 
     def choose_endpoints(
@@ -341,7 +341,7 @@
         if not failed.endpoint:
             # No owner granted a slot, so a retry would not get one either.
             return False
-        if failed.sent and not request.repeatable:
+        if failed.may_have_run and not request.repeatable:
             return False
         return not failed.uses_retry_budget or self.acquire_retry(request)
 
--- a/packages/mothworks/src/mothworks/explanations.py
+++ b/packages/mothworks/src/mothworks/explanations.py
@@ -109,7 +109,7 @@
 
     def _candidates(self, name: str) -> list[catalogue.Endpoint]:
         endpoint_by_name = self.configuration.index.endpoint_by_name
-        names = self.placement.holders(name)
+        names = self.placement.endpoints_holding(name)
         return [endpoint_by_name[item] for item in names if item in endpoint_by_name]
 
     def _query_model(
--- a/packages/mothworks/src/mothworks/failed_attempts.py
+++ b/packages/mothworks/src/mothworks/failed_attempts.py
@@ -15,7 +15,7 @@
     """An attempt without a response.
 
     :param refusal: what the caller receives, unless another attempt succeeds.
-    :param sent: whether the endpoint may have run the request.
+    :param may_have_run: whether the endpoint may have run the request.
     :param uses_retry_budget: whether a retry consumes the retry budget.
     :param outcome: the outcome reported to the endpoint's owner.
     :param endpoint: the endpoint's name; empty if no slot was granted.
@@ -23,7 +23,7 @@
     """
 
     refusal: outcomes.Refusal
-    sent: bool
+    may_have_run: bool
     uses_retry_budget: bool
     outcome: slots.Outcome
     endpoint: str = ""
--- a/packages/mothworks/src/mothworks/inventory.py
+++ b/packages/mothworks/src/mothworks/inventory.py
@@ -44,7 +44,7 @@
 
         :param item: its declaration.
         """
-        names = self.placement.holders(item.name)
+        names = self.placement.endpoints_holding(item.name)
         open_names = [name for name in names if not self.placement.closed_reason(name)]
         base = item.model if isinstance(item, catalogue.Adapter) else ""
         declared = self.configuration.index.model_by_name.get(base or item.name)
--- a/packages/mothworks/src/mothworks/local_facts.py
+++ b/packages/mothworks/src/mothworks/local_facts.py
@@ -63,7 +63,7 @@
         rows = slot_rows.batch_rows(self.slots)
         if not target:
             return rows
-        names = frozenset(self.placement.holders(target))
+        names = frozenset(self.placement.endpoints_holding(target))
         return [row for row in rows if row.endpoint in names]
 
     def _attainment_rows(self, _: str) -> list[reason_rows.CountRow]:
@@ -84,7 +84,7 @@
 
         Endpoints with the most free memory come first.
         """
-        state = self.planner.state
+        state = self.planner.region_plan
         model_demand = state.fleet.demand_by_name.get(model) if state else None
         if model_demand is None:
             return []
@@ -138,7 +138,7 @@
         now_ms = round((time.monotonic() - trace.received_at) * 1000)
         running_by_endpoint = self.dispatch.policy.running_by_endpoint
         rows = []
-        for name in self.placement.holders(trace.target):
+        for name in self.placement.endpoints_holding(trace.target):
             reason = self.placement.closed_reason(name)
             running = running_by_endpoint[name]
             what = reason or f"open; runs {running} of this VM's requests"
--- a/packages/mothworks/src/mothworks/openai_calls.py
+++ b/packages/mothworks/src/mothworks/openai_calls.py
@@ -78,8 +78,8 @@
         return calls.json_reply(_model_entry(name))
 
     def response_body(
-        self, running: answer_recording.RunningRequest
-    ) -> collections.abc.Iterable[bytes] | answer_recording.RunningRequest:
+        self, running: answer_recording.AnsweredRequest
+    ) -> collections.abc.Iterable[bytes] | answer_recording.AnsweredRequest:
         """Return the body; an interrupted stream ends with an error event."""
         return _ErrorTerminatedStream(running) if running.stream else running
 
@@ -167,7 +167,7 @@
     :param running: the running request.
     """
 
-    def __init__(self, running: answer_recording.RunningRequest):
+    def __init__(self, running: answer_recording.AnsweredRequest):
         self.running = running
         self.close = running.close
 
--- a/packages/mothworks/src/mothworks/operator_moves.py
+++ b/packages/mothworks/src/mothworks/operator_moves.py
@@ -104,7 +104,7 @@
         answer(self._start_move(request))
 
     def _start_move(self, request: MoveRequest) -> MoveReply:
-        if self.planner.state is None:
+        if self.planner.region_plan is None:
             return MoveReply("the planner has just changed; try again")
         relocation = relocations.Relocation(
             request.model,
@@ -113,7 +113,7 @@
             request.why,
             time.monotonic() + relocations.RELOCATION_TIMEOUT_S,
         )
-        match self.planner.state.add_relocation(relocation):
+        match self.planner.region_plan.add_relocation(relocation):
             case result.Err(problem):
                 return MoveReply(problem)
         what = f"move {request.model} from {request.source} to {request.target}"
--- a/packages/mothworks/src/mothworks/placement.py
+++ b/packages/mothworks/src/mothworks/placement.py
@@ -164,10 +164,10 @@
 
         :param target: a model, adapter or service.
         """
-        names = self.holders(target)
+        names = self.endpoints_holding(target)
         return [name for name in names if not self.closed_reason(name, target)]
 
-    def holders(self, target: str) -> list[str]:
+    def endpoints_holding(self, target: str) -> list[str]:
         """Return the endpoints that hold a target, whether open or not.
 
         :param target: a model, adapter or service.
@@ -208,7 +208,7 @@
         """
         if not self.endpoints_by_model.get(target):
             return False
-        holders = self.holders(target)
+        holders = self.endpoints_holding(target)
         if any(not self.closed_reason(other) for other in holders if other != name):
             return False
         declared = self.configuration.index.catalogue.endpoints
--- a/packages/mothworks/src/mothworks/planner.py
+++ b/packages/mothworks/src/mothworks/planner.py
@@ -47,7 +47,7 @@
         self.peers = node_kernel.get(peers.Peers)
         self.audit = node_kernel.get(audit.Audit)
         self.policy_class = _policy_class(node_kernel.settings.placement)
-        self.state: region_plan.RegionPlan | None = None
+        self.region_plan: region_plan.RegionPlan | None = None
         self.pass_seconds = node_kernel.metrics.duration_histogram(
             "planner_pass_seconds", "Processor time of one pass."
         )
@@ -63,12 +63,12 @@
         region = self.kernel.settings.region
         planner = ownership.planner_of(region, self.membership.live())
         if planner is None or planner.name != self.kernel.settings.name:
-            self.state = None
-        elif self.state is None:
+            self.region_plan = None
+        elif self.region_plan is None:
             policy = self.policy_class(self.configuration.index.catalogue.weights)
-            self.state = region_plan.RegionPlan(region, time.monotonic(), policy)
+            self.region_plan = region_plan.RegionPlan(region, time.monotonic(), policy)
             self.demand.averages = demand.DemandAverages()
-        return self.state is not None
+        return self.region_plan is not None
 
     def update_holdings(self, holdings: move_messages.Holdings) -> None:
         """Process an owner's report.
@@ -76,7 +76,7 @@
         :param holdings: the summary of an endpoint's ledger.
         """
         if self._update_role():
-            self.state.update_holdings(holdings)
+            self.region_plan.update_holdings(holdings)
 
     def _receive(
         self, _: str, holdings: move_messages.Holdings, __: peers.Reply
@@ -87,9 +87,11 @@
         if not self._update_role():
             return
         index = self.configuration.index
-        self.state.apply_catalogue(self.configuration.revision, index, time.monotonic())
+        self.region_plan.apply_catalogue(
+            self.configuration.revision, index, time.monotonic()
+        )
         started_s = time.thread_time()
-        moves = self.state.plan(
+        moves = self.region_plan.plan(
             time.monotonic(), self.demand.averages, self._open_endpoints()
         )
         self.pass_seconds.add({}, time.thread_time() - started_s)
--- a/packages/mothworks/tests/test_placement_map.py
+++ b/packages/mothworks/tests/test_placement_map.py
@@ -87,7 +87,7 @@
             "engine-2",
             "engine-3",
         }
-        assert vm.placement.holders("newer") == ["engine-3"]
+        assert vm.placement.endpoints_holding("newer") == ["engine-3"]
 
 
 def test_two_owners_that_announce_at_once_converge(cluster, monkeypatch):
--- a/packages/mothworks_fakes/src/mothworks_fakes/capacity_roles.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/capacity_roles.py
@@ -174,7 +174,7 @@
             ),
         ),
         "SWIM probes, one group a region",
-        "news on probes, when a data centre goes and all its VMs die at once",
+        "updates on probes, when a data centre goes and all its VMs die at once",
     ),
     Role(
         "placement map",
@@ -184,7 +184,7 @@
                 Column.MESSAGES,
                 r"idle tcp bytes, (\d+) nodes, owner",
                 1.0,
-                "idle TCP bytes of a node with one engine; news of endpoints "
+                "idle TCP bytes of a node with one engine; updates of endpoints "
                 "grow with their number and are not extrapolated",
             ),
         ),
@@ -291,7 +291,7 @@
         Column.MESSAGES,
         5000.0,
         "shorter ids in slot messages; one message a loop turn and peer; health "
-        "news in batches.",
+        "updates in batches.",
     ),
     Budget(
         "processor time of a node",
--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -41,11 +41,11 @@
 OVERDRAFT_SHARE = 0.15
 RESERVE_SHARE = 0.3
 #: Fill level, as a share of the burst, above which an account is far from its cap.
-CALM_SHARE = 0.5
+HEADROOM_SHARE = 0.5
 #: Time for which a VM without an owner continues at the previous rate where the account
 #: was far from its cap, seconds. If it were longer, VMs that are cut off could use up
 #: the tolerated excess.
-CALM_S = 0.6
+HEADROOM_GRACE_S = 0.6
 #: Retry hint to a caller whose account's cap can't be checked here, seconds: the retry
 #: reaches another VM.
 UNCHECKED_RETRY_AFTER_S = 0.2
@@ -72,12 +72,12 @@
     :param may_grant: whether the replying VM may act as an owner now.
     :param wait_s: 0 where the credit is granted; else the seconds after which the
         caller should retry.
-    :param calm: whether the account is far from its cap.
+    :param has_headroom: whether the account is far from its cap.
     """
 
     may_grant: bool
     wait_s: float = 0.0
-    calm: bool = False
+    has_headroom: bool = False
 
 
 @messages.message(131)
@@ -146,7 +146,7 @@
         #: Random draws, 0 to 1, for requests that cost more than the reserve.
         self.draw_by_account: dict[str, float] = {}
         #: Accounts that were far from their caps by the last reply of an owner.
-        self.calm_accounts: set[str] = set()
+        self.accounts_with_headroom: set[str] = set()
         self.peers.handle(CreditRequest, self._on_request)
         self.peers.handle(CreditRefund, self._on_refund)
         self.latency = node_kernel.metrics.duration_histogram(
@@ -187,7 +187,7 @@
             reply = self._call_owner(owner, CreditRequest(account.name, units))
             if reply is None or not reply.may_grant:
                 continue
-            self._record_calm(account.name, reply.calm)
+            self._record_headroom(account.name, reply.has_headroom)
             if reply.wait_s:
                 return result.Err(OverCap(reply.wait_s))
             return result.Ok(self._record_grant(Grant(account.name, units, owner)))
@@ -200,11 +200,11 @@
         del self.draw_by_account[account.name]
         return result.Ok(self._record_grant(Grant(account.name, units, "")))
 
-    def _record_calm(self, account: str, calm: bool) -> None:
-        if calm:
-            self.calm_accounts.add(account)
+    def _record_headroom(self, account: str, has_headroom: bool) -> None:
+        if has_headroom:
+            self.accounts_with_headroom.add(account)
         else:
-            self.calm_accounts.discard(account)
+            self.accounts_with_headroom.discard(account)
 
     def _call_owner(self, owner: str, request: CreditRequest) -> CreditReply | None:
         if owner == self.name:
@@ -235,8 +235,8 @@
         window_s = self.kernel.settings.bounds.cap_window_s
         allowed = account.cap.max_units(window_s)
         share = RESERVE_SHARE * self._tolerated_excess(account.cap) / allowed
-        if account.name in self.calm_accounts:
-            share = max(share, CALM_S / window_s) if share else 0.0
+        if account.name in self.accounts_with_headroom:
+            share = max(share, HEADROOM_GRACE_S / window_s) if share else 0.0
         granted = self.granted_by_account[account.name].total()
         return share * granted - self.reserve_used_by_account[account.name].total()
 
@@ -250,7 +250,9 @@
         if bucket is None or not self._may_grant():
             return CreditReply(False)
         wait_s = bucket.acquire(request.units, time.monotonic())
-        return CreditReply(True, wait_s, bucket.level > CALM_SHARE * bucket.cap.burst)
+        return CreditReply(
+            True, wait_s, bucket.level > HEADROOM_SHARE * bucket.cap.burst
+        )
 
     def _may_grant(self) -> bool:
         is_minority = self.budgets.share() < MIN_SHARE
--- a/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declarations.py
@@ -4,7 +4,6 @@
 answer. Its version never decreases during the life of the process.
 """
 
-
 import gevent
 import gevent.event
 import logbook
--- a/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
@@ -162,7 +162,7 @@
         share = min(1.0, replicas / needed) - min(1.0, (replicas - 1) / needed)
         return self.demand.rate(target) * share * HORIZON_S
 
-    def holders(
+    def endpoints_holding(
         self, target: caller_request.Target
     ) -> list[endpoint_state.EndpointState]:
         """Return the available endpoints that hold, or will hold, a model or adapter.
@@ -323,7 +323,7 @@
         :param name: a model that it holds.
         """
         target = caller_request.Target(state.endpoint.entry.service, name)
-        others = [item for item in self.holders(target) if item is not state]
+        others = [item for item in self.endpoints_holding(target) if item is not state]
         demand_observed = self.demand.total() > OBSERVED_DEMAND_PER_S
         min_rate = MIN_RATE_PER_S * (1 if demand_observed else (1 + len(others)) ** 2)
         rate = max(min_rate, self.demand.rate(target))
@@ -367,7 +367,7 @@
             case Evictable.UNUSED:
                 return not self.running(name, [state])
         target = caller_request.Target(state.endpoint.entry.service, name)
-        others = [item for item in self.holders(target) if item is not state]
+        others = [item for item in self.endpoints_holding(target) if item is not state]
         return len(others) >= MIN_OTHER_HOLDERS and not self.running(name, [state])
 
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/prefill_pacing.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/prefill_pacing.py
@@ -29,18 +29,18 @@
 
 #: Pace at which prompts are sent to an endpoint whose prefill speed is unknown, prompt
 #: tokens per second.
-DEFAULT_PREFILL_TOKENS_PER_S = 28_000.0
+DEFAULT_PACE_TOKENS_PER_S = 28_000.0
 #: Share of an endpoint's prefill speed that is scheduled; the rest is left for decoding
 #: the running streams.
 PREFILL_SHARE = 0.75
 #: Prefill speed that is assumed for an endpoint before it has been measured.
-DEFAULT_SPEED_TOKENS_PER_S = DEFAULT_PREFILL_TOKENS_PER_S / PREFILL_SHARE
+DEFAULT_SPEED_TOKENS_PER_S = DEFAULT_PACE_TOKENS_PER_S / PREFILL_SHARE
 #: Longest time for which an owner schedules ahead, seconds: beyond it, the endpoint is
 #: overloaded, and waiting would not help its streams.
 MAX_AHEAD_S = 0.5
 #: Upper bound of the prompt length that is scheduled: callers declare the length, and a
 #: schedule reaches no further ahead.
-MAX_TOKENS = int(DEFAULT_PREFILL_TOKENS_PER_S * MAX_AHEAD_S)
+MAX_TOKENS = int(DEFAULT_PACE_TOKENS_PER_S * MAX_AHEAD_S)
 #: Lower bound of the pace that a peer may request, prompt tokens per second.
 MIN_TOKENS_PER_S = 1_000.0
 #: Longest wait for a prefill slot, as a share of the request's objective: the prompt
@@ -70,7 +70,7 @@
     endpoint: str
     tokens: int
     urgency: int
-    tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S
+    tokens_per_s: float = DEFAULT_PACE_TOKENS_PER_S
 
 
 @messages.message(118)
@@ -104,7 +104,7 @@
         tokens: int,
         urgency: int,
         now: float,
-        tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S,
+        tokens_per_s: float = DEFAULT_PACE_TOKENS_PER_S,
     ) -> float:
         """Reserve a prefill slot, and return the seconds until it starts.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -173,7 +173,7 @@
         self, unmet: demand.UnmetDemand, accelerator: declaration_types.Accelerator
     ) -> None:
         """Load a model or adapter that callers wait for."""
-        holders = self.placement.holders(unmet.target.base)
+        holders = self.placement.endpoints_holding(unmet.target.base)
         if unmet.target.adapter and holders:
             self._place_adapter(unmet, holders)
             return
@@ -193,7 +193,7 @@
     def _place_adapter(
         self, unmet: demand.UnmetDemand, states: list[endpoint_state.EndpointState]
     ) -> None:
-        if self.placement.holders(unmet.target):
+        if self.placement.endpoints_holding(unmet.target):
             return
         with_slot = [
             state
@@ -283,7 +283,7 @@
         several times within two seconds. Adding one endpoint per second, each only once
         the previous one was full, left the model overloaded for ten seconds.
         """
-        holders = self.placement.holders(target)
+        holders = self.placement.endpoints_holding(target)
         if not holders:
             return
         replicas = self.placement.capacity(holders)
@@ -306,7 +306,7 @@
     ) -> bool:
         """Return whether a model has too few endpoints for its callers."""
         since_last_s = time.monotonic() - self.spread_at_by_target.get(target, 0.0)
-        holders = self.placement.holders(target)
+        holders = self.placement.endpoints_holding(target)
         if since_last_s < SPREAD_INTERVAL_S or not holders:
             return False
         running = self.placement.running(target.model, holders)
@@ -325,7 +325,7 @@
         cost_by_model = {}
         for model in accelerator.model_by_name.values():
             target = caller_request.Target(service, model.name)
-            if not self.placement.holders(target):
+            if not self.placement.endpoints_holding(target):
                 cost_by_model[model.name] = self.placement.unavailability_cost(
                     target, model
                 )
--- a/packages/mothworks_gateway/tests/scheduling_builders.py
+++ b/packages/mothworks_gateway/tests/scheduling_builders.py
@@ -120,9 +120,9 @@
             self.demand._on_heartbeat("vm-1", message)
             self.scheduler._schedule(self.declaration)
 
-    def holders(self, model):
+    def endpoints_holding(self, model):
         """Return how many endpoints hold a model or will hold it."""
-        return len(self.placement.holders(target(model)))
+        return len(self.placement.endpoints_holding(target(model)))
 
 
 def target(model):
--- a/packages/mothworks_gateway/tests/test_large_scheduling_passes.py
+++ b/packages/mothworks_gateway/tests/test_large_scheduling_passes.py
@@ -47,7 +47,8 @@
     for name in MODELS:
         expected = [state for state in scheduling.states if state.will_hold(name, "")]
         assert (
-            scheduling.placement.holders(scheduling_builders.target(name)) == expected
+            scheduling.placement.endpoints_holding(scheduling_builders.target(name))
+            == expected
         )
 
 
--- a/packages/mothworks_gateway/tests/test_limited_endpoints.py
+++ b/packages/mothworks_gateway/tests/test_limited_endpoints.py
@@ -37,7 +37,7 @@
     assert loading_endpoint_ids(scheduling) == []
     scheduling.limit_by_id["i-0"] = 1.5
     scheduling.send_requests("busy", PER_S, TOKENS, seconds=0.5)
-    assert scheduling.holders("busy") == 2
+    assert scheduling.endpoints_holding("busy") == 2
 
 
 # Guards against loads at an endpoint that accepts hardly any requests.
@@ -50,14 +50,14 @@
 def test_a_limit_that_is_not_reached_costs_no_load(scheduling):
     scheduling.limit_by_id["i-0"] = 12.0
     scheduling.send_requests("busy", 1.0, TOKENS, seconds=4.0)
-    assert scheduling.holders("busy") == 1
+    assert scheduling.endpoints_holding("busy") == 1
 
 
 # Guards against a model that is loaded nowhere because all endpoints report limits.
 def test_models_are_still_loaded_if_all_endpoints_report_limits(scheduling):
     scheduling.limit_by_id.update({f"i-{number}": 6.0 for number in range(5)})
     scheduling.send_requests("busy", PER_S, TOKENS, seconds=2.0)
-    assert scheduling.holders("busy") >= 2
+    assert scheduling.endpoints_holding("busy") >= 2
 
 
 # Guards against a model that no caller reaches while its only endpoint is in a backoff.
@@ -66,7 +66,7 @@
     assert loading_endpoint_ids(scheduling) == []
     scheduling.backoff_by_id["i-0"] = BACKOFF
     scheduling.send_requests("busy", PER_S, TOKENS, seconds=0.5)
-    assert scheduling.holders("busy") == 2
+    assert scheduling.endpoints_holding("busy") == 2
 
 
 # Guards against loads at an endpoint that refuses requests.
@@ -78,9 +78,9 @@
 
 def test_a_backoff_costs_no_load_where_another_endpoint_suffices(scheduling):
     scheduling.send_requests("busy", 10 * PER_S, 3 * TOKENS, seconds=4.0)
-    holders = scheduling.holders("busy")
+    holders = scheduling.endpoints_holding("busy")
     assert holders > 1
     scheduling.send_requests("busy", 1.0, TOKENS, seconds=30.0)
     scheduling.backoff_by_id["i-0"] = BACKOFF
     scheduling.send_requests("busy", 1.0, TOKENS, seconds=1.0)
-    assert scheduling.holders("busy") == holders
+    assert scheduling.endpoints_holding("busy") == holders
--- a/packages/mothworks_gateway/tests/test_moving_demand.py
+++ b/packages/mothworks_gateway/tests/test_moving_demand.py
@@ -37,12 +37,12 @@
         * TOKENS
         / (prefill_speed.DEFAULT_TOKENS_PER_S * placement_candidates.PREFILL_SHARE)
     )
-    assert scheduling.holders("rising") >= 0.75 * needed
+    assert scheduling.endpoints_holding("rising") >= 0.75 * needed
 
 
 def test_a_model_that_one_endpoint_suffices_for_gets_no_other(scheduling):
     scheduling.send_requests("rising", 3.0, TOKENS, seconds=4.0)
-    assert scheduling.holders("rising") == 1
+    assert scheduling.endpoints_holding("rising") == 1
 
 
 def test_two_rising_models_share_the_endpoints(scheduling):
@@ -51,23 +51,23 @@
     for _ in range(16):
         scheduling.send_requests("rising", 16.0, TOKENS, seconds=0.25)
         scheduling.send_requests("rare-3", 16.0, TOKENS, seconds=0.25)
-    assert scheduling.holders("rising") >= 2
-    assert scheduling.holders("rare-3") >= 2
+    assert scheduling.endpoints_holding("rising") >= 2
+    assert scheduling.endpoints_holding("rare-3") >= 2
 
 
 def test_rarely_requested_models_stay_loaded(scheduling):
     scheduling.send_requests("rising", 8.0, TOKENS, seconds=4.0)
-    assert all(scheduling.holders(f"rare-{number}") for number in range(9))
+    assert all(scheduling.endpoints_holding(f"rare-{number}") for number in range(9))
 
 
 def test_holders_are_determined_anew_in_each_pass(scheduling):
     # Holders are requested thousands of times in a pass and cached for it. An endpoint
     # that unloads its model between two passes must no longer be listed.
     scheduling.send_requests("rising", 1.0, TOKENS, seconds=0.25)
-    assert scheduling.holders("rising") == 1
+    assert scheduling.endpoints_holding("rising") == 1
     scheduling.states[0].adapters_by_model.pop("rising")
     scheduling.scheduler._schedule(scheduling.declaration)
     holder = scheduling.states[0]
-    assert holder not in scheduling.placement.holders(
+    assert holder not in scheduling.placement.endpoints_holding(
         scheduling_builders.target("rising")
     )
--- a/packages/mothworks_gateway/tests/test_prefill_pacing.py
+++ b/packages/mothworks_gateway/tests/test_prefill_pacing.py
@@ -18,7 +18,7 @@
 )
 
 #: Prompt tokens that are scheduled for 100 ms at an endpoint.
-TOKENS_PER_100_MS = int(prefill_pacing.DEFAULT_PREFILL_TOKENS_PER_S / 10)
+TOKENS_PER_100_MS = int(prefill_pacing.DEFAULT_PACE_TOKENS_PER_S / 10)
 
 
 class Membership:
--- a/packages/mothworks_gateway/tests/test_scheduler.py
+++ b/packages/mothworks_gateway/tests/test_scheduler.py
@@ -41,7 +41,7 @@
         self.states = holders
         self.request_count = running
 
-    def holders(self, _):
+    def endpoints_holding(self, _):
         return self.states
 
     def running(self, *_):
