A watcher of an earlier era is not relied on

A watcher that has missed a restore, or runs a version that knows no eras, still publishes that it is healthy. What it publishes is older than what VMs know of the new era, so they left it out, and relied on it for changes that never came: during an upgrade for as long as both watchers run the former version. Found by going through what compares cursors; not seen in a run.

Its status now counts as unhealthy, so VMs follow the feeds themselves where there is no other watcher. The new test failed before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/watching.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/watching.py
@@ -22,6 +22,7 @@
 from mothworks_gateway import (
     adapters,
     broadcast,
+    cursors,
     declarations,
     discovery,
     feed_reports,
@@ -255,6 +256,9 @@
         self, vm: str, status: watcher_election.Status, _: peers.Reply
     ) -> None:
         now = time.monotonic()
+        if cursors.era(status.cursor) < cursors.era(self.discovery.registry.cursor):
+            # It does not know yet that the platform was restored.
+            status = attrs.evolve(status, healthy=False)
         self.election.receive(vm, status, now)
         if not status.healthy:
             self._follow_feeds(self.election.healthy_watchers(now))
--- a/packages/mothworks_gateway/tests/test_silent_polls.py
+++ b/packages/mothworks_gateway/tests/test_silent_polls.py
@@ -13,6 +13,7 @@
 from mothworks_gateway import (
     adapters,
     broadcast,
+    cursors,
     declarations,
     discovery,
     feeding,
@@ -177,6 +178,7 @@
             changed_at=1,
             registry=types.SimpleNamespace(cursor=1),
             on_platform_changes=[],
+            confirm_unchanged=lambda *_: None,
             follower=followers.follower_by_name["endpoints"],
         )
         return {
@@ -233,3 +235,13 @@
     assert not watcher.publishes_healthy()
     watcher.answer("declarations", "endpoints")
     assert watcher.publishes_healthy()
+
+
+# Guards against a VM that relies on a watcher which has missed a restore.
+def test_a_watcher_of_an_earlier_era_is_not_healthy(watcher):
+    election = watcher.part.election
+    for era, healthy in ((1, []), (2, ["vm-2"])):
+        watcher.part.discovery.registry.cursor = cursors.make(2, 5)
+        status = watcher_election.Status(True, cursors.make(era, 9), 0, 1)
+        watcher.part._on_status("vm-2", status, None)
+        assert list(election.healthy_watchers(watcher.clock.monotonic())) == healthy
