Start loads from the weight store at its rate, however many were decided

Cause, by reading: whether the store allows one more load was asked when a load was decided, and loads were counted when an endpoint had accepted them. All loads decided in between passed, those of one scheduling pass among them, and those that waited behind an unload.

The store's rate is now asked again before each order of a load, and an order counts from when it is sent. What was decided beyond the rate waits. A model that is not declared any more no longer reaches a look-up that fails.

test_loads_that_were_decided_at_once_start_at_the_store_s_rate failed before: eight loads began within a millisecond where three are allowed in 0.6 s. test_a_model_that_is_not_declared_any_more_is_not_loaded is new.

--- a/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
@@ -43,6 +43,8 @@
 #: maximum, and the factor by which it grows.
 CONFLICT_RETRY_S = 0.03
 MAX_CONFLICT_RETRY_S = 0.25
+#: Time between two checks whether the weight store allows a load, seconds.
+STORE_RETRY_S = 0.1
 CONFLICT_RETRY_FACTOR = 1.7
 #: Time of conflicts after which the endpoint's inventory is requested, seconds.
 CONFLICT_INVENTORY_S = 1.0
@@ -76,6 +78,8 @@
         self.residency = node_kernel.get(residency.Residency)
         self.unload_time = unload_time.UnloadTime()
         self.store_loads = sliding_windows.WindowedCount(self.bounds.load_window_s)
+        #: Number of orders in flight that may use the weight store.
+        self.store_loads_in_flight = 0
         self.published = 0
         self.orders_total = node_kernel.metrics.counter(
             "orders_total", "Orders to endpoints, by kind and outcome."
@@ -93,11 +97,11 @@
         :param model: the model to load.
         :param share: the share of the rate that such loads may use.
         """
-        if state.load_s(model) < model.store_load_s:
+        if not _uses_store(state, model.name):
             return True
         per_s = state.accelerator.store_loads_per_s * self.bounds.load_factor
         max_loads = max(1, int(per_s * self.bounds.load_window_s * share))
-        return self.store_loads.count() < max_loads
+        return self.store_loads.count() + self.store_loads_in_flight < max_loads
 
     def refresh(self, state: endpoint_state.EndpointState) -> None:
         """Request an endpoint's inventory and apply it to its state.
@@ -160,6 +164,10 @@
                     continue
             if self._holds(state, model, adapter) == loads:
                 return True
+            if loads and not adapter and not self._may_load_now(state, model):
+                # More loads were decided than the store allows at once.
+                gevent.sleep(STORE_RETRY_S)
+                continue
             order = adapters.Order(
                 loads,
                 model,
@@ -204,6 +212,10 @@
                     return False
         return False
 
+    def _may_load_now(self, state: endpoint_state.EndpointState, name: str) -> bool:
+        model = state.accelerator.model_by_name.get(name)
+        return model is None or self.may_load(state, model)
+
     def _wait_for_unload(self, state: endpoint_state.EndpointState) -> None:
         """Wait until an endpoint has probably finished its last unload."""
         if state.unload_accepted_at is not None:
@@ -243,7 +255,7 @@
             # Published before the order is sent, so that no VM sends a request that the
             # endpoint would reject.
             self.publish(state, without=order)
-        outcome = self.protocol.order(state.endpoint, order, self.lease.held)
+        outcome = self._send(state, order)
         kind = "load" if order.load else "unload"
         self.orders_total.inc({"order": kind, "outcome": outcome.value})
         logs.event(
@@ -266,6 +278,23 @@
                 self.late_orders.record(state.endpoint, order)
         return outcome
 
+    def _send(
+        self, state: endpoint_state.EndpointState, order: adapters.Order
+    ) -> adapters.OrderOutcome:
+        """Send an order once; a load counts towards the store's rate meanwhile."""
+        uses_store = self._may_use_store(state, order)
+        self.store_loads_in_flight += uses_store
+        try:
+            return self.protocol.order(state.endpoint, order, self.lease.held)
+        finally:
+            self.store_loads_in_flight -= uses_store
+
+    def _may_use_store(
+        self, state: endpoint_state.EndpointState, order: adapters.Order
+    ) -> bool:
+        loads_model = order.load and not order.adapter
+        return loads_model and _uses_store(state, order.model)
+
     def _is_safe(
         self, state: endpoint_state.EndpointState, order: adapters.Order
     ) -> bool:
@@ -296,10 +325,8 @@
     ) -> None:
         """Count a load that uses, or may use, the weight store."""
         maybe_started = (adapters.OrderOutcome.ACCEPTED, adapters.OrderOutcome.UNKNOWN)
-        if order.load and not order.adapter and outcome in maybe_started:
-            model = state.accelerator.model_by_name[order.model]
-            if state.load_s(model) >= model.store_load_s:
-                self.store_loads.add()
+        if outcome in maybe_started and self._may_use_store(state, order):
+            self.store_loads.add()
 
     def _wait_until_executed(
         self, state: endpoint_state.EndpointState, order: adapters.Order
@@ -365,3 +392,13 @@
         # sent.
         unloads_model = without is not None and not without.adapter
         self.residency.publish(message, at_once=unloads_model)
+
+
+def _uses_store(state: endpoint_state.EndpointState, name: str) -> bool:
+    """Return whether an endpoint loads a model from the weight store.
+
+    :param state: the endpoint's state.
+    :param name: the model; it may not be declared any more.
+    """
+    model = state.accelerator.model_by_name.get(name)
+    return model is not None and state.load_s(model) >= model.store_load_s
--- a/packages/mothworks_gateway/tests/test_order_sender.py
+++ b/packages/mothworks_gateway/tests/test_order_sender.py
@@ -1,11 +1,19 @@
 """Order sender: an endpoint is never made to hold more than fits in its memory."""
 
+import time
+
 import gevent
 import pytest
 
 import gateway_builders
 import modelled_endpoint
-from mothworks_gateway import endpoint_state, registry
+from mothworks_gateway import (
+    adapters,
+    endpoint_state,
+    registry,
+    settings,
+    sliding_windows,
+)
 
 SIZES = {"small": 16.1, "slight": 16.1, "spare": 16.1, "busy": 34.3, "wanted": 34.3}
 
@@ -74,3 +82,46 @@
     endpoint.leaving = True
     orders.refresh(state)
     assert list(orders.registry.leaving_ids) == ["i-1"]
+
+
+class Endpoints(modelled_endpoint.ModelledEndpoint):
+    """Endpoints that accept all orders after a while, and record when."""
+
+    def __init__(self, declared_as):
+        super().__init__(declared_as)
+        self.accepted_at = []
+
+    def order(self, _, order, may_send):
+        gevent.sleep(0.02)
+        self.accepted_at.append(time.monotonic())
+        return adapters.OrderOutcome.ACCEPTED
+
+
+# Guards against more loads at once than the weight store allows: many were decided in
+# one pass, before any of them was counted.
+def test_loads_that_were_decided_at_once_start_at_the_store_s_rate(stub_lease):
+    endpoints = Endpoints(modelled_endpoint.accelerator(**SIZES))
+    sender = modelled_endpoint.make_order_sender(
+        endpoints, registry.Registry(), modelled_endpoint.Peers(), stub_lease
+    )
+    window_s, max_loads = 0.6, 3
+    sender.bounds = settings.Bounds(load_window_s=window_s, load_factor=1.0)
+    sender.store_loads = sliding_windows.WindowedCount(window_s)
+    registered = [gateway_builders.endpoint(f"i-{n}", models=()) for n in range(8)]
+    states = [
+        endpoint_state.EndpointState(item, endpoints.declared_as) for item in registered
+    ]
+    loads = [gevent.spawn(sender.order, item, True, "small", "") for item in states]
+    with gevent.Timeout(8):
+        while len(endpoints.accepted_at) < len(states):
+            gevent.sleep(0.01)
+    gevent.killall(loads)
+    times = endpoints.accepted_at
+    for first, last in zip(times, times[max_loads:], strict=False):
+        assert last - first >= window_s
+
+
+# Guards against a node that stops because a queued model is not declared any more.
+def test_a_model_that_is_not_declared_any_more_is_not_loaded(orders, endpoint):
+    assert not orders.order(state_of(endpoint), True, "dropped", "")
+    assert endpoint.accepted_orders == 0
