--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -37,6 +37,19 @@
     base_cursor: int
     suspect_until: float
 
+    def completes(self, cursor: int, changed_at: int) -> bool:
+        """Return whether these are all changes that a registry lacks.
+
+        Changes that were found by comparing a snapshot with another registry do not fit
+        one that had later changes than that one.
+
+        :param cursor: the cursor up to which the registry is complete.
+        :param changed_at: the cursor of its last change.
+        """
+        if not self.base_changed_at <= cursor < self.changes.cursor:
+            return False
+        return not self.base_cursor or changed_at <= self.base_cursor
+
 
 class Discovery(kernel.Part):
     """Owns the registry and updates it from the platform and from peers.
@@ -93,16 +106,11 @@
     def apply_published(self, update: Update) -> None:
         """Apply changes that a peer published, if none is missing before them.
 
-        Changes that the peer found by comparing a snapshot with its registry do not fit
-        a registry that had changes which the peer did not know.
-
         :param update: the changes.
         """
-        cursor = update.changes.cursor
-        follows = update.base_changed_at <= self.registry.cursor < cursor
-        if follows and not 0 < update.base_cursor < self.changed_at:
+        if update.completes(self.registry.cursor, self.changed_at):
             self._apply_changes(update.changes, update.suspect_until)
-            self.follower.cursor = max(self.follower.cursor, cursor)
+            self.follower.cursor = max(self.follower.cursor, update.changes.cursor)
 
     def confirm_unchanged(self, changed_at: int, cursor: int) -> None:
         """Advance the cursor, since a peer knows of no later change.
