--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -309,7 +309,8 @@
     def _contradicts(self, restored: Entry) -> bool:
         """Return whether a restored entry contradicts what is known.
 
-        That an endpoint is draining is never older news than that it is not.
+        An endpoint that drains does not stop draining, so a draining entry is never
+        outdated.
         """
         endpoint = self.by_id.get(restored.id)
         if endpoint is None:
