--- a/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/discovery.py
@@ -38,7 +38,7 @@
     suspect_until: float
 
     def completes(self, cursor: int, changed_at: int) -> bool:
-        """Return whether these are all changes that a registry lacks.
+        """Return whether these are all changes that a registry is missing.
 
         Changes that were found by comparing a snapshot with another registry do not fit
         one that had later changes than that one.
@@ -155,7 +155,8 @@
         suspect_until = self._suspect_until(snapshot.cursor)
         changes = self._compare(snapshot)
         self._apply_changes(changes, suspect_until)
-        self._notify_changed()
+        if not changes.changes:
+            self._notify_changed()
         return Update(changes, 0, 0, suspect_until)
 
     def _suspect_until(self, cursor: int) -> float:
--- a/packages/mothworks_gateway/tests/restore_strategies.py
+++ b/packages/mothworks_gateway/tests/restore_strategies.py
@@ -10,7 +10,9 @@
 import random
 
 import attrs
+import pytest
 
+import virtual_time
 from mothworks import logs
 from mothworks_gateway import feeding, registry
 
@@ -66,16 +68,6 @@
     unused_at_end: int = 0
 
 
-class Clock:
-    """Replaces the module ``time`` of the registry."""
-
-    def __init__(self):
-        self.now = 1000.0
-
-    def monotonic(self):
-        return self.now
-
-
 class Trial:
     """One restore, as one VM handles it.
 
@@ -84,7 +76,7 @@
     :param clock: the registry's clock.
     """
 
-    def __init__(self, strategy: Strategy, seed: int, clock: Clock):
+    def __init__(self, strategy: Strategy, seed: int, clock: virtual_time.Clock):
         self.rng = random.Random(seed)
         self.clock = clock
         self.registry = registry.Registry()
@@ -105,7 +97,7 @@
         """
         until = self.clock.now + END_S
         while self.clock.now < until:
-            self.clock.now += STEP_S
+            self.clock.advance(STEP_S)
             self._apply_writes()
             self.registry.expire()
             late, unused = self._mistakes()
@@ -170,17 +162,14 @@
 
 def compare() -> dict[Strategy, Totals]:
     """Return the totals of each strategy over the same restores."""
-    clock = Clock()
-    real_time, real_event = registry.time, logs.event
-    registry.time, logs.event = clock, lambda *_, **__: None
-    try:
-        totals_by_strategy = {strategy: Totals() for strategy in Strategy}
+    totals_by_strategy = {strategy: Totals() for strategy in Strategy}
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        clock = virtual_time.Clock(monkeypatch, registry)
+        monkeypatch.setattr(logs, "event", lambda *_, **__: None)
         for strategy, totals in totals_by_strategy.items():
             for seed in range(TRIALS):
                 Trial(strategy, seed, clock).run(totals)
-        return totals_by_strategy
-    finally:
-        registry.time, logs.event = real_time, real_event
+    return totals_by_strategy
 
 
 def main() -> None:
