Whether a load uses the weight store is asked of the endpoint's state

may_load takes the model's name, as orders have it, so the look-up beside it is gone, and a constant no longer stands inside the group of another. No behaviour changes.

--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_state.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_state.py
@@ -300,6 +300,14 @@
             return model.disk_load_s
         return model.store_load_s
 
+    def loads_from_store(self, name: str) -> bool:
+        """Return whether a load of a model here uses the weight store.
+
+        :param name: the model; it may not be declared any more.
+        """
+        model = self.accelerator.model_by_name.get(name)
+        return model is not None and self.load_s(model) >= model.store_load_s
+
     def ready_s_by_model(self) -> dict[str, float]:
         """Return the seconds until ready of each model that is loading or queued."""
         now = time.monotonic()
--- a/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
@@ -23,7 +23,6 @@
 from mothworks import kernel, logs
 from mothworks_gateway import (
     adapters,
-    declaration_types,
     discovery,
     endpoint_notices,
     endpoint_state,
@@ -43,9 +42,9 @@
 #: maximum, and the factor by which it grows.
 CONFLICT_RETRY_S = 0.03
 MAX_CONFLICT_RETRY_S = 0.25
+CONFLICT_RETRY_FACTOR = 1.7
 #: Time between two checks whether the weight store allows a load, seconds.
 STORE_RETRY_S = 0.1
-CONFLICT_RETRY_FACTOR = 1.7
 #: Time of conflicts after which the endpoint's inventory is requested, seconds.
 CONFLICT_INVENTORY_S = 1.0
 #: Time between inventory requests to an endpoint that is executing an order, seconds.
@@ -88,7 +87,7 @@
     def may_load(
         self,
         state: endpoint_state.EndpointState,
-        model: declaration_types.Model,
+        model: str,
         share: float = 1.0,
     ) -> bool:
         """Return whether the weight store's load rate allows one more load.
@@ -97,7 +96,7 @@
         :param model: the model to load.
         :param share: the share of the rate that such loads may use.
         """
-        if not _uses_store(state, model.name):
+        if not state.loads_from_store(model):
             return True
         per_s = state.accelerator.store_loads_per_s * self.bounds.load_factor
         max_loads = max(1, int(per_s * self.bounds.load_window_s * share))
@@ -164,7 +163,7 @@
                     continue
             if self._holds(state, model, adapter) == loads:
                 return True
-            if loads and not adapter and not self._may_load_now(state, model):
+            if loads and not adapter and not self.may_load(state, model):
                 # More loads were decided than the store allows at once.
                 gevent.sleep(STORE_RETRY_S)
                 continue
@@ -212,10 +211,6 @@
                     return False
         return False
 
-    def _may_load_now(self, state: endpoint_state.EndpointState, name: str) -> bool:
-        model = state.accelerator.model_by_name.get(name)
-        return model is None or self.may_load(state, model)
-
     def _wait_for_unload(self, state: endpoint_state.EndpointState) -> None:
         """Wait until an endpoint has probably finished its last unload."""
         if state.unload_accepted_at is not None:
@@ -293,7 +288,7 @@
         self, state: endpoint_state.EndpointState, order: adapters.Order
     ) -> bool:
         loads_model = order.load and not order.adapter
-        return loads_model and _uses_store(state, order.model)
+        return loads_model and state.loads_from_store(order.model)
 
     def _is_safe(
         self, state: endpoint_state.EndpointState, order: adapters.Order
@@ -392,13 +387,3 @@
         # sent.
         unloads_model = without is not None and not without.adapter
         self.residency.publish(message, at_once=unloads_model)
-
-
-def _uses_store(state: endpoint_state.EndpointState, name: str) -> bool:
-    """Return whether an endpoint loads a model from the weight store.
-
-    :param state: the endpoint's state.
-    :param name: the model; it may not be declared any more.
-    """
-    model = state.accelerator.model_by_name.get(name)
-    return model is not None and state.load_s(model) >= model.store_load_s
