Endpoint paths: tell lost paths from failed endpoints in logs and metrics

Lines 'endpoint paths' with the outcomes lost and regained, the gauge endpoint_paths_lost and the counter endpoints_unreachable_total. Paths are lost once connections to two endpoints failed without a byte of any endpoint since; a VM whose requests hang on open connections opens connections to find out. Connecting is a function of the transport now, which tests replace.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -226,14 +226,20 @@
 class _Pool(geventhttpclient.connectionpool.ConnectionPool):
     """The library's pool, for IP addresses and with a bound on idle time."""
 
-    #: Whether an answer without a length is complete once the endpoint closes
-    #: the connection in good order.
-    allow_unframed = False
-
-    def __init__(self, *args, pool_by_idle: "dict[_Socket, _Pool]", **kwargs):
+    def __init__(self, *args, transport: "Transport", **kwargs):
         super().__init__(*args, **kwargs)
+        self.transport = transport
+        #: Whether an answer without a length is complete once the endpoint closes
+        #: the connection in good order.
+        self.allow_unframed = transport.allow_unframed
         #: Idle connections of all pools, the most recently used last.
-        self.pool_by_idle = pool_by_idle
+        self.pool_by_idle = transport.pool_by_idle
+
+    def open_idle(self) -> None:
+        """Open a connection for later requests."""
+        sock = self.open_for_one_request()
+        sock.single_use = False
+        self.return_socket(sock)
 
     def open_for_one_request(self) -> _Socket:
         """Open a connection that is closed after one request."""
@@ -288,7 +294,7 @@
         sock = _Socket(family, gevent.socket.SOCK_STREAM)
         try:
             sock.settimeout(self.connection_timeout)
-            sock.connect((host, port))
+            self.transport.connect(sock, (host, port))
             _set_options(sock)
             sock.settimeout(self.network_timeout)
         except BaseException:
@@ -355,7 +361,10 @@
         self.allow_unframed = allow_unframed
         self.max_idle = max_idle
         self.pool_by_address: dict[tuple[str, int], _Pool] = {}
-        self._pool_by_idle: dict[_Socket, _Pool] = {}
+        #: Idle connections of all pools, the most recently used last.
+        self.pool_by_idle: dict[_Socket, _Pool] = {}
+        #: Connects a socket to an address; tests replace it to cut paths.
+        self.connect = gevent.socket.socket.connect
         self._idle_checked_at = time.monotonic()
 
     def exchange(
@@ -411,6 +420,18 @@
         sock.settimeout(self.read_timeout_s)
         return result.Ok(HttpAnswer(response))
 
+    def open(self, address: tuple[str, int]) -> str | None:
+        """Open a connection for later requests; returns why that failed, or None.
+
+        :param address: IP address and port.
+        """
+        self._close_idle()
+        try:
+            self._pool_for(address).open_idle()
+        except CONNECTION_ERRORS as error:
+            return f"connect: {error}"
+        return None
+
     def _timeout_s(self, options: SendOptions) -> float:
         deadlines = (options.deadline, options.head_deadline)
         now = time.monotonic()
@@ -424,9 +445,9 @@
         new ones have new addresses. The number of callers' connections bounds the
         pools that remain.
         """
-        while len(self._pool_by_idle) > self.max_idle:
-            oldest = next(iter(self._pool_by_idle))
-            self._pool_by_idle[oldest].discard(oldest)
+        while len(self.pool_by_idle) > self.max_idle:
+            oldest = next(iter(self.pool_by_idle))
+            self.pool_by_idle[oldest].discard(oldest)
         now = time.monotonic()
         if now - self._idle_checked_at < IDLE_CHECK_INTERVAL_S:
             return
@@ -445,9 +466,8 @@
                 size=self.size,
                 connection_timeout=self.connect_s,
                 network_timeout=self.read_timeout_s,
-                pool_by_idle=self._pool_by_idle,
+                transport=self,
             )
-            pool.allow_unframed = self.allow_unframed
             self.pool_by_address[address] = pool
         return pool
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -18,6 +18,7 @@
     caller_request,
     endpoint_limits,
     endpoint_notices,
+    endpoint_paths,
     endpoint_selection,
     endpoints_client,
     health,
@@ -78,6 +79,7 @@
         self.endpoint_selection = node_kernel.get(endpoint_selection.EndpointSelection)
         self.registry = self.endpoint_selection.registry
         self.health = node_kernel.get(health.Health)
+        self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.limits = node_kernel.get(endpoint_limits.EndpointLimits)
         self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.slots = node_kernel.get(send_slots.SendSlots)
@@ -155,9 +157,11 @@
         )
         match sent:
             case result.Err(failure):
-                return self._handle_send_failure(request, endpoint, progress, failure)
+                return self._handle_send_failure(
+                    request, endpoint, progress, failure, started_at
+                )
             case result.Ok(answer):
-                pass
+                self.paths.record_reached(time.monotonic())
         kind = self.protocol.classify_response(request, answer)
         self.observe_notices(request, endpoint, answer, kind, started_at)
         if kind not in (adapters.ResponseKind.ANSWER, adapters.ResponseKind.FAILED):
@@ -256,6 +260,7 @@
         endpoint: registry.Endpoint,
         progress: RequestProgress,
         failure: endpoints.SendFailure,
+        started_at: float,
     ) -> None:
         progress.reason = failure.reason[:80]
         if not failure.may_have_arrived:
@@ -264,6 +269,7 @@
             if failure.withheld:
                 progress.withheld = True
                 return
+            self.paths.record_unreachable(endpoint, started_at, failure.reason)
             self.health.record_failure(endpoint, failure.reason, consecutive_failures=2)
             return
         self._handle_broken_answer(request, endpoint, progress, failure.reason)
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
@@ -0,0 +1,157 @@
+"""Endpoint paths: whether this VM reaches any endpoint.
+
+An endpoint that does not respond may have failed. If no endpoint responds, it is more
+likely that this VM lost its network paths to all of them, while callers, the platform
+and other VMs still reach it. Then its failures say nothing about endpoints.
+
+The paths count as lost when connections to several endpoints failed and nothing was
+received from any endpoint since those attempts began. Requests on open connections
+can hang without a failed connection, so a VM that receives nothing for a while opens
+connections to check its paths.
+"""
+
+import random
+import time
+
+import gevent
+import logbook
+
+from mothworks import kernel, logs
+from mothworks_gateway import (
+    discovery,
+    endpoints_client,
+    registry,
+    running_requests,
+)
+
+log = logbook.Logger("endpoint_paths")
+
+#: Number of unreachable endpoints, without one that was reached since, from which on
+#: the paths count as lost.
+MIN_UNREACHABLE = 2
+#: Time without a byte from any endpoint, while requests run on several, after which the
+#: paths are checked, seconds.
+MAX_SILENCE_S = 0.6
+#: Interval between checks, seconds.
+CHECK_INTERVAL_S = 0.25
+
+
+class EndpointPaths(kernel.Part):
+    """Tracks whether this VM reaches endpoints.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.registry = node_kernel.get(discovery.Discovery).registry
+        self.running_requests = node_kernel.get(running_requests.RunningRequests)
+        self.connections = node_kernel.get(endpoints_client.EndpointsClient).connections
+        #: Monotonic time at which an endpoint last responded.
+        self.reached_at = time.monotonic()
+        #: Endpoints that were unreachable since then.
+        self.unreachable_ids: set[str] = set()
+        #: Monotonic time since which the paths count as lost; None if they don't.
+        self.lost_since: float | None = None
+        #: Callbacks without arguments to call after the paths were lost or regained.
+        self.on_change: list = []
+        metrics = node_kernel.metrics
+        self.lost_gauge = metrics.gauge(
+            "endpoint_paths_lost", "1 while this VM reaches no endpoint."
+        )
+        self.unreachable_total = metrics.counter(
+            "endpoints_unreachable_total", "Connections to endpoints that failed."
+        )
+
+    def start(self) -> None:
+        """Start to check the paths."""
+        self.lost_gauge.set({}, 0)
+        self.tasks.spawn(self._check)
+
+    @property
+    def lost(self) -> bool:
+        """Return whether this VM has lost its paths to all endpoints."""
+        return self.lost_since is not None
+
+    def record_reached(self, now: float) -> None:
+        """Record that an endpoint responded.
+
+        :param now: monotonic time.
+        """
+        self.reached_at = now
+        if self.unreachable_ids:
+            self.unreachable_ids.clear()
+        if self.lost_since is not None:
+            self._record_regained(now)
+
+    def record_unreachable(
+        self, endpoint: registry.Endpoint, started_at: float, reason: str
+    ) -> None:
+        """Record that no connection to an endpoint could be opened.
+
+        :param endpoint: the endpoint.
+        :param started_at: monotonic time at which the attempt began.
+        :param reason: what failed, for the log.
+        """
+        self.unreachable_total.inc({})
+        if started_at < self.reached_at:
+            return
+        self.unreachable_ids.add(endpoint.id)
+        needed = min(MIN_UNREACHABLE, len(self.registry.by_id))
+        if self.lost_since is None and len(self.unreachable_ids) >= needed:
+            self._record_lost(reason)
+
+    def _record_lost(self, reason: str) -> None:
+        now = time.monotonic()
+        self.lost_since = now
+        self.lost_gauge.set({}, 1)
+        logs.event(
+            log,
+            "endpoint paths",
+            unreachable=sorted(self.unreachable_ids),
+            silent_s=round(now - self.reached_at, 3),
+            reason=reason[:80],
+            outcome="lost",
+        )
+        for notify in self.on_change:
+            notify()
+
+    def _record_regained(self, now: float) -> None:
+        lost_s = round(now - self.lost_since, 3)
+        self.lost_since = None
+        self.lost_gauge.set({}, 0)
+        logs.event(log, "endpoint paths", lost_s=lost_s, outcome="regained")
+        for notify in self.on_change:
+            notify()
+
+    def _check(self) -> None:
+        """Check the paths while they are lost or may be lost."""
+        while True:
+            # Jitter keeps VMs that lost their paths together from returning together.
+            gevent.sleep(CHECK_INTERVAL_S * random.uniform(0.7, 1.3))
+            available = [
+                item for item in self.registry.by_id.values() if item.available
+            ]
+            if not available:
+                continue
+            if self.lost:
+                self._probe(random.choice(available))
+            elif self._is_silent():
+                count = min(MIN_UNREACHABLE, len(available))
+                for endpoint in random.sample(available, count):
+                    self.tasks.spawn(self._probe, endpoint)
+
+    def _is_silent(self) -> bool:
+        """Return whether several endpoints run requests and none responds."""
+        used = self.running_requests.running.by_endpoint
+        is_waiting = len(used) >= min(MIN_UNREACHABLE, len(self.registry.by_id))
+        return is_waiting and time.monotonic() - self.reached_at > MAX_SILENCE_S
+
+    def _probe(self, endpoint: registry.Endpoint) -> None:
+        """Open a connection to an endpoint, which later requests use."""
+        started_at = time.monotonic()
+        problem = self.connections.open(endpoint.entry.address)
+        if problem is None:
+            self.record_reached(time.monotonic())
+        else:
+            self.record_unreachable(endpoint, started_at, problem)
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -90,6 +90,7 @@
             now = time.monotonic()
             self.longest_gap_s = max(self.longest_gap_s, now - last_chunk_at)
             last_chunk_at = now
+            self.attempts.paths.record_reached(now)
             if self.event_splitter is not None:
                 data = self.event_splitter.feed(data)
             if data:
