Forward requests to other VMs while this VM reaches no endpoint

Cause: nothing handed a request to another VM. A VM judged each endpoint alone, tried the next one, and refused; that it reached none and others all of them played no part.

Now: once the paths are lost (EndpointPaths), or no new connection opens, requests go to a peer that offered to run them. A request is forwarded once. Admission, the account's credit and the count of the request stay with the first VM; endpoints tried, whether one may have run it, and the time left go along; a hop that breaks may have run. No peer: refused at once. Failures during a loss eject no endpoint and count as no crash; ejections since the last byte of any endpoint are void once the paths are back.

A request that opened no connection and is forwarded is no retry: no endpoint got it.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -297,6 +297,7 @@
             self.transport.connect(sock, (host, port))
             _set_options(sock)
             sock.settimeout(self.network_timeout)
+            self.transport.opened_at = time.monotonic()
         except BaseException:
             sock.close()
             raise
@@ -365,7 +366,9 @@
         self.pool_by_idle: dict[_Socket, _Pool] = {}
         #: Connects a socket to an address; tests replace it to cut paths.
         self.connect = gevent.socket.socket.connect
-        self._idle_checked_at = time.monotonic()
+        #: Monotonic time at which a connection was last opened.
+        self.opened_at = time.monotonic()
+        self._idle_checked_at = self.opened_at
 
     def exchange(
         self,
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -7,7 +7,6 @@
 
 import time
 
-import attrs
 import gevent
 import logbook
 import result
@@ -21,10 +20,12 @@
     endpoint_paths,
     endpoint_selection,
     endpoints_client,
+    forwarding,
     health,
     poison_requests,
     prefill_speed,
     registry,
+    request_progress,
     residency,
     retry_budget,
     running_requests,
@@ -48,25 +49,6 @@
 ERROR_WEIGHT = 0.5
 
 
-@attrs.define
-class RequestProgress:
-    """The attempts at a request so far.
-
-    :param tried: ids of the endpoints that it was sent to.
-    :param may_have_run: whether one of them may have run it.
-    :param sends: number of attempts.
-    :param reason: why the last attempt failed.
-    :param withheld: whether this VM withheld the last attempt, so that no endpoint got
-        it.
-    """
-
-    tried: set[str] = attrs.field(factory=set)
-    may_have_run: bool = False
-    sends: int = 0
-    reason: str = "no endpoint"
-    withheld: bool = False
-
-
 class Attempts(kernel.Part):
     """Sends requests to endpoints.
 
@@ -88,6 +70,8 @@
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.prefill_speed = node_kernel.get(prefill_speed.PrefillSpeed)
         self.residency = node_kernel.get(residency.Residency)
+        self.forwarding = node_kernel.get(forwarding.Forwarding)
+        self.paths.on_change.append(self._on_paths_change)
         self.head_seconds = node_kernel.metrics.duration_histogram(
             "head_seconds", "Time from a request's arrival to its answer's head."
         )
@@ -96,7 +80,7 @@
         self,
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
-        progress: RequestProgress,
+        progress: request_progress.RequestProgress,
     ) -> calls.Reply | None:
         """Send a request once.
 
@@ -108,6 +92,7 @@
         progress.tried.add(endpoint.id)
         progress.sends += 1
         progress.withheld = False
+        progress.unreachable = False
         started_at = time.monotonic()
         self.running_requests.request_started(endpoint, request.target)
         has_reply = False
@@ -138,7 +123,7 @@
         self,
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
-        progress: RequestProgress,
+        progress: request_progress.RequestProgress,
         started_at: float,
     ) -> calls.Reply | None:
         left_s = request.deadline - started_at - RESPONSE_MARGIN_S
@@ -206,7 +191,7 @@
         self,
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
-        progress: RequestProgress,
+        progress: request_progress.RequestProgress,
         answer: transport.HttpAnswer,
         kind: adapters.ResponseKind,
         started_at: float,
@@ -244,7 +229,9 @@
         return calls.Reply(answer.status, answer.headers, body)
 
     def _may_abandon(
-        self, request: caller_request.CallerRequest, progress: RequestProgress
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
     ) -> bool:
         """Return whether a slow or failed attempt may be abandoned for another one."""
         return (
@@ -258,7 +245,7 @@
         self,
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
-        progress: RequestProgress,
+        progress: request_progress.RequestProgress,
         failure: endpoints.SendFailure,
         started_at: float,
     ) -> None:
@@ -269,8 +256,12 @@
             if failure.withheld:
                 progress.withheld = True
                 return
+            progress.unreachable = True
             self.paths.record_unreachable(endpoint, started_at, failure.reason)
-            self.health.record_failure(endpoint, failure.reason, consecutive_failures=2)
+            if not self.paths.lost:
+                self.health.record_failure(
+                    endpoint, failure.reason, consecutive_failures=2
+                )
             return
         self._handle_broken_answer(request, endpoint, progress, failure.reason)
 
@@ -278,20 +269,27 @@
         self,
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
-        progress: RequestProgress,
+        progress: request_progress.RequestProgress,
         reason: str,
     ) -> None:
         progress.may_have_run = True
         progress.reason = reason[:80]
+        if self.paths.lost:
+            return
         self.health.record_failure(endpoint, reason)
         if "timed out" not in reason and "late" not in reason:
             self.poison_requests.record_crash(request, endpoint)
 
+    def _on_paths_change(self) -> None:
+        """Readmit the endpoints that failed only because this VM did not reach them."""
+        if not self.paths.lost:
+            self.health.readmit(self.paths.silent_since)
+
     def _handle_kind(
         self,
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
-        progress: RequestProgress,
+        progress: request_progress.RequestProgress,
         kind: adapters.ResponseKind,
     ) -> None:
         progress.reason = kind.value
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -16,10 +16,13 @@
     attempts,
     caller_request,
     endpoint_notices,
+    endpoint_paths,
     endpoint_selection,
+    forwarding,
     poison_requests,
     prefill_pacing,
     registry,
+    request_progress,
     residency,
     retry_budget,
     running_requests,
@@ -67,6 +70,8 @@
         self.residency = node_kernel.get(residency.Residency)
         self.slots = node_kernel.get(send_slots.SendSlots)
         self.prefill_pacing = node_kernel.get(prefill_pacing.PrefillPacing)
+        self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
+        self.forwarding = node_kernel.get(forwarding.Forwarding)
         self.requests_total = node_kernel.metrics.counter(
             "requests_total", "Requests by service and outcome."
         )
@@ -80,38 +85,97 @@
         """
         self.retry_budget.add_request(request.target.service)
         self.running_requests.count_arrival(request)
-        progress = attempts.RequestProgress()
+        return self._run(request, request_progress.RequestProgress())
+
+    def run_forwarded(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> result.Result[calls.Reply, outcomes.Refusal]:
+        """Run a request that another VM forwarded, which has counted it.
+
+        :param request: the request.
+        :param progress: its progress at the other VM, which is updated.
+        """
+        return self._run(request, progress)
+
+    def _run(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> result.Result[calls.Reply, outcomes.Refusal]:
         while True:
             if self.poison_requests.is_blocked(request):
                 progress.reason = "it crashed several endpoints"
                 return self._refuse(request, progress, 503, None)
+            if self._reaches_no_endpoint(progress):
+                finished = self._forward(request, progress)
+                if finished is None:
+                    continue
+                return finished
             match self._find_endpoint(request, progress):
                 case result.Ok(slot):
-                    endpoint = slot.endpoint
-                    with self.running_requests.count_as_running(
-                        endpoint, request.target
-                    ):
-                        may_send = self.slots.wait(slot)
-                        if may_send:
-                            self.prefill_pacing.wait(request, endpoint)
-                    if not (
-                        may_send
-                        and self.endpoint_selection.accepts(endpoint, request.target)
-                    ):
-                        # During the wait, the endpoint left, unloaded the model,
-                        # lowered its limit or asked this VM to back off.
-                        continue
-                    reply = self.attempts.send_once(request, endpoint, progress)
+                    reply = self._send_in_slot(request, progress, slot)
                 case result.Err() as refused:
                     return refused
             if reply is not None:
                 self._count(request, "answered")
                 return result.Ok(reply)
-            if not self._may_retry(request, progress):
+            # An attempt that no endpoint got is no retry for the deployment.
+            is_free = progress.unreachable and self._reaches_no_endpoint(progress)
+            if not (progress.withheld or is_free or self._may_retry(request, progress)):
                 return self._give_up(request, progress)
 
+    def _send_in_slot(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        slot: send_slots.SendSlot,
+    ) -> calls.Reply | None:
+        """Send a request once its slot and its turn have come; None if that failed."""
+        endpoint = slot.endpoint
+        with self.running_requests.count_as_running(endpoint, request.target):
+            may_send = self.slots.wait(slot)
+            if may_send:
+                self.prefill_pacing.wait(request, endpoint)
+        # During the wait, the endpoint may have left, unloaded the model, lowered its
+        # limit or asked this VM to back off, and this VM may have lost its paths.
+        accepts = may_send and self.endpoint_selection.accepts(endpoint, request.target)
+        if not accepts or self.paths.lost:
+            progress.withheld = True
+            return None
+        return self.attempts.send_once(request, endpoint, progress)
+
+    def _reaches_no_endpoint(self, progress: request_progress.RequestProgress) -> bool:
+        """Return whether only other VMs can run a request."""
+        return self.paths.lost or (progress.unreachable and self.paths.cannot_open)
+
+    def _forward(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> result.Result[calls.Reply, outcomes.Refusal] | None:
+        """Run a request on another VM; returns None if it is to be tried again."""
+        if progress.forwarded:
+            progress.reason = "this VM lost its paths to endpoints"
+            return self._refuse(request, progress, 503, BUSY_RETRY_S)
+        if request.deadline - time.monotonic() < MIN_TIME_LEFT_S:
+            return self._give_up(request, progress)
+        wait_until = self._wait_until(request, progress)
+        match self.forwarding.run(request, progress, wait_until):
+            case result.Ok(reply):
+                self._count(request, "forwarded")
+                return result.Ok(reply)
+            case result.Err(refused):
+                pass
+        if refused.is_final or not self._may_retry(request, progress):
+            return self._refuse(request, progress, refused.status, refused.retry_after)
+        return None
+
     def _find_endpoint(
-        self, request: caller_request.CallerRequest, progress: attempts.RequestProgress
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
     ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
         """Find an endpoint and a send slot, waiting for the model if needed."""
         endpoint_wait_until = (
@@ -144,11 +208,11 @@
     def _acquire_slot(
         self,
         request: caller_request.CallerRequest,
-        progress: attempts.RequestProgress,
+        progress: request_progress.RequestProgress,
         eligible: list[registry.Endpoint],
     ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
         """Acquire a slot at one of several endpoints, or refuse the request at once."""
-        max_wait_s = self._wait_until(request) - time.monotonic()
+        max_wait_s = self._wait_until(request, progress) - time.monotonic()
         match self.slots.acquire(request, eligible, max_wait_s):
             case result.Err(at_limit):
                 progress.reason = (
@@ -163,7 +227,7 @@
     def _wait_for_endpoints(
         self,
         request: caller_request.CallerRequest,
-        progress: attempts.RequestProgress,
+        progress: request_progress.RequestProgress,
         seconds: float,
     ) -> result.Err[outcomes.Refusal] | None:
         """Wait for a change of the endpoints; returns a refusal when time is up."""
@@ -176,12 +240,12 @@
     def _wait_for_model(
         self,
         request: caller_request.CallerRequest,
-        progress: attempts.RequestProgress,
+        progress: request_progress.RequestProgress,
         candidates: endpoint_selection.Candidates,
         now: float,
     ) -> result.Err[outcomes.Refusal] | None:
         """Wait for a model to be loaded; returns a refusal if that takes too long."""
-        wait_until = self._wait_until(request)
+        wait_until = self._wait_until(request, progress)
         ready_in_s = self._ready_in_s(request, candidates)
         if ready_in_s is not None:
             wait_until = now + ready_in_s
@@ -199,7 +263,7 @@
     def _refuse_in_backoff(
         self,
         request: caller_request.CallerRequest,
-        progress: attempts.RequestProgress,
+        progress: request_progress.RequestProgress,
         backoff: endpoint_notices.Backoff,
     ) -> result.Err[outcomes.Refusal]:
         """Refuse a request because all endpoints that hold its model are in a backoff.
@@ -233,7 +297,7 @@
     def _eligible(
         self,
         request: caller_request.CallerRequest,
-        progress: attempts.RequestProgress,
+        progress: request_progress.RequestProgress,
         ready: tuple[registry.Endpoint, ...],
     ) -> list[registry.Endpoint]:
         """Return the endpoints that a request may be sent to."""
@@ -251,7 +315,12 @@
         latest = min(request.deadline, request.received_at + timeout_s)
         return min(latest, self.kernel.drain_deadline - DRAIN_MARGIN_S)
 
-    def _wait_until(self, request: caller_request.CallerRequest) -> float:
+    def _wait_until(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> float:
+        """Return the monotonic time until which a request may wait to be sent."""
         available_s = self._caller_reachable_until(request) - request.received_at
         objective_wait_s = MIN_WAIT_OBJECTIVES * request.route.objective_s
         wait_s = min(
@@ -260,21 +329,26 @@
         )
         # A draining VM must reply before it stops.
         return min(
-            request.received_at + wait_s, self.kernel.drain_deadline - DRAIN_MARGIN_S
+            request.received_at + wait_s,
+            progress.wait_until,
+            self.kernel.drain_deadline - DRAIN_MARGIN_S,
         )
 
     def _may_retry(
-        self, request: caller_request.CallerRequest, progress: attempts.RequestProgress
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
     ) -> bool:
         if progress.may_have_run and not request.route.repeatable:
             return False
         if time.monotonic() + MIN_TIME_LEFT_S > request.deadline:
             return False
-        # An attempt that no endpoint got is no retry for the deployment.
-        return progress.withheld or self.retry_budget.try_spend(request.target.service)
+        return self.retry_budget.try_spend(request.target.service)
 
     def _give_up(
-        self, request: caller_request.CallerRequest, progress: attempts.RequestProgress
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
     ) -> result.Err[outcomes.Refusal]:
         if not progress.may_have_run:
             return self._refuse(request, progress, 503, BUSY_RETRY_S)
@@ -284,7 +358,7 @@
     def _refuse(
         self,
         request: caller_request.CallerRequest,
-        progress: attempts.RequestProgress,
+        progress: request_progress.RequestProgress,
         status: int,
         retry_after: float | None,
     ) -> result.Err[outcomes.Refusal]:
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
@@ -51,6 +51,12 @@
         self.reached_at = time.monotonic()
         #: Endpoints that were unreachable since then.
         self.unreachable_ids: set[str] = set()
+        #: Endpoints to which no connection was opened since the last one to any
+        #: endpoint, and monotonic time of the first of these attempts.
+        self.unopened_ids: set[str] = set()
+        self.unopened_since = self.reached_at
+        #: Monotonic time at which an endpoint last responded before the last loss.
+        self.silent_since = self.reached_at
         #: Monotonic time since which the paths count as lost; None if they don't.
         self.lost_since: float | None = None
         #: Callbacks without arguments to call after the paths were lost or regained.
@@ -73,6 +79,12 @@
         """Return whether this VM has lost its paths to all endpoints."""
         return self.lost_since is not None
 
+    @property
+    def cannot_open(self) -> bool:
+        """Return whether no new connections open, though open ones may still work."""
+        is_current = self.connections.opened_at <= self.unopened_since
+        return is_current and len(self.unopened_ids) >= self._needed()
+
     def record_reached(self, now: float) -> None:
         """Record that an endpoint responded.
 
@@ -81,7 +93,7 @@
         self.reached_at = now
         if self.unreachable_ids:
             self.unreachable_ids.clear()
-        if self.lost_since is not None:
+        if self.lost:
             self._record_regained(now)
 
     def record_unreachable(
@@ -94,16 +106,28 @@
         :param reason: what failed, for the log.
         """
         self.unreachable_total.inc({})
+        self._record_unopened(endpoint, started_at)
         if started_at < self.reached_at:
             return
         self.unreachable_ids.add(endpoint.id)
-        needed = min(MIN_UNREACHABLE, len(self.registry.by_id))
-        if self.lost_since is None and len(self.unreachable_ids) >= needed:
+        if not self.lost and len(self.unreachable_ids) >= self._needed():
             self._record_lost(reason)
 
+    def _record_unopened(self, endpoint: registry.Endpoint, started_at: float) -> None:
+        if self.connections.opened_at > self.unopened_since:
+            self.unopened_ids.clear()
+        if not self.unopened_ids:
+            self.unopened_since = started_at
+        self.unopened_ids.add(endpoint.id)
+
+    def _needed(self) -> int:
+        """Return how many unreachable endpoints show that the cause is not theirs."""
+        return min(MIN_UNREACHABLE, len(self.registry.by_id))
+
     def _record_lost(self, reason: str) -> None:
         now = time.monotonic()
         self.lost_since = now
+        self.silent_since = self.reached_at
         self.lost_gauge.set({}, 1)
         logs.event(
             log,
@@ -134,7 +158,7 @@
             ]
             if not available:
                 continue
-            if self.lost:
+            if self.lost or self.cannot_open:
                 self._probe(random.choice(available))
             elif self._is_silent():
                 count = min(MIN_UNREACHABLE, len(available))
@@ -144,7 +168,7 @@
     def _is_silent(self) -> bool:
         """Return whether several endpoints run requests and none responds."""
         used = self.running_requests.running.by_endpoint
-        is_waiting = len(used) >= min(MIN_UNREACHABLE, len(self.registry.by_id))
+        is_waiting = len(used) >= self._needed()
         return is_waiting and time.monotonic() - self.reached_at > MAX_SILENCE_S
 
     def _probe(self, endpoint: registry.Endpoint) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/health.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/health.py
@@ -43,6 +43,7 @@
     :param consecutive_failures: failures since the last success.
     :param failure_rate: moving average of the share of failures.
     :param answer_s: moving average of the time until an answer begins, seconds.
+    :param ejected_at: monotonic time of its last ejection.
     :param ejected_until: monotonic time until which it is ejected.
     :param ejection_s: length of its last ejection, seconds.
     """
@@ -52,6 +53,7 @@
     consecutive_failures: int = 0
     failure_rate: float = 0.0
     answer_s: float = 0.0
+    ejected_at: float = 0.0
     ejected_until: float = 0.0
     ejection_s: float = 0.0
 
@@ -143,6 +145,17 @@
             return candidates
         return healthy or candidates
 
+    def readmit(self, since: float) -> None:
+        """Readmit all endpoints ejected since a moment, and forget their failures.
+
+        :param since: monotonic time.
+        """
+        for record in self.record_by_id.values():
+            if record.ejected_at >= since:
+                record.ejected_until = record.ejection_s = 0.0
+                record.consecutive_failures = 0
+                record.failure_rate = 0.0
+
     def _remove_gone(self) -> None:
         """Remove the records of endpoints that are gone."""
         for endpoint_id in self.record_by_id.keys() - self.registry.by_id.keys():
@@ -175,6 +188,7 @@
         now = time.monotonic()
         if record.ejected_until > now:
             return
+        record.ejected_at = now
         record.ejection_s = min(
             MAX_EJECTION_S, max(MIN_EJECTION_S, 2 * record.ejection_s)
         )
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -22,6 +22,7 @@
     discovery,
     feed_reports,
     feeding,
+    forwarding_server,
     freshness,
     front,
     heartbeat,
@@ -60,6 +61,7 @@
     residency.Residency,
     job_execution.JobExecutor,
     scheduler.Scheduler,
+    forwarding_server.ForwardingServer,
     front.Front,
 )
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/settings.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/settings.py
@@ -126,6 +126,8 @@
     :param front: IP number and port for callers.
     :param ready: IP number and port for the balancer's readiness checks.
     :param peer_port: port for peers, both TCP and UDP, the same on all VMs.
+    :param forwarding_port: port for requests that peers forward; None for the one after
+        `peer_port`, 0 to let the operating system choose.
     :param metrics_port: port that serves metrics; 0 for none.
     :param data_centre: the data centre in which the VM runs.
     :param region: the region of that data centre.
@@ -151,6 +153,7 @@
     region: str
     adapter: str
     platform: Platform
+    forwarding_port: int | None = None
     metrics_port: int = attrs.field(default=0, validator=node_settings.check_port)
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
@@ -167,6 +170,13 @@
         """Return the port for callers."""
         return split_address(self.front)[1]
 
+    @property
+    def forwarding_port_or_default(self) -> int:
+        """Return the port for forwarded requests."""
+        if self.forwarding_port is not None:
+            return self.forwarding_port
+        return self.peer_port + 1 if self.peer_port else 0
+
     @property
     def vm_list(self) -> VmListSource:
         """Return the source of the list of VMs, which is the platform adapter."""
--- a/packages/mothworks_gateway/tests/test_endpoint_paths.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_paths.py
@@ -27,7 +27,8 @@
     running = types.SimpleNamespace(
         running=types.SimpleNamespace(by_endpoint=collections.Counter())
     )
-    client = types.SimpleNamespace(connections=None)
+    connections = types.SimpleNamespace(opened_at=0.0)
+    client = types.SimpleNamespace(connections=connections)
     parts = {
         running_requests.RunningRequests: running,
         endpoints_client.EndpointsClient: client,
