A lease holder without paths to endpoints releases the lease

Cause: the lease is kept as long as the store answers, which says nothing about endpoints. Now a holder that lost its paths releases it if a peer offers to run requests, and such a VM does not acquire it. If no VM has a path, it stays.

--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -22,6 +22,8 @@
 A platform that was restored from a copy has lost the newest renewals, and possibly the
 lease. A lease is therefore valid only in the era in which it was acquired: its holder
 acquires it again with a fencing token of the new era.
+
+A holder that reaches no endpoint releases the lease if another VM can send orders.
 """
 
 import math
@@ -39,6 +41,8 @@
     boot_clock,
     cursors,
     discovery,
+    endpoint_paths,
+    forwarding_peers,
     heartbeat,
     lease_record,
     relayed_objects,
@@ -110,6 +114,9 @@
         self.heartbeats.on_received.append(self._on_heartbeat)
         self.discovery = node_kernel.get(discovery.Discovery)
         self.discovery.on_restored.append(self._on_restored)
+        self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
+        self.paths.on_change.append(lambda: self._wake.set())
+        self.forwarding_peers = node_kernel.get(forwarding_peers.ForwardingPeers)
         node_kernel.on_draining.append(lambda: self.tasks.spawn(self._release_on_drain))
         self.started_at = time.monotonic()
         #: The lease as this VM last wrote it, and the stored object's version; None if
@@ -202,20 +209,31 @@
     def _run(self) -> None:
         gevent.sleep(STARTUP_DELAY_S * random.uniform(0.8, 1.2))
         while not self.kernel.draining:
-            if self.record is None:
+            if self._is_unable():
+                self._release_for_others()
+            elif self.record is None:
                 self._try_acquire()
             else:
                 self._renew()
             # A lease that was just acquired is renewed on the same schedule: another VM
             # takes over once it stays unchanged for little more than one interval.
-            has_lease = self.record is not None
+            keeps_lease = self.record is not None and not self.paths.lost
             self._wake.wait(
                 self.renew_interval_s
-                if has_lease
+                if keeps_lease
                 else POLL_INTERVAL_S * random.uniform(0.8, 1.2)
             )
             self._wake.clear()
 
+    def _is_unable(self) -> bool:
+        """Return whether other VMs reach endpoints and this one does not."""
+        return self.paths.lost and bool(self.forwarding_peers.offers())
+
+    def _release_for_others(self) -> None:
+        """Release the lease, so that a VM that can send orders acquires it."""
+        if self.record is not None:
+            self.release("no path to endpoints")
+
     def _check_suspension(self) -> None:
         """Stop trusting the lease after a suspension, until it is renewed."""
         if boot_clock.now() - self.checked_at >= MAX_CHECK_GAP_S:
