Forwarded requests keep the promises of direct ones

Tests with four real nodes: at most once, a true 'not run', time left, one count of a retry, cancelling, order and completeness of streams, stopping, silent and outdated peers, peers without paths, no peer at all, and no message while all paths work.

One fault found by them: a resumable stream whose hop broke was not resumed where two endpoints are allowed, since the endpoint counted once by its id and once as 'by' the peer; callers got an incomplete stream. The head names the endpoints tried, so the peer adds none. The test failed before (stream ends after two of five events).

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -443,7 +443,6 @@
     def _resume(self, reason: str) -> bool:
         """Resume the stream on another peer; returns whether that succeeded."""
         self.answer.close()
-        self.progress.tried.add(f"by {self.answer.vm}")
         self.progress.broken_peers.add(self.answer.vm)
         if self.splitter is None:
             return False
