A request that completes is not poison, on any VM

Cause: a crash counts against the fingerprint of each request in flight. A completion cleared it on the VM that saw it, and only after the crash; a blocked request completes nowhere.

Requests that crash each endpoint never complete and stay blocked after three.

Cost: one hash a completed request.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -214,7 +214,7 @@
         self.running_requests.request_ended(endpoint, request.target)
         if kind is adapters.ResponseKind.ANSWER:
             self.health.record_success(endpoint, time.monotonic() - started_at)
-            self.poison_requests.clear(request)
+            self.poison_requests.record_completion(request)
         else:
             self.health.record_failure(
                 endpoint, f"status {answer.status}", ERROR_WEIGHT
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -2,8 +2,11 @@
 
 Callers retry such a request again and again, through any VM. Each VM publishes which
 endpoints dropped the connection while they ran a request, which counts as a crash. A
-request that crashed several endpoints is refused by all VMs for a while; a copy that
-completes clears it.
+request that crashed several endpoints is refused by all VMs for a while.
+
+A copy that completes shows that the request was not the cause, before or after the
+crashes. Look-ups often have the same path and body, and without this the fall of a few
+endpoints would block them on all VMs.
 """
 
 import collections
@@ -39,6 +42,17 @@
     endpoint: str
 
 
+@messages.message(141)
+@attrs.frozen
+class CrashesCleared:
+    """Reports that a copy of a request with crashes has completed.
+
+    :param fingerprint: see :meth:`caller_request.CallerRequest.fingerprint`.
+    """
+
+    fingerprint: bytes
+
+
 @attrs.define
 class _CrashHistory:
     """The endpoints that crashed while they ran one request.
@@ -63,7 +77,12 @@
         self.history_by_fingerprint: collections.OrderedDict[bytes, _CrashHistory] = (
             collections.OrderedDict()
         )
+        #: Monotonic time of the last completion, by fingerprint.
+        self.completed_at_by_fingerprint: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         self.peers.handle(CrashReport, self._on_crash_report)
+        self.peers.handle(CrashesCleared, self._on_cleared)
 
     def is_blocked(self, request: caller_request.CallerRequest) -> bool:
         """Return whether a request has to be refused.
@@ -99,15 +118,32 @@
                 outcome="refused" if self.is_blocked(request) else "noted",
             )
 
-    def clear(self, request: caller_request.CallerRequest) -> None:
-        """Clear the crashes of a request that has completed.
+    def record_completion(self, request: caller_request.CallerRequest) -> None:
+        """Record that a request has completed, which clears its crashes on all VMs.
 
         :param request: the request.
         """
-        if self.history_by_fingerprint:
-            self.history_by_fingerprint.pop(request.fingerprint(), None)
+        fingerprint = request.fingerprint()
+        self.completed_at_by_fingerprint[fingerprint] = time.monotonic()
+        self.completed_at_by_fingerprint.move_to_end(fingerprint)
+        if len(self.completed_at_by_fingerprint) > MAX_REQUESTS:
+            self.completed_at_by_fingerprint.popitem(last=False)
+        if self.history_by_fingerprint.pop(fingerprint, None) is not None:
+            self.peers.send_to_region(CrashesCleared(fingerprint))
+
+    def _has_completed(self, fingerprint: bytes) -> bool:
+        """Return whether a copy of a request has completed recently on this VM."""
+        completed_at = self.completed_at_by_fingerprint.get(fingerprint)
+        return completed_at is not None and (
+            time.monotonic() - completed_at < RETENTION_S
+        )
+
+    def _on_cleared(self, _: str, message: CrashesCleared, __) -> None:
+        self.history_by_fingerprint.pop(message.fingerprint, None)
 
     def _record(self, report: CrashReport) -> bool:
+        if self._has_completed(report.fingerprint):
+            return False
         history = self.history_by_fingerprint.setdefault(
             report.fingerprint, _CrashHistory(set(), time.monotonic())
         )
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -56,7 +56,7 @@
                 try:
                     yield from self._chunks()
                     self.outcome = "complete"
-                    self.attempts.poison_requests.clear(self.request)
+                    self.attempts.poison_requests.record_completion(self.request)
                     return
                 except transport.CONNECTION_ERRORS as error:
                     reason = str(error)
