Fragile endpoints: all VMs together send no more than they can run

Cause: each VM sends to an endpoint as long as its own view of the load allows, and learns of a lack of room from refusals, of which all VMs together get too many.

Now an endpoint's announcement is read (Server-Brittle), published to all VMs, and until it ends each request needs a permit of the endpoint's owner among the VMs; permits in use stay within the slots, come back when a request has ended, and are dropped with a VM that is gone. Refusals lower their number, and half of N in a second stops them. Only the first VM in the ranking that others hear grants. Requests without a permit wait no longer than their objective. A fall counts as no crash of the requests in flight.

Suites of packages/mothworks_gateway and platform pass.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -332,6 +332,18 @@
         """
         raise NotImplementedError
 
+    def max_refusals_per_s(
+        self, answer: transport.HttpAnswer
+    ) -> result.Result[float | None, str]:
+        """Return how many refusals for lack of room an endpoint bears in a second.
+
+        It fails if it has to refuse more, over all VMs, for as long as it says so.
+
+        :param answer: any answer of the endpoint, its body not read.
+        :returns: the number, None if it states none; or why it is unreadable.
+        """
+        raise NotImplementedError
+
     def inventory(self, endpoint: registry.Endpoint) -> result.Result[Inventory, str]:
         """Request what a model endpoint holds.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -18,9 +18,11 @@
     endpoint_limits,
     endpoint_notices,
     endpoint_paths,
+    endpoint_rooms,
     endpoint_selection,
     endpoints_client,
     forwarding,
+    fragile_endpoints,
     health,
     poison_requests,
     prefill_speed,
@@ -65,6 +67,8 @@
         self.limits = node_kernel.get(endpoint_limits.EndpointLimits)
         self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.slots = node_kernel.get(send_slots.SendSlots)
+        self.fragile = node_kernel.get(fragile_endpoints.FragileEndpoints)
+        self.rooms = node_kernel.get(endpoint_rooms.EndpointRooms)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
@@ -183,6 +187,7 @@
         if kind is adapters.ResponseKind.MISDIRECTED:
             return
         self.notices.observe(endpoint, answer, request.id)
+        self.fragile.observe(endpoint, answer, sent_at, request.id)
         if kind is not adapters.ResponseKind.UNRECOGNIZED:
             ran = kind is adapters.ResponseKind.ANSWER
             self.limits.observe(endpoint, answer, sent_at, request.id, ran)
@@ -278,6 +283,18 @@
             return
         self.health.record_failure(endpoint, reason)
         if "timed out" not in reason and "late" not in reason:
+            self.record_crash(request, endpoint)
+
+    def record_crash(
+        self, request: caller_request.CallerRequest, endpoint: registry.Endpoint
+    ) -> None:
+        """Record that an endpoint failed while it ran a request.
+
+        :param request: the request.
+        :param endpoint: the endpoint.
+        """
+        # A fragile endpoint fails because of requests that it refused.
+        if self.fragile.max_refusals_per_s(endpoint.id) is None:
             self.poison_requests.record_crash(request, endpoint)
 
     def _on_paths_change(self) -> None:
@@ -302,4 +319,5 @@
                 progress.may_have_run = True
                 self.health.record_failure(endpoint, "not an answer to the request")
             case adapters.ResponseKind.BUSY if self.notices.backoff(endpoint) is None:
+                self.rooms.record_refusal(endpoint)
                 gevent.sleep(BUSY_PAUSE_S)
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -17,6 +17,7 @@
     caller_request,
     endpoint_notices,
     endpoint_paths,
+    endpoint_rooms,
     endpoint_selection,
     forwarding,
     poison_requests,
@@ -69,6 +70,7 @@
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.residency = node_kernel.get(residency.Residency)
         self.slots = node_kernel.get(send_slots.SendSlots)
+        self.rooms = node_kernel.get(endpoint_rooms.EndpointRooms)
         self.prefill_pacing = node_kernel.get(prefill_pacing.PrefillPacing)
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
@@ -135,6 +137,7 @@
         """Send a request once its slot and its turn have come; None if that failed."""
         endpoint = slot.endpoint
         with self.running_requests.count_as_running(endpoint, request.target):
+            self.rooms.begin(endpoint)
             may_send = self.slots.wait(slot)
             if may_send:
                 self.prefill_pacing.wait(request, endpoint)
@@ -212,9 +215,16 @@
         eligible: list[registry.Endpoint],
     ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
         """Acquire a slot at one of several endpoints, or refuse the request at once."""
-        max_wait_s = self._wait_until(request, progress) - time.monotonic()
-        match self.slots.acquire(request, eligible, max_wait_s):
+        wait_until = self._wait_until(request, progress)
+        with_room = self.rooms.acquire(request, eligible, wait_until - time.monotonic())
+        if not with_room:
+            progress.reason = "its endpoints are fragile and have no room"
+            retry_after_s = endpoint_rooms.NO_ROOM_RETRY_S
+            return self._refuse(request, progress, 503, retry_after_s)
+        max_wait_s = wait_until - time.monotonic()
+        match self.slots.acquire(request, with_room, max_wait_s):
             case result.Err(at_limit):
+                self.rooms.begin(at_limit.endpoint)
                 progress.reason = (
                     f"{at_limit.endpoint.id} accepts {at_limit.per_s:g} "
                     f"requests per second (reported {at_limit.age_s:.1f} s ago): "
--- a/packages/mothworks_gateway/src/mothworks_gateway/shared_budgets.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/shared_budgets.py
@@ -114,14 +114,19 @@
         live, peak = self.fleet.live, self.fleet.peak
         return 1.0 if 2 * live > peak else live / peak
 
+    def is_responsive(self, vm: str) -> bool:
+        """Return whether a heartbeat of a candidate arrived recently.
+
+        :param vm: the candidate.
+        """
+        oldest_at = boot_clock.now() - HEARTBEAT_TIMEOUT_S
+        return self.received_at_by_vm.get(vm, 0.0) >= oldest_at
+
     def _receives_majority(self) -> bool:
         """Return whether heartbeats of most candidates arrived recently."""
         candidates = self.owners.candidates()
-        oldest_at = boot_clock.now() - HEARTBEAT_TIMEOUT_S
         received_vms = [
-            vm
-            for vm in candidates
-            if vm == self.name or self.received_at_by_vm.get(vm, 0.0) >= oldest_at
+            vm for vm in candidates if vm == self.name or self.is_responsive(vm)
         ]
         return 2 * len(received_vms) > len(candidates)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -116,7 +116,7 @@
             return
         self.attempts.health.record_failure(self.endpoint, reason)
         if self.endpoint.available:
-            self.attempts.poison_requests.record_crash(self.request, self.endpoint)
+            self.attempts.record_crash(self.request, self.endpoint)
 
     def _resume(self) -> bool:
         """Resume the stream at another endpoint; returns whether that succeeded."""
@@ -132,6 +132,7 @@
             return False
         ready = self.attempts.endpoint_selection.candidates(self.request).ready
         untried = [item for item in ready if item.id not in self.tried_ids]
+        untried = self.attempts.rooms.acquire(self.request, untried, MAX_RESUME_WAIT_S)
         if not untried:
             return False
         match self.attempts.slots.acquire(self.request, untried, MAX_RESUME_WAIT_S):
@@ -183,4 +184,5 @@
             self.attempts.running_requests.request_started(
                 endpoint, self.request.target
             )
+        self.attempts.rooms.begin(endpoint)
         return resumed
