An answer that misses its deadline has timed out

Cause: where the deadlines of the head and of the whole answer are the same, the timer of the second shuts the socket down while the head is read, and gevent cancels the read with that error. It is a TimeoutError now.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -138,7 +138,13 @@
             deadline_timer = self.hub.loop.timer(max(0.0, deadline - time.monotonic()))
             deadline_timer.start(self._time_out)
             self.watchers.append(deadline_timer)
-        super().__init__(sock, pool, method=method, block_size=RECEIVE_BYTES)
+        try:
+            super().__init__(sock, pool, method=method, block_size=RECEIVE_BYTES)
+        except OSError as error:
+            if self.timed_out:
+                # The shutdown by the timer cancels the read with another error.
+                raise TimeoutError("timed out") from error
+            raise
 
     @property
     def unframed(self) -> bool:
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -1,5 +1,7 @@
 """Tests of the pooled connections to endpoints."""
 
+import time
+
 import gevent
 import gevent.event
 import gevent.server
@@ -46,6 +48,24 @@
     return transport.Transport()
 
 
+# Guards against answers that miss their deadline and count as crashes.
+def test_an_answer_that_misses_its_deadline_has_timed_out(endpoints):
+    silent = endpoints[0]
+    silent.may_answer.clear()
+    client = transport.Transport()
+    reasons = []
+
+    def send():
+        deadline = time.monotonic() + 0.1
+        options = transport.SendOptions(deadline=deadline, head_deadline=deadline)
+        sent = client.exchange(silent.address, "GET", "/", (), b"", options)
+        reasons.append(sent.err_value.reason)
+
+    for _ in range(6):
+        gevent.joinall([gevent.spawn(send) for _ in range(20)], raise_error=True)
+    assert set(reasons) == {"answer: timed out"}
+
+
 def exchange(client, endpoint):
     answer = client.exchange(endpoint.address, "GET", "/", (), b"")
     assert transport.read_body(answer.unwrap()).unwrap() == b"ok"
