Connections to endpoints set TCP_USER_TIMEOUT, as long as their probes take

A request on a path that fails without a reset stays unacknowledged, and TCP sends no keep-alive probes then: such a connection was detected after many minutes or by a read timeout, an idle one after 4 s. Where the timeout is set it also decides when probes give up, so both are 4 s now. Links between VMs keep 5 s and no probes, since membership closes them. The test reads the options of a socket; a path that drops packets was not set up.

--- a/packages/mothworks/src/mothworks/links.py
+++ b/packages/mothworks/src/mothworks/links.py
@@ -21,7 +21,8 @@
 MAX_QUEUED_MESSAGES = 4096
 #: Maximum size of one message, bytes.
 MAX_MESSAGE_BYTES = 2 << 20
-#: Time after which TCP closes a connection with unacknowledged data, milliseconds.
+#: Time after which TCP closes a connection with unacknowledged data, milliseconds. No
+#: keep-alive probes are set: membership closes the idle connections of dead peers.
 ACK_TIMEOUT_MS = 5_000
 #: Maximum number of bytes read from a socket at once.
 RECEIVE_BYTES = 64 << 10
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -41,6 +41,10 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+#: Time after which unacknowledged data closes a connection, milliseconds. TCP sends no
+#: probes while data is unacknowledged, and with this timeout set it also decides when
+#: probes give up, so it must not be shorter than they take.
+ACK_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S)
 #: Maximum number of bytes per read from a socket.
 RECEIVE_BYTES = 16 << 10
 
@@ -514,6 +518,7 @@
         (gevent.socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (gevent.socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (gevent.socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (gevent.socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS),
     ):
         sock.setsockopt(gevent.socket.IPPROTO_TCP, option, value)
 
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -1,5 +1,6 @@
 """Tests of the pooled connections to endpoints."""
 
+import socket
 import time
 
 import gevent
@@ -71,6 +72,19 @@
     assert transport.read_body(answer.unwrap()).unwrap() == b"ok"
 
 
+# Guards against requests on a dead path, for which TCP sends no keep-alive probes.
+def test_unacknowledged_data_and_silence_are_detected_equally_soon(endpoints):
+    client = transport.Transport()
+    assert client.open(endpoints[0].address) is None
+    (sock,) = client.pool_by_idle
+    options = {
+        name: sock.getsockopt(socket.IPPROTO_TCP, getattr(socket, name))
+        for name in ("TCP_KEEPIDLE", "TCP_KEEPINTVL", "TCP_KEEPCNT", "TCP_USER_TIMEOUT")
+    }
+    probes_s = options["TCP_KEEPCNT"] * options["TCP_KEEPINTVL"]
+    assert options["TCP_USER_TIMEOUT"] == 1000 * (options["TCP_KEEPIDLE"] + probes_s)
+
+
 def test_new_connections_do_not_exhaust_the_pool():
     # Each exchange that opened a new connection returned it to the pool, from
     # which no such exchange takes one. Once the pool was full, returning the
