--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -222,9 +222,16 @@
             retry_after_s = endpoint_rooms.NO_ROOM_RETRY_S
             return self._refuse(request, progress, 503, retry_after_s)
         max_wait_s = wait_until - time.monotonic()
-        match self.slots.acquire(request, with_room, max_wait_s):
+        is_granted = False
+        try:
+            acquired = self.slots.acquire(request, with_room, max_wait_s)
+            is_granted = acquired.is_ok()
+        finally:
+            # The caller may leave while its request waits.
+            if not is_granted:
+                self.rooms.begin(with_room[0])
+        match acquired:
             case result.Err(at_limit):
-                self.rooms.begin(at_limit.endpoint)
                 progress.reason = (
                     f"{at_limit.endpoint.id} accepts {at_limit.per_s:g} "
                     f"requests per second (reported {at_limit.age_s:.1f} s ago): "
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_rooms.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_rooms.py
@@ -12,6 +12,7 @@
 """
 
 import collections
+import math
 import random
 import time
 
@@ -22,6 +23,7 @@
 from mothworks import kernel, logs, messages, peers
 from mothworks_gateway import (
     caller_request,
+    declaration_types,
     discovery,
     fragile_endpoints,
     heartbeat,
@@ -48,6 +50,8 @@
 #: Share of the refusals that an endpoint bears in a second, after which no permits are
 #: granted until the second is over.
 MAX_REFUSAL_SHARE = 0.5
+#: Share of the permits that each rank of urgency leaves to more urgent requests.
+RESERVED_SHARE = 0.05
 #: Most endpoints that are asked for one request before it waits.
 MAX_TRIED = 3
 #: Retry-After if no endpoint has room, seconds.
@@ -61,10 +65,12 @@
 
     :param endpoint_id: the endpoint.
     :param max_refusals_per_s: refusals per second that it announced to bear.
+    :param urgency: rank of the request.
     """
 
     endpoint_id: str
     max_refusals_per_s: float
+    urgency: int
 
 
 @messages.message(144)
@@ -126,6 +132,14 @@
                 granted_at.popleft()
         return sum(map(len, self.granted_at_by_vm.values()))
 
+    def capacity_for(self, urgency: int) -> int:
+        """Return how many requests may run when one of some urgency is added.
+
+        :param urgency: its rank.
+        """
+        rank = min(max(urgency, 0), declaration_types.LOWEST_URGENCY)
+        return max(1, math.ceil(self.capacity * (1 - RESERVED_SHARE * rank)))
+
     def recover(self, slots: int, now: float) -> None:
         """Raise a capacity that refusals lowered.
 
@@ -198,7 +212,7 @@
             none if no endpoint had room in time.
         """
         free = [item for item in ranked if not self._is_fragile(item)]
-        if free:
+        if free or not ranked:
             return free
         wait_s = min(max_wait_s, request.route.objective_s)
         wait_until = time.monotonic() + wait_s
@@ -206,7 +220,9 @@
             for endpoint in ranked[:MAX_TRIED]:
                 if not endpoint.available:
                     continue
-                if not self._is_fragile(endpoint) or self._request_permit(endpoint):
+                if not self._is_fragile(endpoint):
+                    return [endpoint]
+                if self._request_permit(endpoint, request.urgency):
                     return [endpoint]
             pause_s = RETRY_INTERVAL_S * random.uniform(0.5, 1.5)
             if time.monotonic() + pause_s > wait_until:
@@ -235,17 +251,12 @@
     def _is_fragile(self, endpoint: registry.Endpoint) -> bool:
         return self.fragile.max_refusals_per_s(endpoint.id) is not None
 
-    def _request_permit(self, endpoint: registry.Endpoint) -> bool:
+    def _request_permit(self, endpoint: registry.Endpoint, urgency: int) -> bool:
         """Request a permit from the endpoint's owner; returns whether it is granted."""
         max_refusals_per_s = self.fragile.max_refusals_per_s(endpoint.id)
-        message = PermitRequest(endpoint.id, max_refusals_per_s)
+        message = PermitRequest(endpoint.id, max_refusals_per_s, urgency)
         for owner in self.budgets.responsive_owners(owner_key(endpoint.id)):
-            if owner == self.name:
-                reply = self._grant(self.name, message)
-            else:
-                reply = self.budgets.call_owner(
-                    owner, message, f"the room of {endpoint.id}"
-                )
+            reply = self._request_from(owner, message)
             if not isinstance(reply, PermitReply) or not reply.is_owner:
                 continue
             if reply.granted:
@@ -254,6 +265,17 @@
             return reply.granted
         return False
 
+    def _request_from(self, owner: str, message: PermitRequest) -> PermitReply | None:
+        if owner == self.name:
+            return self._grant(self.name, message)
+        thing = f"the room of {message.endpoint_id}"
+        try:
+            return self.budgets.call_owner(owner, message, thing)
+        except gevent.GreenletExit:
+            # The caller left. The owner may have granted a permit all the same.
+            self.owners_by_id[message.endpoint_id].append(owner)
+            raise
+
     def _serve(self, vm: str, message: PermitRequest, reply: peers.Reply) -> None:
         reply(self._grant(vm, message))
 
@@ -266,7 +288,8 @@
         room.recover(self._slots(endpoint), now)
         max_refusals = max(1.0, MAX_REFUSAL_SHARE * message.max_refusals_per_s)
         is_exhausted = room.refusals.count() >= max_refusals
-        if is_exhausted or self._used(endpoint, room, now) >= room.capacity:
+        capacity = room.capacity_for(message.urgency)
+        if is_exhausted or self._used(endpoint, room, now) >= capacity:
             return PermitReply(True, False)
         room.granted_at_by_vm[vm].append(now)
         return PermitReply(True, True)
