Resumable streams that a cut interrupts go on at a peer

What callers saw: a resumable stream on a VM that lost its paths ended incomplete: the VM tried to resume it at another endpoint, which it did not reach either.

Now a stream whose resumption opens no connection is resumed through a peer, with the endpoints tried and the id of the last event; the events on both sides of it are in order and complete. A break during a loss ejects nothing and counts as no crash.

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -393,6 +393,7 @@
     :param request: the request.
     :param progress: its progress.
     :param answer: the peer's answer.
+    :param splitter: splits its events, if a part of it was already relayed.
     """
 
     def __init__(
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -7,7 +7,14 @@
 import result
 
 from mothworks import connections, logs, transport
-from mothworks_gateway import adapters, caller_request, registry, server_sent_events
+from mothworks_gateway import (
+    adapters,
+    caller_request,
+    forwarding,
+    registry,
+    request_progress,
+    server_sent_events,
+)
 
 log = logbook.Logger("answering")
 
@@ -43,6 +50,8 @@
         self.tried_ids = {endpoint.id}
         self.outcome = "caller left"
         self.closed = False
+        #: Whether the endpoint at which it was to be resumed was unreachable.
+        self.unreachable = False
         self.relayed_bytes = 0
         self.longest_gap_s = 0.0
         self.event_splitter = (
@@ -62,8 +71,16 @@
                     reason = str(error)
                 self._release()
                 self._record_break(reason)
-                if not self._resume():
+                if not self._may_resume():
                     raise connections.BrokenAnswer(reason)
+                if self._resume():
+                    continue
+                forwarded = self._resume_on_peer()
+                if forwarded is None:
+                    raise connections.BrokenAnswer(reason)
+                self.outcome = "forwarded"
+                yield from forwarded
+                return
         finally:
             self.close()
 
@@ -112,38 +129,68 @@
 
     def _record_break(self, reason: str) -> None:
         self.outcome = f"broke: {reason}"[:100]
-        if time.monotonic() >= self.request.deadline - MIN_RESUME_S:
+        is_late = time.monotonic() >= self.request.deadline - MIN_RESUME_S
+        if is_late or self.attempts.paths.lost:
             return
         self.attempts.health.record_failure(self.endpoint, reason)
         if self.endpoint.available:
             self.attempts.record_crash(self.request, self.endpoint)
 
-    def _resume(self) -> bool:
-        """Resume the stream at another endpoint; returns whether that succeeded."""
+    def _may_resume(self) -> bool:
+        """Return whether the stream may be resumed, which spends a retry."""
         route = self.request.route
         if self.event_splitter is None or len(self.tried_ids) >= route.max_endpoints:
             return False
         if self.relayed_bytes and not self.event_splitter.last_id:
             return False
         left_s = self.request.deadline - time.monotonic()
-        if left_s < MIN_RESUME_S or not self.attempts.retry_budget.try_spend(
+        return left_s >= MIN_RESUME_S and self.attempts.retry_budget.try_spend(
             self.request.target.service
-        ):
+        )
+
+    def _resume(self) -> bool:
+        """Resume the stream at another endpoint; returns whether that succeeded."""
+        if self.attempts.paths.lost:
             return False
         ready = self.attempts.endpoint_selection.candidates(self.request).ready
         untried = [item for item in ready if item.id not in self.tried_ids]
-        untried = self.attempts.rooms.acquire(self.request, untried, MAX_RESUME_WAIT_S)
-        if not untried:
+        rooms = self.attempts.rooms
+        with_room = rooms.acquire(self.request, untried, MAX_RESUME_WAIT_S)
+        if not with_room:
             return False
-        match self.attempts.slots.acquire(self.request, untried, MAX_RESUME_WAIT_S):
+        try:
+            return self._resume_in_slot(with_room)
+        finally:
+            rooms.begin(with_room[0])
+
+    def _resume_in_slot(self, endpoints: list[registry.Endpoint]) -> bool:
+        match self.attempts.slots.acquire(self.request, endpoints, MAX_RESUME_WAIT_S):
             case result.Ok(slot) if self.attempts.slots.wait(slot):
                 left_s = self.request.deadline - time.monotonic()
                 return left_s >= MIN_RESUME_S and self._resume_at(slot.endpoint, left_s)
         return False
 
+    def _resume_on_peer(self) -> forwarding.ForwardedStream | None:
+        """Resume the stream on a peer if this VM reached no endpoint."""
+        if not (self.attempts.paths.lost or self.unreachable):
+            return None
+        progress = request_progress.RequestProgress(self.tried_ids, may_have_run=True)
+        self.event_splitter.buffer = b""
+        answer = self.attempts.forwarding.resume(
+            self.request, progress, self.event_splitter.last_id
+        )
+        if answer is None:
+            return None
+        return forwarding.ForwardedStream(
+            self.attempts.forwarding,
+            self.request,
+            progress,
+            answer,
+            self.event_splitter,
+        )
+
     def _resume_at(self, endpoint: registry.Endpoint, left_s: float) -> bool:
         protocol = self.attempts.protocol
-        self.tried_ids.add(endpoint.id)
         self.event_splitter.buffer = b""
         last_id = self.event_splitter.last_id
         deadline = self.request.deadline
@@ -159,7 +206,15 @@
             last_id,
         )
         resumed = False
+        self.tried_ids.add(endpoint.id)
         match sent:
+            case result.Err(failure) if not failure.may_have_arrived:
+                self.tried_ids.discard(endpoint.id)
+                self.unreachable = not failure.withheld
+                if self.unreachable:
+                    self.attempts.paths.record_unreachable(
+                        endpoint, sent_at, failure.reason
+                    )
             case result.Ok(answer):
                 kind = protocol.classify_response(self.request, answer)
                 self.attempts.observe_notices(
@@ -184,5 +239,4 @@
             self.attempts.running_requests.request_started(
                 endpoint, self.request.target
             )
-        self.attempts.rooms.begin(endpoint)
         return resumed
