A few failed endpoints move neither requests nor the lease for long

Found on reading: on a VM with little traffic, two endpoints that crash together look like lost paths until any other one answers, up to a second later. The lease would be released meanwhile, and nobody would order loads for some seconds.

Now three endpoints that were not unreachable are probed as soon as the paths count as lost, and each later probe prefers such; the lease is released after a second of loss. The test failed before (nothing is probed at once).

--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
@@ -32,6 +32,8 @@
 #: Time without a byte from any endpoint, while requests run on several, after which the
 #: paths are checked, seconds.
 MAX_SILENCE_S = 0.6
+#: Number of further endpoints that are probed when the paths count as lost.
+MAX_PROBED_AT_LOSS = 3
 #: Interval between checks, seconds.
 CHECK_INTERVAL_S = 0.25
 
@@ -79,6 +81,11 @@
         """Return whether this VM has lost its paths to all endpoints."""
         return self.lost_since is not None
 
+    @property
+    def lost_s(self) -> float:
+        """Return for how long the paths have been lost, seconds; 0 if they are not."""
+        return 0.0 if self.lost_since is None else time.monotonic() - self.lost_since
+
     @property
     def cannot_open(self) -> bool:
         """Return whether no new connections open, though open ones may still work."""
@@ -94,7 +101,7 @@
         if self.unreachable_ids:
             self.unreachable_ids.clear()
         if self.lost:
-            self._record_regained(now)
+            self._record_regained()
 
     def record_unreachable(
         self, endpoint: registry.Endpoint, started_at: float, reason: str
@@ -122,7 +129,7 @@
 
     def _needed(self) -> int:
         """Return how many unreachable endpoints show that the cause is not theirs."""
-        return min(MIN_UNREACHABLE, len(self.registry.by_id))
+        return max(1, min(MIN_UNREACHABLE, len(self.registry.by_id)))
 
     def _record_lost(self, reason: str) -> None:
         now = time.monotonic()
@@ -139,9 +146,11 @@
         )
         for notify in self.on_change:
             notify()
+        # If only these endpoints failed, another one responds at once.
+        self._probe_some(MAX_PROBED_AT_LOSS)
 
-    def _record_regained(self, now: float) -> None:
-        lost_s = round(now - self.lost_since, 3)
+    def _record_regained(self) -> None:
+        lost_s = round(self.lost_s, 3)
         self.lost_since = None
         self.lost_gauge.set({}, 0)
         logs.event(log, "endpoint paths", lost_s=lost_s, outcome="regained")
@@ -153,17 +162,18 @@
         while True:
             # Jitter keeps VMs that lost their paths together from returning together.
             gevent.sleep(CHECK_INTERVAL_S * random.uniform(0.7, 1.3))
-            available = [
-                item for item in self.registry.by_id.values() if item.available
-            ]
-            if not available:
-                continue
             if self.lost or self.cannot_open:
-                self._probe(random.choice(available))
+                self._probe_some(1)
             elif self._is_silent():
-                count = min(MIN_UNREACHABLE, len(available))
-                for endpoint in random.sample(available, count):
-                    self.tasks.spawn(self._probe, endpoint)
+                self._probe_some(MIN_UNREACHABLE)
+
+    def _probe_some(self, count: int) -> None:
+        """Probe random endpoints, at first those that were not unreachable yet."""
+        available = [item for item in self.registry.by_id.values() if item.available]
+        untried = [item for item in available if item.id not in self.unreachable_ids]
+        probed = untried or available
+        for endpoint in random.sample(probed, min(count, len(probed))):
+            self.tasks.spawn(self._probe, endpoint)
 
     def _is_silent(self) -> bool:
         """Return whether several endpoints run requests and none responds."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -77,6 +77,9 @@
 #: suspended, and another VM may hold the lease.
 SUSPENSION_CHECK_S = 0.25
 MAX_CHECK_GAP_S = 1.0
+#: Time for which a holder reaches no endpoint before it releases the lease, seconds:
+#: the next holder needs as long to acquire it.
+MIN_LOSS_S = 1.0
 #: Time without a holder's heartbeat after which VMs try to acquire the lease, seconds.
 HOLDER_TIMEOUT_S = 1.2
 
@@ -227,7 +230,8 @@
 
     def _is_unable(self) -> bool:
         """Return whether other VMs reach endpoints and this one does not."""
-        return self.paths.lost and bool(self.forwarding_peers.offers())
+        is_lasting = self.paths.lost_s > MIN_LOSS_S
+        return is_lasting and bool(self.forwarding_peers.offers())
 
     def _release_for_others(self) -> None:
         """Release the lease, so that a VM that can send orders acquires it."""
--- a/packages/mothworks_gateway/tests/test_endpoint_paths.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_paths.py
@@ -4,6 +4,7 @@
 import time
 import types
 
+import gevent
 import pytest
 
 import gateway_builders
@@ -27,7 +28,7 @@
     running = types.SimpleNamespace(
         running=types.SimpleNamespace(by_endpoint=collections.Counter())
     )
-    connections = types.SimpleNamespace(opened_at=0.0)
+    connections = types.SimpleNamespace(opened_at=0.0, open=lambda _: "refused")
     client = types.SimpleNamespace(connections=connections)
     parts = {
         running_requests.RunningRequests: running,
@@ -70,6 +71,15 @@
     assert not paths.lost
 
 
+# Guards against a few failed endpoints that count as lost paths while others respond.
+def test_other_endpoints_are_probed_at_once_after_a_loss(paths, endpoints):
+    probed = []
+    paths._probe = probed.append
+    record_unreachable(paths, *endpoints[:2])
+    gevent.sleep(0.01)
+    assert probed == endpoints[2:]
+
+
 def test_an_answer_regains_the_paths_and_notifies(paths, endpoints):
     states = []
     paths.on_change.append(lambda: states.append(paths.lost))
