A refusal without a peer states its whole reason, as OPERATIONS quotes it

The text was cut off after 'offers to', found on reading the change again; the metric's label 'not' is 'not answered'.

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -43,7 +43,8 @@
 MAX_FORWARDED = 512
 #: Maximum number of peers that one request is offered to.
 MAX_PEERS_TRIED = 3
-#: Retry-After if no peer can run a request, seconds.
+#: Reason of the refusal if no peer can run a request, and its Retry-After, seconds.
+NO_PEER_REASON = "this VM reaches no endpoint, and no peer offers to run its requests"
 NO_PEER_RETRY_S = 0.5
 #: Share of the time left after which a repeatable request without an answer is sent
 #: elsewhere.
@@ -214,7 +215,7 @@
                 case outcome:
                     return outcome
         if tried_vms == progress.broken_peers:
-            progress.reason = "this VM reaches no endpoint, and no peer offers to"
+            progress.reason = NO_PEER_REASON
         status = 502 if progress.may_have_run else 503
         return result.Err(Refused(status, NO_PEER_RETRY_S, True))
 
@@ -236,7 +237,8 @@
             if not is_answered:
                 self._forget(peer.vm)
             kind = "answer begun" if is_answered else progress.reason
-            self.forwarded_total.inc({"outcome": "answered" if is_answered else "not"})
+            label = "answered" if is_answered else "not answered"
+            self.forwarded_total.inc({"outcome": label})
             logs.event(
                 log,
                 "forwarded",
