An order's answer after its endpoint's number of orders became unknown

What callers saw: the VM that holds the lease ended (TypeError), with all its requests.

An unknown number stays unknown now, and the next inventory tells it. Five of eight cases of the test failed before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_state.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_state.py
@@ -248,20 +248,30 @@
         """
         match outcome:
             case adapters.OrderOutcome.ACCEPTED if order.load and not order.adapter:
-                self.accepted_orders += 1
+                self._count_accepted()
                 self.loading = order.model
             case adapters.OrderOutcome.ACCEPTED:
-                self.accepted_orders += 1
+                self._count_accepted()
                 self.finish(order)
+            case adapters.OrderOutcome.DONE if not order.load and order.adapter:
+                self.finish(order)
+                self._count_accepted()
             case adapters.OrderOutcome.DONE if not order.load:
                 self.finish(order)
                 # The response does not say whether the order was counted.
-                self.accepted_orders = (
-                    self.accepted_orders + 1 if order.adapter else None
-                )
+                self.accepted_orders = None
             case adapters.OrderOutcome.DONE:
                 self.accepted_orders = None
 
+    def _count_accepted(self) -> None:
+        """Count an accepted order; an unknown number stays unknown.
+
+        While the order was on its way, a VM may have reported that the endpoint lacks
+        what it should hold.
+        """
+        if self.accepted_orders is not None:
+            self.accepted_orders += 1
+
     def finish(self, order: adapters.Order) -> None:
         """Record that an order has been executed.
 
--- a/packages/mothworks_gateway/tests/test_order_sender.py
+++ b/packages/mothworks_gateway/tests/test_order_sender.py
@@ -125,3 +125,20 @@
 def test_a_model_that_is_not_declared_any_more_is_not_loaded(orders, endpoint):
     assert not orders.order(state_of(endpoint), True, "dropped", "")
     assert endpoint.accepted_orders == 0
+
+
+# Guards against a VM that stops when it learns, while an order is on its way, that the
+# endpoint lacks a model.
+@pytest.mark.parametrize("load", [True, False])
+@pytest.mark.parametrize("adapter", ["", "a1"])
+@pytest.mark.parametrize(
+    "outcome", [adapters.OrderOutcome.ACCEPTED, adapters.OrderOutcome.DONE]
+)
+def test_an_answer_after_the_number_of_orders_became_unknown(
+    endpoint, load, adapter, outcome
+):
+    state = state_of(endpoint, "small")
+    state.accepted_orders = None
+    order = adapters.Order(load, "small", adapter, 7, "vm-1", 1)
+    state.apply_outcome(order, outcome)
+    assert not state.known
