Poison requests: log what is counted, received and cleared

From the logs nobody could tell what a VM knew of a request's crashes when it sent it, nor why a broken connection did not count. Now: `sent` has `crashes`; `broke off` has the fingerprint, and the outcome 'not counted' with the reason; `crashes` says when a report arrived or a history was cleared, and by whom. No decision changes.

Cost without crashes: one check of an empty dict a request.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -118,6 +118,7 @@
                 adapter=request.target.adapter,
                 attempt=progress.sends,
                 running=self.running_requests.of_endpoint(endpoint.id),
+                crashes=self.poison_requests.crash_count(request),
                 left_ms=round((request.deadline - started_at) * 1000),
                 took_ms=round((time.monotonic() - started_at) * 1000, 1),
                 outcome="answer begun" if has_reply else progress.reason,
@@ -280,10 +281,13 @@
         progress.may_have_run = True
         progress.reason = reason[:80]
         if self.paths.lost:
+            self.poison_requests.log_uncounted(request, endpoint, "paths are lost")
             return
         self.health.record_failure(endpoint, reason)
         if "timed out" not in reason and "late" not in reason:
             self.record_crash(request, endpoint)
+        else:
+            self.poison_requests.log_uncounted(request, endpoint, reason[:80])
 
     def record_crash(
         self, request: caller_request.CallerRequest, endpoint: registry.Endpoint
@@ -296,6 +300,8 @@
         # A fragile endpoint fails because of requests that it refused.
         if self.fragile.max_refusals_per_s(endpoint.id) is None:
             self.poison_requests.record_crash(request, endpoint)
+        else:
+            self.poison_requests.log_uncounted(request, endpoint, "it is fragile")
 
     def _on_paths_change(self) -> None:
         """Readmit the endpoints that failed only because this VM did not reach them."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -111,13 +111,44 @@
                 log,
                 "broke off",
                 request=request.id,
+                fingerprint=report.fingerprint.hex(),
                 endpoint=endpoint.id,
-                endpoints=len(
-                    self.history_by_fingerprint[report.fingerprint].endpoints
-                ),
+                endpoints=self.crash_count(request),
                 outcome="refused" if self.is_blocked(request) else "noted",
             )
 
+    def log_uncounted(
+        self,
+        request: caller_request.CallerRequest,
+        endpoint: registry.Endpoint,
+        reason: str,
+    ) -> None:
+        """Log that a broken connection does not count as a crash.
+
+        :param request: the request that ran on it.
+        :param endpoint: the endpoint.
+        :param reason: why it does not count.
+        """
+        logs.event(
+            log,
+            "broke off",
+            request=request.id,
+            fingerprint=request.fingerprint().hex(),
+            endpoint=endpoint.id,
+            reason=reason,
+            outcome="not counted",
+        )
+
+    def crash_count(self, request: caller_request.CallerRequest) -> int:
+        """Return how many endpoints are known to have crashed under a request.
+
+        :param request: the request.
+        """
+        if not self.history_by_fingerprint:
+            return 0
+        history = self.history_by_fingerprint.get(request.fingerprint())
+        return len(history.endpoints) if history else 0
+
     def record_completion(self, request: caller_request.CallerRequest) -> None:
         """Record that a request has completed, which clears its crashes on all VMs.
 
@@ -128,8 +159,11 @@
         self.completed_at_by_fingerprint.move_to_end(fingerprint)
         if len(self.completed_at_by_fingerprint) > MAX_REQUESTS:
             self.completed_at_by_fingerprint.popitem(last=False)
-        if self.history_by_fingerprint.pop(fingerprint, None) is not None:
+        history = self.history_by_fingerprint.pop(fingerprint, None)
+        if history is not None:
             self.peers.send_to_region(CrashesCleared(fingerprint))
+            vm = self.kernel.settings.name
+            _log_history(fingerprint, history, vm, "cleared")
 
     def _has_completed(self, fingerprint: bytes) -> bool:
         """Return whether a copy of a request has completed recently on this VM."""
@@ -138,8 +172,10 @@
             time.monotonic() - completed_at < RETENTION_S
         )
 
-    def _on_cleared(self, _: str, message: CrashesCleared, __) -> None:
-        self.history_by_fingerprint.pop(message.fingerprint, None)
+    def _on_cleared(self, vm: str, message: CrashesCleared, _) -> None:
+        history = self.history_by_fingerprint.pop(message.fingerprint, None)
+        if history is not None:
+            _log_history(message.fingerprint, history, vm, "cleared")
 
     def _record(self, report: CrashReport) -> bool:
         if self._has_completed(report.fingerprint):
@@ -155,5 +191,21 @@
             self.history_by_fingerprint.popitem(last=False)
         return True
 
-    def _on_crash_report(self, _: str, report: CrashReport, __) -> None:
-        self._record(report)
+    def _on_crash_report(self, vm: str, report: CrashReport, _) -> None:
+        if self._record(report):
+            history = self.history_by_fingerprint[report.fingerprint]
+            _log_history(report.fingerprint, history, vm, "received")
+
+
+def _log_history(
+    fingerprint: bytes, history: _CrashHistory, vm: str, outcome: str
+) -> None:
+    """Log what happened to a request's crashes, and the VM that reported it."""
+    logs.event(
+        log,
+        "crashes",
+        fingerprint=fingerprint.hex(),
+        endpoints=len(history.endpoints),
+        peer=vm,
+        outcome=outcome,
+    )
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -131,10 +131,16 @@
         self.outcome = f"broke: {reason}"[:100]
         is_late = time.monotonic() >= self.request.deadline - MIN_RESUME_S
         if is_late or self.attempts.paths.lost:
+            self._log_uncounted("it was late" if is_late else "paths are lost")
             return
         self.attempts.health.record_failure(self.endpoint, reason)
         if self.endpoint.available:
             self.attempts.record_crash(self.request, self.endpoint)
+        else:
+            self._log_uncounted("the endpoint accepted no requests any more")
+
+    def _log_uncounted(self, reason: str) -> None:
+        self.attempts.poison_requests.log_uncounted(self.request, self.endpoint, reason)
 
     def _may_resume(self) -> bool:
         """Return whether the stream may be resumed, which spends a retry."""
