Only a whole success shows that a request is harmless

What callers saw: a request that crashes its endpoints could be sent without end, each crash followed by minutes in which the crashes did not count.

Cause: any answer below 500 that ended counted as a completion: a 4xx of an endpoint that rejects a request before it runs it, a 304, and an answer without a length, which an endpoint that crashes ends just as well as one that is done.

Now a completion is a 2xx whose length is known.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -100,6 +100,11 @@
                 return value
         return ""
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether more than the close of the connection marks its end."""
+        return not self.response.unframed
+
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield the body in chunks, each with all bytes received since the last."""
         while True:
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -220,7 +220,7 @@
         self.running_requests.request_ended(endpoint, request.target)
         if kind is adapters.ResponseKind.ANSWER:
             self.health.record_success(endpoint, time.monotonic() - started_at)
-            self.poison_requests.record_completion(request)
+            self.poison_requests.record_completion(request, answer)
         else:
             self.health.record_failure(
                 endpoint, f"status {answer.status}", ERROR_WEIGHT
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -15,7 +15,7 @@
 import attrs
 import logbook
 
-from mothworks import kernel, logs, messages, peers
+from mothworks import kernel, logs, messages, peers, transport
 from mothworks_gateway import caller_request, registry
 
 log = logbook.Logger("poison")
@@ -149,11 +149,19 @@
         history = self.history_by_fingerprint.get(request.fingerprint())
         return len(history.endpoints) if history else 0
 
-    def record_completion(self, request: caller_request.CallerRequest) -> None:
-        """Record that a request has completed, which clears its crashes on all VMs.
+    def record_completion(
+        self, request: caller_request.CallerRequest, answer: transport.HttpAnswer
+    ) -> None:
+        """Record a whole answer; a success clears the request's crashes on all VMs.
+
+        An endpoint may reject a request before it runs it, and an answer without a
+        length may end because its endpoint crashed. Neither shows that it ran well.
 
         :param request: the request.
+        :param answer: the answer, its body read to the end.
         """
+        if not (200 <= answer.status < 300 and answer.is_framed):
+            return
         fingerprint = request.fingerprint()
         self.completed_at_by_fingerprint[fingerprint] = time.monotonic()
         self.completed_at_by_fingerprint.move_to_end(fingerprint)
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -65,7 +65,9 @@
                 try:
                     yield from self._chunks()
                     self.outcome = "complete"
-                    self.attempts.poison_requests.record_completion(self.request)
+                    self.attempts.poison_requests.record_completion(
+                        self.request, self.answer
+                    )
                     return
                 except transport.CONNECTION_ERRORS as error:
                     reason = str(error)
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -1,5 +1,7 @@
 """Poison requests: crashes count only against requests of which no copy completes."""
 
+import types
+
 import pytest
 
 import fleet_builders
@@ -8,6 +10,7 @@
 from mothworks_gateway import poison_requests
 
 VMS = ("vm-1", "vm-2")
+SUCCESS = types.SimpleNamespace(status=200, is_framed=True)
 
 
 @pytest.fixture
@@ -37,7 +40,7 @@
 # Guards against look-ups that stay blocked after endpoints fell for another reason.
 def test_a_request_that_has_completed_before_is_not_blocked(vms):
     request = gateway_builders.request()
-    vms[0].record_completion(request)
+    vms[0].record_completion(request, SUCCESS)
     crash(vms[0], request, 5)
     assert not vms[0].is_blocked(request)
 
@@ -46,12 +49,13 @@
 def test_a_copy_that_completes_on_one_vm_clears_the_crashes_on_all(vms):
     request = gateway_builders.request()
     crash(vms[0], request)
-    vms[1].record_completion(request)
+    vms[1].record_completion(request, SUCCESS)
     assert [part.is_blocked(request) for part in vms] == [False, False]
 
 
 def test_the_number_of_remembered_completions_is_bounded(vms, monkeypatch):
     monkeypatch.setattr(poison_requests, "MAX_REQUESTS", 3)
     for number in range(10):
-        vms[0].record_completion(gateway_builders.request(path=f"/{number}"))
+        request = gateway_builders.request(path=f"/{number}")
+        vms[0].record_completion(request, SUCCESS)
     assert len(vms[0].completed_at_by_fingerprint) == 3
