A request that was blocked while it waited is not sent

What callers saw: servers kept crashing for seconds after all VMs knew that a request crashes them.

Cause: the history was asked when a request arrived and before each retry.

Now it is asked after the wait, right before the first byte, and before a stream is resumed.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -143,7 +143,7 @@
             request,
             left_s,
             head_deadline,
-            lambda: self.endpoint_selection.accepts(endpoint, request.target),
+            lambda: self.may_send(request, endpoint),
         )
         match sent:
             case result.Err(failure):
@@ -169,6 +169,17 @@
             return None
         return self._read(request, endpoint, progress, answer, kind, started_at)
 
+    def may_send(
+        self, request: caller_request.CallerRequest, endpoint: registry.Endpoint
+    ) -> bool:
+        """Return whether a request that has waited may still be sent.
+
+        :param request: the request.
+        :param endpoint: the endpoint that was chosen for it.
+        """
+        accepts = self.endpoint_selection.accepts(endpoint, request.target)
+        return accepts and not self.poison_requests.is_blocked(request)
+
     def observe_notices(
         self,
         request: caller_request.CallerRequest,
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -142,9 +142,10 @@
             if may_send:
                 self.prefill_pacing.wait(request, endpoint)
         # During the wait, the endpoint may have left, unloaded the model, lowered its
-        # limit or asked this VM to back off, and this VM may have lost its paths.
-        accepts = may_send and self.endpoint_selection.accepts(endpoint, request.target)
-        if not accepts or self.paths.lost:
+        # limit or asked this VM to back off, copies of the request may have crashed
+        # others, and this VM may have lost its paths.
+        may_send = may_send and self.attempts.may_send(request, endpoint)
+        if not may_send or self.paths.lost:
             progress.withheld = True
             return None
         return self.attempts.send_once(request, endpoint, progress)
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -151,6 +151,8 @@
             return False
         if self.relayed_bytes and not self.event_splitter.last_id:
             return False
+        if self.attempts.poison_requests.is_blocked(self.request):
+            return False
         left_s = self.request.deadline - time.monotonic()
         return left_s >= MIN_RESUME_S and self.attempts.retry_budget.try_spend(
             self.request.target.service
@@ -208,9 +210,7 @@
             self.request,
             left_s,
             deadline,
-            lambda: self.attempts.endpoint_selection.accepts(
-                endpoint, self.request.target
-            ),
+            lambda: self.attempts.may_send(self.request, endpoint),
             last_id,
         )
         resumed = False
