A client account's requests are not refused because of another account's crashes

What callers saw: look-ups with one path and body were one request for all accounts. The crashes of one caller's requests blocked every caller's, and every caller's completions cleared the crashes.

Cause: the fingerprint had no account. Now it has; a forwarded request has the same one, since its account is forwarded with it. Test: two accounts had one fingerprint before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
@@ -91,9 +91,11 @@
         return max(0, tokens)
 
     def fingerprint(self) -> bytes:
-        """Return a hash that is equal for copies of the same request."""
+        """Return a hash that is equal for copies of the same caller's request."""
+        account = "" if self.account is None else self.account.name
         digest = xxhash.xxh128(self.route.host.encode())
-        for part in (self.method, self.path, *(item.id for item in self.prompt)):
+        prompt = (item.id for item in self.prompt)
+        for part in (account, self.method, self.path, *prompt):
             digest.update(b"\0" + part.encode())
         digest.update(b"\0" + self.body)
         return digest.digest()
--- a/packages/mothworks_gateway/tests/gateway_builders.py
+++ b/packages/mothworks_gateway/tests/gateway_builders.py
@@ -5,6 +5,7 @@
 from mothworks import metrics
 from mothworks_gateway import (
     caller_request,
+    client_accounts,
     declaration_types,
     discovery,
     registry,
@@ -101,6 +102,11 @@
     return caller_request.CallerRequest(**values)
 
 
+def account(name):
+    """Return a client account."""
+    return client_accounts.ClientAccount(name, frozenset(), None)
+
+
 class RunningRequests:
     """Stub with fixed numbers of running requests by endpoint."""
 
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -59,3 +59,12 @@
         request = gateway_builders.request(path=f"/{number}")
         vms[0].record_completion(request, SUCCESS)
     assert len(vms[0].completed_at_by_fingerprint) == 3
+
+
+# Guards against a request that is refused because of another caller's crashes.
+def test_requests_of_other_accounts_are_other_requests():
+    accounts = [gateway_builders.account(name) for name in ("a", "b")]
+    fingerprints = {
+        gateway_builders.request(account=account).fingerprint() for account in accounts
+    }
+    assert len(fingerprints) == 2
