Crashes of fragile endpoints count against the requests that ran there

What callers saw: requests that crash every endpoint took down fragile endpoints without end; two thirds of the good requests beside them failed.

Cause: a fragile endpoint falls because of what it refuses, so its crashes counted against no request. That protected look-ups, which share path and body; a request that crashes its endpoints was as free as they are.

What tells them apart is that a poison request never completes. So each crash counts, and a copy that completes anywhere protects its request on all VMs: a VM that has seen one answers a report that is about to block the request, and the VM that reported tells all others. Before, a completion was known to its own VM only, unless crashes came first. Reports go through the batched broadcast; each was sent to each VM by itself.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -296,23 +296,9 @@
             return
         self.health.record_failure(endpoint, reason)
         if "timed out" not in reason and "late" not in reason:
-            self.record_crash(request, endpoint)
-        else:
-            self.poison_requests.log_uncounted(request, endpoint, reason[:80])
-
-    def record_crash(
-        self, request: caller_request.CallerRequest, endpoint: registry.Endpoint
-    ) -> None:
-        """Record that an endpoint failed while it ran a request.
-
-        :param request: the request.
-        :param endpoint: the endpoint.
-        """
-        # A fragile endpoint fails because of requests that it refused.
-        if self.fragile.max_refusals_per_s(endpoint.id) is None:
             self.poison_requests.record_crash(request, endpoint)
         else:
-            self.poison_requests.log_uncounted(request, endpoint, "it is fragile")
+            self.poison_requests.log_uncounted(request, endpoint, reason[:80])
 
     def _on_paths_change(self) -> None:
         """Readmit the endpoints that failed only because this VM did not reach them."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -16,7 +16,7 @@
 import logbook
 
 from mothworks import kernel, logs, messages, peers, transport
-from mothworks_gateway import caller_request, registry
+from mothworks_gateway import broadcast, caller_request, registry
 
 log = logbook.Logger("poison")
 
@@ -36,10 +36,13 @@
 
     :param fingerprint: see :meth:`caller_request.CallerRequest.fingerprint`.
     :param endpoint: the endpoint's id.
+    :param endpoint_count: number of endpoints that the sender knows to have crashed
+        under the request.
     """
 
     fingerprint: bytes
     endpoint: str
+    endpoint_count: int = 0
 
 
 @messages.message(141)
@@ -48,9 +51,11 @@
     """Reports that a copy of a request with crashes has completed.
 
     :param fingerprint: see :meth:`caller_request.CallerRequest.fingerprint`.
+    :param relay: whether the receiver has to report it to all other VMs.
     """
 
     fingerprint: bytes
+    relay: bool = False
 
 
 @attrs.define
@@ -64,6 +69,11 @@
     endpoints: set[str]
     last_crash_at: float
 
+    @property
+    def blocks(self) -> bool:
+        """Return whether the request has to be refused."""
+        return len(self.endpoints) >= CRASHES_TO_BLOCK
+
 
 class PoisonRequests(kernel.Part):
     """Blocks requests that crashed several endpoints.
@@ -74,6 +84,7 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.peers = node_kernel.get(peers.Peers)
+        self.broadcast = node_kernel.get(broadcast.Broadcast)
         self.history_by_fingerprint: collections.OrderedDict[bytes, _CrashHistory] = (
             collections.OrderedDict()
         )
@@ -94,7 +105,7 @@
         history = self.history_by_fingerprint.get(request.fingerprint())
         if history is None or time.monotonic() - history.last_crash_at > RETENTION_S:
             return False
-        return len(history.endpoints) >= CRASHES_TO_BLOCK
+        return history.blocks
 
     def record_crash(
         self, request: caller_request.CallerRequest, endpoint: registry.Endpoint
@@ -104,16 +115,17 @@
         :param request: the request.
         :param endpoint: the endpoint.
         """
-        report = CrashReport(request.fingerprint(), endpoint.id)
-        if self._record(report):
-            self.peers.send_to_region(report)
+        fingerprint = request.fingerprint()
+        if self._record(fingerprint, endpoint.id):
+            count = self.crash_count(request)
+            self.broadcast.publish(CrashReport(fingerprint, endpoint.id, count))
             logs.event(
                 log,
                 "broke off",
                 request=request.id,
-                fingerprint=report.fingerprint.hex(),
+                fingerprint=fingerprint.hex(),
                 endpoint=endpoint.id,
-                endpoints=self.crash_count(request),
+                endpoints=count,
                 outcome="refused" if self.is_blocked(request) else "noted",
             )
 
@@ -162,48 +174,63 @@
         """
         if not (200 <= answer.status < 300 and answer.is_framed):
             return
-        fingerprint = request.fingerprint()
+        self._clear(request.fingerprint(), self.kernel.settings.name, publish=True)
+
+    def _clear(self, fingerprint: bytes, vm: str, publish: bool) -> None:
+        """Clear a request's crashes, and count none for a while.
+
+        :param fingerprint: the request's fingerprint.
+        :param vm: the VM on which a copy completed.
+        :param publish: whether to report to all VMs that there were crashes.
+        """
         self.completed_at_by_fingerprint[fingerprint] = time.monotonic()
         self.completed_at_by_fingerprint.move_to_end(fingerprint)
         if len(self.completed_at_by_fingerprint) > MAX_REQUESTS:
             self.completed_at_by_fingerprint.popitem(last=False)
         history = self.history_by_fingerprint.pop(fingerprint, None)
-        if history is not None:
-            self.peers.send_to_region(CrashesCleared(fingerprint))
-            vm = self.kernel.settings.name
-            _log_history(fingerprint, history, vm, "cleared")
+        if history is None:
+            return
+        _log_history(fingerprint, history, vm, "cleared")
+        if publish:
+            self.broadcast.publish(CrashesCleared(fingerprint))
 
     def _has_completed(self, fingerprint: bytes) -> bool:
-        """Return whether a copy of a request has completed recently on this VM."""
+        """Return whether a copy of a request is known to have completed recently."""
         completed_at = self.completed_at_by_fingerprint.get(fingerprint)
         return completed_at is not None and (
             time.monotonic() - completed_at < RETENTION_S
         )
 
     def _on_cleared(self, vm: str, message: CrashesCleared, _) -> None:
-        history = self.history_by_fingerprint.pop(message.fingerprint, None)
-        if history is not None:
-            _log_history(message.fingerprint, history, vm, "cleared")
+        self._clear(message.fingerprint, vm, publish=message.relay)
 
-    def _record(self, report: CrashReport) -> bool:
-        if self._has_completed(report.fingerprint):
+    def _on_crash_report(self, vm: str, report: CrashReport, _) -> None:
+        if self._record(report.fingerprint, report.endpoint):
+            history = self.history_by_fingerprint[report.fingerprint]
+            _log_history(report.fingerprint, history, vm, "received")
+        elif report.endpoint_count >= CRASHES_TO_BLOCK - 1 and self._has_completed(
+            report.fingerprint
+        ):
+            # The sender is about to block it, and knows of no completion.
+            message = CrashesCleared(report.fingerprint, relay=True)
+            self.peers.send_nowait(vm, message)
+
+    def _record(self, fingerprint: bytes, endpoint_id: str) -> bool:
+        """Record a crash; returns whether it is new and counts."""
+        if self._has_completed(fingerprint):
             return False
+        now = time.monotonic()
         history = self.history_by_fingerprint.setdefault(
-            report.fingerprint, _CrashHistory(set(), time.monotonic())
+            fingerprint, _CrashHistory(set(), now)
         )
-        if report.endpoint in history.endpoints:
+        if endpoint_id in history.endpoints:
             return False
-        history.endpoints.add(report.endpoint)
-        history.last_crash_at = time.monotonic()
+        history.endpoints.add(endpoint_id)
+        history.last_crash_at = now
         while len(self.history_by_fingerprint) > MAX_REQUESTS:
             self.history_by_fingerprint.popitem(last=False)
         return True
 
-    def _on_crash_report(self, vm: str, report: CrashReport, _) -> None:
-        if self._record(report):
-            history = self.history_by_fingerprint[report.fingerprint]
-            _log_history(report.fingerprint, history, vm, "received")
-
 
 def _log_history(
     fingerprint: bytes, history: _CrashHistory, vm: str, outcome: str
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -137,7 +137,8 @@
             return
         self.attempts.health.record_failure(self.endpoint, reason)
         if self.endpoint.available:
-            self.attempts.record_crash(self.request, self.endpoint)
+            poison = self.attempts.poison_requests
+            poison.record_crash(self.request, self.endpoint)
         else:
             self._log_uncounted("the endpoint accepted no requests any more")
 
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -2,39 +2,48 @@
 
 import types
 
+import gevent
 import pytest
 
 import fleet_builders
 import gateway_builders
-from mothworks import peers
-from mothworks_gateway import poison_requests
+from mothworks_gateway import broadcast, poison_requests
 
-VMS = ("vm-1", "vm-2")
+VMS = ("vm-1", "vm-2", "vm-3")
 SUCCESS = types.SimpleNamespace(status=200, is_framed=True)
 
 
+def make_part(name, network):
+    kernel = fleet_builders.make_kernel(name, VMS, network)
+    kernel.parts[broadcast.Broadcast] = broadcast.Broadcast(kernel)
+    return poison_requests.PoisonRequests(kernel)
+
+
 @pytest.fixture
 def vms():
     network = fleet_builders.Network()
-    return [
-        poison_requests.PoisonRequests(
-            gateway_builders.Kernel(
-                {peers.Peers: fleet_builders.Peers(name, network, VMS)}
-            )
-        )
-        for name in VMS
-    ]
+    return [make_part(name, network) for name in VMS]
+
+
+def deliver():
+    """Wait until all published messages have arrived."""
+    gevent.sleep(4 * broadcast.BATCH_DELAY_S)
 
 
 def crash(part, request, count=poison_requests.CRASHES_TO_BLOCK):
     for number in range(count):
         part.record_crash(request, gateway_builders.endpoint(f"i-{number}"))
+    deliver()
+
+
+def blocked(vms, request):
+    return [part.is_blocked(request) for part in vms]
 
 
 def test_a_request_that_crashed_several_endpoints_is_blocked_on_all_vms(vms):
     request = gateway_builders.request()
     crash(vms[0], request)
-    assert [part.is_blocked(request) for part in vms] == [True, True]
+    assert blocked(vms, request) == [True, True, True]
 
 
 # Guards against look-ups that stay blocked after endpoints fell for another reason.
@@ -46,19 +55,20 @@
 
 
 # Guards against VMs that block a request which completes on another VM.
-def test_a_copy_that_completes_on_one_vm_clears_the_crashes_on_all(vms):
+@pytest.mark.parametrize("completes_first", [False, True])
+def test_a_copy_that_completes_on_one_vm_clears_the_crashes_on_all(
+    vms, completes_first
+):
     request = gateway_builders.request()
+    if completes_first:
+        vms[1].record_completion(request, SUCCESS)
     crash(vms[0], request)
-    vms[1].record_completion(request, SUCCESS)
-    assert [part.is_blocked(request) for part in vms] == [False, False]
-
-
-def test_the_number_of_remembered_completions_is_bounded(vms, monkeypatch):
-    monkeypatch.setattr(poison_requests, "MAX_REQUESTS", 3)
-    for number in range(10):
-        request = gateway_builders.request(path=f"/{number}")
-        vms[0].record_completion(request, SUCCESS)
-    assert len(vms[0].completed_at_by_fingerprint) == 3
+    if not completes_first:
+        vms[1].record_completion(request, SUCCESS)
+    deliver()
+    assert blocked(vms, request) == [False, False, False]
+    crash(vms[2], request, 5)
+    assert blocked(vms, request) == [False, False, False]
 
 
 # Guards against a request that is refused because of another caller's crashes.
@@ -68,3 +78,11 @@
         gateway_builders.request(account=account).fingerprint() for account in accounts
     }
     assert len(fingerprints) == 2
+
+
+def test_the_number_of_remembered_completions_is_bounded(vms, monkeypatch):
+    monkeypatch.setattr(poison_requests, "MAX_REQUESTS", 3)
+    for number in range(10):
+        request = gateway_builders.request(path=f"/{number}")
+        vms[0].record_completion(request, SUCCESS)
+    assert len(vms[0].completed_at_by_fingerprint) == 3
