A blocked request outlives the histories of requests that ran beside it

Cause: the oldest of 2000 histories was dropped first. Each fall adds one for each request that ran there, and a blocked request crashes nothing any more, so it was the oldest.

Now histories that block nothing are dropped first. Test: failed before (blocked: False).

--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -227,10 +227,24 @@
             return False
         history.endpoints.add(endpoint_id)
         history.last_crash_at = now
-        while len(self.history_by_fingerprint) > MAX_REQUESTS:
-            self.history_by_fingerprint.popitem(last=False)
+        self.history_by_fingerprint.move_to_end(fingerprint)
+        if len(self.history_by_fingerprint) > MAX_REQUESTS:
+            self._evict()
         return True
 
+    def _evict(self) -> None:
+        """Drop the oldest history, one that does not block its request if possible.
+
+        A fall of many endpoints adds a history for each request that ran on them.
+        """
+        not_blocked = (
+            fingerprint
+            for fingerprint, history in self.history_by_fingerprint.items()
+            if not history.blocks
+        )
+        oldest = next(iter(self.history_by_fingerprint))
+        del self.history_by_fingerprint[next(not_blocked, oldest)]
+
 
 def _log_history(
     fingerprint: bytes, history: _CrashHistory, vm: str, outcome: str
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -71,6 +71,18 @@
     assert blocked(vms, request) == [False, False, False]
 
 
+# Guards against poison requests that are forgotten because endpoints with many requests
+# fell later.
+def test_a_blocked_request_outlives_the_histories_of_others(vms, monkeypatch):
+    monkeypatch.setattr(poison_requests, "MAX_REQUESTS", 3)
+    request = gateway_builders.request()
+    crash(vms[0], request)
+    for number in range(10):
+        crash(vms[0], gateway_builders.request(path=f"/{number}"), 1)
+    assert blocked(vms, request) == [True, True, True]
+    assert len(vms[0].history_by_fingerprint) == 3
+
+
 # Guards against a request that is refused because of another caller's crashes.
 def test_requests_of_other_accounts_are_other_requests():
     accounts = [gateway_builders.account(name) for name in ("a", "b")]
