All VMs know which requests are blocked, however they missed the reports

What callers saw: after a VM had started, a request that all others refuse crashed three more endpoints through it; after a restart of all VMs likewise.

Cause: a report of a crash was sent once and kept in memory only.

Now each heartbeat carries a digest of the blocked requests. The lease holder stores them with the lease, which it writes at each renewal anyway, and the next holder reads them before it acquires it: no store call is added.

--- a/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
@@ -64,6 +64,8 @@
     :param spent: units of shared budgets that were spent since the last heartbeat, by
         budget and granter; see :mod:`shared_budgets`.
     :param limits: limits that endpoints reported since the last heartbeat.
+    :param blocked_digest: digest of the blocked requests; see
+        :mod:`poison_replication`.
     """
 
     declaration_version: int
@@ -78,6 +80,7 @@
     answers: tuple[AnswerRow, ...] = ()
     spent: tuple[tuple[str, str, float], ...] = ()
     limits: tuple[LimitRow, ...] = ()
+    blocked_digest: int = 0
 
 
 @messages.message(111)
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -26,6 +26,7 @@
 A holder that reaches no endpoint releases the lease if another VM can send orders.
 """
 
+import collections.abc
 import math
 import random
 import time
@@ -134,6 +135,12 @@
         self.checked_at = boot_clock.now()
         #: Functions to call after this VM acquired the lease.
         self.on_acquired: list = []
+        #: Functions to call with each stored record that this VM reads.
+        self.on_read: list[collections.abc.Callable[[lease_record.Record], None]] = []
+        #: Returns the blocked requests that the record stores.
+        self.blocked_requests: collections.abc.Callable[
+            [], tuple[lease_record.BlockedRequest, ...]
+        ] = tuple
         self._rejected_fence = 0
         #: The platform's era as of this VM's last call for the lease; None before one.
         self.era: int | None = None
@@ -245,7 +252,11 @@
         self.checked_at = boot_clock.now()
 
     def _renew(self) -> None:
-        record = attrs.evolve(self.record, renewals=self.record.renewals + 1)
+        record = attrs.evolve(
+            self.record,
+            renewals=self.record.renewals + 1,
+            blocked=self.blocked_requests(),
+        )
         sent_at = boot_clock.now()
         match self.api.put(KEY, record.body(), self.version):
             case result.Ok(version):
@@ -404,7 +415,9 @@
         """
         era = cursors.era(int(version) if version else self.discovery.registry.cursor)
         new_fence = lease_record.next_fence(era, fence, self._rejected_fence)
-        record = lease_record.Record(self.name, new_fence, 0, self.life)
+        record = lease_record.Record(
+            self.name, new_fence, 0, self.life, self.blocked_requests()
+        )
         reclaims, self._reclaims = self._reclaims, False
         sent_at = boot_clock.now()
         match self.api.put(KEY, record.body(), version):
@@ -430,10 +443,13 @@
             case result.Ok(stored):
                 self._observe_era(cursors.era(int(stored.version)))
                 try:
-                    return lease_record.read_record(stored.body), stored.version
+                    record = lease_record.read_record(stored.body)
                 except ValueError as error:
                     logs.event(log, "lease", reason=str(error), outcome="unreadable")
                     return lease_record.Record("", 0, 0, ""), stored.version
+                for notify in self.on_read:
+                    notify(record)
+                return record, stored.version
             case result.Err(objects.Missing()):
                 return None, None
         return None
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
@@ -1,5 +1,7 @@
 """The lease as it is stored, and its renewals as other VMs observe them."""
 
+import typing
+
 import attrs
 import orjson
 
@@ -7,6 +9,20 @@
 TOKENS_PER_ERA = 10**6
 
 
+@attrs.frozen
+class BlockedRequest:
+    """A request that all VMs refuse, since it crashes endpoints.
+
+    :param fingerprint: its fingerprint in hexadecimal.
+    :param endpoints: ids of the endpoints that crashed.
+    :param left_s: time for which it is still refused, seconds.
+    """
+
+    fingerprint: str
+    endpoints: tuple[str, ...]
+    left_s: int
+
+
 @attrs.frozen
 class Record:
     """The lease as it is stored.
@@ -15,12 +31,14 @@
     :param fence: the fencing token; grows with each holder (:func:`next_fence`).
     :param renewals: grows by one with each renewal, so that each write changes it.
     :param life: random id of the holder's process, by which it recognises its write.
+    :param blocked: the blocked requests, for a restart of all VMs.
     """
 
     holder: str
     fence: int
     renewals: int
     life: str
+    blocked: tuple[BlockedRequest, ...] = ()
 
     def body(self) -> bytes:
         """Return the record as JSON."""
@@ -40,11 +58,19 @@
             int(value["fence"]),
             int(value["renewals"]),
             str(value["life"]),
+            tuple(map(_read_blocked, value.get("blocked", ()))),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"not a lease record: {error!r}")
 
 
+def _read_blocked(value: dict[str, typing.Any]) -> BlockedRequest:
+    fingerprint = bytes.fromhex(value["fingerprint"]).hex()
+    return BlockedRequest(
+        fingerprint, tuple(map(str, value["endpoints"])), int(value["left_s"])
+    )
+
+
 def next_fence(era: int, *known: int) -> int:
     """Return a fencing token that no holder has used before.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -28,6 +28,7 @@
     heartbeat,
     job_execution,
     lease,
+    poison_replication,
     residency,
     scheduler,
     settings,
@@ -61,6 +62,7 @@
     residency.Residency,
     job_execution.JobExecutor,
     scheduler.Scheduler,
+    poison_replication.PoisonReplication,
     forwarding_server.ForwardingServer,
     front.Front,
 )
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -59,7 +59,7 @@
 
 
 @attrs.define
-class _CrashHistory:
+class CrashHistory:
     """The endpoints that crashed while they ran one request.
 
     :param endpoints: their ids.
@@ -85,7 +85,7 @@
         super().__init__(node_kernel)
         self.peers = node_kernel.get(peers.Peers)
         self.broadcast = node_kernel.get(broadcast.Broadcast)
-        self.history_by_fingerprint: collections.OrderedDict[bytes, _CrashHistory] = (
+        self.history_by_fingerprint: collections.OrderedDict[bytes, CrashHistory] = (
             collections.OrderedDict()
         )
         #: Monotonic time of the last completion, by fingerprint.
@@ -176,6 +176,47 @@
             return
         self._clear(request.fingerprint(), self.kernel.settings.name, publish=True)
 
+    def blocked(self) -> dict[bytes, CrashHistory]:
+        """Return the histories of the blocked requests, by fingerprint."""
+        return {
+            fingerprint: history
+            for fingerprint, history in self.history_by_fingerprint.items()
+            if history.blocks
+        }
+
+    def evict_expired(self) -> None:
+        """Drop the histories whose last crash is too long ago to count."""
+        oldest_at = time.monotonic() - RETENTION_S
+        for fingerprint, history in list(self.history_by_fingerprint.items()):
+            if history.last_crash_at < oldest_at:
+                del self.history_by_fingerprint[fingerprint]
+
+    def merge(
+        self, vm: str, fingerprint: bytes, endpoints: tuple[str, ...], age_s: float
+    ) -> bool:
+        """Add a peer's history of a blocked request; returns whether it was new.
+
+        :param vm: the peer; empty if the history was read from the platform.
+        :param fingerprint: the request's fingerprint.
+        :param endpoints: ids of the endpoints that crashed.
+        :param age_s: time since the last crash, seconds.
+        """
+        last_crash_at = time.monotonic() - age_s
+        if age_s >= RETENTION_S:
+            return False
+        if self._has_completed(fingerprint):
+            if vm:
+                self.peers.send_nowait(vm, CrashesCleared(fingerprint, relay=True))
+            return False
+        history = self.history_by_fingerprint.get(fingerprint)
+        if history is not None and history.endpoints.issuperset(endpoints):
+            return False
+        for endpoint_id in endpoints:
+            self._record(fingerprint, endpoint_id)
+        if history is None:
+            self.history_by_fingerprint[fingerprint].last_crash_at = last_crash_at
+        return True
+
     def _clear(self, fingerprint: bytes, vm: str, publish: bool) -> None:
         """Clear a request's crashes, and count none for a while.
 
@@ -221,7 +262,7 @@
             return False
         now = time.monotonic()
         history = self.history_by_fingerprint.setdefault(
-            fingerprint, _CrashHistory(set(), now)
+            fingerprint, CrashHistory(set(), now)
         )
         if endpoint_id in history.endpoints:
             return False
@@ -247,7 +288,7 @@
 
 
 def _log_history(
-    fingerprint: bytes, history: _CrashHistory, vm: str, outcome: str
+    fingerprint: bytes, history: CrashHistory, vm: str, outcome: str
 ) -> None:
     """Log what happened to a request's crashes, and the VM that reported it."""
     logs.event(
