Log software versions of endpoints, and which request a caller takes up

No line had either, so joined streams could not be found in the logs. `sent`, `resumed` and `endpoint` have `software`; `sent` has `resumes`. No decision changes.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -114,6 +114,8 @@
                 route=request.route.name,
                 version=request.declaration_version,
                 endpoint=endpoint.id,
+                software=endpoint.entry.software_version,
+                resumes=request.resumes,
                 model=request.target.model,
                 adapter=request.target.adapter,
                 attempt=progress.sends,
--- a/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
@@ -56,6 +56,10 @@
     :param input_tokens: length of its prompt.
     :param output_tokens: upper bound of the tokens that it generates.
     :param account: the caller's account; None if callers need no keys.
+    :param after_event: id of the last event that the caller has received, if it takes a
+        stream up; empty for a new stream.
+    :param resumes: id of the request that brought the first event of that stream; empty
+        if the caller does not name it.
     """
 
     id: str
@@ -73,6 +77,8 @@
     input_tokens: int = 0
     output_tokens: int = 0
     account: client_accounts.ClientAccount | None = None
+    after_event: str = ""
+    resumes: str = ""
 
     @property
     def urgency(self) -> int:
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -47,6 +47,7 @@
     :param on_disk: models whose weights are on its disk.
     :param started_ms: when it started, Unix time in milliseconds; 0 if unknown. It
         distinguishes the endpoint's incarnations.
+    :param software_version: version of the endpoint's software; empty if unknown.
     """
 
     name: str
@@ -60,6 +61,7 @@
     in_host_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     started_ms: int = 0
+    software_version: str = ""
 
     @property
     def id(self) -> str:
@@ -353,6 +355,7 @@
             endpoint=entry.id,
             service=entry.service,
             address=f"{entry.address[0]}:{entry.address[1]}",
+            software=entry.software_version,
             revision=self.cursor,
             holds=sorted(entry.adapters_by_model or ()),
             in_host_memory=len(entry.in_host_memory),
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -237,6 +237,7 @@
             "resumed" if resumed else "not resumed",
             request=self.request.id,
             endpoint=endpoint.id,
+            software=endpoint.entry.software_version,
             after_event=last_id,
             left_ms=round(left_s * 1000),
             outcome="goes on" if resumed else "broken off",
