Streams go on only at the software version that began them

What callers saw: streams that held events of two software versions of a back end, whose texts do not fit together.

Cause: nothing read an endpoint's software version, nor which request a caller takes up, so a stream went on at any endpoint that held its model: by the system's own resume, by a caller's take-up, over a peer, and through placement, which loaded the model anywhere.

The class: what an endpoint is asked for was its model and adapter only. Now a target has the software version, too, and whatever chooses, waits, loads or forwards for a target heeds it.

- Unknown or unnamed: it goes on if all endpoints that served in the last 20 s are of one version, by a VM that followed the registry for as long; else it is refused at once with 503, not run.
- No endpoint of the version left: refused at once.
Its model at no endpoint of the version: it waits as others do, and the model is loaded at one of the version.
- A peer of a former build gets no request that needs a version.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -32,6 +32,7 @@
     retry_budget,
     running_requests,
     send_slots,
+    stream_origins,
     stream_relay,
 )
 
@@ -75,6 +76,7 @@
         self.prefill_speed = node_kernel.get(prefill_speed.PrefillSpeed)
         self.residency = node_kernel.get(residency.Residency)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
+        self.origins = node_kernel.get(stream_origins.StreamOrigins)
         self.paths.on_change.append(self._on_paths_change)
         self.head_seconds = node_kernel.metrics.duration_histogram(
             "head_seconds", "Time from a request's arrival to its answer's head."
@@ -222,6 +224,8 @@
             self.prefill_speed.add_sample(request, took_s)
             if took_s > request.route.objective_s:
                 self.running_requests.record_late(request.target)
+            if request.route.resumable and answer.status < 300:
+                self.origins.record(request.stream_id, endpoint.entry)
             body = stream_relay.StreamRelay(self, request, endpoint, answer)
             return self._reply(request, answer, body)
         whole_body = transport.read_body(answer)
--- a/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
@@ -25,16 +25,26 @@
     :param service: the service that runs it.
     :param model: the model; empty for a plain service.
     :param adapter: an adapter of the model; empty for the model itself.
+    :param software_version: the only version of endpoints' software that may run it;
+        None for any.
     """
 
     service: str
     model: str = ""
     adapter: str = ""
+    software_version: str | None = None
 
     @property
     def base(self) -> "Target":
         """Return the target without its adapter."""
-        return Target(self.service, self.model)
+        return attrs.evolve(self, adapter="")
+
+    def allows(self, software_version: str) -> bool:
+        """Return whether endpoints of a software version may run it.
+
+        :param software_version: the version.
+        """
+        return self.software_version in (None, software_version)
 
 
 @attrs.frozen
@@ -87,6 +97,27 @@
             return self.route.urgency
         return self.account.urgency
 
+    @property
+    def takes_up(self) -> bool:
+        """Return whether the caller takes up a stream that began before."""
+        return self.route.streaming and bool(self.after_event)
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that began the stream."""
+        return self.resumes if self.takes_up else self.id
+
+    def pinned(self, software_version: str, service: str) -> "CallerRequest":
+        """Return the request for endpoints of one software version only.
+
+        :param software_version: the version.
+        :param service: their service.
+        """
+        target = attrs.evolve(
+            self.target, service=service, software_version=software_version
+        )
+        return attrs.evolve(self, target=target)
+
     @property
     def unshared_tokens(self) -> int:
         """Return the prompt tokens that are probably in no endpoint's prefix cache.
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -28,6 +28,7 @@
     retry_budget,
     running_requests,
     send_slots,
+    stream_origins,
 )
 
 log = logbook.Logger("dispatch")
@@ -74,6 +75,7 @@
         self.prefill_pacing = node_kernel.get(prefill_pacing.PrefillPacing)
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
+        self.origins = node_kernel.get(stream_origins.StreamOrigins)
         self.requests_total = node_kernel.metrics.counter(
             "requests_total", "Requests by service and outcome."
         )
@@ -87,7 +89,15 @@
         """
         self.retry_budget.add_request(request.target.service)
         self.running_requests.count_arrival(request)
-        return self._run(request, request_progress.RequestProgress())
+        progress = request_progress.RequestProgress()
+        if request.takes_up:
+            match self.origins.pin(request):
+                case result.Ok(pinned):
+                    request = pinned
+                case result.Err(reason):
+                    progress.reason = reason
+                    return self._refuse(request, progress, 503, None)
+        return self._run(request, progress)
 
     def run_forwarded(
         self,
@@ -200,6 +210,10 @@
                 return self._refuse(request, progress, 503, BUSY_RETRY_S)
             if candidates.backoff is not None:
                 return self._refuse_in_backoff(request, progress, candidates.backoff)
+            if not candidates.all and request.target.software_version is not None:
+                version = request.target.software_version
+                progress.reason = f"no endpoint of software version {version} is left"
+                return self._refuse(request, progress, 503, None)
             if candidates.all:
                 refused = self._wait_for_model(request, progress, candidates, now)
             else:
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
@@ -40,7 +40,8 @@
 
     :param ready: endpoints that hold the request's model and adapter and accept
         requests, the best first.
-    :param all: all available endpoints of the service.
+    :param all: all available endpoints of the service, of the request's software
+        version if it needs one.
     :param backoff: if all endpoints that hold them are in a backoff, the one that ends
         first.
     """
@@ -80,10 +81,12 @@
         :param request: the request.
         """
         target = request.target
-        endpoints = self.registry.of_service(target.service)
-        holding = [
-            item for item in endpoints if item.holds(target.model, target.adapter)
+        endpoints = [
+            item
+            for item in self.registry.of_service(target.service)
+            if target.allows(item.entry.software_version)
         ]
+        holding = [item for item in endpoints if item.can_run(target)]
         backoffs = [self.notices.backoff(item) for item in holding]
         if holding and all(backoffs):
             first = min(backoffs, key=lambda backoff: backoff.until)
@@ -104,7 +107,7 @@
         """
         return (
             endpoint.available
-            and endpoint.holds(target.model, target.adapter)
+            and endpoint.can_run(target)
             and self.notices.backoff(endpoint) is None
         )
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -28,6 +28,7 @@
     request_progress,
     retry_budget,
     server_sent_events,
+    stream_origins,
 )
 
 log = logbook.Logger("forwarding")
@@ -129,6 +130,7 @@
         super().__init__(node_kernel)
         self.peers = node_kernel.get(forwarding_peers.ForwardingPeers)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
+        self.origins = node_kernel.get(stream_origins.StreamOrigins)
         self.connections = transport.Transport(
             READ_TIMEOUT_S,
             size=MAX_CONNECTIONS_PER_PEER,
@@ -181,6 +183,12 @@
         """
         if request.deadline - time.monotonic() < MIN_RESUME_S:
             return None
+        if request.target.software_version is None:
+            # Another peer ran it until now, which has recorded the version.
+            origin = self.origins.find(request.stream_id)
+            if origin is None:
+                return None
+            request = request.pinned(origin.software_version, origin.service)
         headers = tuple(
             item for item in request.headers if item[0].lower() != LAST_EVENT_ID.lower()
         )
@@ -205,7 +213,8 @@
         progress.unreachable = False
         for _ in range(MAX_PEERS_TRIED):
             is_full = self.peers.forwarded_by_vm.total() >= MAX_FORWARDED
-            peer = None if is_full else self.peers.choose(tried_vms)
+            needs_version = request.target.software_version is not None
+            peer = None if is_full else self.peers.choose(tried_vms, needs_version)
             if peer is None:
                 break
             tried_vms.add(peer.vm)
@@ -365,6 +374,9 @@
                 may_wait_s=wait_until - now,
                 tried=tuple(progress.tried),
                 may_have_run=progress.may_have_run,
+                resumes=request.resumes,
+                after_event=request.after_event,
+                software_version=request.target.software_version,
             )
         )
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding_messages.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding_messages.py
@@ -37,10 +37,13 @@
     :param port: the port to which requests can be forwarded; 0 if the peer accepts
         none, because it is stopping or has no path to endpoints itself.
     :param running: number of requests that it runs now.
+    :param heeds_versions: whether it runs a request only at the software version that
+        the request needs.
     """
 
     port: int
     running: int
+    heeds_versions: bool = False
 
 
 @messages.message(139)
@@ -69,6 +72,10 @@
     :param may_wait_s: time for which it may still wait to be sent, seconds.
     :param tried: ids of the endpoints that it was sent to.
     :param may_have_run: whether one of them may have run it.
+    :param resumes: id of the request that began its stream; see
+        :class:`caller_request.CallerRequest`.
+    :param after_event: id of the last event that the caller has received.
+    :param software_version: the only software version that may run it; None for any.
     """
 
     deployment: str
@@ -92,6 +99,9 @@
     may_wait_s: float
     tried: tuple[str, ...]
     may_have_run: bool
+    resumes: str = ""
+    after_event: str = ""
+    software_version: str | None = None
 
 
 @messages.message(140)
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding_peers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding_peers.py
@@ -39,6 +39,7 @@
     :param address: IP address and port.
     :param running: number of requests that it ran when it replied.
     :param is_local: whether it is in this VM's data centre.
+    :param heeds_versions: whether it heeds the software version that a request needs.
     :param at: monotonic time of its reply.
     """
 
@@ -46,6 +47,7 @@
     address: tuple[str, int]
     running: int
     is_local: bool
+    heeds_versions: bool
     at: float
 
 
@@ -77,17 +79,22 @@
         """Start to query peers whenever they are needed."""
         self.tasks.spawn(self._query_while_needed)
 
-    def choose(self, excluded: set[str]) -> ForwardingPeer | None:
+    def choose(self, excluded: set[str], needs_version: bool) -> ForwardingPeer | None:
         """Return a peer for one request, the less loaded of two random ones.
 
         The first call waits for the replies to the first queries.
 
         :param excluded: names of peers that are left out.
+        :param needs_version: whether the request needs one software version.
         """
         self._needed_at = time.monotonic()
         self._wake.set()
         self._queried.wait(QUERY_TIMEOUT_S + QUERY_INTERVAL_S)
-        usable = [peer for peer in self.offers() if peer.vm not in excluded]
+        usable = [
+            peer
+            for peer in self.offers()
+            if peer.vm not in excluded and (peer.heeds_versions or not needs_version)
+        ]
         if not usable:
             return None
         return min(random.sample(usable, min(2, len(usable))), key=self._load)
@@ -136,13 +143,16 @@
     def _query(self, member) -> None:
         query = forwarding_messages.ForwardingQuery()
         match self.peers.call(member.name, query, QUERY_TIMEOUT_S):
-            case result.Ok(forwarding_messages.ForwardingOffer(port, running)) if port:
+            case result.Ok(forwarding_messages.ForwardingOffer() as offer) if (
+                offer.port
+            ):
                 data_centre = self.kernel.settings.data_centre
                 self.peer_by_vm[member.name] = ForwardingPeer(
                     member.name,
-                    (member.address, port),
-                    running,
+                    (member.address, offer.port),
+                    offer.running,
                     member.data_centre == data_centre,
+                    offer.heeds_versions,
                     time.monotonic(),
                 )
             case _:
@@ -151,4 +161,5 @@
     def _serve_query(self, _: str, __, reply: peers.Reply) -> None:
         accepts = not (self.paths.lost or self.kernel.draining)
         running = sum(self.running_requests.running.by_endpoint.values())
-        reply(forwarding_messages.ForwardingOffer(self.port if accepts else 0, running))
+        port = self.port if accepts else 0
+        reply(forwarding_messages.ForwardingOffer(port, running, heeds_versions=True))
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding_server.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding_server.py
@@ -154,6 +154,7 @@
                     self._service(route, message.service),
                     message.model,
                     message.adapter,
+                    message.software_version,
                 ),
                 method=message.method,
                 path=message.path,
@@ -169,6 +170,8 @@
                 input_tokens=message.input_tokens,
                 output_tokens=message.output_tokens,
                 account=_account(message),
+                after_event=message.after_event,
+                resumes=message.resumes,
             )
         )
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
@@ -180,7 +180,9 @@
             cached = [
                 state
                 for state in self._involved(target)
-                if state.available and state.will_hold(target.model, target.adapter)
+                if state.available
+                and target.allows(state.endpoint.entry.software_version)
+                and state.will_hold(target.model, target.adapter)
             ]
             self.holders_by_target[target] = cached
         return cached
--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -16,6 +16,7 @@
 import logbook
 
 from mothworks import logs
+from mothworks_gateway import caller_request
 
 log = logbook.Logger("registry")
 
@@ -97,6 +98,15 @@
         """Return whether it accepts new requests."""
         return not (self.entry.draining or self.exclusion_reason)
 
+    def can_run(self, target: caller_request.Target) -> bool:
+        """Return whether it has what a request needs.
+
+        :param target: what the request needs.
+        """
+        return target.allows(self.entry.software_version) and self.holds(
+            target.model, target.adapter
+        )
+
     def holds(self, model: str, adapter: str) -> bool:
         """Return whether a model and its adapter are loaded.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -46,6 +46,7 @@
     :param count: number of callers that wait at the sender.
     :param urgency: rank of the most urgent of them.
     :param left_s: seconds until the first of them misses its latency objective.
+    :param software_version: the only software version that may run them; None for any.
     """
 
     service: str
@@ -54,11 +55,14 @@
     count: int
     urgency: int
     left_s: float
+    software_version: str | None = None
 
     @property
     def target(self) -> caller_request.Target:
         """Return the model or adapter that they wait for."""
-        return caller_request.Target(self.service, self.model, self.adapter)
+        return caller_request.Target(
+            self.service, self.model, self.adapter, self.software_version
+        )
 
 
 @messages.message(115)
@@ -188,11 +192,19 @@
             for (endpoint_id, model), ready_at in self.ready_at_by_model.items()
             if model == target.model
             and ready_at + READY_MARGIN_S > now
-            and endpoint_id in self.registry.by_id
-            and self.registry.by_id[endpoint_id].entry.service == target.service
+            and self._may_run(endpoint_id, target)
         ]
         return min(times) - now if times else None
 
+    def _may_run(self, endpoint_id: str, target: caller_request.Target) -> bool:
+        """Return whether an endpoint is one that may run requests for a target."""
+        endpoint = self.registry.by_id.get(endpoint_id)
+        return (
+            endpoint is not None
+            and endpoint.entry.service == target.service
+            and target.allows(endpoint.entry.software_version)
+        )
+
     def report_not_held(
         self, endpoint: registry.Endpoint, target: caller_request.Target
     ) -> None:
@@ -251,6 +263,7 @@
             waiters.count,
             waiters.urgency,
             left_s,
+            target.software_version,
         )
         holder = self.lease.holder()
         if holder == self.name:
@@ -319,4 +332,4 @@
 
 def _can_run(endpoint: registry.Endpoint, target: caller_request.Target) -> bool:
     same = endpoint.entry.service == target.service
-    return same and endpoint.holds(target.model, target.adapter)
+    return same and endpoint.can_run(target)
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -240,6 +240,7 @@
             candidate
             for candidate in self.placement.candidates(target.service, model, evictable)
             if candidate.eviction_cost <= cost_limit
+            and target.allows(candidate.state.endpoint.entry.software_version)
             and self.order_sender.may_load(candidate.state, model.name, share)
             # Loading from an existing copy is the cheapest, but adds no copy.
             and not (reason == COPY and model.name in candidate.state.local_models())
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/software_versions.py
@@ -0,0 +1,91 @@
+"""Software versions: which versions of a service's software could have begun a stream.
+
+A stream of an unknown origin may go on only if all endpoints that served while it can
+have begun are of one version. A VM knows that once it has followed the registry for as
+long as a stream lasts, or another VM that has says so.
+"""
+
+import math
+import time
+
+import attrs
+
+from mothworks import kernel
+from mothworks_gateway import boot_clock, discovery, feeding, watching
+
+#: Longest time from a stream's begin until it is taken up, seconds.
+MAX_STREAM_S = 20.0
+#: Interval at which the registry's versions are recorded, seconds.
+RECORD_INTERVAL_S = 1.0
+#: Age from which this VM's registry may lack endpoints that serve, seconds.
+MAX_REGISTRY_AGE_S = 3.0
+
+
+@attrs.frozen
+class ObservedVersions:
+    """The software versions of a service that a VM saw while a stream may have begun.
+
+    :param versions: the versions.
+    :param complete: whether the VM saw all that served in that time.
+    """
+
+    versions: frozenset[str]
+    complete: bool
+
+
+class SoftwareVersions(kernel.Part):
+    """Records the software versions of all services.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.discovery = node_kernel.get(discovery.Discovery)
+        self.registry = self.discovery.registry
+        self.feeding = node_kernel.get(feeding.FeedFollowers)
+        self.watching = node_kernel.get(watching.Watching)
+        #: Time at which each version was last in the registry, by service and version,
+        #: on the clock of :func:`boot_clock.now`.
+        self.seen_at_by_version: dict[tuple[str, str], float] = {}
+        #: Time since which this VM's registry has never been outdated, on that clock.
+        self.current_since = math.inf
+
+    def start(self) -> None:
+        """Start to record versions."""
+        self.tasks.every(RECORD_INTERVAL_S, self.record)
+
+    def record(self) -> None:
+        """Record the versions that the registry has now."""
+        now = boot_clock.now()
+        if not self._is_current():
+            self.current_since = math.inf
+        elif self.current_since == math.inf:
+            self.current_since = now
+        for endpoint in self.registry.by_id.values():
+            key = endpoint.entry.service, endpoint.entry.software_version
+            self.seen_at_by_version[key] = now
+        for key, seen_at in list(self.seen_at_by_version.items()):
+            if now - seen_at > MAX_STREAM_S:
+                del self.seen_at_by_version[key]
+
+    def observed(self, service: str) -> ObservedVersions:
+        """Return the versions of a service that can have begun a running stream.
+
+        :param service: the service.
+        """
+        self.record()
+        versions = frozenset(
+            version for name, version in self.seen_at_by_version if name == service
+        )
+        complete = boot_clock.now() - self.current_since >= MAX_STREAM_S
+        return ObservedVersions(versions, complete)
+
+    def _is_current(self) -> bool:
+        """Return whether this VM's registry follows the platform's."""
+        if not self.discovery.loaded:
+            return False
+        follower = self.feeding.follower_by_name["endpoints"]
+        if boot_clock.now() - follower.as_of <= MAX_REGISTRY_AGE_S:
+            return True
+        return bool(self.watching.election.healthy_watchers(time.monotonic()))
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -42,7 +42,9 @@
         answer: transport.HttpAnswer,
     ):
         self.attempts = attempts
-        self.request = request
+        self.request = request.pinned(
+            endpoint.entry.software_version, request.target.service
+        )
         self.endpoint = endpoint
         self.answer = answer
         #: Whether the answer is open and its request counts as running.
