Stream origins: ids longer than 64 characters are not stored

Callers choose ids. A VM stored up to 200,000 of them, each as long as a head may be: far more than its memory. Longer ones are unknown now.

--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
@@ -37,6 +37,8 @@
 RETENTION_S = 2 * software_versions.MAX_STREAM_S
 #: Maximum number of origins that are stored; the oldest are evicted first.
 MAX_ORIGINS = 200_000
+#: Longest id that is stored; callers choose ids.
+MAX_ID_LENGTH = 64
 #: Number of groups of streams; each group has the same owners.
 GROUPS = 64
 #: Interval at which expired origins are dropped, seconds.
@@ -147,6 +149,8 @@
         :param stream_id: id of the request that began it.
         :param entry: the endpoint's entry.
         """
+        if len(stream_id) > MAX_ID_LENGTH:
+            return
         origin = StreamOrigin(entry.service, entry.software_version)
         stored = self.stored_by_id.get(stream_id)
         if stored is not None and stored.origin == origin:
@@ -190,6 +194,8 @@
 
         :param stream_id: id of the request that began it.
         """
+        if len(stream_id) > MAX_ID_LENGTH:
+            return None
         stored = self.stored_by_id.get(stream_id)
         if stored is not None:
             return stored.origin
