After many VMs restarted, those that did not tell which software versions served

What callers saw: in a deployment with one software version, unnamed take-ups were refused for 20 s after most VMs had restarted.

Cause: four owners were asked at most, all of which may have restarted; and a VM whose watcher was gone for a moment counted as one that had not followed the registry. Now up to eight VMs are asked until one has seen all, and a gap of up to 5 s does not count: what changed in it is applied afterwards.

An owner that does not answer is not asked again for a second, as for all other calls of owners.

--- a/packages/mothworks_gateway/src/mothworks_gateway/owners.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/owners.py
@@ -88,17 +88,26 @@
             case result.Ok(reply):
                 return reply
             case result.Err(failure):
-                self._backoff_until_by_vm[owner] = time.monotonic() + BACKOFF_S
-                logs.event(
-                    log,
-                    "owner silent",
-                    thing=thing,
-                    owner=owner,
-                    reason=failure.reason,
-                    outcome=f"not asked for {BACKOFF_S:g} s",
-                )
+                self.record_silent(owner, failure.reason, thing)
         return None
 
+    def record_silent(self, owner: str, reason: str, thing: str) -> None:
+        """Record that an owner did not answer, so that it is not called for a while.
+
+        :param owner: the VM.
+        :param reason: how the call failed.
+        :param thing: what the call was about, for the log.
+        """
+        self._backoff_until_by_vm[owner] = time.monotonic() + BACKOFF_S
+        logs.event(
+            log,
+            "owner silent",
+            thing=thing,
+            owner=owner,
+            reason=reason,
+            outcome=f"not asked for {BACKOFF_S:g} s",
+        )
+
     def _clear(self) -> None:
         """Drop the cached rankings after membership changed."""
         self._ranked_by_key.clear()
--- a/packages/mothworks_gateway/src/mothworks_gateway/software_versions.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/software_versions.py
@@ -19,6 +19,8 @@
 RECORD_INTERVAL_S = 1.0
 #: Age from which this VM's registry may lack endpoints that serve, seconds.
 MAX_REGISTRY_AGE_S = 3.0
+#: Longest time for which the registry may be outdated, seconds, without a new start.
+MAX_GAP_S = 5.0
 
 
 @attrs.frozen
@@ -48,8 +50,10 @@
         #: Time at which each version was last in the registry, by service and version,
         #: on the clock of :func:`boot_clock.now`.
         self.seen_at_by_version: dict[tuple[str, str], float] = {}
-        #: Time since which this VM's registry has never been outdated, on that clock.
+        #: Times since which this VM has followed the platform's registry, and since
+        #: which its own may be outdated, on that clock.
         self.current_since = math.inf
+        self.outdated_since = math.inf
 
     def start(self) -> None:
         """Start to record versions."""
@@ -58,10 +62,7 @@
     def record(self) -> None:
         """Record the versions that the registry has now."""
         now = boot_clock.now()
-        if not self._is_current():
-            self.current_since = math.inf
-        elif self.current_since == math.inf:
-            self.current_since = now
+        self._record_currency(now)
         for endpoint in self.registry.by_id.values():
             key = endpoint.entry.service, endpoint.entry.software_version
             self.seen_at_by_version[key] = now
@@ -78,9 +79,24 @@
         versions = frozenset(
             version for name, version in self.seen_at_by_version if name == service
         )
-        complete = boot_clock.now() - self.current_since >= MAX_STREAM_S
+        followed_s = boot_clock.now() - self.current_since
+        complete = followed_s >= MAX_STREAM_S and self.outdated_since == math.inf
         return ObservedVersions(versions, complete)
 
+    def _record_currency(self, now: float) -> None:
+        """Record since when this VM has followed the registry.
+
+        A short gap does not count: what changed in it is applied afterwards, except for
+        endpoints that came and went within it.
+        """
+        if not self._is_current():
+            self.outdated_since = min(self.outdated_since, now)
+            if now - self.outdated_since > MAX_GAP_S:
+                self.current_since = math.inf
+            return
+        self.outdated_since = math.inf
+        self.current_since = min(self.current_since, now)
+
     def _is_current(self) -> bool:
         """Return whether this VM's registry follows the platform's."""
         if not self.discovery.loaded:
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import collections.abc
 import time
 
 import attrs
@@ -29,6 +30,8 @@
 #: Number of VMs that are asked for an origin: VMs that joined may rank before those
 #: that store it.
 MAX_ASKED = COPIES + 2
+#: Most VMs that are asked which versions served, until one has seen all of them.
+MAX_ASKED_FOR_VERSIONS = 8
 #: Time for which origins are batched before they are sent together, seconds.
 BATCH_DELAY_S = 0.04
 #: Timeout of a query, seconds.
@@ -149,7 +152,7 @@
         :param stream_id: id of the request that began it.
         :param entry: the endpoint's entry.
         """
-        if len(stream_id) > MAX_ID_LENGTH:
+        if not _is_storable(stream_id):
             return
         origin = StreamOrigin(entry.service, entry.software_version)
         stored = self.stored_by_id.get(stream_id)
@@ -194,27 +197,36 @@
 
         :param stream_id: id of the request that began it.
         """
-        if len(stream_id) > MAX_ID_LENGTH:
+        if not _is_storable(stream_id):
             return None
         stored = self.stored_by_id.get(stream_id)
         if stored is not None:
             return stored.origin
-        for reply in self._ask("", stream_id):
+        for reply in self._ask("", stream_id, MAX_ASKED):
             if reply.known:
                 origin = StreamOrigin(reply.service, reply.software_version)
                 self._store(stream_id, origin)
                 return origin
         return None
 
-    def _ask(self, service: str, stream_id: str):
-        """Yield the replies of a stream's owners, one after the other."""
+    def _ask(
+        self, service: str, stream_id: str, count: int
+    ) -> collections.abc.Iterator[OriginReply]:
+        """Yield the replies of a stream's owners, one after the other.
+
+        Unlike other calls of owners, it waits for a connection to open: a stream that
+        is refused is lost.
+        """
         query = OriginQuery(service, stream_id)
-        for vm in self._ranked(stream_id)[:MAX_ASKED]:
+        for vm in self._ranked(stream_id)[:count]:
             if vm == self.name or self.owners.is_unresponsive(vm):
                 continue
             match self.peers.call(vm, query, QUERY_TIMEOUT_S):
                 case result.Ok(OriginReply() as reply):
                     yield reply
+                case result.Err(failure):
+                    thing = "the origins of streams"
+                    self.owners.record_silent(vm, failure.reason, thing)
 
     def _only_origin(
         self, request: caller_request.CallerRequest
@@ -224,14 +236,17 @@
             return None
         service = request.target.service
         own = self.versions.observed(service)
-        versions, complete = set(own.versions), own.complete
+        versions, complete = own.versions, own.complete
         if len(versions) == 1 and not complete:
-            for reply in self._ask(service, request.resumes):
-                versions.update(reply.versions)
-                complete = complete or reply.complete
+            for reply in self._ask(service, request.resumes, MAX_ASKED_FOR_VERSIONS):
+                versions |= set(reply.versions)
+                complete = reply.complete
+                if complete or len(versions) > 1:
+                    break
         if len(versions) != 1 or not complete:
             return None
-        return StreamOrigin(service, versions.pop())
+        (version,) = versions
+        return StreamOrigin(service, version)
 
     def _ranked(self, stream_id: str) -> list[str]:
         """Return the VMs that store a stream's origin, and their successors."""
@@ -285,6 +300,11 @@
         )
 
 
+def _is_storable(stream_id: str) -> bool:
+    """Return whether an id names a stream; the id of an unnamed one is empty."""
+    return len(stream_id) <= MAX_ID_LENGTH
+
+
 def _pack(stream_id: str) -> str | bytes:
     """Return the bytes of an id in lower-case hexadecimal, or else the id itself."""
     try:
