Streams whose callers name no origin share none

What callers saw: nothing yet; a stream could go on at another software version.

Cause: a take-up without a name was recorded under the empty id. A stream that was resumed over a peer without a name then found that origin, which was another stream's. Test: failed before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
@@ -302,7 +302,7 @@
 
 def _is_storable(stream_id: str) -> bool:
     """Return whether an id names a stream; the id of an unnamed one is empty."""
-    return len(stream_id) <= MAX_ID_LENGTH
+    return 0 < len(stream_id) <= MAX_ID_LENGTH
 
 
 def _pack(stream_id: str) -> str | bytes:
--- a/packages/mothworks_gateway/tests/test_stream_origins.py
+++ b/packages/mothworks_gateway/tests/test_stream_origins.py
@@ -41,9 +41,10 @@
     assert set(origins) == {ORIGIN}
 
 
-# Guards against callers that fill the memory of VMs with long ids.
-def test_long_ids_are_neither_stored_nor_looked_up(parts):
-    stream_id = "x" * (stream_origins.MAX_ID_LENGTH + 1)
+# Guards against callers that fill the memory of VMs with long ids, and against one
+# origin for all streams whose callers name none.
+@pytest.mark.parametrize("stream_id", ["", "x" * (stream_origins.MAX_ID_LENGTH + 1)])
+def test_empty_and_long_ids_are_neither_stored_nor_looked_up(parts, stream_id):
     record(parts[0], stream_id)
     assert not parts[0].stored_by_id
     assert parts[0].find(stream_id) is None
