Permits wake no VM while no endpoint is fragile

The task now waits until this VM holds or grants a permit. An unused attribute goes with it. Test: the task ran all the time before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_rooms.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_rooms.py
@@ -18,6 +18,7 @@
 
 import attrs
 import gevent
+import gevent.event
 import logbook
 
 from mothworks import kernel, logs, messages, peers
@@ -26,7 +27,6 @@
     declaration_types,
     discovery,
     fragile_endpoints,
-    heartbeat,
     registry,
     running_requests,
     shared_budgets,
@@ -174,7 +174,6 @@
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.fragile = node_kernel.get(fragile_endpoints.FragileEndpoints)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
-        self.heartbeats = node_kernel.get(heartbeat.Heartbeats)
         self.budgets = node_kernel.get(shared_budgets.SharedBudgets)
         self.room_by_id: dict[str, Room] = {}
         #: Permits that this VM holds, as their owners, by endpoint's id.
@@ -185,14 +184,16 @@
         self.starting: collections.Counter[str] = collections.Counter()
         #: Refusals that this VM received since the last message to the owner.
         self.refusals_by_id: collections.Counter[str] = collections.Counter()
+        #: Set while this VM holds or grants permits.
+        self.in_use = gevent.event.Event()
         self.peers.handle(PermitRequest, self._serve)
         self.peers.handle(PermitsReturned, self._on_returned)
         self.peers.on_disconnect.append(self._drop_permits_of)
         self.fragile.on_change.append(self._open_connection)
 
     def start(self) -> None:
-        """Start to return permits."""
-        self.tasks.every(RETURN_INTERVAL_S, self._return_permits)
+        """Start to return permits whenever there are any."""
+        self.tasks.spawn(self._return_while_in_use)
 
     def acquire(
         self,
@@ -262,6 +263,7 @@
             if reply.granted:
                 self.owners_by_id[endpoint.id].append(owner)
                 self.starting[endpoint.id] += 1
+                self.in_use.set()
             return reply.granted
         return False
 
@@ -274,6 +276,7 @@
         except gevent.GreenletExit:
             # The caller left. The owner may have granted a permit all the same.
             self.owners_by_id[message.endpoint_id].append(owner)
+            self.in_use.set()
             raise
 
     def _serve(self, vm: str, message: PermitRequest, reply: peers.Reply) -> None:
@@ -320,6 +323,7 @@
         room = self.room_by_id.get(endpoint.id)
         if room is None:
             room = self.room_by_id[endpoint.id] = Room(self._slots(endpoint), now)
+            self.in_use.set()
         return room
 
     def _slots(self, endpoint: registry.Endpoint) -> int:
@@ -329,6 +333,14 @@
         """
         return max(1, int(endpoint.entry.batch_slots * self.budgets.share()))
 
+    def _return_while_in_use(self) -> None:
+        while True:
+            self.in_use.wait()
+            gevent.sleep(RETURN_INTERVAL_S)
+            self._return_permits()
+            if not (self.owners_by_id or self.room_by_id):
+                self.in_use.clear()
+
     def _return_permits(self) -> None:
         for endpoint_id in list(self.owners_by_id):
             self._return_permits_of(endpoint_id)
