--- a/packages/mothworks_gateway/tests/fleet_builders.py
+++ b/packages/mothworks_gateway/tests/fleet_builders.py
@@ -62,11 +62,24 @@
         for vm in vms:
             self.network.deliver(self.name, vm, frame)
 
-    def receive(self, sender, frame):
-        message, _ = messages.unpack(messages.msgpack.unpackb(frame))
+    def call(self, vm, message, timeout_s):
+        if {self.name, vm} & self.network.down:
+            failure = peers.PeerFailure(vm, "no reply in time", True, True)
+            return result.Err(failure)
+        replies = []
+        frame = messages.pack(message)
+        self.network.peers_by_vm[vm].receive(self.name, frame, replies.append)
+        return result.Ok(_unpack(messages.pack(replies[0])))
+
+    def receive(self, sender, frame, reply=None):
+        message = _unpack(frame)
         handler = self.handler_by_class.get(type(message))
         if handler is not None:
-            handler(sender, message, None)
+            handler(sender, message, reply)
+
+
+def _unpack(frame):
+    return messages.unpack(messages.msgpack.unpackb(frame))[0]
 
 
 def vm_names(count):
