After a restart of all VMs, streams go on where one software version served

Cause: what a VM knows of software versions was in memory only.

Now the lease's record, which its holder writes at each renewal anyway, has the versions of each service that may have begun running streams. With two versions, such streams are refused as before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -141,6 +141,10 @@
         self.blocked_requests: collections.abc.Callable[
             [], tuple[lease_record.BlockedRequest, ...]
         ] = tuple
+        #: Returns the software versions that the record stores.
+        self.software_versions: collections.abc.Callable[
+            [], tuple[lease_record.ServiceVersions, ...]
+        ] = tuple
         self._rejected_fence = 0
         #: The platform's era as of this VM's last call for the lease; None before one.
         self.era: int | None = None
@@ -193,6 +197,10 @@
             self._drop("an endpoint has seen a newer fencing token")
             self._rejected_fence = fence
 
+    def refresh(self) -> None:
+        """Read the stored record, which the callbacks in :attr:`on_read` receive."""
+        self._read()
+
     def release(self, reason: str) -> None:
         """Release the lease at once, so that another VM can acquire it.
 
@@ -256,6 +264,7 @@
             self.record,
             renewals=self.record.renewals + 1,
             blocked=self.blocked_requests(),
+            software_versions=self.software_versions(),
         )
         sent_at = boot_clock.now()
         match self.api.put(KEY, record.body(), self.version):
@@ -416,7 +425,12 @@
         era = cursors.era(int(version) if version else self.discovery.registry.cursor)
         new_fence = lease_record.next_fence(era, fence, self._rejected_fence)
         record = lease_record.Record(
-            self.name, new_fence, 0, self.life, self.blocked_requests()
+            self.name,
+            new_fence,
+            0,
+            self.life,
+            self.blocked_requests(),
+            self.software_versions(),
         )
         reclaims, self._reclaims = self._reclaims, False
         sent_at = boot_clock.now()
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease_record.py
@@ -23,6 +23,18 @@
     left_s: int
 
 
+@attrs.frozen
+class ServiceVersions:
+    """The software versions of a service whose streams may still be running.
+
+    :param service: the service.
+    :param versions: the versions.
+    """
+
+    service: str
+    versions: tuple[str, ...]
+
+
 @attrs.frozen
 class Record:
     """The lease as it is stored.
@@ -32,6 +44,7 @@
     :param renewals: grows by one with each renewal, so that each write changes it.
     :param life: random id of the holder's process, by which it recognises its write.
     :param blocked: the blocked requests, for a restart of all VMs.
+    :param software_versions: the services' software versions, for the same.
     """
 
     holder: str
@@ -39,6 +52,7 @@
     renewals: int
     life: str
     blocked: tuple[BlockedRequest, ...] = ()
+    software_versions: tuple[ServiceVersions, ...] = ()
 
     def body(self) -> bytes:
         """Return the record as JSON."""
@@ -59,6 +73,7 @@
             int(value["renewals"]),
             str(value["life"]),
             tuple(map(_read_blocked, value.get("blocked", ()))),
+            tuple(map(_read_versions, value.get("software_versions", ()))),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"not a lease record: {error!r}")
@@ -71,6 +86,10 @@
     )
 
 
+def _read_versions(value: dict[str, typing.Any]) -> ServiceVersions:
+    return ServiceVersions(str(value["service"]), tuple(map(str, value["versions"])))
+
+
 def next_fence(era: int, *known: int) -> int:
     """Return a fencing token that no holder has used before.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_origins.py
@@ -242,6 +242,10 @@
                 complete = reply.complete
                 if complete or len(versions) > 1:
                     break
+        if len(versions) == 1 and not complete:
+            self.versions.read_lease()
+            recorded = self.versions.observed(service)
+            versions, complete = versions | recorded.versions, recorded.complete
         if len(versions) != 1 or not complete:
             return None
         (version,) = versions
