What the lease stores of software versions reads the registry once

Found on reading the change again: each renewal recorded the whole registry once more for each service. The versions that are stored are the same.

--- a/packages/mothworks_gateway/src/mothworks_gateway/software_versions.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/software_versions.py
@@ -95,10 +95,7 @@
         :param service: the service.
         """
         self.record()
-        versions = frozenset(
-            version for name, version in self.seen_at_by_version if name == service
-        )
-        return ObservedVersions(versions, self._is_complete(service))
+        return ObservedVersions(self._versions_of(service), self._is_complete(service))
 
     def read_lease(self) -> None:
         """Read the versions that the lease's record contains, unless just done."""
@@ -107,6 +104,11 @@
                 self.lease.refresh()
                 self._lease_read_at = boot_clock.now()
 
+    def _versions_of(self, service: str) -> frozenset[str]:
+        return frozenset(
+            version for name, version in self.seen_at_by_version if name == service
+        )
+
     def _is_complete(self, service: str) -> bool:
         """Return whether all versions are known that can have begun a stream."""
         if self.outdated_since != math.inf or self.current_since == math.inf:
@@ -120,7 +122,7 @@
         services = sorted({service for service, _ in self.seen_at_by_version})
         return tuple(
             lease_record.ServiceVersions(
-                service, tuple(sorted(self.observed(service).versions))
+                service, tuple(sorted(self._versions_of(service)))
             )
             for service in services
             if self._is_complete(service)
