ended tells how a stream's end was marked, and whether it ended inside an event

The hypotheses differ in whether the broken answers had a framing of their own, and in whether their last bytes ended an event. No line told either.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -105,6 +105,13 @@
         """Return whether more than the close of the connection marks its end."""
         return not self.response.unframed
 
+    @property
+    def framing(self) -> str:
+        """Return how the end of the body is marked: length, chunked or close."""
+        if self.response.unframed:
+            return "close"
+        return "length" if self.response.get("content-length") else "chunked"
+
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield the body in chunks, each with all bytes received since the last."""
         while True:
--- a/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
@@ -8,10 +8,20 @@
 
 #: The empty line that ends an event.
 END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+#: Longest match of that, bytes.
+MAX_END_BYTES = 4
 #: The line with an event's id.
 ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
+def ends_event(tail: bytes) -> bool:
+    """Return whether the last bytes of a stream are the end of an event.
+
+    :param tail: the last :data:`MAX_END_BYTES` bytes, or all if there are fewer.
+    """
+    return any(match.end() == len(tail) for match in END.finditer(tail))
+
+
 class OutOfOrderError(ConnectionError):
     """A stream repeated an event, so it does not continue the previous run."""
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -56,6 +56,8 @@
         self.unreachable = False
         self.relayed_bytes = 0
         self.longest_gap_s = 0.0
+        #: The last bytes received.
+        self.tail = b""
         self.event_splitter = (
             server_sent_events.EventSplitter() if request.route.resumable else None
         )
@@ -99,6 +101,8 @@
             "ended",
             request=self.request.id,
             endpoint=self.endpoint.id,
+            framing=self.answer.framing,
+            inside_event=not server_sent_events.ends_event(self.tail),
             bytes=self.relayed_bytes,
             longest_gap_ms=round(self.longest_gap_s * 1000),
             took_ms=round((time.monotonic() - self.request.received_at) * 1000),
@@ -112,6 +116,7 @@
             self.longest_gap_s = max(self.longest_gap_s, now - last_chunk_at)
             last_chunk_at = now
             self.attempts.paths.record_reached(now)
+            self.tail = (self.tail + data)[-server_sent_events.MAX_END_BYTES :]
             if self.event_splitter is not None:
                 data = self.event_splitter.feed(data)
             if data:
--- a/packages/mothworks_gateway/tests/test_server_sent_events.py
+++ b/packages/mothworks_gateway/tests/test_server_sent_events.py
@@ -49,3 +49,11 @@
         splitter.feed(b"id: 1\r\ndata: a\r\n\r\nid: 2") == b"id: 1\r\ndata: a\r\n\r\n"
     )
     assert splitter.last_id == "1"
+
+
+@pytest.mark.parametrize(
+    ("tail", "ends"),
+    [(b"", False), (b"a\n\n", True), (b"\r\n\r\n", True), (b"a\r\n", False)],
+)
+def test_the_last_bytes_show_whether_an_event_ended(tail, ends):
+    assert server_sent_events.ends_event(tail) is ends
