Errors of endpoints on resumable routes reach their callers whole

What callers saw: a status 4xx of an endpoint with an empty body that breaks off, on routes that may be resumed. Cause: each answer on such a route was split into events, so an error's body was held back as the beginning of one. Only successes are streams.

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -422,7 +422,8 @@
         self.request = request
         self.progress = progress
         self.answer = answer
-        if splitter is None and request.route.resumable:
+        is_success = answer.head.status < 300
+        if splitter is None and request.route.resumable and is_success:
             splitter = server_sent_events.EventSplitter()
         self.splitter = splitter
         self.relayed_bytes = 0
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -59,7 +59,9 @@
         #: The last bytes received.
         self.tail = b""
         self.event_splitter = (
-            server_sent_events.EventSplitter() if request.route.resumable else None
+            server_sent_events.EventSplitter()
+            if request.route.resumable and answer.status < 300
+            else None
         )
 
     def __iter__(self) -> collections.abc.Iterator[bytes]:
