A stream is complete only if it ends with an event

What callers saw: chat replies of servers that crashed, 34 and 463 ms after they began, ended with a 200 whose body was short and framed as complete.

Cause: the end of a stream was taken from its transport. Where an answer has neither a length nor chunks, the close of its connection ends whole answers and crashes alike. Whether the last bytes end an event was looked at only on routes that may be resumed, since only these are split into events. Class: a property that each answer must have was checked only where another feature needed it.

Change: each successful stream is read by an EventReader: EventSplitter where it may be resumed, and EventTracker, which passes the bytes on and keeps the last four, elsewhere. A stream that ends inside an event, however it is framed, was broken off; one without framing has to bring an event besides. Its caller's connection is closed without the last chunk, and the break counts as its endpoint's.

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -407,7 +407,7 @@
     :param request: the request.
     :param progress: its progress.
     :param answer: the peer's answer.
-    :param splitter: splits its events, if a part of it was already relayed.
+    :param events: reads its events, if a part of it was already relayed.
     """
 
     def __init__(
@@ -416,16 +416,16 @@
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
         answer: ForwardedAnswer,
-        splitter: server_sent_events.EventSplitter | None = None,
+        events: server_sent_events.EventReader | None = None,
     ):
         self.forwarding = forwarding
         self.request = request
         self.progress = progress
         self.answer = answer
-        is_success = answer.head.status < 300
-        if splitter is None and request.route.resumable and is_success:
-            splitter = server_sent_events.EventSplitter()
-        self.splitter = splitter
+        if events is None and answer.head.status < 300:
+            events = server_sent_events.reader(request.route.resumable)
+        #: None for an error, whose body has no events.
+        self.events = events
         self.relayed_bytes = 0
 
     def __iter__(self) -> collections.abc.Iterator[bytes]:
@@ -448,37 +448,37 @@
 
     def _chunks(self) -> collections.abc.Iterator[bytes]:
         for data in self.answer.chunks():
-            if self.splitter is not None:
-                data = self.splitter.feed(data)
+            if self.events is not None:
+                data = self.events.feed(data)
             if data:
                 self.relayed_bytes += len(data)
                 yield data
-        if self.splitter is not None and self.splitter.buffer:
-            raise ConnectionResetError("the stream ended inside an event")
+        if self.events is not None:
+            self.events.end_answer(self.answer.answer.is_framed)
 
     def _resume(self, reason: str) -> bool:
         """Resume the stream on another peer; returns whether that succeeded."""
         self.answer.close()
         self.progress.broken_peers.add(self.answer.vm)
-        if self.splitter is None:
+        if self.events is None or not self.request.route.resumable:
             return False
-        if self.relayed_bytes and not self.splitter.last_id:
+        if self.relayed_bytes and not self.events.last_id:
             return False
         if len(self.progress.tried) >= self.request.route.max_endpoints:
             return False
         service = self.request.target.service
         if not self.forwarding.retry_budget.try_spend(service):
             return False
-        self.splitter.buffer = b""
+        self.events.begin_answer()
         resumed = self.forwarding.resume(
-            self.request, self.progress, self.splitter.last_id
+            self.request, self.progress, self.events.last_id
         )
         logs.event(
             log,
             "not resumed" if resumed is None else "resumed",
             request=self.request.id,
             peer=self.answer.vm,
-            after_event=self.splitter.last_id,
+            after_event=self.events.last_id,
             reason=reason[:80],
             outcome="broken off" if resumed is None else "goes on",
         )
--- a/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
@@ -1,7 +1,8 @@
-"""Server-sent events: splits a byte stream into complete events.
+"""Server-sent events: where the events of a byte stream end.
 
 A resumable stream is forwarded in complete events only, so that another run can
-continue after the last event that the caller has received.
+continue after the last event that the caller has received. Others are forwarded as they
+arrive. Either is complete only if it ends with an event.
 """
 
 import re
@@ -14,19 +15,78 @@
 ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
-def ends_event(tail: bytes) -> bool:
-    """Return whether the last bytes of a stream are the end of an event.
+class OutOfOrderError(ConnectionError):
+    """A stream repeated an event, so it does not continue the previous run."""
+
+
+class IncompleteStreamError(ConnectionError):
+    """A stream ended before it was complete."""
+
+
+class EventReader:
+    """Reads the events of an answer that is relayed."""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return what can be forwarded once some bytes are appended.
+
+        :param data: the bytes received.
+        """
+        raise NotImplementedError
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the last bytes received do not end an event."""
+        raise NotImplementedError
+
+    @property
+    def has_event(self) -> bool:
+        """Return whether the present answer has brought a complete event."""
+        raise NotImplementedError
+
+    def end_answer(self, is_framed: bool) -> None:
+        """Check that an answer that has ended is complete.
+
+        :param is_framed: whether the answer marked its end. The close of a connection
+            may also be a crash, so it ends a stream only after an event.
+        :raises IncompleteStreamError: if the stream was broken off.
+        """
+        if self.is_inside_event:
+            raise IncompleteStreamError("the stream ended inside an event")
+        if not (is_framed or self.has_event):
+            raise IncompleteStreamError("the stream ended before its first event")
 
-    :param tail: the last :data:`MAX_END_BYTES` bytes, or all if there are fewer.
+
+class EventTracker(EventReader):
+    """Passes bytes through, and tracks whether an event has ended.
+
+    >>> tracker = EventTracker()
+    >>> tracker.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    b'id: 1\\ndata: a\\n\\nid: 2\\nda'
+    >>> tracker.is_inside_event
+    True
     """
-    return any(match.end() == len(tail) for match in END.finditer(tail))
 
+    def __init__(self):
+        self._tail = b""
 
-class OutOfOrderError(ConnectionError):
-    """A stream repeated an event, so it does not continue the previous run."""
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes; see :meth:`EventReader.feed`."""
+        self._tail = (self._tail + data)[-MAX_END_BYTES:]
+        return data
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the last bytes received do not end an event."""
+        ends = (match.end() for match in END.finditer(self._tail))
+        return bool(self._tail) and len(self._tail) not in ends
+
+    @property
+    def has_event(self) -> bool:
+        """Return whether the answer has brought an event, if it is inside none."""
+        return bool(self._tail)
 
 
-class EventSplitter:
+class EventSplitter(EventReader):
     """Buffers bytes until they form complete events.
 
     >>> splitter = EventSplitter()
@@ -41,21 +101,39 @@
         self.last_id = ""
         #: Bytes of an incomplete event.
         self.buffer = b""
+        self._has_event = False
+
+    def begin_answer(self) -> None:
+        """Drop an incomplete event, since another answer goes on with the stream."""
+        self.buffer = b""
+        self._has_event = False
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events once some bytes are appended.
 
         :param data: the bytes received.
+        :raises OutOfOrderError: if an event's id does not follow the one before it.
         """
         data = self.buffer + data
         end = 0
         for match in END.finditer(data):
             end = match.end()
         complete, self.buffer = data[:end], data[end:]
+        self._has_event = self._has_event or end > 0
         for event_id in ID.findall(complete):
             self._set_last_id(event_id.decode("latin-1"))
         return complete
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the last bytes received do not end an event."""
+        return bool(self.buffer)
+
+    @property
+    def has_event(self) -> bool:
+        """Return whether the present answer has brought a complete event."""
+        return self._has_event
+
     def _set_last_id(self, event_id: str) -> None:
         """Check and store the next event's id; numeric ids must grow within a stream.
 
@@ -66,3 +144,11 @@
         if numeric and int(event_id) <= int(self.last_id):
             raise OutOfOrderError(f"event {event_id} after {self.last_id}")
         self.last_id = event_id
+
+
+def reader(resumable: bool) -> EventReader:
+    """Return a reader of a stream's events.
+
+    :param resumable: whether the stream may go on at another endpoint.
+    """
+    return EventSplitter() if resumable else EventTracker()
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -56,11 +56,10 @@
         self.unreachable = False
         self.relayed_bytes = 0
         self.longest_gap_s = 0.0
-        #: The last bytes received.
-        self.tail = b""
-        self.event_splitter = (
-            server_sent_events.EventSplitter()
-            if request.route.resumable and answer.status < 300
+        #: None for an error, whose body has no events.
+        self.events = (
+            server_sent_events.reader(request.route.resumable)
+            if answer.status < 300
             else None
         )
 
@@ -104,7 +103,7 @@
             request=self.request.id,
             endpoint=self.endpoint.id,
             framing=self.answer.framing,
-            inside_event=not server_sent_events.ends_event(self.tail),
+            inside_event=self.events is not None and self.events.is_inside_event,
             bytes=self.relayed_bytes,
             longest_gap_ms=round(self.longest_gap_s * 1000),
             took_ms=round((time.monotonic() - self.request.received_at) * 1000),
@@ -118,14 +117,13 @@
             self.longest_gap_s = max(self.longest_gap_s, now - last_chunk_at)
             last_chunk_at = now
             self.attempts.paths.record_reached(now)
-            self.tail = (self.tail + data)[-server_sent_events.MAX_END_BYTES :]
-            if self.event_splitter is not None:
-                data = self.event_splitter.feed(data)
+            if self.events is not None:
+                data = self.events.feed(data)
             if data:
                 self.relayed_bytes += len(data)
                 yield data
-        if self.event_splitter is not None and self.event_splitter.buffer:
-            raise ConnectionResetError("the stream ended inside an event")
+        if self.events is not None:
+            self.events.end_answer(self.answer.is_framed)
 
     def _release(self) -> None:
         if self.is_answer_open:
@@ -157,9 +155,10 @@
     def _may_resume(self) -> bool:
         """Return whether the stream may be resumed, which spends a retry."""
         route = self.request.route
-        if self.event_splitter is None or len(self.tried_ids) >= route.max_endpoints:
+        may_resume = self.events is not None and route.resumable
+        if not may_resume or len(self.tried_ids) >= route.max_endpoints:
             return False
-        if self.relayed_bytes and not self.event_splitter.last_id:
+        if self.relayed_bytes and not self.events.last_id:
             return False
         if self.attempts.poison_requests.is_blocked(self.request):
             return False
@@ -195,9 +194,9 @@
         if not (self.attempts.paths.lost or self.unreachable):
             return None
         progress = request_progress.RequestProgress(self.tried_ids, may_have_run=True)
-        self.event_splitter.buffer = b""
+        self.events.begin_answer()
         answer = self.attempts.forwarding.resume(
-            self.request, progress, self.event_splitter.last_id
+            self.request, progress, self.events.last_id
         )
         if answer is None:
             return None
@@ -206,13 +205,13 @@
             self.request,
             progress,
             answer,
-            self.event_splitter,
+            self.events,
         )
 
     def _resume_at(self, endpoint: registry.Endpoint, left_s: float) -> bool:
         protocol = self.attempts.protocol
-        self.event_splitter.buffer = b""
-        last_id = self.event_splitter.last_id
+        self.events.begin_answer()
+        last_id = self.events.last_id
         deadline = self.request.deadline
         sent_at = time.monotonic()
         sent = protocol.send(
--- a/packages/mothworks_gateway/tests/test_server_sent_events.py
+++ b/packages/mothworks_gateway/tests/test_server_sent_events.py
@@ -51,9 +51,45 @@
     assert splitter.last_id == "1"
 
 
-@pytest.mark.parametrize(
-    ("tail", "ends"),
-    [(b"", False), (b"a\n\n", True), (b"\r\n\r\n", True), (b"a\r\n", False)],
-)
-def test_the_last_bytes_show_whether_an_event_ended(tail, ends):
-    assert server_sent_events.ends_event(tail) is ends
+READERS = [server_sent_events.EventSplitter, server_sent_events.EventTracker]
+
+
+@pytest.mark.parametrize("reader_class", READERS)
+@pytest.mark.parametrize("is_framed", [True, False])
+@pytest.mark.parametrize("data", [b"id: 1", b"id: 1\n\ndata: a\n", b"\r\na\r\n\r"])
+def test_a_stream_that_ends_inside_an_event_is_incomplete(
+    reader_class, data, is_framed
+):
+    reader = reader_class()
+    for number in range(len(data)):
+        reader.feed(data[number : number + 1])
+    with pytest.raises(server_sent_events.IncompleteStreamError):
+        reader.end_answer(is_framed)
+
+
+# Guards against crashes before the first event that look like empty streams.
+@pytest.mark.parametrize("reader_class", READERS)
+def test_only_a_framed_stream_may_be_empty(reader_class):
+    reader = reader_class()
+    reader.end_answer(is_framed=True)
+    with pytest.raises(server_sent_events.IncompleteStreamError):
+        reader.end_answer(is_framed=False)
+
+
+@pytest.mark.parametrize("reader_class", READERS)
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+def test_a_stream_that_ends_with_an_event_is_complete(reader_class, end):
+    reader = reader_class()
+    for number in range(3):
+        reader.feed(b"id: %d" % number + end[:1])
+        reader.feed(end[1:])
+    reader.end_answer(is_framed=False)
+
+
+def test_a_resumed_stream_has_to_bring_an_event():
+    splitter = server_sent_events.EventSplitter()
+    splitter.feed(b"id: 1\n\nid: 2")
+    splitter.begin_answer()
+    assert not splitter.is_inside_event
+    with pytest.raises(server_sent_events.IncompleteStreamError):
+        splitter.end_answer(is_framed=False)
