A long event is searched once, and its length is bounded

What callers saw: nothing yet. On a resumable route, a body of 4 MiB without the end of an event blocked the VM for 23 s, since each chunk made it search all bytes of the event again; and it was kept in memory whole.

Two tests, both failed before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
@@ -11,6 +11,8 @@
 END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 #: Longest match of that, bytes.
 MAX_END_BYTES = 4
+#: Longest event of a resumable stream, bytes.
+MAX_EVENT_BYTES = 1 << 20
 #: The line with an event's id.
 ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
@@ -23,6 +25,10 @@
     """A stream ended before it was complete."""
 
 
+class OversizedEventError(ConnectionError):
+    """An event exceeds :data:`MAX_EVENT_BYTES`."""
+
+
 class EventReader:
     """Reads the events of an answer that is relayed."""
 
@@ -113,12 +119,17 @@
 
         :param data: the bytes received.
         :raises OutOfOrderError: if an event's id does not follow the one before it.
+        :raises OversizedEventError: if an event is too long to be buffered.
         """
+        # An end that is not found yet may begin in the last bytes of the buffer.
+        start = max(0, len(self.buffer) - MAX_END_BYTES + 1)
         data = self.buffer + data
         end = 0
-        for match in END.finditer(data):
+        for match in END.finditer(data, start):
             end = match.end()
         complete, self.buffer = data[:end], data[end:]
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            raise OversizedEventError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         self._has_event = self._has_event or end > 0
         for event_id in ID.findall(complete):
             self._set_last_id(event_id.decode("latin-1"))
--- a/packages/mothworks_gateway/tests/test_server_sent_events.py
+++ b/packages/mothworks_gateway/tests/test_server_sent_events.py
@@ -51,6 +51,7 @@
     assert splitter.last_id == "1"
 
 
+END = server_sent_events.END
 READERS = [server_sent_events.EventSplitter, server_sent_events.EventTracker]
 
 
@@ -93,3 +94,33 @@
     assert not splitter.is_inside_event
     with pytest.raises(server_sent_events.IncompleteStreamError):
         splitter.end_answer(is_framed=False)
+
+
+class CountingPattern:
+    """Finds the ends of events, and counts the bytes that it searches."""
+
+    def __init__(self):
+        self.searched_bytes = 0
+
+    def finditer(self, data, start=0):
+        self.searched_bytes += len(data) - start
+        return END.finditer(data, start)
+
+
+# Guards against long events that block the node, because all their bytes are searched
+# again with each byte that follows.
+def test_a_long_event_is_searched_once(monkeypatch):
+    pattern = CountingPattern()
+    monkeypatch.setattr(server_sent_events, "END", pattern)
+    splitter = server_sent_events.EventSplitter()
+    for _ in range(500):
+        splitter.feed(b"x" * 1000)
+    assert pattern.searched_bytes < 600_000
+
+
+# Guards against endpoints that fill the node's memory with an event that never ends.
+def test_an_event_that_is_too_long_breaks_the_stream():
+    splitter = server_sent_events.EventSplitter()
+    splitter.feed(b"x" * server_sent_events.MAX_EVENT_BYTES)
+    with pytest.raises(server_sent_events.OversizedEventError):
+        splitter.feed(b"x")
