A broken answer is reset where only its connection's close would end it

What callers saw: those that speak HTTP/1.0 got a part of a stream and then a close in good order, which is how their whole answers end. Now the connection is reset.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -10,6 +10,7 @@
 import collections.abc
 import email.errors
 import socket
+import struct
 import typing
 
 import gevent
@@ -28,6 +29,8 @@
 LINGER_BYTES = 64 << 10
 #: Retry-After of the refusal above the connection limit, seconds.
 CONNECTIONS_RETRY_AFTER_S = 1.0
+#: Value of SO_LINGER with which closing a connection resets it.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Defects that the standard library's parser records for malformed header lines.
 HEADER_DEFECTS = (
     email.errors.FirstHeaderLineIsContinuationDefect,
@@ -125,6 +128,8 @@
             super().process_result()
         except BrokenAnswer:
             self.close_connection = True
+            if self.headers_sent and not self.response_use_chunked:
+                reset_on_close(self.socket)
         except caller_watch.CallerDisconnected:
             self.close_connection = True
         except TimeoutError:
@@ -229,6 +234,14 @@
             self.lingering -= 1
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Make a connection end with a reset, so that its bytes do not look complete.
+
+    :param sock: the connection.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def linger(sock: socket.socket) -> None:
     """Read and drop what a caller still sends, so that it can read the reply.
 
