Only bodies that are streams of events are read as such

Events whose last line and empty line end differently were not seen to end.

The Content-Type decides, where there is one; an end is an empty line after LF or CR.

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -422,9 +422,10 @@
         self.request = request
         self.progress = progress
         self.answer = answer
-        if events is None and answer.head.status < 300:
-            events = server_sent_events.reader(request.route.resumable)
-        #: None for an error, whose body has no events.
+        if events is None:
+            head = answer.head
+            resumable = request.route.resumable
+            events = server_sent_events.reader(head.status, head.headers, resumable)
         self.events = events
         self.relayed_bytes = 0
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
@@ -5,12 +5,15 @@
 arrive. Either is complete only if it ends with an event.
 """
 
+import collections.abc
 import re
 
-#: The empty line that ends an event.
-END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+#: The media type of a stream of events.
+MEDIA_TYPE = "text/event-stream"
+#: The empty line that ends an event, with the end of the line before it.
+END = re.compile(rb"\n\r?\n|\r\r")
 #: Longest match of that, bytes.
-MAX_END_BYTES = 4
+MAX_END_BYTES = 3
 #: Longest event of a resumable stream, bytes.
 MAX_EVENT_BYTES = 1 << 20
 #: The line with an event's id.
@@ -157,9 +160,22 @@
         self.last_id = event_id
 
 
-def reader(resumable: bool) -> EventReader:
-    """Return a reader of a stream's events.
+def reader(
+    status: int, headers: collections.abc.Iterable[tuple[str, str]], resumable: bool
+) -> EventReader | None:
+    """Return a reader of an answer's events, or None if it has none.
 
+    An answer on a streaming route has events unless it is an error or its headers name
+    another type.
+
+    :param status: the answer's HTTP status.
+    :param headers: its headers.
     :param resumable: whether the stream may go on at another endpoint.
     """
+    if status >= 300:
+        return None
+    for name, value in headers:
+        media_type = value.partition(";")[0].strip().lower()
+        if name.lower() == "content-type" and media_type != MEDIA_TYPE:
+            return None
     return EventSplitter() if resumable else EventTracker()
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -56,11 +56,8 @@
         self.unreachable = False
         self.relayed_bytes = 0
         self.longest_gap_s = 0.0
-        #: None for an error, whose body has no events.
-        self.events = (
-            server_sent_events.reader(request.route.resumable)
-            if answer.status < 300
-            else None
+        self.events = server_sent_events.reader(
+            answer.status, answer.headers, request.route.resumable
         )
 
     def __iter__(self) -> collections.abc.Iterator[bytes]:
--- a/packages/mothworks_gateway/tests/test_server_sent_events.py
+++ b/packages/mothworks_gateway/tests/test_server_sent_events.py
@@ -78,7 +78,7 @@
 
 
 @pytest.mark.parametrize("reader_class", READERS)
-@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r", b"\n\r\n", b"\r\n\n"])
 def test_a_stream_that_ends_with_an_event_is_complete(reader_class, end):
     reader = reader_class()
     for number in range(3):
@@ -87,6 +87,21 @@
     reader.end_answer(is_framed=False)
 
 
+@pytest.mark.parametrize(
+    ("status", "media_type", "expected"),
+    [
+        (200, "text/event-stream", True),
+        (200, "Text/Event-Stream; charset=utf-8", True),
+        (200, "application/json", False),
+        (422, "text/event-stream", False),
+    ],
+)
+def test_only_successes_of_the_right_type_are_streams(status, media_type, expected):
+    headers = [("content-TYPE", media_type)]
+    reader = server_sent_events.reader(status, headers, resumable=True)
+    assert (reader is not None) == expected
+
+
 def test_a_resumed_stream_has_to_bring_an_event():
     splitter = server_sent_events.EventSplitter()
     splitter.feed(b"id: 1\n\nid: 2")
