--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -123,6 +123,7 @@
                 attempt=progress.sends,
                 running=self.running_requests.of_endpoint(endpoint.id),
                 crashes=self.poison_requests.crash_count(request),
+                parts=",".join(part.id for part in request.shared_parts),
                 left_ms=round((request.deadline - started_at) * 1000),
                 took_ms=round((time.monotonic() - started_at) * 1000, 1),
                 outcome="answer begun" if has_reply else progress.reason,
--- a/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
@@ -122,11 +122,16 @@
     def unshared_tokens(self) -> int:
         """Return the prompt tokens that are probably in no endpoint's prefix cache.
 
-        These are the last part's, since other requests share all other parts.
+        These are the last part's; see :attr:`shared_parts`.
         """
         tokens = self.prompt[-1].tokens if self.prompt else self.input_tokens
         return max(0, tokens)
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts of its prompt that other requests may have, too."""
+        return self.prompt[:-1]
+
     def fingerprint(self) -> bytes:
         """Return a hash that is equal for copies of the same caller's request."""
         account = "" if self.account is None else self.account.name
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -126,6 +126,7 @@
                 fingerprint=fingerprint.hex(),
                 endpoint=endpoint.id,
                 endpoints=count,
+                parts=",".join(part.id for part in request.shared_parts),
                 outcome="refused" if self.is_blocked(request) else "noted",
             )
 
