Requests that share a part which crashes endpoints are refused by all VMs

What callers saw: requests with one part in their prompts, all different otherwise, crashed endpoint after endpoint: 18 in 20 s, ten sends after the fifth crash.

Cause: crashes were counted by copies of one request. The fingerprint holds path, body and all parts, so each of these requests began a new history, and no evidence was ever joined. Class: what is counted has to be what the cause may be in, not the whole that happens to hold it.

Change: a crash counts against each shared part of the prompt besides (never the last). A part is blocked after crashes at three moments. An answer that runs on for 0.5 s clears its parts, on all VMs, for crashes up to 2 s after it began, since a bad part lets no answer begin; a part that any VM has seen run well in the last 120 s needs six. So the first part, which sound requests share, stays open. Endpoints that fall at one moment count once. Reports, digests and the lease's record carry parts as they carry requests; a blocked request is no demand for its model.

crash_histories.py holds what requests and parts have in common; their policies differ.

--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -0,0 +1,217 @@
+"""Crash histories: which endpoints crashed while they ran requests of one kind.
+
+A kind is known by its fingerprint: the copies of one request, or all requests with one
+part in their prompts. It is blocked once enough endpoints crashed under it and nothing
+of it has run well meanwhile.
+"""
+
+import collections
+
+import attrs
+
+#: Time for which a kind is blocked after its last crash, seconds.
+RETENTION_S = 120.0
+#: Upper bound of the number of histories; the oldest are evicted first.
+MAX_HISTORIES = 2000
+#: Upper bound of the number of kinds of which the last success is remembered.
+MAX_SUCCESSES = 4000
+#: Endpoints that crash within this time, seconds, crash at the same moment.
+SAME_MOMENT_S = 0.2
+
+
+@attrs.frozen
+class BlockPolicy:
+    """When a kind of requests is blocked.
+
+    :param crashes: number of endpoints that must have crashed.
+    :param crashes_after_success: the same for a kind that is known to have run well
+        within the last :data:`RETENTION_S`.
+    :param counts_moments: whether endpoints that crash at the same moment count once:
+        that many fall at once may have one cause, whatever ran on them.
+    :param success_s: time after a success in which crashes do not count, seconds.
+    """
+
+    crashes: int
+    crashes_after_success: int
+    counts_moments: bool
+    success_s: float
+
+
+@attrs.define
+class CrashHistory:
+    """The endpoints that crashed under one kind of requests.
+
+    :param endpoints: their ids.
+    :param last_crash_at: monotonic time of the last crash.
+    :param moments: number of moments at which they crashed.
+    :param blocks: whether requests of this kind have to be refused.
+    """
+
+    endpoints: set[str]
+    last_crash_at: float
+    moments: int = 0
+    blocks: bool = False
+
+
+class CrashHistories:
+    """The crash histories of one sort of kinds, as one VM knows them.
+
+    :param policy: when a kind is blocked.
+    """
+
+    def __init__(self, policy: BlockPolicy):
+        self.policy = policy
+        self.history_by_fingerprint: collections.OrderedDict[bytes, CrashHistory] = (
+            collections.OrderedDict()
+        )
+        #: Monotonic time at which the last success began, by fingerprint.
+        self.success_at_by_fingerprint: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+
+    def is_blocked(self, fingerprint: bytes, now: float) -> bool:
+        """Return whether requests of a kind have to be refused.
+
+        :param fingerprint: the kind.
+        :param now: monotonic time, seconds.
+        """
+        history = self.history_by_fingerprint.get(fingerprint)
+        if history is None or now - history.last_crash_at > RETENTION_S:
+            return False
+        return history.blocks
+
+    def blocked(self) -> dict[bytes, CrashHistory]:
+        """Return the histories that block, by fingerprint."""
+        return {
+            fingerprint: history
+            for fingerprint, history in self.history_by_fingerprint.items()
+            if history.blocks
+        }
+
+    def count(self, fingerprint: bytes) -> int:
+        """Return how many endpoints are known to have crashed under a kind.
+
+        :param fingerprint: the kind.
+        """
+        history = self.history_by_fingerprint.get(fingerprint)
+        return len(history.endpoints) if history else 0
+
+    def record_crash(self, fingerprint: bytes, endpoint_id: str, now: float) -> bool:
+        """Record a crash; returns whether it is new and counts.
+
+        :param fingerprint: the kind.
+        :param endpoint_id: the endpoint.
+        :param now: monotonic time of the crash, seconds.
+        """
+        if self.has_success(fingerprint, now):
+            return False
+        history = self.history_by_fingerprint.get(fingerprint)
+        if history is None:
+            history = CrashHistory(set(), now)
+            self.history_by_fingerprint[fingerprint] = history
+        if endpoint_id in history.endpoints:
+            return False
+        if not history.endpoints or now - history.last_crash_at >= SAME_MOMENT_S:
+            history.moments += 1
+        history.endpoints.add(endpoint_id)
+        history.last_crash_at = max(history.last_crash_at, now)
+        history.blocks = history.blocks or self._suffices(fingerprint, history)
+        self.history_by_fingerprint.move_to_end(fingerprint)
+        if len(self.history_by_fingerprint) > MAX_HISTORIES:
+            self._evict_one()
+        return True
+
+    def record_success(
+        self, fingerprint: bytes, began_at: float
+    ) -> CrashHistory | None:
+        """Record that a request ran well; returns the history that this clears.
+
+        :param fingerprint: a kind of the request.
+        :param began_at: monotonic time at which its answer began, seconds.
+        """
+        known_at = self.success_at_by_fingerprint.get(fingerprint, began_at)
+        self.success_at_by_fingerprint[fingerprint] = max(known_at, began_at)
+        self.success_at_by_fingerprint.move_to_end(fingerprint)
+        if len(self.success_at_by_fingerprint) > MAX_SUCCESSES:
+            self.success_at_by_fingerprint.popitem(last=False)
+        history = self.history_by_fingerprint.get(fingerprint)
+        if history is None:
+            return None
+        if self.has_success(fingerprint, history.last_crash_at):
+            return self.history_by_fingerprint.pop(fingerprint)
+        history.blocks = self._suffices(fingerprint, history)
+        return None
+
+    def is_proven(self, fingerprint: bytes, now: float) -> bool:
+        """Return whether a kind is known to have run well not long ago.
+
+        :param fingerprint: the kind.
+        :param now: monotonic time, seconds.
+        """
+        success_at = self.success_at_by_fingerprint.get(fingerprint)
+        return success_at is not None and now - success_at < RETENTION_S
+
+    def has_success(self, fingerprint: bytes, crash_at: float) -> bool:
+        """Return whether a success speaks against counting a crash.
+
+        :param fingerprint: the kind.
+        :param crash_at: monotonic time of the crash, seconds.
+        """
+        success_at = self.success_at_by_fingerprint.get(fingerprint)
+        return success_at is not None and crash_at - success_at < self.policy.success_s
+
+    def merge(
+        self, fingerprint: bytes, endpoint_ids: tuple[str, ...], last_crash_at: float
+    ) -> bool:
+        """Add a history that blocks on another VM; returns whether it was new.
+
+        :param fingerprint: the kind.
+        :param endpoint_ids: the endpoints that crashed.
+        :param last_crash_at: monotonic time of the last crash, seconds.
+        """
+        history = self.history_by_fingerprint.get(fingerprint)
+        if (
+            history is not None
+            and history.blocks
+            and history.endpoints.issuperset(endpoint_ids)
+        ):
+            return False
+        for endpoint_id in endpoint_ids:
+            self.record_crash(fingerprint, endpoint_id, last_crash_at)
+        history = self.history_by_fingerprint.get(fingerprint)
+        if history is None:
+            return False
+        # When the endpoints crashed is known to the other VM, which counted them.
+        history.moments = max(history.moments, len(history.endpoints))
+        history.blocks = self._suffices(fingerprint, history)
+        return history.blocks
+
+    def evict_expired(self, now: float) -> None:
+        """Drop the histories whose last crash is too long ago to count.
+
+        :param now: monotonic time, seconds.
+        """
+        for fingerprint, history in list(self.history_by_fingerprint.items()):
+            if history.last_crash_at < now - RETENTION_S:
+                del self.history_by_fingerprint[fingerprint]
+
+    def _suffices(self, fingerprint: bytes, history: CrashHistory) -> bool:
+        """Return whether a history blocks its kind."""
+        policy = self.policy
+        proven = self.is_proven(fingerprint, history.last_crash_at)
+        needed = policy.crashes_after_success if proven else policy.crashes
+        counted = history.moments if policy.counts_moments else len(history.endpoints)
+        return counted >= needed
+
+    def _evict_one(self) -> None:
+        """Drop the oldest history, one that does not block if possible.
+
+        A fall of many endpoints adds a history for each request that ran on them.
+        """
+        not_blocking = (
+            fingerprint
+            for fingerprint, history in self.history_by_fingerprint.items()
+            if not history.blocks
+        )
+        oldest = next(iter(self.history_by_fingerprint))
+        del self.history_by_fingerprint[next(not_blocking, oldest)]
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -88,8 +88,11 @@
         :param request: the request.
         """
         self.retry_budget.add_request(request.target.service)
-        self.running_requests.count_arrival(request)
         progress = request_progress.RequestProgress()
+        if self.poison_requests.is_blocked(request):
+            # It is no demand for its model.
+            return self._refuse_blocked(request, progress)
+        self.running_requests.count_arrival(request)
         if request.takes_up:
             match self.origins.pin(request):
                 case result.Ok(pinned):
@@ -118,8 +121,7 @@
     ) -> result.Result[calls.Reply, outcomes.Refusal]:
         while True:
             if self.poison_requests.is_blocked(request):
-                progress.reason = "it crashed several endpoints"
-                return self._refuse(request, progress, 503, None)
+                return self._refuse_blocked(request, progress)
             if self._reaches_no_endpoint(progress):
                 finished = self._forward(request, progress)
                 if finished is None:
@@ -419,6 +421,14 @@
         )
         return result.Err(refusal)
 
+    def _refuse_blocked(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> result.Err[outcomes.Refusal]:
+        progress.reason = "it, or a part of its prompt, crashed several endpoints"
+        return self._refuse(request, progress, 503, None)
+
     def _count(self, request: caller_request.CallerRequest, outcome: str) -> None:
         labels = {"service": request.target.service, "outcome": outcome}
         self.requests_total.inc(labels)
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_replication.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_replication.py
@@ -16,7 +16,13 @@
 import xxhash
 
 from mothworks import kernel, logs, messages, peers
-from mothworks_gateway import heartbeat, lease, lease_record, poison_requests
+from mothworks_gateway import (
+    crash_histories,
+    heartbeat,
+    lease,
+    lease_record,
+    poison_requests,
+)
 
 log = logbook.Logger("poison_replication")
 
@@ -127,7 +133,7 @@
             lease_record.BlockedRequest(
                 fingerprint.hex(),
                 tuple(sorted(history.endpoints)),
-                int(poison_requests.RETENTION_S - (now - history.last_crash_at)),
+                int(crash_histories.RETENTION_S - (now - history.last_crash_at)),
             )
             for fingerprint, history in blocked
         )
@@ -137,7 +143,7 @@
             (
                 bytes.fromhex(item.fingerprint),
                 item.endpoints,
-                poison_requests.RETENTION_S - item.left_s,
+                crash_histories.RETENTION_S - item.left_s,
             )
             for item in record.blocked
         ]
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -1,32 +1,47 @@
-"""Poison requests: requests of which each copy crashes the endpoint that runs it.
+"""Poison requests: requests that crash each endpoint that runs them.
 
-Callers retry such a request again and again, through any VM. Each VM publishes which
-endpoints dropped the connection while they ran a request, which counts as a crash. A
-request that crashed several endpoints is refused by all VMs for a while.
+Callers retry such a request again and again, through any VM. Or a part of its prompt
+crashes endpoints, which many requests share that are otherwise all different. Each VM
+publishes which endpoints dropped the connection while they ran a request, which counts
+as a crash. Copies of a request that crashed several endpoints, and requests with such a
+part, are refused by all VMs for a while.
 
 A copy that completes shows that the request was not the cause, before or after the
 crashes. Look-ups often have the same path and body, and without this the fall of a few
-endpoints would block them on all VMs.
+endpoints would block them on all VMs. A part is cleared by each answer that runs on for
+a while after it began, since a part that crashes endpoints lets no answer do so.
 """
 
-import collections
 import time
 
 import attrs
 import logbook
+import xxhash
 
 from mothworks import kernel, logs, messages, peers, transport
-from mothworks_gateway import broadcast, caller_request, registry
+from mothworks_gateway import (
+    broadcast,
+    caller_request,
+    crash_histories,
+    registry,
+)
 
 log = logbook.Logger("poison")
 
-#: Number of endpoints that a request must have crashed before it is refused.
+#: Number of endpoints that must have crashed before requests are refused.
 CRASHES_TO_BLOCK = 3
-#: Time for which a request is refused after its last crash, seconds.
-RETENTION_S = 120.0
-#: Upper bound of the number of requests that are remembered; the oldest are evicted
-#: first.
-MAX_REQUESTS = 2000
+#: Time after a copy's completion in which no crash counts against a request, seconds.
+COMPLETION_S = crash_histories.RETENTION_S
+#: Time after the begin of an answer that runs on in which no crash counts against the
+#: parts of its prompt, seconds.
+ANSWER_S = 2.0
+#: Time since its first bytes for which an answer must have run to clear the parts of
+#: its prompt, seconds.
+MIN_ANSWER_S = 0.5
+#: Begins the fingerprint of a part, which by it is longer than that of a request.
+PART_PREFIX = b"part"
+#: Length of the fingerprint of a request, bytes.
+REQUEST_BYTES = 16
 
 
 @messages.message(113)
@@ -34,10 +49,10 @@
 class CrashReport:
     """Reports that an endpoint crashed while it ran a request.
 
-    :param fingerprint: see :meth:`caller_request.CallerRequest.fingerprint`.
+    :param fingerprint: fingerprint of the request, or of a part of its prompt.
     :param endpoint: the endpoint's id.
     :param endpoint_count: number of endpoints that the sender knows to have crashed
-        under the request.
+        under requests with that fingerprint.
     """
 
     fingerprint: bytes
@@ -48,31 +63,16 @@
 @messages.message(141)
 @attrs.frozen
 class CrashesCleared:
-    """Reports that a copy of a request with crashes has completed.
+    """Reports that a request with a fingerprint ran well that has crashes elsewhere.
 
-    :param fingerprint: see :meth:`caller_request.CallerRequest.fingerprint`.
+    :param fingerprint: see :class:`CrashReport`.
     :param relay: whether the receiver has to report it to all other VMs.
+    :param age_s: time since its answer began, seconds.
     """
 
     fingerprint: bytes
     relay: bool = False
-
-
-@attrs.define
-class CrashHistory:
-    """The endpoints that crashed while they ran one request.
-
-    :param endpoints: their ids.
-    :param last_crash_at: monotonic time of the last crash.
-    """
-
-    endpoints: set[str]
-    last_crash_at: float
-
-    @property
-    def blocks(self) -> bool:
-        """Return whether the request has to be refused."""
-        return len(self.endpoints) >= CRASHES_TO_BLOCK
+    age_s: float = 0.0
 
 
 class PoisonRequests(kernel.Part):
@@ -85,12 +85,21 @@
         super().__init__(node_kernel)
         self.peers = node_kernel.get(peers.Peers)
         self.broadcast = node_kernel.get(broadcast.Broadcast)
-        self.history_by_fingerprint: collections.OrderedDict[bytes, CrashHistory] = (
-            collections.OrderedDict()
+        self.requests = crash_histories.CrashHistories(
+            crash_histories.BlockPolicy(
+                crashes=CRASHES_TO_BLOCK,
+                crashes_after_success=CRASHES_TO_BLOCK,
+                counts_moments=False,
+                success_s=COMPLETION_S,
+            )
         )
-        #: Monotonic time of the last completion, by fingerprint.
-        self.completed_at_by_fingerprint: collections.OrderedDict[bytes, float] = (
-            collections.OrderedDict()
+        self.parts = crash_histories.CrashHistories(
+            crash_histories.BlockPolicy(
+                crashes=CRASHES_TO_BLOCK,
+                crashes_after_success=2 * CRASHES_TO_BLOCK,
+                counts_moments=True,
+                success_s=ANSWER_S,
+            )
         )
         self.peers.handle(CrashReport, self._on_crash_report)
         self.peers.handle(CrashesCleared, self._on_cleared)
@@ -100,33 +109,46 @@
 
         :param request: the request.
         """
-        if not self.history_by_fingerprint:
-            return False
-        history = self.history_by_fingerprint.get(request.fingerprint())
-        if history is None or time.monotonic() - history.last_crash_at > RETENTION_S:
-            return False
-        return history.blocks
+        now = time.monotonic()
+        if self.requests.history_by_fingerprint and self.requests.is_blocked(
+            request.fingerprint(), now
+        ):
+            return True
+        return bool(self.parts.history_by_fingerprint) and any(
+            self.parts.is_blocked(fingerprint, now)
+            for fingerprint in part_fingerprints(request)
+        )
 
     def record_crash(
-        self, request: caller_request.CallerRequest, endpoint: registry.Endpoint
+        self,
+        request: caller_request.CallerRequest,
+        endpoint: registry.Endpoint,
+        answered: bool = False,
     ) -> None:
         """Record and publish that an endpoint crashed while it ran a request.
 
         :param request: the request.
         :param endpoint: the endpoint.
+        :param answered: whether its answer had run for :data:`MIN_ANSWER_S`, so that no
+            part of its prompt is the cause.
         """
-        fingerprint = request.fingerprint()
-        if self._record(fingerprint, endpoint.id):
-            count = self.crash_count(request)
-            self.broadcast.publish(CrashReport(fingerprint, endpoint.id, count))
+        fingerprints = [request.fingerprint()]
+        if not answered:
+            fingerprints += part_fingerprints(request)
+        now = time.monotonic()
+        is_new = [self._record(item, endpoint.id, now) for item in fingerprints]
+        if is_new[0]:
             logs.event(
                 log,
                 "broke off",
                 request=request.id,
-                fingerprint=fingerprint.hex(),
+                fingerprint=fingerprints[0].hex(),
                 endpoint=endpoint.id,
-                endpoints=count,
+                endpoints=self.requests.count(fingerprints[0]),
                 parts=",".join(part.id for part in request.shared_parts),
+                part_endpoints=",".join(
+                    str(self.parts.count(item)) for item in fingerprints[1:]
+                ),
                 outcome="refused" if self.is_blocked(request) else "noted",
             )
 
@@ -157,10 +179,9 @@
 
         :param request: the request.
         """
-        if not self.history_by_fingerprint:
+        if not self.requests.history_by_fingerprint:
             return 0
-        history = self.history_by_fingerprint.get(request.fingerprint())
-        return len(history.endpoints) if history else 0
+        return self.requests.count(request.fingerprint())
 
     def record_completion(
         self, request: caller_request.CallerRequest, answer: transport.HttpAnswer
@@ -175,128 +196,125 @@
         """
         if not (200 <= answer.status < 300 and answer.is_framed):
             return
-        self._clear(request.fingerprint(), self.kernel.settings.name, publish=True)
+        now = time.monotonic()
+        self._clear(request.fingerprint(), now, self.kernel.settings.name, publish=True)
+        self.record_answer(request, now)
 
-    def blocked(self) -> dict[bytes, CrashHistory]:
-        """Return the histories of the blocked requests, by fingerprint."""
-        return {
-            fingerprint: history
-            for fingerprint, history in self.history_by_fingerprint.items()
-            if history.blocks
-        }
+    def record_answer(
+        self, request: caller_request.CallerRequest, began_at: float
+    ) -> None:
+        """Record that an answer runs well; clears the crashes of its prompt's parts.
+
+        :param request: the request.
+        :param began_at: monotonic time at which its answer began, seconds.
+        """
+        for fingerprint in part_fingerprints(request):
+            self._clear(fingerprint, began_at, self.kernel.settings.name, publish=True)
+
+    def blocked(self) -> dict[bytes, crash_histories.CrashHistory]:
+        """Return the histories of what is blocked, by fingerprint."""
+        return self.requests.blocked() | self.parts.blocked()
 
     def evict_expired(self) -> None:
         """Drop the histories whose last crash is too long ago to count."""
-        oldest_at = time.monotonic() - RETENTION_S
-        for fingerprint, history in list(self.history_by_fingerprint.items()):
-            if history.last_crash_at < oldest_at:
-                del self.history_by_fingerprint[fingerprint]
+        now = time.monotonic()
+        self.requests.evict_expired(now)
+        self.parts.evict_expired(now)
 
     def merge(
         self, vm: str, fingerprint: bytes, endpoints: tuple[str, ...], age_s: float
     ) -> bool:
-        """Add a peer's history of a blocked request; returns whether it was new.
+        """Add a peer's history of what it blocks; returns whether it was new.
 
         :param vm: the peer; empty if the history was read from the platform.
-        :param fingerprint: the request's fingerprint.
+        :param fingerprint: the fingerprint.
         :param endpoints: ids of the endpoints that crashed.
         :param age_s: time since the last crash, seconds.
         """
-        last_crash_at = time.monotonic() - age_s
-        if age_s >= RETENTION_S:
-            return False
-        if self._has_completed(fingerprint):
-            if vm:
-                self.peers.send_nowait(vm, CrashesCleared(fingerprint, relay=True))
+        if age_s >= crash_histories.RETENTION_S:
             return False
-        history = self.history_by_fingerprint.get(fingerprint)
-        if history is not None and history.endpoints.issuperset(endpoints):
+        now = time.monotonic()
+        histories = self._histories(fingerprint)
+        if vm and histories.is_proven(fingerprint, now):
+            self._send_cleared(vm, fingerprint, now)
+        return histories.merge(fingerprint, endpoints, now - age_s)
+
+    def _histories(self, fingerprint: bytes) -> crash_histories.CrashHistories:
+        return self.parts if len(fingerprint) > REQUEST_BYTES else self.requests
+
+    def _record(self, fingerprint: bytes, endpoint_id: str, now: float) -> bool:
+        """Record and publish a crash; returns whether it is new and counts."""
+        histories = self._histories(fingerprint)
+        if not histories.record_crash(fingerprint, endpoint_id, now):
             return False
-        for endpoint_id in endpoints:
-            self._record(fingerprint, endpoint_id)
-        if history is None:
-            self.history_by_fingerprint[fingerprint].last_crash_at = last_crash_at
+        count = histories.count(fingerprint)
+        self.broadcast.publish(CrashReport(fingerprint, endpoint_id, count))
         return True
 
-    def _clear(self, fingerprint: bytes, vm: str, publish: bool) -> None:
-        """Clear a request's crashes, and count none for a while.
+    def _clear(
+        self, fingerprint: bytes, began_at: float, vm: str, publish: bool
+    ) -> None:
+        """Clear the crashes of a fingerprint, and count none for a while.
 
-        :param fingerprint: the request's fingerprint.
-        :param vm: the VM on which a copy completed.
+        :param fingerprint: the fingerprint.
+        :param began_at: monotonic time at which the answer began that ran well.
+        :param vm: the VM on which it did.
         :param publish: whether to report to all VMs that there were crashes.
         """
-        self.completed_at_by_fingerprint[fingerprint] = time.monotonic()
-        self.completed_at_by_fingerprint.move_to_end(fingerprint)
-        if len(self.completed_at_by_fingerprint) > MAX_REQUESTS:
-            self.completed_at_by_fingerprint.popitem(last=False)
-        history = self.history_by_fingerprint.pop(fingerprint, None)
-        if history is None:
-            return
-        _log_history(fingerprint, history, vm, "cleared")
-        if publish:
-            self.broadcast.publish(CrashesCleared(fingerprint))
-
-    def _has_completed(self, fingerprint: bytes) -> bool:
-        """Return whether a copy of a request is known to have completed recently."""
-        completed_at = self.completed_at_by_fingerprint.get(fingerprint)
-        return completed_at is not None and (
-            time.monotonic() - completed_at < RETENTION_S
-        )
+        histories = self._histories(fingerprint)
+        was_proven = histories.is_proven(fingerprint, time.monotonic())
+        was_counted = fingerprint in histories.history_by_fingerprint
+        history = histories.record_success(fingerprint, began_at)
+        if history is not None:
+            _log_history(fingerprint, history, vm, "cleared")
+        is_news = history is not None or (was_counted and not was_proven)
+        if publish and is_news:
+            age_s = time.monotonic() - began_at
+            self.broadcast.publish(CrashesCleared(fingerprint, age_s=age_s))
+
+    def _send_cleared(self, vm: str, fingerprint: bytes, now: float) -> None:
+        """Tell a peer that blocks a fingerprint, or is about to, of a success."""
+        success_at = self._histories(fingerprint).success_at_by_fingerprint[fingerprint]
+        message = CrashesCleared(fingerprint, relay=True, age_s=now - success_at)
+        self.peers.send_nowait(vm, message)
 
     def _on_cleared(self, vm: str, message: CrashesCleared, _) -> None:
-        self._clear(message.fingerprint, vm, publish=message.relay)
+        began_at = time.monotonic() - message.age_s
+        self._clear(message.fingerprint, began_at, vm, publish=message.relay)
 
     def _on_crash_report(self, vm: str, report: CrashReport, _) -> None:
-        if self._record(report.fingerprint, report.endpoint):
-            history = self.history_by_fingerprint[report.fingerprint]
+        now = time.monotonic()
+        histories = self._histories(report.fingerprint)
+        if histories.record_crash(report.fingerprint, report.endpoint, now):
+            history = histories.history_by_fingerprint[report.fingerprint]
             _log_history(report.fingerprint, history, vm, "received")
-        elif report.endpoint_count >= CRASHES_TO_BLOCK - 1 and self._has_completed(
-            report.fingerprint
-        ):
-            # The sender is about to block it, and knows of no completion.
-            message = CrashesCleared(report.fingerprint, relay=True)
-            self.peers.send_nowait(vm, message)
+        is_near_block = report.endpoint_count == CRASHES_TO_BLOCK - 1
+        if is_near_block and histories.is_proven(report.fingerprint, now):
+            # The sender is about to block it, and may know of no success.
+            self._send_cleared(vm, report.fingerprint, now)
 
-    def _record(self, fingerprint: bytes, endpoint_id: str) -> bool:
-        """Record a crash; returns whether it is new and counts."""
-        if self._has_completed(fingerprint):
-            return False
-        now = time.monotonic()
-        history = self.history_by_fingerprint.setdefault(
-            fingerprint, CrashHistory(set(), now)
-        )
-        if endpoint_id in history.endpoints:
-            return False
-        history.endpoints.add(endpoint_id)
-        history.last_crash_at = now
-        self.history_by_fingerprint.move_to_end(fingerprint)
-        if len(self.history_by_fingerprint) > MAX_REQUESTS:
-            self._evict()
-        return True
 
-    def _evict(self) -> None:
-        """Drop the oldest history, one that does not block its request if possible.
+def part_fingerprints(request: caller_request.CallerRequest) -> list[bytes]:
+    """Return the fingerprints of the parts of a prompt that others may share.
 
-        A fall of many endpoints adds a history for each request that ran on them.
-        """
-        not_blocked = (
-            fingerprint
-            for fingerprint, history in self.history_by_fingerprint.items()
-            if not history.blocks
-        )
-        oldest = next(iter(self.history_by_fingerprint))
-        del self.history_by_fingerprint[next(not_blocked, oldest)]
+    :param request: the request.
+    """
+    return [
+        PART_PREFIX + xxhash.xxh128_digest(item.id.encode())
+        for item in request.shared_parts
+    ]
 
 
 def _log_history(
-    fingerprint: bytes, history: CrashHistory, vm: str, outcome: str
+    fingerprint: bytes, history: crash_histories.CrashHistory, vm: str, outcome: str
 ) -> None:
-    """Log what happened to a request's crashes, and the VM that reported it."""
+    """Log what happened to a fingerprint's crashes, and the VM that reported it."""
     logs.event(
         log,
         "crashes",
         fingerprint=fingerprint.hex(),
         endpoints=len(history.endpoints),
+        moments=history.moments,
         peer=vm,
         outcome=outcome,
     )
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -11,6 +11,7 @@
     adapters,
     caller_request,
     forwarding,
+    poison_requests,
     registry,
     request_progress,
     server_sent_events,
@@ -56,6 +57,10 @@
         self.unreachable = False
         self.relayed_bytes = 0
         self.longest_gap_s = 0.0
+        #: Monotonic time of the first bytes, seconds; None before.
+        self.began_at: float | None = None
+        #: Whether the answer has run on for a while after its first bytes.
+        self.runs_well = False
         self.events = server_sent_events.reader(
             answer.status, answer.headers, request.route.resumable
         )
@@ -113,6 +118,7 @@
             now = time.monotonic()
             self.longest_gap_s = max(self.longest_gap_s, now - last_chunk_at)
             last_chunk_at = now
+            self._observe_progress(now)
             self.attempts.paths.record_reached(now)
             if self.events is not None:
                 data = self.events.feed(data)
@@ -122,6 +128,16 @@
         if self.events is not None:
             self.events.end_answer(self.answer.is_framed)
 
+    def _observe_progress(self, now: float) -> None:
+        """Record once that the answer has run on for a while."""
+        if self.began_at is None:
+            self.began_at = now
+        elif not self.runs_well and (
+            now - self.began_at >= poison_requests.MIN_ANSWER_S
+        ):
+            self.runs_well = True
+            self.attempts.poison_requests.record_answer(self.request, self.began_at)
+
     def _release(self) -> None:
         if self.is_answer_open:
             self.is_answer_open = False
@@ -142,7 +158,7 @@
         self.attempts.health.record_failure(self.endpoint, reason)
         if self.endpoint.available:
             poison = self.attempts.poison_requests
-            poison.record_crash(self.request, self.endpoint)
+            poison.record_crash(self.request, self.endpoint, self.runs_well)
         else:
             self._log_uncounted("the endpoint accepted no requests any more")
 
@@ -251,6 +267,8 @@
             self.answer = answer
             self.endpoint = endpoint
             self.is_answer_open = True
+            self.began_at = None
+            self.runs_well = False
             self.attempts.running_requests.request_started(
                 endpoint, self.request.target
             )
