A blocked part is tried by one request of all VMs, and crashes that go on are several moments

A part may be blocked though something else felled the endpoints; as all its requests are refused, nothing could clear it for 120 s. While requests come, a block ends by a trial that runs well, never by time alone.

A moment is counted from its first crash now; a test of that failed before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/caller_request.py
@@ -70,6 +70,8 @@
         stream up; empty for a new stream.
     :param resumes: id of the request that brought the first event of that stream; empty
         if the caller does not name it.
+    :param trial_of: fingerprint of the blocked part that it tries; empty if it is no
+        trial. See :mod:`part_trials`.
     """
 
     id: str
@@ -89,6 +91,7 @@
     account: client_accounts.ClientAccount | None = None
     after_event: str = ""
     resumes: str = ""
+    trial_of: bytes = b""
 
     @property
     def urgency(self) -> int:
--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -15,6 +15,11 @@
 MAX_HISTORIES = 2000
 #: Upper bound of the number of kinds of which the last success is remembered.
 MAX_SUCCESSES = 4000
+#: Time from the last crash until one request of a blocked kind may be sent as a trial,
+#: seconds. It doubles with each trial that fails, up to a maximum that is shorter than
+#: the retention, so that no block ends by time while requests come.
+TRIAL_DELAY_S = 15.0
+MAX_TRIAL_DELAY_S = 60.0
 #: Endpoints that crash within this time, seconds, crash at the same moment.
 SAME_MOMENT_S = 0.2
 
@@ -44,13 +49,23 @@
     :param endpoints: their ids.
     :param last_crash_at: monotonic time of the last crash.
     :param moments: number of moments at which they crashed.
+    :param moment_began_at: monotonic time of the first crash at the last moment.
     :param blocks: whether requests of this kind have to be refused.
+    :param failed_trials: number of trials that crashed their endpoints.
     """
 
     endpoints: set[str]
     last_crash_at: float
     moments: int = 0
+    moment_began_at: float = 0.0
     blocks: bool = False
+    failed_trials: int = 0
+
+    @property
+    def next_trial_at(self) -> float:
+        """Return the monotonic time from which a trial may be sent, seconds."""
+        delay_s = TRIAL_DELAY_S * 2**self.failed_trials
+        return self.last_crash_at + min(MAX_TRIAL_DELAY_S, delay_s)
 
 
 class CrashHistories:
@@ -111,8 +126,12 @@
             self.history_by_fingerprint[fingerprint] = history
         if endpoint_id in history.endpoints:
             return False
-        if not history.endpoints or now - history.last_crash_at >= SAME_MOMENT_S:
+        if history.blocks and now >= history.next_trial_at:
+            history.failed_trials += 1
+        is_moment_over = now - history.moment_began_at >= SAME_MOMENT_S
+        if not history.endpoints or is_moment_over:
             history.moments += 1
+            history.moment_began_at = now
         history.endpoints.add(endpoint_id)
         history.last_crash_at = max(history.last_crash_at, now)
         history.blocks = history.blocks or self._suffices(fingerprint, history)
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -20,6 +20,7 @@
     endpoint_rooms,
     endpoint_selection,
     forwarding,
+    part_trials,
     poison_requests,
     prefill_pacing,
     registry,
@@ -68,6 +69,7 @@
         self.endpoint_selection = node_kernel.get(endpoint_selection.EndpointSelection)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
+        self.part_trials = node_kernel.get(part_trials.PartTrials)
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.residency = node_kernel.get(residency.Residency)
         self.slots = node_kernel.get(send_slots.SendSlots)
@@ -90,8 +92,12 @@
         self.retry_budget.add_request(request.target.service)
         progress = request_progress.RequestProgress()
         if self.poison_requests.is_blocked(request):
-            # It is no demand for its model.
-            return self._refuse_blocked(request, progress)
+            match self.part_trials.admit(request):
+                case result.Ok(trial):
+                    request = trial
+                case result.Err(_):
+                    # It is no demand for its model.
+                    return self._refuse_blocked(request, progress)
         self.running_requests.count_arrival(request)
         if request.takes_up:
             match self.origins.pin(request):
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -109,15 +109,44 @@
 
         :param request: the request.
         """
+        return self._is_request_blocked(request) or bool(self._blocked_parts(request))
+
+    def only_blocked_part(self, request: caller_request.CallerRequest) -> bytes | None:
+        """Return the fingerprint of the only reason for which a request is blocked.
+
+        :param request: the request.
+        :returns: the part's fingerprint; None if there are other reasons, or none.
+        """
+        blocked = self._blocked_parts(request)
+        if len(blocked) != 1 or self._is_request_blocked(request):
+            return None
+        return blocked[0]
+
+    def _is_request_blocked(self, request: caller_request.CallerRequest) -> bool:
+        return bool(self.requests.history_by_fingerprint) and self.requests.is_blocked(
+            request.fingerprint(), time.monotonic()
+        )
+
+    def _blocked_parts(self, request: caller_request.CallerRequest) -> list[bytes]:
+        """Return the fingerprints of a prompt's parts that have to be refused."""
+        if not self.parts.history_by_fingerprint:
+            return []
         now = time.monotonic()
-        if self.requests.history_by_fingerprint and self.requests.is_blocked(
-            request.fingerprint(), now
-        ):
-            return True
-        return bool(self.parts.history_by_fingerprint) and any(
-            self.parts.is_blocked(fingerprint, now)
+        return [
+            fingerprint
             for fingerprint in part_fingerprints(request)
-        )
+            if self.parts.is_blocked(fingerprint, now)
+            and not self._is_trial(request, fingerprint)
+        ]
+
+    def _is_trial(
+        self, request: caller_request.CallerRequest, fingerprint: bytes
+    ) -> bool:
+        """Return whether a request is a trial of a part that has not failed yet."""
+        if request.trial_of != fingerprint:
+            return False
+        history = self.parts.history_by_fingerprint[fingerprint]
+        return history.last_crash_at < request.received_at
 
     def record_crash(
         self,
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -143,6 +143,13 @@
     assert blocked(vms, prompt("first")) == [False, False, False]
 
 
+# Guards against crashes that never count because each soon follows another.
+def test_crashes_that_go_on_are_several_moments(vms):
+    gap_s = crash_histories.SAME_MOMENT_S / 3
+    crash_parts(vms[0], 12, "bad", gap_s=gap_s)
+    assert blocked(vms, prompt("bad")) == [True, True, True]
+
+
 # Guards against a part that other requests share being blocked along with the part that
 # crashes endpoints, because only one VM has seen it run well, and some time ago.
 @pytest.mark.parametrize("age_s", [0.0, 1.0, 30.0])
