Requests that wait for a model are refused at once when they are blocked

What callers saw: a request whose part is blocked while it waits for its model waited on for it, then for a slot, and was refused only right before it was sent; its model was loaded for it. Waiting requests are woken when something is blocked, and the wait asks whether they are.

--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -75,6 +75,8 @@
         self.slots = node_kernel.get(send_slots.SendSlots)
         self.rooms = node_kernel.get(endpoint_rooms.EndpointRooms)
         self.prefill_pacing = node_kernel.get(prefill_pacing.PrefillPacing)
+        # Requests that wait for a model are refused at once if they are blocked.
+        self.poison_requests.on_block.append(self.residency.wake_all)
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
         self.origins = node_kernel.get(stream_origins.StreamOrigins)
@@ -208,6 +210,8 @@
             if request.deadline - now < MIN_TIME_LEFT_S:
                 progress.reason = f"{progress.reason}; out of time"
                 return self._give_up(request, progress)
+            if self.poison_requests.is_blocked(request):
+                return self._refuse_blocked(request, progress)
             candidates = self.endpoint_selection.candidates(request)
             eligible = self._eligible(request, progress, candidates.ready)
             if eligible:
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -12,6 +12,7 @@
 a while after it began, since a part that crashes endpoints lets no answer do so.
 """
 
+import collections.abc
 import time
 
 import attrs
@@ -101,6 +102,8 @@
                 success_s=ANSWER_S,
             )
         )
+        #: Functions to call without arguments once something else is blocked.
+        self.on_block: list[collections.abc.Callable[[], None]] = []
         self.peers.handle(CrashReport, self._on_crash_report)
         self.peers.handle(CrashesCleared, self._on_cleared)
 
@@ -266,7 +269,10 @@
         histories = self._histories(fingerprint)
         if vm and histories.is_proven(fingerprint, now):
             self._send_cleared(vm, fingerprint, now)
-        return histories.merge(fingerprint, endpoints, now - age_s)
+        is_new = histories.merge(fingerprint, endpoints, now - age_s)
+        if is_new:
+            self._notify_blocked()
+        return is_new
 
     def _histories(self, fingerprint: bytes) -> crash_histories.CrashHistories:
         return self.parts if len(fingerprint) > REQUEST_BYTES else self.requests
@@ -274,12 +280,26 @@
     def _record(self, fingerprint: bytes, endpoint_id: str, now: float) -> bool:
         """Record and publish a crash; returns whether it is new and counts."""
         histories = self._histories(fingerprint)
-        if not histories.record_crash(fingerprint, endpoint_id, now):
+        if not self._add_crash(fingerprint, endpoint_id, now):
             return False
         count = histories.count(fingerprint)
         self.broadcast.publish(CrashReport(fingerprint, endpoint_id, count))
         return True
 
+    def _add_crash(self, fingerprint: bytes, endpoint_id: str, now: float) -> bool:
+        """Add a crash to the history of its kind; returns whether it counts."""
+        histories = self._histories(fingerprint)
+        was_blocked = histories.is_blocked(fingerprint, now)
+        if not histories.record_crash(fingerprint, endpoint_id, now):
+            return False
+        if histories.is_blocked(fingerprint, now) and not was_blocked:
+            self._notify_blocked()
+        return True
+
+    def _notify_blocked(self) -> None:
+        for notify in self.on_block:
+            notify()
+
     def _clear(
         self, fingerprint: bytes, began_at: float, vm: str, publish: bool
     ) -> None:
@@ -314,7 +334,7 @@
     def _on_crash_report(self, vm: str, report: CrashReport, _) -> None:
         now = time.monotonic()
         histories = self._histories(report.fingerprint)
-        if histories.record_crash(report.fingerprint, report.endpoint, now):
+        if self._add_crash(report.fingerprint, report.endpoint, now):
             history = histories.history_by_fingerprint[report.fingerprint]
             _log_history(report.fingerprint, history, vm, "received")
         is_near_block = report.endpoint_count == CRASHES_TO_BLOCK - 1
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -145,9 +145,9 @@
         ] = []
         #: Functions to call on the lease holder, with an endpoint's id.
         self.on_not_held: list[collections.abc.Callable[[str], None]] = []
-        self.registry.on_change.append(self._wake_all)
+        self.registry.on_change.append(self.wake_all)
         # Waiting requests must get a reply before the VM stops.
-        node_kernel.on_draining.append(self._wake_all)
+        node_kernel.on_draining.append(self.wake_all)
         self.peers.handle(
             WaitingCallers, lambda vm, message, _: self._on_waiting(vm, message)
         )
@@ -322,7 +322,7 @@
             > READY_CHANGE_S
         }
 
-    def _wake_all(self) -> None:
+    def wake_all(self) -> None:
         """Wake all waiting callers."""
         self.endpoints_changed.set()
         self.endpoints_changed.clear()
