A crash counts against one part, and a success speaks for its parts for 1 s

A crash that a blocked part explains counts against no other, and of the parts of a request the one that ran well least recently is counted first.

--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -33,12 +33,15 @@
         within the last :data:`RETENTION_S`.
     :param counts_moments: whether endpoints that crash at the same moment count once:
         that many fall at once may have one cause, whatever ran on them.
+    :param has_one_cause: whether a crash that a blocked kind explains counts against no
+        other: of the parts that were on an endpoint, one crashed it.
     :param success_s: time after a success in which crashes do not count, seconds.
     """
 
     crashes: int
     crashes_after_success: int
     counts_moments: bool
+    has_one_cause: bool
     success_s: float
 
 
@@ -120,6 +123,8 @@
         """
         if self.has_success(fingerprint, now):
             return False
+        if self._is_explained(fingerprint, endpoint_id):
+            return False
         history = self.history_by_fingerprint.get(fingerprint)
         if history is None:
             history = CrashHistory(set(), now)
@@ -134,7 +139,8 @@
             history.moment_began_at = now
         history.endpoints.add(endpoint_id)
         history.last_crash_at = max(history.last_crash_at, now)
-        history.blocks = history.blocks or self._suffices(fingerprint, history)
+        if not history.blocks and self._suffices(fingerprint, history):
+            self._block(fingerprint, history)
         self.history_by_fingerprint.move_to_end(fingerprint)
         if len(self.history_by_fingerprint) > MAX_HISTORIES:
             self._evict_one()
@@ -179,6 +185,20 @@
         success_at = self.success_at_by_fingerprint.get(fingerprint)
         return success_at is not None and crash_at - success_at < self.policy.success_s
 
+    def by_suspicion(self, fingerprints: list[bytes]) -> list[bytes]:
+        """Return the kinds of one request, those that ran well last at the end.
+
+        Of kinds that never did, the later ones come first: the first parts of prompts
+        are shared by the most requests.
+
+        :param fingerprints: the kinds, in order.
+        """
+        last_first = fingerprints[::-1]
+        return sorted(
+            last_first,
+            key=lambda item: self.success_at_by_fingerprint.get(item, 0.0),
+        )
+
     def merge(
         self, fingerprint: bytes, endpoint_ids: tuple[str, ...], last_crash_at: float
     ) -> bool:
@@ -202,7 +222,8 @@
             return False
         # When the endpoints crashed is known to the other VM, which counted them.
         history.moments = max(history.moments, len(history.endpoints))
-        history.blocks = self._suffices(fingerprint, history)
+        if not history.blocks and self._suffices(fingerprint, history):
+            self._block(fingerprint, history)
         return history.blocks
 
     def evict_expired(self, now: float) -> None:
@@ -214,6 +235,26 @@
             if history.last_crash_at < now - RETENTION_S:
                 del self.history_by_fingerprint[fingerprint]
 
+    def _is_explained(self, fingerprint: bytes, endpoint_id: str) -> bool:
+        """Return whether another kind that blocks is the cause of a crash."""
+        return self.policy.has_one_cause and any(
+            history.blocks and endpoint_id in history.endpoints and key != fingerprint
+            for key, history in self.history_by_fingerprint.items()
+        )
+
+    def _block(self, fingerprint: bytes, blocking: CrashHistory) -> None:
+        """Block a kind, and drop its crashes from the histories of the others."""
+        blocking.blocks = True
+        if not self.policy.has_one_cause:
+            return
+        for key, history in list(self.history_by_fingerprint.items()):
+            if key == fingerprint or history.blocks:
+                continue
+            history.endpoints -= blocking.endpoints
+            history.moments = min(history.moments, len(history.endpoints))
+            if not history.endpoints:
+                del self.history_by_fingerprint[key]
+
     def _suffices(self, fingerprint: bytes, history: CrashHistory) -> bool:
         """Return whether a history blocks its kind."""
         policy = self.policy
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -35,7 +35,7 @@
 COMPLETION_S = crash_histories.RETENTION_S
 #: Time after the begin of an answer that runs on in which no crash counts against the
 #: parts of its prompt, seconds.
-ANSWER_S = 2.0
+ANSWER_S = 1.0
 #: Time since its first bytes for which an answer must have run to clear the parts of
 #: its prompt, seconds.
 MIN_ANSWER_S = 0.5
@@ -91,6 +91,7 @@
                 crashes=CRASHES_TO_BLOCK,
                 crashes_after_success=CRASHES_TO_BLOCK,
                 counts_moments=False,
+                has_one_cause=False,
                 success_s=COMPLETION_S,
             )
         )
@@ -99,6 +100,7 @@
                 crashes=CRASHES_TO_BLOCK,
                 crashes_after_success=2 * CRASHES_TO_BLOCK,
                 counts_moments=True,
+                has_one_cause=True,
                 success_s=ANSWER_S,
             )
         )
@@ -166,7 +168,8 @@
         """
         fingerprints = [request.fingerprint()]
         if not answered:
-            fingerprints += part_fingerprints(request)
+            # The first that reaches the number is blocked as the cause.
+            fingerprints += self.parts.by_suspicion(part_fingerprints(request))
         now = time.monotonic()
         is_new = [self._record(item, endpoint.id, now) for item in fingerprints]
         if is_new[0]:
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -181,3 +181,11 @@
     vms[2].record_answer(prompt("first"), time.monotonic())
     deliver()
     assert blocked(vms, prompt("first")) == [False, False, False]
+
+
+# Guards against a part that is blocked because it was there whenever another crashed an
+# endpoint.
+def test_a_crash_counts_against_one_part(vms):
+    crash_parts(vms[0], 2 * poison_requests.CRASHES_TO_BLOCK, "first", "bad")
+    assert blocked(vms, prompt("bad")) == [True, True, True]
+    assert blocked(vms, prompt("first")) == [False, False, False]
