Test: peers do not connect again while a sender's links are closed

'condition is still false after 20 s' came from the test: it closed the sender's links and waited until none was left, but a peer may connect again before that is seen, and that link stays. With a peer that reconnects as soon as its link is gone, the old test failed in one of three runs with those words. Now no VM connects until the sender has queued its messages, and links are closed until none is left.

The check is the same: with a task for each message put back into peers.py, the test fails; five runs passed.

--- a/packages/mothworks/tests/test_membership.py
+++ b/packages/mothworks/tests/test_membership.py
@@ -242,6 +242,16 @@
     assert vm.kernel.failure is None
 
 
+def wait_before(event, connect):
+    """Return a function that connects once an event is set."""
+
+    def wait_and_connect(*args):
+        event.wait()
+        return connect(*args)
+
+    return wait_and_connect
+
+
 def test_messages_to_an_unconnected_peer_share_one_task(cluster):
     # A VM that has just started sends messages about hundreds of endpoints to a
     # hundred peers before any connection is open. A task per message took 300 MB.
@@ -253,17 +263,17 @@
         vm.peers.handle(
             membership_sync.MembersTable, lambda *args: received.append(args)
         )
-    for link in list(sender.peers.link_by_vm.values()):
-        link.close()
-    processes.wait_until(lambda: not sender.peers.link_by_vm)
     opened = gevent.event.Event()
-    connect = sender.peers.connect
+    for vm in vms:
+        # The peers would connect to the sender as soon as its links are closed.
+        vm.peers.connect = wait_before(opened, vm.peers.connect)
 
-    def wait_and_connect(*args):
-        opened.wait()
-        return connect(*args)
+    def are_links_closed():
+        for link in list(sender.peers.link_by_vm.values()):
+            link.close()
+        return not sender.peers.link_by_vm
 
-    sender.peers.connect = wait_and_connect
+    processes.wait_until(are_links_closed)
     tasks_before = len(sender.peers.tasks.group)
     for _ in range(300):
         sender.peers.send_to_region(membership_sync.MembersTable(()))
