A stream speaks for its parts at the time when it began

A stream that began before a part turned bad, and that ended seconds later, spoke for the part at its end, so crashes since did not count. It speaks for its begin now; one test.

What blocks is kept in a dict of its own: each recorded crash looked through all histories for one that explains it, up to 2,000, and each request was hashed as soon as any crash was known.

--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -82,6 +82,8 @@
         self.history_by_fingerprint: collections.OrderedDict[bytes, CrashHistory] = (
             collections.OrderedDict()
         )
+        #: Those of the histories that block.
+        self.blocking_by_fingerprint: dict[bytes, CrashHistory] = {}
         #: Monotonic time at which the last success began, by fingerprint.
         self.success_at_by_fingerprint: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
@@ -93,18 +95,12 @@
         :param fingerprint: the kind.
         :param now: monotonic time, seconds.
         """
-        history = self.history_by_fingerprint.get(fingerprint)
-        if history is None or now - history.last_crash_at > RETENTION_S:
-            return False
-        return history.blocks
+        history = self.blocking_by_fingerprint.get(fingerprint)
+        return history is not None and now - history.last_crash_at <= RETENTION_S
 
     def blocked(self) -> dict[bytes, CrashHistory]:
         """Return the histories that block, by fingerprint."""
-        return {
-            fingerprint: history
-            for fingerprint, history in self.history_by_fingerprint.items()
-            if history.blocks
-        }
+        return dict(self.blocking_by_fingerprint)
 
     def count(self, fingerprint: bytes) -> int:
         """Return how many endpoints are known to have crashed under a kind.
@@ -163,8 +159,11 @@
         if history is None:
             return None
         if self.has_success(fingerprint, history.last_crash_at):
-            return self.history_by_fingerprint.pop(fingerprint)
-        history.blocks = self._suffices(fingerprint, history)
+            self._remove(fingerprint)
+            return history
+        if history.blocks and not self._suffices(fingerprint, history):
+            history.blocks = False
+            del self.blocking_by_fingerprint[fingerprint]
         return None
 
     def is_proven(self, fingerprint: bytes, now: float) -> bool:
@@ -233,18 +232,19 @@
         """
         for fingerprint, history in list(self.history_by_fingerprint.items()):
             if history.last_crash_at < now - RETENTION_S:
-                del self.history_by_fingerprint[fingerprint]
+                self._remove(fingerprint)
 
     def _is_explained(self, fingerprint: bytes, endpoint_id: str) -> bool:
         """Return whether another kind that blocks is the cause of a crash."""
         return self.policy.has_one_cause and any(
-            history.blocks and endpoint_id in history.endpoints and key != fingerprint
-            for key, history in self.history_by_fingerprint.items()
+            endpoint_id in history.endpoints and key != fingerprint
+            for key, history in self.blocking_by_fingerprint.items()
         )
 
     def _block(self, fingerprint: bytes, blocking: CrashHistory) -> None:
         """Block a kind, and drop its crashes from the histories of the others."""
         blocking.blocks = True
+        self.blocking_by_fingerprint[fingerprint] = blocking
         if not self.policy.has_one_cause:
             return
         for key, history in list(self.history_by_fingerprint.items()):
@@ -263,6 +263,10 @@
         counted = history.moments if policy.counts_moments else len(history.endpoints)
         return counted >= needed
 
+    def _remove(self, fingerprint: bytes) -> None:
+        del self.history_by_fingerprint[fingerprint]
+        self.blocking_by_fingerprint.pop(fingerprint, None)
+
     def _evict_one(self) -> None:
         """Drop the oldest history, one that does not block if possible.
 
@@ -274,4 +278,4 @@
             if not history.blocks
         )
         oldest = next(iter(self.history_by_fingerprint))
-        del self.history_by_fingerprint[next(not_blocking, oldest)]
+        self._remove(next(not_blocking, oldest))
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -128,13 +128,14 @@
         return blocked[0]
 
     def _is_request_blocked(self, request: caller_request.CallerRequest) -> bool:
-        return bool(self.requests.history_by_fingerprint) and self.requests.is_blocked(
+        requests = self.requests
+        return bool(requests.blocking_by_fingerprint) and requests.is_blocked(
             request.fingerprint(), time.monotonic()
         )
 
     def _blocked_parts(self, request: caller_request.CallerRequest) -> list[bytes]:
         """Return the fingerprints of a prompt's parts that have to be refused."""
-        if not self.parts.history_by_fingerprint:
+        if not self.parts.blocking_by_fingerprint:
             return []
         now = time.monotonic()
         return [
@@ -219,7 +220,10 @@
         return self.requests.count(request.fingerprint())
 
     def record_completion(
-        self, request: caller_request.CallerRequest, answer: transport.HttpAnswer
+        self,
+        request: caller_request.CallerRequest,
+        answer: transport.HttpAnswer,
+        began_at: float | None = None,
     ) -> None:
         """Record a whole answer; a success clears the request's crashes on all VMs.
 
@@ -228,12 +232,14 @@
 
         :param request: the request.
         :param answer: the answer, its body read to the end.
+        :param began_at: monotonic time at which a stream began, seconds; None for a
+            plain answer.
         """
         if not (200 <= answer.status < 300 and answer.is_framed):
             return
         now = time.monotonic()
         self._clear(request.fingerprint(), now, self.kernel.settings.name, publish=True)
-        self.record_answer(request, now)
+        self.record_answer(request, now if began_at is None else began_at)
 
     def record_answer(
         self, request: caller_request.CallerRequest, began_at: float
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -73,7 +73,7 @@
                     yield from self._chunks()
                     self.outcome = "complete"
                     self.attempts.poison_requests.record_completion(
-                        self.request, self.answer
+                        self.request, self.answer, self.began_at
                     )
                     return
                 except transport.CONNECTION_ERRORS as error:
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -189,3 +189,13 @@
     crash_parts(vms[0], 2 * poison_requests.CRASHES_TO_BLOCK, "first", "bad")
     assert blocked(vms, prompt("bad")) == [True, True, True]
     assert blocked(vms, prompt("first")) == [False, False, False]
+
+
+# Guards against streams that began before a part turned bad, and that speak for it when
+# they end.
+def test_a_stream_speaks_for_its_parts_at_the_time_when_it_began(vms):
+    began_at = time.monotonic() - poison_requests.ANSWER_S
+    crash_parts(vms[0], 2 * poison_requests.CRASHES_TO_BLOCK, "bad")
+    vms[0].record_completion(prompt("bad"), SUCCESS, began_at)
+    deliver()
+    assert blocked(vms, prompt("bad")) == [True, True, True]
