VMs agree on what is blocked: moments are reported, and a peer's block is taken over

A report says how many. - Two VMs that explained the same crashes by different parts did not take each other's block over, and an owner that did not block a part never granted its trial. A peer's block is taken over, and the owner grants then. Three tests, of these three; the two of the second point failed before.

--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -110,21 +110,22 @@
         history = self.history_by_fingerprint.get(fingerprint)
         return len(history.endpoints) if history else 0
 
-    def record_crash(self, fingerprint: bytes, endpoint_id: str, now: float) -> bool:
+    def record_crash(
+        self, fingerprint: bytes, endpoint_id: str, now: float, moments: int = 0
+    ) -> bool:
         """Record a crash; returns whether it is new and counts.
 
         :param fingerprint: the kind.
         :param endpoint_id: the endpoint.
         :param now: monotonic time of the crash, seconds.
+        :param moments: number of moments that the VM which reports it has counted;
+            reports are batched, so their times do not tell.
         """
         if self.has_success(fingerprint, now):
             return False
         if self._is_explained(fingerprint, endpoint_id):
             return False
-        history = self.history_by_fingerprint.get(fingerprint)
-        if history is None:
-            history = CrashHistory(set(), now)
-            self.history_by_fingerprint[fingerprint] = history
+        history = self._get_or_create(fingerprint, now)
         if endpoint_id in history.endpoints:
             return False
         if history.blocks and now >= history.next_trial_at:
@@ -134,12 +135,9 @@
             history.moments += 1
             history.moment_began_at = now
         history.endpoints.add(endpoint_id)
+        history.moments = max(history.moments, min(moments, len(history.endpoints)))
         history.last_crash_at = max(history.last_crash_at, now)
-        if not history.blocks and self._suffices(fingerprint, history):
-            self._block(fingerprint, history)
-        self.history_by_fingerprint.move_to_end(fingerprint)
-        if len(self.history_by_fingerprint) > MAX_HISTORIES:
-            self._evict_one()
+        self._evaluate(fingerprint, history)
         return True
 
     def record_success(
@@ -207,22 +205,16 @@
         :param endpoint_ids: the endpoints that crashed.
         :param last_crash_at: monotonic time of the last crash, seconds.
         """
-        history = self.history_by_fingerprint.get(fingerprint)
-        if (
-            history is not None
-            and history.blocks
-            and history.endpoints.issuperset(endpoint_ids)
-        ):
+        if self.has_success(fingerprint, last_crash_at):
             return False
-        for endpoint_id in endpoint_ids:
-            self.record_crash(fingerprint, endpoint_id, last_crash_at)
-        history = self.history_by_fingerprint.get(fingerprint)
-        if history is None:
+        history = self._get_or_create(fingerprint, last_crash_at)
+        if history.blocks and history.endpoints.issuperset(endpoint_ids):
             return False
+        history.endpoints.update(endpoint_ids)
         # When the endpoints crashed is known to the other VM, which counted them.
         history.moments = max(history.moments, len(history.endpoints))
-        if not history.blocks and self._suffices(fingerprint, history):
-            self._block(fingerprint, history)
+        history.last_crash_at = max(history.last_crash_at, last_crash_at)
+        self._evaluate(fingerprint, history)
         return history.blocks
 
     def evict_expired(self, now: float) -> None:
@@ -234,6 +226,19 @@
             if history.last_crash_at < now - RETENTION_S:
                 self._remove(fingerprint)
 
+    def _get_or_create(self, fingerprint: bytes, now: float) -> CrashHistory:
+        return self.history_by_fingerprint.setdefault(
+            fingerprint, CrashHistory(set(), now)
+        )
+
+    def _evaluate(self, fingerprint: bytes, history: CrashHistory) -> None:
+        """Block a kind if its crashes suffice, after some were added."""
+        if not history.blocks and self._suffices(fingerprint, history):
+            self._block(fingerprint, history)
+        self.history_by_fingerprint.move_to_end(fingerprint)
+        if len(self.history_by_fingerprint) > MAX_HISTORIES:
+            self._evict_one()
+
     def _is_explained(self, fingerprint: bytes, endpoint_id: str) -> bool:
         """Return whether another kind that blocks is the cause of a crash."""
         return self.policy.has_one_cause and any(
--- a/packages/mothworks_gateway/src/mothworks_gateway/part_trials.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/part_trials.py
@@ -78,7 +78,8 @@
         fingerprint = self.poison_requests.only_blocked_part(request)
         if fingerprint is None:
             return result.Err("not blocked by one part alone")
-        if not self._is_due(fingerprint):
+        history = self.poison_requests.parts.history_by_fingerprint[fingerprint]
+        if time.monotonic() < history.next_trial_at:
             return result.Err("not due")
         if not self._request_grant(fingerprint):
             return result.Err("not granted")
@@ -92,10 +93,6 @@
         )
         return result.Ok(attrs.evolve(request, trial_of=fingerprint))
 
-    def _is_due(self, fingerprint: bytes) -> bool:
-        history = self.poison_requests.parts.blocked().get(fingerprint)
-        return history is not None and time.monotonic() >= history.next_trial_at
-
     def _request_grant(self, fingerprint: bytes) -> bool:
         """Return whether the part's owner, or the next if it is silent, grants."""
         for owner in self.budgets.responsive_owners(fingerprint.hex()):
@@ -110,8 +107,10 @@
     def _grant(self, fingerprint: bytes) -> bool:
         now = time.monotonic()
         granted_until = self._granted_until_by_fingerprint.get(fingerprint, 0.0)
-        is_free = now >= granted_until and self.budgets.may_grant()
-        if not (is_free and self._is_due(fingerprint)):
+        # Another VM may block a part that this one does not, and wait for a trial.
+        history = self.poison_requests.parts.blocked().get(fingerprint)
+        is_due = history is None or now >= history.next_trial_at
+        if now < granted_until or not is_due or not self.budgets.may_grant():
             return False
         if len(self._granted_until_by_fingerprint) >= crash_histories.MAX_HISTORIES:
             self._granted_until_by_fingerprint.clear()
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -54,11 +54,13 @@
     :param endpoint: the endpoint's id.
     :param endpoint_count: number of endpoints that the sender knows to have crashed
         under requests with that fingerprint.
+    :param moments: number of different moments at which they did.
     """
 
     fingerprint: bytes
     endpoint: str
     endpoint_count: int = 0
+    moments: int = 0
 
 
 @messages.message(141)
@@ -291,15 +293,20 @@
         histories = self._histories(fingerprint)
         if not self._add_crash(fingerprint, endpoint_id, now):
             return False
-        count = histories.count(fingerprint)
-        self.broadcast.publish(CrashReport(fingerprint, endpoint_id, count))
+        history = histories.history_by_fingerprint[fingerprint]
+        report = CrashReport(
+            fingerprint, endpoint_id, len(history.endpoints), history.moments
+        )
+        self.broadcast.publish(report)
         return True
 
-    def _add_crash(self, fingerprint: bytes, endpoint_id: str, now: float) -> bool:
+    def _add_crash(
+        self, fingerprint: bytes, endpoint_id: str, now: float, moments: int = 0
+    ) -> bool:
         """Add a crash to the history of its kind; returns whether it counts."""
         histories = self._histories(fingerprint)
         was_blocked = histories.is_blocked(fingerprint, now)
-        if not histories.record_crash(fingerprint, endpoint_id, now):
+        if not histories.record_crash(fingerprint, endpoint_id, now, moments):
             return False
         if histories.is_blocked(fingerprint, now) and not was_blocked:
             self._notify_blocked()
@@ -343,7 +350,7 @@
     def _on_crash_report(self, vm: str, report: CrashReport, _) -> None:
         now = time.monotonic()
         histories = self._histories(report.fingerprint)
-        if self._add_crash(report.fingerprint, report.endpoint, now):
+        if self._add_crash(report.fingerprint, report.endpoint, now, report.moments):
             history = histories.history_by_fingerprint[report.fingerprint]
             _log_history(report.fingerprint, history, vm, "received")
         is_near_block = report.endpoint_count == CRASHES_TO_BLOCK - 1
--- a/packages/mothworks_gateway/tests/test_part_trials.py
+++ b/packages/mothworks_gateway/tests/test_part_trials.py
@@ -141,3 +141,14 @@
     gevent.sleep(0.35)
     vms[0].budgets.may_grant = lambda: False
     assert admitted(vms, "bad") == []
+
+
+# Guards against a part that stays blocked on one VM, since its owner does not block it.
+def test_an_owner_grants_trials_of_parts_that_it_does_not_block(vms):
+    block(vms, "bad")
+    vms[0].poison_requests.parts.record_success(
+        poison_requests.part_fingerprints(prompt("bad"))[0], time.monotonic()
+    )
+    assert not vms[0].poison_requests.is_blocked(prompt("bad"))
+    gevent.sleep(0.35)
+    assert len(admitted(vms[1:], "bad")) == 1
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -9,6 +9,7 @@
 
 import fleet_builders
 import gateway_builders
+from mothworks import messages
 from mothworks_gateway import (
     broadcast,
     caller_request,
@@ -199,3 +200,24 @@
     vms[0].record_completion(prompt("bad"), SUCCESS, began_at)
     deliver()
     assert blocked(vms, prompt("bad")) == [True, True, True]
+
+
+# Guards against VMs that never agree on what is blocked, because each explains the
+# crashes by a part of its own.
+def test_what_a_peer_blocks_is_blocked(vms):
+    crash_parts(vms[0], poison_requests.CRASHES_TO_BLOCK, "bad")
+    [fingerprint] = poison_requests.part_fingerprints(prompt("other"))
+    [history] = vms[0].blocked().values()
+    vms[0].merge("vm-2", fingerprint, tuple(history.endpoints), 0.0)
+    assert vms[0].is_blocked(prompt("other"))
+    assert vms[0].is_blocked(prompt("bad"))
+
+
+# Guards against VMs that count fewer moments since reports reach them in batches.
+def test_moments_are_counted_by_the_vm_that_sees_the_crashes(vms):
+    request = prompt("bad")
+    [fingerprint] = poison_requests.part_fingerprints(request)
+    for number in range(1, poison_requests.CRASHES_TO_BLOCK + 1):
+        report = poison_requests.CrashReport(fingerprint, f"i-{number}", number, number)
+        vms[1].peers.receive("vm-1", messages.pack(report))
+    assert vms[1].is_blocked(request)
