--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -72,7 +72,7 @@
 
 
 class CrashHistories:
-    """The crash histories of one sort of kinds, as one VM knows them.
+    """The crash histories of copies of requests, or of parts, as one VM knows them.
 
     :param policy: when a kind is blocked.
     """
@@ -183,12 +183,12 @@
         return success_at is not None and crash_at - success_at < self.policy.success_s
 
     def by_suspicion(self, fingerprints: list[bytes]) -> list[bytes]:
-        """Return the kinds of one request, those that ran well last at the end.
+        """Return a request's kinds in the order in which crashes are counted.
 
-        Of kinds that never did, the later ones come first: the first parts of prompts
-        are shared by the most requests.
+        Those that ran well least recently come first. Of those that never did, the last
+        come first: most requests share the first parts of prompts.
 
-        :param fingerprints: the kinds, in order.
+        :param fingerprints: the kinds, in the order of the prompt.
         """
         last_first = fingerprints[::-1]
         return sorted(
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -98,7 +98,7 @@
                 case result.Ok(trial):
                     request = trial
                 case result.Err(_):
-                    # It is no demand for its model.
+                    # A refused request is no demand for its model.
                     return self._refuse_blocked(request, progress)
         self.running_requests.count_arrival(request)
         if request.takes_up:
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -171,7 +171,7 @@
         """
         fingerprints = [request.fingerprint()]
         if not answered:
-            # The first that reaches the number is blocked as the cause.
+            # The first part to reach the threshold is blocked as the cause.
             fingerprints += self.parts.by_suspicion(part_fingerprints(request))
         now = time.monotonic()
         is_new = [self._record(item, endpoint.id, now) for item in fingerprints]
