--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -128,7 +128,8 @@
             super().process_result()
         except BrokenAnswer:
             self.close_connection = True
-            if self.headers_sent and not self.response_use_chunked:
+            is_framed = self.response_use_chunked or self.provided_content_length
+            if self.headers_sent and not is_framed:
                 reset_on_close(self.socket)
         except caller_watch.CallerDisconnected:
             self.close_connection = True
