--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -119,7 +119,7 @@
         :param endpoint_id: the endpoint.
         :param now: monotonic time of the crash, seconds.
         :param moments: number of moments that the VM which reports it has counted;
-            reports are batched, so their times do not tell.
+            reports are batched, so their times of arrival differ from the crashes'.
         """
         if self.has_success(fingerprint, now):
             return False
--- a/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/poison_requests.py
@@ -338,7 +338,7 @@
             self.broadcast.publish(CrashesCleared(fingerprint, age_s=age_s))
 
     def _send_cleared(self, vm: str, fingerprint: bytes, now: float) -> None:
-        """Tell a peer that blocks a fingerprint, or is about to, of a success."""
+        """Report a success to a peer that blocks a fingerprint, or is about to."""
         success_at = self._histories(fingerprint).success_at_by_fingerprint[fingerprint]
         message = CrashesCleared(fingerprint, relay=True, age_s=now - success_at)
         self.peers.send_nowait(vm, message)
--- a/packages/mothworks_gateway/tests/part_strategies.py
+++ b/packages/mothworks_gateway/tests/part_strategies.py
@@ -1,4 +1,4 @@
-"""Ways to tell which part of prompts crashes endpoints, compared in a simulation.
+"""Ways to identify the part of prompts that crashes endpoints, compared by simulation.
 
 ``python part_strategies.py`` prints, for each way and scenario, how many endpoints bad
 requests crashed, how many requests were refused that would have run well, and how many
--- a/packages/mothworks_gateway/tests/test_part_strategies.py
+++ b/packages/mothworks_gateway/tests/test_part_strategies.py
@@ -1,4 +1,4 @@
-"""The way that is chosen to tell which part of prompts crashes endpoints."""
+"""The way that is chosen to identify the part of prompts that crashes endpoints."""
 
 import pytest
 
