A crash is recorded though all other histories block

With 2,000 blocked histories, a new one was evicted at once, and the look-up right after it raised KeyError, which stops the VM. The newest history stays now.

--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -275,12 +275,11 @@
     def _evict_one(self) -> None:
         """Drop the oldest history, one that does not block if possible.
 
-        A fall of many endpoints adds a history for each request that ran on them.
+        A fall of many endpoints adds a history for each request that ran on them. The
+        newest stays, since its crash is being recorded.
         """
+        *older, _ = self.history_by_fingerprint
         not_blocking = (
-            fingerprint
-            for fingerprint, history in self.history_by_fingerprint.items()
-            if not history.blocks
+            key for key in older if not self.history_by_fingerprint[key].blocks
         )
-        oldest = next(iter(self.history_by_fingerprint))
-        self._remove(next(not_blocking, oldest))
+        self._remove(next(not_blocking, older[0]))
--- a/packages/mothworks_gateway/tests/test_poison_requests.py
+++ b/packages/mothworks_gateway/tests/test_poison_requests.py
@@ -221,3 +221,13 @@
         report = poison_requests.CrashReport(fingerprint, f"i-{number}", number, number)
         vms[1].peers.receive("vm-1", messages.pack(report))
     assert vms[1].is_blocked(request)
+
+
+# Guards against a VM that stops at a crash, because all that it remembers blocks.
+def test_a_crash_is_recorded_though_all_other_histories_block(vms, monkeypatch):
+    monkeypatch.setattr(crash_histories, "MAX_HISTORIES", 2)
+    for number in range(2):
+        crash(vms[0], gateway_builders.request(path=f"/{number}"))
+    request = gateway_builders.request(path="/new")
+    crash(vms[0], request)
+    assert blocked(vms, request) == [True, True, True]
