--- a/packages/mothworks_gateway/src/mothworks_gateway/client_accounts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/client_accounts.py
@@ -9,6 +9,7 @@
 import functools
 import hashlib
 import secrets
+import statistics
 
 import attrs
 
@@ -117,6 +118,24 @@
         """
         return self._by_digest.get(digest(key)) if key else None
 
+    @functools.cached_property
+    def weight_by_name(self) -> dict[str, float]:
+        """Return the share of each account that has a usage cap, by name.
+
+        It is the cap relative to the mean of all caps that count the same unit, so that
+        an account without a cap has the weight 1.
+        """
+        caps = [item.cap for item in self.by_name.values() if item.cap is not None]
+        mean_by_unit = {
+            unit: statistics.fmean(cap.per_s for cap in caps if cap.unit is unit)
+            for unit in {cap.unit for cap in caps}
+        }
+        return {
+            item.name: item.cap.per_s / mean_by_unit[item.cap.unit]
+            for item in self.by_name.values()
+            if item.cap is not None and item.cap.per_s > 0
+        }
+
     @functools.cached_property
     def _by_digest(self) -> dict[bytes, ClientAccount]:
         return {
--- a/packages/mothworks_gateway/src/mothworks_gateway/declaration_types.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declaration_types.py
@@ -13,6 +13,9 @@
 
 #: Highest rank of urgency that endpoints distinguish; 0 is the most urgent.
 LOWEST_URGENCY = 9
+#: Ratio of a request's latency objective to the shortest one of its service from which
+#: it is patient: it can wait for several runs of others and still be in time.
+PATIENCE_RATIO = 8.0
 
 
 @attrs.frozen
@@ -163,6 +166,48 @@
     document: bytes = attrs.field(default=b"", repr=False, eq=False)
     accounts: client_accounts.Accounts | None = attrs.field(default=None, repr=False)
 
+    @functools.cached_property
+    def objectives_by_service(self) -> dict[str, list[float]]:
+        """Return the latency objectives of each service's routes, ascending, seconds."""
+        objectives_by_service: dict[str, list[float]] = {}
+        for route in self.routes:
+            for share in route.shares:
+                objectives = objectives_by_service.setdefault(share.service, [])
+                objectives.append(route.objective_s)
+        for objectives in objectives_by_service.values():
+            objectives.sort()
+        return objectives_by_service
+
+    @functools.cached_property
+    def has_patient_routes(self) -> bool:
+        """Return whether a service has both urgent and patient routes."""
+        return any(
+            objectives[-1] >= PATIENCE_RATIO * objectives[0]
+            for objectives in self.objectives_by_service.values()
+        )
+
+    def is_patient(self, service: str, objective_s: float) -> bool:
+        """Return whether a request can wait for several runs and still be in time.
+
+        :param service: its service.
+        :param objective_s: its latency objective, seconds.
+        """
+        objectives = self.objectives_by_service.get(service)
+        return bool(objectives) and objective_s >= PATIENCE_RATIO * objectives[0]
+
+    def shortest_max_gap_s(self, service: str) -> float:
+        """Return the shortest pause that streams of a service may have; 0 if any.
+
+        :param service: the service.
+        """
+        gaps = [
+            route.max_gap_s
+            for route in self.routes
+            if route.max_gap_s > 0
+            and any(share.service == service for share in route.shares)
+        ]
+        return min(gaps, default=0.0)
+
     @functools.cached_property
     def routes_by_host(self) -> dict[str, list[Route]]:
         """Return the routes of each host, the longest prefix first."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/settings.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/settings.py
@@ -142,6 +142,9 @@
         counted.
     :param logs: how it logs.
     :param deployment: the name of the deployment.
+    :param endpoint_queue: whether requests wait in one queue of their service instead
+        of at endpoints: ``on``, ``off``, or ``auto`` for a declaration with patient
+        routes.
     """
 
     name: str
@@ -164,6 +167,9 @@
     )
     logs: node_settings.Logs = node_settings.Logs()
     deployment: str = "mothworks"
+    endpoint_queue: str = attrs.field(
+        default="auto", validator=attrs.validators.in_(("auto", "on", "off"))
+    )
 
     @property
     def port(self) -> int:
