Estimator of the speeds of a service's endpoints

All endpoints of a service are assumed to be equally fast, but speeds differ up to 2.4 times. The estimator compares each answer with the usual time of its model and takes a weighted median per endpoint; overdue runs count too.

--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_speeds.py
@@ -0,0 +1,394 @@
+"""Endpoint speeds: estimates how fast the endpoints of one service are, relative to
+each other.
+
+Each answer gives a sample: the time to its first event, or its time per event. Answers
+of different models cannot be compared, since larger models run slower. So each sample
+is compared with the usual time of its kind, of its model and, for prompts, of its
+length. An endpoint's speed is the weighted median of these ratios; the usual times are
+in turn those of an endpoint of mean speed. Both are updated with each sample.
+
+A run that should have begun and has not counts as a sample, too: an endpoint that
+becomes slow gives no other samples until its slow runs begin.
+
+The estimator is pure. It reads no clock; callers pass the monotonic time.
+"""
+
+import collections
+import itertools
+import math
+
+import attrs
+
+from mothworks_gateway import prefill_samples
+
+#: Half-life of a sample's weight, seconds. A change of speed has to show within 2 s:
+#: after this time, the samples before the change are outweighed.
+SAMPLE_HALF_LIFE_S = 1.5
+#: Half-life with which the speed of an endpoint without samples returns to 1.0,
+#: seconds, so that the endpoint is tried again.
+IDLE_HALF_LIFE_S = 10.0
+#: Weight of the estimate so far among the samples. Fewer samples than this change
+#: nothing, so that one or two outliers don't.
+PRIOR_WEIGHT = 2.0
+#: Maximum number of samples per endpoint.
+MAX_SAMPLES = 40
+#: Minimum time between two estimates of all speeds, seconds: each estimate sorts the
+#: samples.
+REFRESH_INTERVAL_S = 0.5
+#: Share of a sample in the usual time of its kind, after the first ones.
+REFERENCE_SHARE = 0.05
+#: Largest deviation of one sample, as a logarithm, that changes the usual time.
+MAX_DEVIATION = 0.5
+#: Bounds of a speed. Beyond, an endpoint is broken rather than slow, and it still has
+#: to get samples.
+MIN_SPEED = 0.1
+MAX_SPEED = 10.0
+#: Time to the first event that does not depend on the prompt, in tokens of prefill.
+OVERHEAD_TOKENS = 512
+#: Time after which an overdue run that is not reported again counts as begun, seconds.
+OVERDUE_EXPIRY_S = 0.75
+#: Overdue runs of an endpoint that are kept.
+MAX_OVERDUE = 64
+#: Upper bounds of the state, for callers that never forget an endpoint or that use
+#: ever new models. The least recently used ones are evicted.
+MAX_ENDPOINTS = 4096
+MAX_REFERENCES = 4096
+MAX_MODELS = 1024
+#: Half-life of a run's weight in the mean run time, seconds.
+RUN_HALF_LIFE_S = 15.0
+#: Prefill speed returned while there are too few samples, tokens per second.
+DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
+#: Prompts for the prefill speed of the service, and new ones between two estimates.
+MAX_PROMPTS = 160
+MIN_PROMPTS = 32
+PROMPTS_PER_ESTIMATE = 16
+
+#: Kind of a sample, its model and the class of its prompt's length.
+_Reference = tuple[str, str, int]
+
+
+@attrs.frozen
+class _Sample:
+    """One answer.
+
+    :param reference: the usual time that it is compared with.
+    :param cost: logarithm of its seconds per unit of work.
+    :param at: monotonic time.
+    """
+
+    reference: _Reference
+    cost: float
+    at: float
+
+
+@attrs.define
+class _Usual:
+    """The usual time of one kind of sample at an endpoint of speed 1.0.
+
+    :param cost: logarithm of the seconds per unit of work.
+    :param samples: number of samples so far.
+    """
+
+    cost: float
+    samples: int = 1
+
+    def add(self, cost: float) -> None:
+        self.samples += 1
+        deviation = min(MAX_DEVIATION, max(-MAX_DEVIATION, cost - self.cost))
+        self.cost += deviation * max(REFERENCE_SHARE, 1.0 / self.samples)
+
+
+@attrs.define
+class _Endpoint:
+    """What is known about one endpoint.
+
+    :param speed: logarithm of its speed as of ``updated_at``.
+    :param updated_at: monotonic time of the last estimate.
+    :param has_news: whether there are samples since then.
+    :param samples: the latest samples.
+    :param overdue_by_start: overdue runs by the time at which they were sent, as the
+        speed that they show (logarithm) and the time of the last report.
+    """
+
+    updated_at: float
+    speed: float = 0.0
+    has_news: bool = False
+    samples: collections.deque[_Sample] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
+    )
+    overdue_by_start: dict[float, tuple[float, float]] = attrs.field(factory=dict)
+
+    def speed_at(self, now: float) -> float:
+        """Return the logarithm of the speed now."""
+        idle_s = max(0.0, now - self.updated_at)
+        return self.speed * 0.5 ** (idle_s / IDLE_HALF_LIFE_S)
+
+
+@attrs.define
+class _DecayingMean:
+    """Mean of values whose weight halves every ``RUN_HALF_LIFE_S``."""
+
+    total: float = 0.0
+    weight: float = 0.0
+    at: float = 0.0
+
+    def add(self, value: float, now: float) -> None:
+        decay = 0.5 ** (max(0.0, now - self.at) / RUN_HALF_LIFE_S)
+        self.total = self.total * decay + value
+        self.weight = self.weight * decay + 1.0
+        self.at = now
+
+    def mean(self) -> float:
+        return self.total / self.weight
+
+
+class SpeedEstimator:
+    """Estimates the speeds of the endpoints of one service.
+
+    Samples that are not positive numbers are ignored.
+    """
+
+    def __init__(self):
+        self._endpoint_by_id: dict[str, _Endpoint] = {}
+        self._usual_by_reference: dict[_Reference, _Usual] = {}
+        self._prompts: collections.deque[prefill_samples.Sample] = collections.deque(
+            maxlen=MAX_PROMPTS
+        )
+        self._new_prompts = 0
+        self._prefill_tokens_per_s: float | None = None
+        self._run_by_model: dict[str, _DecayingMean] = {}
+        self._run_of_service = _DecayingMean()
+        self._refreshed_at = -math.inf
+
+    def add_prefill(
+        self, endpoint_id: str, model: str, tokens: float, seconds: float, now: float
+    ) -> None:
+        """Add the time to the first event of an answer.
+
+        :param endpoint_id: the endpoint.
+        :param model: the model that ran.
+        :param tokens: length of the prompt, without the part that is cached.
+        :param seconds: time from sending the request to the first event.
+        :param now: monotonic time.
+        """
+        if not _are_positive(tokens, seconds):
+            return
+        length_class = int(tokens).bit_length() // 2
+        cost = math.log(seconds / (tokens + OVERHEAD_TOKENS))
+        endpoint = self._add(endpoint_id, ("prefill", model, length_class), cost, now)
+        self._add_prompt(tokens, seconds * math.exp(endpoint.speed_at(now)))
+
+    def add_decode(
+        self, endpoint_id: str, model: str, tokens: float, seconds: float, now: float
+    ) -> None:
+        """Add the decoding time of an answer, or the time of a plain answer.
+
+        :param endpoint_id: the endpoint.
+        :param model: the model that ran; empty for plain services.
+        :param tokens: events after the first one; 1 for plain answers.
+        :param seconds: time from the first event to the last one, or of the answer.
+        :param now: monotonic time.
+        """
+        if _are_positive(tokens, seconds):
+            cost = math.log(seconds / tokens)
+            self._add(endpoint_id, ("decode", model, 0), cost, now)
+
+    def overdue(
+        self, endpoint_id: str, expected_s: float, waited_s: float, now: float
+    ) -> None:
+        """Report a run that has not begun in the time expected.
+
+        It has to be reported again at least twice a second until it begins. It shows
+        at most how fast the endpoint is: of a run that takes even longer, the endpoint
+        is even slower.
+
+        :param endpoint_id: the endpoint.
+        :param expected_s: time to the first event expected of an endpoint of speed 1.0.
+        :param waited_s: time since the run was sent.
+        :param now: monotonic time.
+        """
+        if not _are_positive(expected_s, waited_s) or waited_s <= expected_s:
+            return
+        endpoint = self._endpoint(endpoint_id, now)
+        # All reports of one run have the same time of sending, but for rounding.
+        start = round(now - waited_s, 2)
+        overdue_by_start = endpoint.overdue_by_start
+        if start in overdue_by_start or len(overdue_by_start) < MAX_OVERDUE:
+            overdue_by_start[start] = (math.log(expected_s / waited_s), now)
+        endpoint.has_news = True
+        self._refresh(now)
+
+    def add_run(self, model: str, seconds: float, now: float) -> None:
+        """Add the time for which a run occupied a batch slot.
+
+        :param model: the model that ran; empty for plain services.
+        :param seconds: time from sending the request to the end of its answer.
+        :param now: monotonic time.
+        """
+        if not _are_positive(seconds):
+            return
+        run = self._run_by_model.pop(model, None) or _DecayingMean()
+        _evict_oldest(self._run_by_model, MAX_MODELS - 1)
+        self._run_by_model[model] = run
+        run.add(seconds, now)
+        self._run_of_service.add(seconds, now)
+
+    def mean_run_s(self, model: str, now: float) -> float | None:
+        """Return the mean time for which a run of a model occupies a batch slot.
+
+        For a model without runs, it is the mean of the service; None if unknown.
+
+        :param model: the model.
+        :param now: monotonic time.
+        """
+        run = self._run_by_model.get(model, self._run_of_service)
+        return run.mean() if run.weight > 0 else None
+
+    def speed(self, endpoint_id: str, now: float) -> float:
+        """Return an endpoint's speed relative to the mean; 1.0 if unknown.
+
+        :param endpoint_id: the endpoint.
+        :param now: monotonic time.
+        """
+        self._refresh(now)
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        return math.exp(endpoint.speed_at(now)) if endpoint else 1.0
+
+    def prefill_tokens_per_s(
+        self,
+        endpoint_id: str,
+        now: float,
+        default: float = DEFAULT_PREFILL_TOKENS_PER_S,
+    ) -> float:
+        """Return the speed at which an endpoint reads prompts, tokens per second.
+
+        :param endpoint_id: the endpoint.
+        :param now: monotonic time.
+        :param default: speed of an endpoint of mean speed while there are too few
+            samples.
+        """
+        mean = self._prefill_tokens_per_s or default
+        return mean * self.speed(endpoint_id, now)
+
+    def knows_prefill(self) -> bool:
+        """Return whether there are enough samples for a prefill speed."""
+        return self._prefill_tokens_per_s is not None
+
+    def endpoint_ids(self) -> list[str]:
+        """Return the endpoints with samples."""
+        return list(self._endpoint_by_id)
+
+    def models(self) -> list[str]:
+        """Return the models with a mean run time."""
+        return list(self._run_by_model)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Remove an endpoint that is gone.
+
+        :param endpoint_id: the endpoint.
+        """
+        self._endpoint_by_id.pop(endpoint_id, None)
+
+    def _add(
+        self, endpoint_id: str, reference: _Reference, cost: float, now: float
+    ) -> _Endpoint:
+        """Add a sample, and return its endpoint."""
+        endpoint = self._endpoint(endpoint_id, now)
+        at_speed_1 = cost + endpoint.speed_at(now)
+        usual = self._usual_by_reference.pop(reference, None)
+        if usual is None:
+            usual = _Usual(at_speed_1)
+            _evict_oldest(self._usual_by_reference, MAX_REFERENCES - 1)
+        else:
+            usual.add(at_speed_1)
+        self._usual_by_reference[reference] = usual
+        endpoint.samples.append(_Sample(reference, cost, now))
+        endpoint.has_news = True
+        self._refresh(now)
+        return endpoint
+
+    def _endpoint(self, endpoint_id: str, now: float) -> _Endpoint:
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            _evict_oldest(self._endpoint_by_id, MAX_ENDPOINTS - 1)
+            endpoint = self._endpoint_by_id[endpoint_id] = _Endpoint(now)
+        return endpoint
+
+    def _add_prompt(self, tokens: float, seconds: float) -> None:
+        self._prompts.append(prefill_samples.Sample(tokens, seconds))
+        self._new_prompts += 1
+        enough = len(self._prompts) >= MIN_PROMPTS
+        if enough and self._new_prompts >= PROMPTS_PER_ESTIMATE:
+            self._new_prompts = 0
+            estimate = prefill_samples.estimate(list(self._prompts))
+            self._prefill_tokens_per_s = estimate or self._prefill_tokens_per_s
+
+    def _refresh(self, now: float) -> None:
+        """Estimate all speeds, unless that was done recently."""
+        if now < self._refreshed_at + REFRESH_INTERVAL_S:
+            return
+        self._refreshed_at = now
+        changed = [item for item in self._endpoint_by_id.values() if item.has_news]
+        for endpoint in changed:
+            endpoint.speed = self._estimate(endpoint, now)
+            endpoint.updated_at = now
+            endpoint.has_news = False
+        if changed:
+            self._normalise(now)
+
+    def _normalise(self, now: float) -> None:
+        """Shift all speeds so that their mean is 1.0, and the usual times with them."""
+        endpoints = self._endpoint_by_id.values()
+        mean = math.fsum(math.exp(item.speed_at(now)) for item in endpoints)
+        shift = math.log(mean / len(endpoints))
+        for endpoint in endpoints:
+            endpoint.speed = _within_bounds(endpoint.speed_at(now) - shift)
+            endpoint.updated_at = now
+        for usual in self._usual_by_reference.values():
+            usual.cost -= shift
+
+    def _estimate(self, endpoint: _Endpoint, now: float) -> float:
+        """Return the logarithm of an endpoint's speed by its samples."""
+        before = endpoint.speed_at(now)
+        weighted = [(before, PRIOR_WEIGHT)]
+        for sample in endpoint.samples:
+            usual = self._usual_by_reference.get(sample.reference)
+            if usual is not None:
+                weight = 0.5 ** ((now - sample.at) / SAMPLE_HALF_LIFE_S)
+                weighted.append((usual.cost - sample.cost, weight))
+        for start, (speed, at) in list(endpoint.overdue_by_start.items()):
+            if now - at > OVERDUE_EXPIRY_S:
+                del endpoint.overdue_by_start[start]
+            elif speed < before:
+                weighted.append((speed, 1.0))
+        return _within_bounds(_weighted_median(weighted))
+
+
+def _are_positive(*values: float) -> bool:
+    return all(0 < value < math.inf for value in values)
+
+
+def _within_bounds(speed: float) -> float:
+    return min(math.log(MAX_SPEED), max(math.log(MIN_SPEED), speed))
+
+
+def _weighted_median(weighted: list[tuple[float, float]]) -> float:
+    """Return the value that half of the weight is below.
+
+    >>> _weighted_median([(9.0, 1.0), (1.0, 1.0), (2.0, 0.5)])
+    2.0
+    """
+    ascending = sorted(weighted)
+    below = itertools.accumulate(weight for _, weight in ascending)
+    half = sum(weight for _, weight in weighted) / 2
+    return next(
+        value
+        for (value, _), weight in zip(ascending, below, strict=True)
+        if weight >= half
+    )
+
+
+def _evict_oldest(item_by_key: dict, most: int) -> None:
+    """Remove the items added first until at most ``most`` remain."""
+    while len(item_by_key) > most:
+        del item_by_key[next(iter(item_by_key))]
