--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -26,6 +26,7 @@
     health,
     poison_requests,
     prefill_speed,
+    queue_client,
     registry,
     request_progress,
     residency,
@@ -77,6 +78,7 @@
         self.residency = node_kernel.get(residency.Residency)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
         self.origins = node_kernel.get(stream_origins.StreamOrigins)
+        self.queue = node_kernel.get(queue_client.QueueClient)
         self.paths.on_change.append(self._on_paths_change)
         self.head_seconds = node_kernel.metrics.duration_histogram(
             "head_seconds", "Time from a request's arrival to its answer's head."
@@ -219,6 +221,8 @@
         started_at: float,
     ) -> calls.Reply | None:
         """Return the reply for an answer; a non-streaming one is read whole first."""
+        if kind is adapters.ResponseKind.ANSWER:
+            progress.began(time.monotonic() - started_at)
         if request.route.streaming and kind is adapters.ResponseKind.ANSWER:
             took_s = time.monotonic() - started_at
             self.health.record_success(endpoint, took_s)
@@ -227,7 +231,9 @@
                 self.running_requests.record_late(request.target)
             if request.route.resumable and answer.status < 300:
                 self.origins.record(request.stream_id, endpoint.entry)
-            body = stream_relay.StreamRelay(self, request, endpoint, answer)
+            body = stream_relay.StreamRelay(
+                self, request, endpoint, answer, progress.admission
+            )
             return self._reply(request, answer, body)
         whole_body = transport.read_body(answer)
         if whole_body.is_err():
@@ -236,6 +242,7 @@
             )
             return None
         self.running_requests.request_ended(endpoint, request.target)
+        progress.release()
         if kind is adapters.ResponseKind.ANSWER:
             self.health.record_success(endpoint, time.monotonic() - started_at)
             self.poison_requests.record_completion(request, answer)
@@ -318,6 +325,8 @@
         kind: adapters.ResponseKind,
     ) -> None:
         progress.reason = kind.value
+        if kind is adapters.ResponseKind.BUSY:
+            progress.was_full()
         match kind:
             case adapters.ResponseKind.NOT_HELD:
                 self.residency.report_not_held(endpoint, request.target)
--- a/packages/mothworks_gateway/src/mothworks_gateway/declaration_types.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/declaration_types.py
@@ -168,7 +168,7 @@
 
     @functools.cached_property
     def objectives_by_service(self) -> dict[str, list[float]]:
-        """Return the latency objectives of each service's routes, ascending, seconds."""
+        """Return the latency objectives of each service, ascending, seconds."""
         objectives_by_service: dict[str, list[float]] = {}
         for route in self.routes:
             for share in route.shares:
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -23,6 +23,7 @@
     part_trials,
     poison_requests,
     prefill_pacing,
+    queue_client,
     registry,
     request_progress,
     residency,
@@ -79,6 +80,7 @@
         self.poison_requests.on_block.append(self.residency.wake_all)
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
+        self.queue = node_kernel.get(queue_client.QueueClient)
         self.origins = node_kernel.get(stream_origins.StreamOrigins)
         self.requests_total = node_kernel.metrics.counter(
             "requests_total", "Requests by service and outcome."
@@ -155,18 +157,32 @@
         slot: send_slots.SendSlot,
     ) -> calls.Reply | None:
         """Send a request once its slot and its turn have come; None if that failed."""
+        reply = None
+        try:
+            reply = self._send_admitted(request, progress, slot)
+            return reply
+        finally:
+            if reply is None:
+                progress.release()
+
+    def _send_admitted(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        slot: send_slots.SendSlot,
+    ) -> calls.Reply | None:
+        progress.withheld = True
         endpoint = slot.endpoint
         with self.running_requests.count_as_running(endpoint, request.target):
             self.rooms.begin(endpoint)
             may_send = self.slots.wait(slot)
-            if may_send:
+            if may_send and progress.admission is None:
                 self.prefill_pacing.wait(request, endpoint)
         # During the wait, the endpoint may have left, unloaded the model, lowered its
         # limit or asked this VM to back off, copies of the request may have crashed
         # others, and this VM may have lost its paths.
         may_send = may_send and self.attempts.may_send(request, endpoint)
         if not may_send or self.paths.lost:
-            progress.withheld = True
             return None
         return self.attempts.send_once(request, endpoint, progress)
 
@@ -213,9 +229,12 @@
             if self.poison_requests.is_blocked(request):
                 return self._refuse_blocked(request, progress)
             candidates = self.endpoint_selection.candidates(request)
-            eligible = self._eligible(request, progress, candidates.ready)
+            eligible = endpoint_selection.eligible(request, progress, candidates.ready)
             if eligible:
-                return self._acquire_slot(request, progress, eligible)
+                acquired = self._admit(request, progress, eligible)
+                if acquired is None:
+                    continue
+                return acquired
             if candidates.ready:
                 # Its model is held only by endpoints that it must not be sent to; the
                 # caller may retry.
@@ -235,19 +254,63 @@
             if refused is not None:
                 return refused
 
+    def _admit(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        eligible: list[registry.Endpoint],
+    ) -> result.Result[send_slots.SendSlot, outcomes.Refusal] | None:
+        """Acquire a place at one of several endpoints, and then a slot there.
+
+        :returns: the slot or a refusal; None if the endpoints have to be chosen anew.
+        """
+        while True:
+            wait_until = self._queue_until(request, progress)
+            match self.queue.admit(request, eligible, progress, wait_until):
+                case None:
+                    acquired = self._acquire_slot(request, progress, eligible)
+                    if acquired.is_ok():
+                        return acquired
+                    return self._refuse(request, progress, 503, acquired.err_value)
+                case result.Err(refused) if refused.must_choose_anew:
+                    return None
+                case result.Err(refused):
+                    progress.reason = f"no place in the queue: {refused.reason}"
+                    return self._refuse(request, progress, 503, refused.retry_after_s)
+                case result.Ok(admission):
+                    pass
+            is_acquired = False
+            try:
+                endpoint = admission.endpoint
+                acquired = self._acquire_slot(request, progress, [endpoint])
+                is_acquired = acquired.is_ok()
+            finally:
+                if not is_acquired:
+                    admission.withdraw()
+            if is_acquired:
+                progress.admission = admission
+                return acquired
+            # Another endpoint may have room under its own limits.
+            eligible = [item for item in eligible if item is not endpoint]
+            if not eligible:
+                return self._refuse(request, progress, 503, acquired.err_value)
+
     def _acquire_slot(
         self,
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
         eligible: list[registry.Endpoint],
-    ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
-        """Acquire a slot at one of several endpoints, or refuse the request at once."""
+    ) -> result.Result[send_slots.SendSlot, float]:
+        """Acquire a slot at one of several endpoints.
+
+        :returns: the slot; or the seconds after which the caller should retry, with the
+            reason in `progress`.
+        """
         wait_until = self._wait_until(request, progress)
         with_room = self.rooms.acquire(request, eligible, wait_until - time.monotonic())
         if not with_room:
             progress.reason = "its endpoints are fragile and have no room"
-            retry_after_s = endpoint_rooms.NO_ROOM_RETRY_S
-            return self._refuse(request, progress, 503, retry_after_s)
+            return result.Err(endpoint_rooms.NO_ROOM_RETRY_S)
         max_wait_s = wait_until - time.monotonic()
         is_granted = False
         try:
@@ -264,7 +327,7 @@
                     f"requests per second (reported {at_limit.age_s:.1f} s ago): "
                     f"{at_limit.reason}"
                 )
-                return self._refuse(request, progress, 503, at_limit.retry_after_s)
+                return result.Err(at_limit.retry_after_s)
             case granted:
                 return granted
 
@@ -338,21 +401,6 @@
             return None
         return self.residency.ready_in_s(target)
 
-    def _eligible(
-        self,
-        request: caller_request.CallerRequest,
-        progress: request_progress.RequestProgress,
-        ready: tuple[registry.Endpoint, ...],
-    ) -> list[registry.Endpoint]:
-        """Return the endpoints that a request may be sent to."""
-        if len(progress.tried) < request.route.max_endpoints:
-            untried = [item for item in ready if item.id not in progress.tried]
-            if untried:
-                return untried
-        if progress.may_have_run and not request.route.repeatable:
-            return []
-        return [item for item in ready if item.id in progress.tried]
-
     def _caller_reachable_until(self, request: caller_request.CallerRequest) -> float:
         """Return the monotonic time by which an answer has to begin."""
         timeout_s = request.route.caller_timeout_s * CALLER_TIMEOUT_SHARE
@@ -378,6 +426,23 @@
             self.kernel.drain_deadline - DRAIN_MARGIN_S,
         )
 
+    def _queue_until(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> float:
+        """Return the monotonic time until which a request may wait in a queue.
+
+        The queue refuses at once what it cannot serve, so that a request need not be
+        refused early for its caller to retry in time.
+        """
+        available_s = self._caller_reachable_until(request) - request.received_at
+        return min(
+            request.received_at + MAX_WAIT_SHARE * available_s,
+            progress.wait_until,
+            self.kernel.drain_deadline - DRAIN_MARGIN_S,
+        )
+
     def _may_retry(
         self,
         request: caller_request.CallerRequest,
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
@@ -20,6 +20,7 @@
     endpoint_notices,
     health,
     registry,
+    request_progress,
     running_requests,
 )
 
@@ -147,6 +148,26 @@
         return max(ready, key=lambda item: ownership.weight(key, item.id))
 
 
+def eligible(
+    request: caller_request.CallerRequest,
+    progress: request_progress.RequestProgress,
+    ready: tuple[registry.Endpoint, ...],
+) -> list[registry.Endpoint]:
+    """Return the endpoints that a request may be sent to.
+
+    :param request: the request.
+    :param progress: the attempts at it so far.
+    :param ready: the endpoints that could run it, the best first.
+    """
+    if len(progress.tried) < request.route.max_endpoints:
+        untried = [item for item in ready if item.id not in progress.tried]
+        if untried:
+            return untried
+    if progress.may_have_run and not request.route.repeatable:
+        return []
+    return [item for item in ready if item.id in progress.tried]
+
+
 def _margin(endpoint: registry.Endpoint) -> float:
     """Return the load margin of an endpoint, as a share of its batch slots."""
     return min(LOAD_MARGIN, MAX_MARGIN_REQUESTS / max(1, endpoint.entry.batch_slots))
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
@@ -0,0 +1,573 @@
+"""Admission of requests to the queue of their service, at each VM.
+
+Before a request is sent, this VM asks the owner of the queue (:mod:`queue_owner`) for a
+place at an endpoint. While the request waits, it runs nowhere; the VM repeats it four
+times a second, so that the next owner knows it if the owner is gone. Without an owner,
+requests are sent as if there were no queue.
+"""
+
+import collections
+import contextlib
+import itertools
+import random
+import time
+
+import attrs
+import gevent
+import gevent.event
+import logbook
+import result
+
+from mothworks import kernel, logs, peers
+from mothworks_gateway import (
+    caller_request,
+    declarations,
+    endpoint_selection,
+    poison_requests,
+    queue_messages,
+    queue_owner,
+    registry,
+    request_progress,
+    residency,
+    shared_budgets,
+)
+
+log = logbook.Logger("queue_client")
+
+#: Interval at which a waiting request is repeated, seconds: a third of the time after
+#: which the owner drops it.
+REPEAT_INTERVAL_S = queue_owner.WAITING_EXPIRY_S / 3
+#: Time without an owner's reply after which a request that waits is sent without the
+#: queue, seconds: a new owner takes over half a second after the last heartbeat of the
+#: former one. If all waiting requests were sent at once, endpoints would reject most.
+NO_OWNER_GRACE_S = 1.0
+#: Interval at which granted requests are reported to the owner, seconds.
+HOLDS_INTERVAL_S = 2.0
+#: Time for which events are collected into one message, seconds.
+EVENT_BATCH_S = 0.01
+#: Most endpoints that are named in one request.
+MAX_ENDPOINTS = 16
+#: Shortest time until a request is refused, seconds: one whose time is over is granted
+#: if there is room now.
+MIN_SEND_IN_S = 0.001
+#: Pause before a request chooses its endpoint anew, seconds: the owner may know of a
+#: change a little earlier than this VM, or later.
+CHOOSE_PAUSE_S = 0.03
+#: Bits of the random first ticket: tickets of a VM's former process differ.
+TICKET_BITS = 48
+
+
+@attrs.frozen
+class QueueRefusal:
+    """A request was not admitted.
+
+    :param retry_after_s: seconds after which the caller should retry; 0 if the request
+        is not refused, but has to choose its endpoint anew.
+    :param reason: why.
+    """
+
+    retry_after_s: float
+    reason: str
+
+    @property
+    def must_choose_anew(self) -> bool:
+        """Return whether the request has to choose its endpoint anew."""
+        return self.retry_after_s == 0.0
+
+
+class Admission:
+    """The place of one request at an endpoint, until the request has ended.
+
+    :param client: the part that got it.
+    :param ticket: the request's ticket.
+    :param request: the request.
+    :param endpoint: the endpoint.
+    :param prompt_tokens: prompt tokens that the endpoint has to read.
+    :param owner: the VM that granted it.
+    """
+
+    def __init__(
+        self,
+        client: "QueueClient",
+        ticket: int,
+        request: caller_request.CallerRequest,
+        endpoint: registry.Endpoint,
+        prompt_tokens: int,
+        owner: str,
+    ):
+        self.client = client
+        self.ticket = ticket
+        self.service = request.target.service
+        self.endpoint = endpoint
+        self.prompt_tokens = prompt_tokens
+        self.memory_tokens = memory_tokens(request)
+        self.is_stream = request.route.streaming
+        #: The VMs that count it: the one that granted it, and later owners.
+        self.owners = [owner]
+        #: Monotonic time of the first event; None before.
+        self.began_at: float | None = None
+        self.first_event_s = 0.0
+        self.is_released = False
+
+    def began(self, seconds: float) -> None:
+        """Report that its answer has begun.
+
+        :param seconds: time from sending the request until then.
+        """
+        if self.began_at is not None or self.is_released:
+            return
+        self.began_at = time.monotonic()
+        self.first_event_s = seconds
+        if self.is_stream:
+            self._report(queue_messages.EventKind.BEGAN, self.prompt_tokens, seconds)
+
+    def ended(self, events: int = 0) -> None:
+        """Report that the request has ended, and release the place.
+
+        :param events: number of events after the first one.
+        """
+        seconds = 0.0
+        if self.began_at is not None:
+            seconds = time.monotonic() - self.began_at
+            if not self.is_stream:
+                seconds += self.first_event_s
+        self._release(queue_messages.EventKind.ENDED, events, seconds)
+
+    def was_full(self) -> None:
+        """Report that the endpoint had no room, and release the place."""
+        self._release(queue_messages.EventKind.FULL)
+
+    def withdraw(self) -> None:
+        """Release the place of a request that was not sent."""
+        self._release(queue_messages.EventKind.WITHDRAWN)
+
+    def _release(
+        self, kind: queue_messages.EventKind, tokens: int = 0, seconds: float = 0.0
+    ) -> None:
+        if not self.is_released:
+            self.is_released = True
+            self.client.admission_by_ticket.pop(self.ticket, None)
+            self._report(kind, tokens, seconds)
+
+    def _report(
+        self, kind: queue_messages.EventKind, tokens: int, seconds: float
+    ) -> None:
+        row = self.row(kind, tokens, seconds)
+        for owner in self.owners:
+            self.client.report(owner, row)
+
+    def row(
+        self, kind: queue_messages.EventKind, tokens: int, seconds: float
+    ) -> queue_messages.EventRow:
+        """Return an event of this request; see :class:`queue_messages.RunEvents`."""
+        endpoint_id = self.endpoint.id
+        return (self.ticket, self.service, int(kind), endpoint_id, tokens, seconds)
+
+    def holds_row(self) -> queue_messages.EventRow:
+        """Return the row that reports the place as held."""
+        seconds = -1.0
+        if self.began_at is not None:
+            seconds = time.monotonic() - self.began_at
+        kind = queue_messages.EventKind.HOLDS
+        return self.row(kind, self.memory_tokens, seconds)
+
+
+class _Waiting:
+    """A request that waits for its admission.
+
+    :param ticket: its ticket.
+    :param request: the request.
+    :param endpoints: the endpoints that can run it, the best first.
+    :param urgency: its rank.
+    :param wait_until: monotonic time until which it may wait.
+    """
+
+    def __init__(
+        self,
+        ticket: int,
+        request: caller_request.CallerRequest,
+        endpoints: list[registry.Endpoint],
+        urgency: int,
+        wait_until: float,
+    ):
+        self.ticket = ticket
+        self.request = request
+        self.endpoints = endpoints[:MAX_ENDPOINTS]
+        self.urgency = urgency
+        self.wait_until = wait_until
+        self.began_at = time.monotonic()
+        #: The VM that queued it; empty if none did.
+        self.owner = ""
+        self.is_queued = False
+        #: Whether the lease holder is told that it waits.
+        self.is_reported = False
+        #: A reply that was pushed.
+        self.pushed: queue_messages.QueueReply | None = None
+        #: Set when a reply was pushed, or this VM starts to drain.
+        self.changed = gevent.event.Event()
+
+
+class QueueClient(kernel.Part):
+    """Admits this VM's requests, and reports what happens to them.
+
+    :param node_kernel: the node's kernel.
+    """
+
+    def __init__(self, node_kernel: kernel.Kernel):
+        super().__init__(node_kernel)
+        self.name = node_kernel.settings.name
+        self.mode = node_kernel.settings.endpoint_queue
+        self.peers = node_kernel.get(peers.Peers)
+        self.declarations = node_kernel.get(declarations.Declarations)
+        self.selection = node_kernel.get(endpoint_selection.EndpointSelection)
+        self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
+        self.residency = node_kernel.get(residency.Residency)
+        self.budgets = node_kernel.get(shared_budgets.SharedBudgets)
+        self.owner = node_kernel.get(queue_owner.QueueOwner)
+        self.owner.deliver_to_self = lambda reply: self._on_pushed(self.name, reply)
+        self.peers.handle(
+            queue_messages.QueueReply, lambda vm, reply, _: self._on_pushed(vm, reply)
+        )
+        node_kernel.on_draining.append(self._wake_all)
+        self.tickets = itertools.count(random.getrandbits(TICKET_BITS))
+        self.waiting_by_ticket: dict[int, _Waiting] = {}
+        self.admission_by_ticket: dict[int, Admission] = {}
+        #: The VM that last replied as the owner, by service.
+        self.owner_by_service: dict[str, str] = {}
+        self.rows_by_owner: collections.defaultdict[
+            str, list[queue_messages.EventRow]
+        ] = collections.defaultdict(list)
+        #: Set while there are events to send.
+        self.has_rows = gevent.event.Event()
+        metrics = node_kernel.metrics
+        self.wait_seconds = metrics.duration_histogram(
+            "queue_wait_seconds", "Time that admitted requests waited, by service."
+        )
+        self.granted_total = metrics.counter(
+            "queue_granted_total", "Requests that were admitted, by service."
+        )
+        self.refused_total = metrics.counter(
+            "queue_refused_total", "Requests that were not admitted, by reason."
+        )
+
+    def start(self) -> None:
+        """Start to send events, and to report what this VM runs."""
+        self.tasks.spawn(self._send_rows)
+        self.tasks.every(HOLDS_INTERVAL_S, self._report_held)
+
+    def is_active(self) -> bool:
+        """Return whether requests wait in queues."""
+        if self.mode != "auto":
+            return self.mode == "on"
+        declaration = self.declarations.current
+        return declaration is not None and declaration.has_patient_routes
+
+    def admit(
+        self,
+        request: caller_request.CallerRequest,
+        endpoints: list[registry.Endpoint],
+        progress: request_progress.RequestProgress | None,
+        wait_until: float,
+        urgency: int | None = None,
+    ) -> result.Result[Admission, QueueRefusal] | None:
+        """Wait for a place at one of several endpoints.
+
+        :param request: the request.
+        :param endpoints: the endpoints that can run it, the best first.
+        :param progress: its progress, by which its endpoints are chosen again while it
+            waits; None to keep to the given ones.
+        :param wait_until: monotonic time until which it may wait.
+        :param urgency: its rank, if it differs from the request's.
+        :returns: None if the queue is not active or no owner replies.
+        """
+        if not (endpoints and self.is_active()):
+            return None
+        rank = request.urgency if urgency is None else urgency
+        ticket = next(self.tickets)
+        waiting = _Waiting(ticket, request, endpoints, rank, wait_until)
+        self.waiting_by_ticket[ticket] = waiting
+        is_decided = False
+        try:
+            with contextlib.ExitStack() as stack:
+                admitted = self._wait(waiting, progress, stack)
+            is_decided = admitted is not None and admitted.is_ok()
+            return admitted
+        finally:
+            del self.waiting_by_ticket[ticket]
+            if not is_decided and waiting.owner:
+                self._withdraw(waiting, waiting.owner)
+
+    def report(self, owner: str, row: queue_messages.EventRow) -> None:
+        """Report an event to an owner, together with others.
+
+        :param owner: the VM.
+        :param row: the event.
+        """
+        if owner == self.name:
+            self.owner.apply_events(self.name, (row,))
+            return
+        self.rows_by_owner[owner].append(row)
+        if not self.has_rows.is_set():
+            self.has_rows.set()
+
+    def _wait(
+        self,
+        waiting: _Waiting,
+        progress: request_progress.RequestProgress | None,
+        stack: contextlib.ExitStack,
+    ) -> result.Result[Admission, QueueRefusal] | None:
+        """Ask for a place until there is a decision."""
+        replied_at = None
+        while True:
+            reply = self._ask(waiting)
+            now = time.monotonic()
+            if reply is not None:
+                if _is_decision(reply):
+                    return self._decide(waiting, reply)
+                replied_at = now
+                if not waiting.is_queued:
+                    waiting.is_queued = True
+                    self._log(waiting, "queued", reply)
+            elif replied_at is None or now - replied_at > NO_OWNER_GRACE_S:
+                return None
+            pushed = self._wait_for_push(waiting)
+            if pushed is not None:
+                return self._decide(waiting, pushed)
+            if self.kernel.draining or self.poison_requests.is_blocked(waiting.request):
+                return _choose_anew("its conditions changed while it waited")
+            if not self._update_endpoints(waiting, progress):
+                return _choose_anew("no endpoint can run it any more")
+            if time.monotonic() >= waiting.wait_until + REPEAT_INTERVAL_S:
+                # Its owner should have refused it.
+                return None
+            if waiting.request.target.model and not waiting.is_reported:
+                waiting.is_reported = True
+                stack.enter_context(self.residency.count_as_waiting(waiting.request))
+
+    def _wait_for_push(self, waiting: _Waiting) -> queue_messages.QueueReply | None:
+        waiting.changed.wait(REPEAT_INTERVAL_S * random.uniform(0.8, 1.0))
+        waiting.changed.clear()
+        pushed, waiting.pushed = waiting.pushed, None
+        return pushed
+
+    def _decide(
+        self, waiting: _Waiting, reply: queue_messages.QueueReply
+    ) -> result.Result[Admission, QueueRefusal] | None:
+        """Return the outcome of an owner's decision."""
+        if reply.endpoint_id:
+            endpoint = next(
+                (item for item in waiting.endpoints if item.id == reply.endpoint_id),
+                None,
+            )
+            if endpoint is None:
+                return _choose_anew("its endpoint is gone")
+            return result.Ok(self._admission(waiting, endpoint))
+        self._log(waiting, "refused", reply)
+        self.refused_total.inc({"reason": reply.reason})
+        if reply.retry_after_s:
+            return result.Err(QueueRefusal(reply.retry_after_s, reply.reason))
+        gevent.sleep(CHOOSE_PAUSE_S)
+        # If this VM knows an endpoint that the owner lacks, it is not asked again.
+        return None if self._is_known(waiting) else _choose_anew(reply.reason)
+
+    def _is_known(self, waiting: _Waiting) -> bool:
+        """Return whether an endpoint that the owner lacks still accepts the request."""
+        target = waiting.request.target
+        return any(self.selection.accepts(item, target) for item in waiting.endpoints)
+
+    def _admission(self, waiting: _Waiting, endpoint: registry.Endpoint) -> Admission:
+        request = waiting.request
+        tokens = request.unshared_tokens
+        if endpoint is not waiting.endpoints[0]:
+            tokens += _shared_tokens(request)
+        admission = Admission(
+            self, waiting.ticket, request, endpoint, tokens, waiting.owner
+        )
+        self.admission_by_ticket[waiting.ticket] = admission
+        labels = {"service": request.target.service}
+        waited_s = time.monotonic() - waiting.began_at
+        self.granted_total.inc(labels)
+        self.wait_seconds.observe(labels, waited_s)
+        if waiting.is_queued:
+            # That others were granted at once shows in the log line of their attempt.
+            self._log(waiting, "granted", queue_messages.QueueReply(True), endpoint.id)
+        return admission
+
+    def _update_endpoints(
+        self, waiting: _Waiting, progress: request_progress.RequestProgress | None
+    ) -> bool:
+        """Choose the endpoints of a waiting request again; returns if there are any."""
+        request = waiting.request
+        if progress is None:
+            endpoints = [
+                item
+                for item in waiting.endpoints
+                if self.selection.accepts(item, request.target)
+            ]
+        else:
+            ready = self.selection.candidates(request).ready
+            endpoints = endpoint_selection.eligible(request, progress, ready)
+        if {item.id for item in endpoints} != {item.id for item in waiting.endpoints}:
+            # Otherwise the order is kept, so that the owner has nothing to update.
+            waiting.endpoints = endpoints[:MAX_ENDPOINTS]
+        return bool(endpoints)
+
+    def _ask(self, waiting: _Waiting) -> queue_messages.QueueReply | None:
+        """Ask the owner for a place; None if no owner replies."""
+        message = self._message(waiting)
+        key = queue_messages.owner_key(message.service)
+        for owner in self.budgets.responsive_owners(key):
+            reply = self._ask_owner(owner, message, waiting)
+            if isinstance(reply, queue_messages.QueueReply) and reply.is_owner:
+                if waiting.owner not in ("", owner):
+                    self._withdraw(waiting, waiting.owner)
+                waiting.owner = owner
+                self._record_owner(message.service, owner)
+                return reply
+        return None
+
+    def _ask_owner(
+        self, owner: str, message: queue_messages.QueueRequest, waiting: _Waiting
+    ) -> queue_messages.QueueReply | None:
+        if owner == self.name:
+            return self.owner.request(self.name, message)
+        has_reply = False
+        try:
+            reply = self.budgets.call_owner(
+                owner, message, f"the queue of {message.service}"
+            )
+            has_reply = reply is not None
+            return reply
+        finally:
+            if not has_reply and self.peers.is_connected(owner):
+                # It may have granted a place, or queued the request, all the same.
+                self._withdraw(waiting, owner)
+                if waiting.owner == owner:
+                    waiting.owner = ""
+
+    def _message(self, waiting: _Waiting) -> queue_messages.QueueRequest:
+        request = waiting.request
+        now = time.monotonic()
+        target, route, account = request.target, request.route, request.account
+        declaration = self.declarations.current
+        name = account.name if account else ""
+        weight = 1.0
+        if name and declaration.accounts is not None:
+            weight = declaration.accounts.weight_by_name.get(name, 1.0)
+        return queue_messages.QueueRequest(
+            ticket=waiting.ticket,
+            service=target.service,
+            endpoint_ids=tuple(item.id for item in waiting.endpoints),
+            prompt_tokens=request.unshared_tokens,
+            shared_tokens=_shared_tokens(request),
+            memory_tokens=memory_tokens(request),
+            urgency=waiting.urgency,
+            account=name,
+            weight=weight,
+            waited_s=now - request.received_at,
+            objective_in_s=request.received_at + route.objective_s - now,
+            send_in_s=max(MIN_SEND_IN_S, waiting.wait_until - now),
+            is_patient=declaration.is_patient(target.service, route.objective_s),
+            model=target.model,
+        )
+
+    def _record_owner(self, service: str, owner: str) -> None:
+        """Report what this VM runs to a new owner of a service's queue."""
+        if self.owner_by_service.get(service) == owner:
+            return
+        self.owner_by_service[service] = owner
+        for admission in list(self.admission_by_ticket.values()):
+            if admission.service == service:
+                self._report_holds(admission, owner)
+
+    def _report_held(self) -> None:
+        """Report all that this VM runs."""
+        owner_by_service: dict[str, str] = {}
+        for admission in list(self.admission_by_ticket.values()):
+            service = admission.service
+            if service not in owner_by_service:
+                owner_by_service[service] = self._likely_owner(service)
+            if owner_by_service[service]:
+                self._report_holds(admission, owner_by_service[service])
+
+    def _likely_owner(self, service: str) -> str:
+        """Return the VM that owns a service's queue; empty if none is responsive."""
+        owners = self.budgets.responsive_owners(queue_messages.owner_key(service))
+        known_owner = self.owner_by_service.get(service, "")
+        return known_owner if known_owner in owners else next(iter(owners), "")
+
+    def _report_holds(self, admission: Admission, owner: str) -> None:
+        if owner not in admission.owners:
+            admission.owners.append(owner)
+        self.report(owner, admission.holds_row())
+
+    def _withdraw(self, waiting: _Waiting, owner: str) -> None:
+        """Withdraw a request from a VM that may have queued or granted it."""
+        self._report_withdrawn(owner, waiting.ticket, waiting.request.target.service)
+
+    def _report_withdrawn(self, owner: str, ticket: int, service: str) -> None:
+        kind = int(queue_messages.EventKind.WITHDRAWN)
+        self.report(owner, (ticket, service, kind, "", 0, 0.0))
+
+    def _on_pushed(self, vm: str, reply: queue_messages.QueueReply) -> None:
+        waiting = self.waiting_by_ticket.get(reply.ticket)
+        if waiting is not None and waiting.owner == vm:
+            waiting.pushed = reply
+            waiting.changed.set()
+
+    def _send_rows(self) -> None:
+        while True:
+            self.has_rows.wait()
+            gevent.sleep(EVENT_BATCH_S)
+            self.has_rows.clear()
+            rows_by_owner = dict(self.rows_by_owner)
+            self.rows_by_owner.clear()
+            for owner, rows in rows_by_owner.items():
+                self.peers.send_nowait(owner, queue_messages.RunEvents(tuple(rows)))
+
+    def _wake_all(self) -> None:
+        """Wake all waiting requests: they must get a reply before the VM stops."""
+        for waiting in self.waiting_by_ticket.values():
+            waiting.changed.set()
+
+    def _log(
+        self,
+        waiting: _Waiting,
+        outcome: str,
+        reply: queue_messages.QueueReply,
+        endpoint_id: str = "",
+    ) -> None:
+        logs.event(
+            log,
+            "queue",
+            request=waiting.request.id,
+            service=waiting.request.target.service,
+            owner=waiting.owner,
+            endpoint=endpoint_id,
+            waited_ms=round((time.monotonic() - waiting.began_at) * 1000),
+            expected_ms=round(reply.wait_s * 1000),
+            ahead=reply.ahead,
+            retry_after_s=reply.retry_after_s,
+            reason=reply.reason,
+            outcome=outcome,
+        )
+
+
+def memory_tokens(request: caller_request.CallerRequest) -> int:
+    """Return the most tokens of an endpoint's memory that a request may use.
+
+    :param request: the request.
+    """
+    return max(0, request.input_tokens) + max(0, request.output_tokens)
+
+
+def _shared_tokens(request: caller_request.CallerRequest) -> int:
+    return max(0, request.input_tokens - request.unshared_tokens)
+
+
+def _is_decision(reply: queue_messages.QueueReply) -> bool:
+    return bool(reply.endpoint_id) or reply.retry_after_s is not None
+
+
+def _choose_anew(reason: str) -> result.Err[QueueRefusal]:
+    return result.Err(QueueRefusal(0.0, reason))
--- a/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
@@ -1,6 +1,7 @@
 """The attempts at a request so far."""
 
 import math
+import typing
 
 import attrs
 
@@ -20,6 +21,8 @@
     :param forwarded: whether another VM forwarded it to this one, which then must not
         forward it again.
     :param wait_until: monotonic time until which the forwarding VM lets it wait.
+    :param admission: its place at the endpoint of the attempt in progress, as a
+        :class:`queue_client.Admission`; None without a queue.
     """
 
     tried: set[str] = attrs.field(factory=set)
@@ -31,3 +34,27 @@
     broken_peers: set[str] = attrs.field(factory=set)
     forwarded: bool = False
     wait_until: float = math.inf
+    admission: typing.Any = None
+
+    def began(self, seconds: float) -> None:
+        """Record that the answer of the attempt in progress has begun.
+
+        :param seconds: time from sending the request until then.
+        """
+        if self.admission is not None:
+            self.admission.began(seconds)
+
+    def was_full(self) -> None:
+        """Record that the endpoint of the attempt in progress had no room."""
+        if self.admission is not None:
+            self.admission.was_full()
+
+    def release(self) -> None:
+        """Release the place of the attempt in progress, if it has one."""
+        admission, self.admission = self.admission, None
+        if admission is None:
+            return
+        if self.withheld or self.unreachable:
+            admission.withdraw()
+        else:
+            admission.ended()
--- a/packages/mothworks_gateway/src/mothworks_gateway/residency.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/residency.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import contextlib
 import math
 import time
 
@@ -166,6 +167,17 @@
         :param request: the request.
         :param seconds: maximum wait.
         """
+        with self.count_as_waiting(request) as waiters:
+            waiters.changed.wait(seconds)
+
+    @contextlib.contextmanager
+    def count_as_waiting(
+        self, request: caller_request.CallerRequest
+    ) -> collections.abc.Iterator[_Waiters]:
+        """Report a request to the lease holder while it waits.
+
+        :param request: the request.
+        """
         waiters = self.waiters_by_target.setdefault(request.target, _Waiters())
         waiters.count += 1
         waiters.urgency = min(waiters.urgency, request.urgency)
@@ -175,7 +187,7 @@
             self._report(request.target, waiters)
             self.has_waiters.set()
         try:
-            waiters.changed.wait(seconds)
+            yield waiters
         finally:
             waiters.count -= 1
             if not waiters.count:
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -12,6 +12,7 @@
     caller_request,
     forwarding,
     poison_requests,
+    queue_client,
     registry,
     request_progress,
     server_sent_events,
@@ -21,6 +22,10 @@
 
 #: Time left until the deadline below which a stream is not resumed, seconds.
 MIN_RESUME_S = 0.1
+#: Rank of a resumed stream in the queue: its caller has waited already.
+RESUME_URGENCY = 0
+#: End of an event, for counting.
+EVENT_END = b"\n\n"
 #: Longest wait for a send slot at an endpoint with a rate limit, seconds: callers
 #: disconnect from a stream that stalls for longer than a few times this.
 MAX_RESUME_WAIT_S = 0.5
@@ -33,6 +38,7 @@
     :param request: the request.
     :param endpoint: the endpoint that runs it.
     :param answer: the endpoint's answer, its body not read.
+    :param admission: its place at the endpoint; None without a queue.
     """
 
     def __init__(
@@ -41,6 +47,7 @@
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
         answer: transport.HttpAnswer,
+        admission: queue_client.Admission | None = None,
     ):
         self.attempts = attempts
         self.request = request.pinned(
@@ -48,6 +55,9 @@
         )
         self.endpoint = endpoint
         self.answer = answer
+        self.admission = admission
+        #: Number of events of the present answer, for its endpoint's speed.
+        self.event_count = 0
         #: Whether the answer is open and its request counts as running.
         self.is_answer_open = True
         self.tried_ids = {endpoint.id}
@@ -120,6 +130,7 @@
             last_chunk_at = now
             self._observe_progress(now)
             self.attempts.paths.record_reached(now)
+            self.event_count += data.count(EVENT_END)
             if self.events is not None:
                 data = self.events.feed(data)
             if data:
@@ -145,6 +156,8 @@
             self.attempts.running_requests.request_ended(
                 self.endpoint, self.request.target
             )
+            if self.admission is not None:
+                self.admission.ended(max(0, self.event_count - 1))
             max_gap_s = self.request.route.max_gap_s
             if max_gap_s and self.longest_gap_s > max_gap_s:
                 self.attempts.running_requests.record_late(self.request.target)
@@ -186,14 +199,45 @@
             return False
         ready = self.attempts.endpoint_selection.candidates(self.request).ready
         untried = [item for item in ready if item.id not in self.tried_ids]
+        admission = None
+        match self.attempts.queue.admit(
+            self.request,
+            untried,
+            None,
+            time.monotonic() + MAX_RESUME_WAIT_S,
+            RESUME_URGENCY,
+        ):
+            case result.Ok(admission):
+                untried = [admission.endpoint]
+            case result.Err(_):
+                return False
+        resumed = False
+        try:
+            resumed = self._resume_in_room(untried, admission)
+            return resumed
+        finally:
+            if admission is not None and not resumed:
+                admission.withdraw()
+
+    def _resume_in_room(
+        self,
+        endpoints: list[registry.Endpoint],
+        admission: queue_client.Admission | None,
+    ) -> bool:
         rooms = self.attempts.rooms
-        with_room = rooms.acquire(self.request, untried, MAX_RESUME_WAIT_S)
+        with_room = rooms.acquire(self.request, endpoints, MAX_RESUME_WAIT_S)
         if not with_room:
             return False
+        sent_at = time.monotonic()
         try:
-            return self._resume_in_slot(with_room)
+            resumed = self._resume_in_slot(with_room)
         finally:
             rooms.begin(with_room[0])
+        if resumed:
+            self.admission = admission
+            if admission is not None:
+                admission.began(time.monotonic() - sent_at)
+        return resumed
 
     def _resume_in_slot(self, endpoints: list[registry.Endpoint]) -> bool:
         match self.attempts.slots.acquire(self.request, endpoints, MAX_RESUME_WAIT_S):
@@ -269,6 +313,7 @@
             self.is_answer_open = True
             self.began_at = None
             self.runs_well = False
+            self.event_count = 0
             self.attempts.running_requests.request_started(
                 endpoint, self.request.target
             )
