--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from mothworks_gateway import queue_types
+from mothworks_gateway import queue_order, queue_types
 
 #: Time between the end of a run and the next grant's arrival, seconds. Endpoints get
 #: that much work beyond their slots, or places would be idle during the round trip.
@@ -34,7 +34,8 @@
     :param endpoint_id: the endpoint.
     :param memory_tokens: tokens of memory that it may take.
     :param granted_at: time of the grant; None if a former owner granted it.
-    :param unread_s: prefill time of its prompt as long as it was not read, seconds.
+    :param prompt_s: expected prefill time of its prompt, seconds.
+    :param unread_s: the same, and 0 once the prompt was read.
     :param request: the request; None if a former owner granted it.
     :param cost: seconds that were charged to its account.
     """
@@ -43,6 +44,7 @@
     endpoint_id: str
     memory_tokens: int
     granted_at: float | None = None
+    prompt_s: float = 0.0
     unread_s: float = 0.0
     request: queue_types.WaitingRequest | None = None
     cost: float = 0.0
@@ -65,6 +67,8 @@
         self.memory_tokens = 0
         self.patient = 0
         self.unread_s = 0.0
+        #: The waiting request that precedes all later ones here; None if there is none.
+        self.reserved_for: queue_order.Entry | None = None
         #: Runs that the queue did not grant, and the memory that they may take.
         self.outside = 0
         self.outside_memory_tokens = 0
@@ -141,6 +145,21 @@
         used = self.memory_tokens + self.outside_memory_tokens
         return used + memory_tokens <= limit
 
+    def bounded(self, memory_tokens: int) -> int:
+        """Return what a request counts for: at most all of the endpoint's memory.
+
+        Callers may allow a longer output than fits; such a request runs alone.
+
+        :param memory_tokens: tokens of its prompt and its longest output.
+        """
+        limit = self.capacity.memory_tokens
+        tokens = max(0, memory_tokens)
+        return min(tokens, limit) if limit > 0 else tokens
+
+    def is_full_for_patient(self) -> bool:
+        """Return whether patient requests have taken their share of the slots."""
+        return self.patient >= self.max_patient
+
     def has_prefill(self, prompt_s: float) -> bool:
         """Return whether a prompt would be read soon; a single one always fits.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -3,10 +3,29 @@
 Pure decisions: no clock, network or other part. The caller passes the time, reports
 what happens to granted requests, and calls :meth:`EndpointQueue.decide` after changes
 and at :meth:`EndpointQueue.next_at`. It is not safe for use by several threads.
+
+Between two decisions, each endpoint with room has no waiting request that may take it.
+A decision therefore looks only at new requests and at endpoints where room was freed
+since the last one.
 """
 
-from mothworks_gateway import endpoint_load, fair_shares, queue_types
+import collections
+import heapq
+import itertools
+import math
+
+import attrs
+
+from mothworks_gateway import (
+    declaration_types,
+    endpoint_load,
+    fair_shares,
+    queue_estimates,
+    queue_order,
+    queue_types,
+)
 
+Key = queue_types.Key
 WaitingRequest = queue_types.WaitingRequest
 Capacity = queue_types.Capacity
 Granted = queue_types.Granted
@@ -14,16 +33,32 @@
 
 #: Reasons of refusals.
 NO_ENDPOINT = "no endpoint left"
-TOO_LATE = "not granted in time"
 NO_ROOM = "no room in time"
+NOT_GRANTED = "not granted in time"
 QUEUE_FULL = "queue full"
 
 #: Upper bound of the number of waiting requests.
 MAX_WAITING = 4096
-#: Mean duration of a run before the first one has ended, seconds.
-DEFAULT_RUN_S = 0.1
-#: Least Retry-After, seconds.
-MIN_RETRY_AFTER_S = 0.1
+#: Upper bound of the number of endpoints of a request.
+MAX_ENDPOINTS = 16
+#: While more urgent requests wait, one grant in this many goes to the request that must
+#: be sent soonest.
+SOONEST_INTERVAL = 10
+#: Share of the time until ``send_by`` after which a request is promoted.
+PROMOTE_SHARE = 0.8
+#: While urgent requests wait that can meet their objective, one grant in this many goes
+#: to a promoted one. Without a bound, the promoted requests of a long overload would
+#: make all others late.
+PROMOTED_INTERVAL = 4
+#: Endpoints fuller than this are chosen only if no other begins the request in time.
+MAX_FULLNESS = 0.7
+#: Share of the endpoints that may be reserved for a request that is blocked there.
+MAX_RESERVED_SHARE = 0.25
+#: Longest time for which a request may wait, seconds; later times count as this.
+MAX_WAIT_S = 600.0
+#: Timers that are not needed any more are removed once there are this many more than
+#: twice the requests.
+MIN_STALE_TIMERS = 1024
 
 
 class EndpointQueue:
@@ -31,173 +66,673 @@
 
     def __init__(self):
         self.load_by_id: dict[str, endpoint_load.EndpointLoad] = {}
-        self.request_by_key: dict[queue_types.Key, WaitingRequest] = {}
-        self.grant_by_key: dict[queue_types.Key, endpoint_load.Grant] = {}
+        self.entry_by_key: dict[Key, queue_order.Entry] = {}
+        self.grant_by_key: dict[Key, endpoint_load.Grant] = {}
         self.shares = fair_shares.FairShares()
-        self.mean_run_s = DEFAULT_RUN_S
-        self._repeated: list[Granted | Refused] = []
-        self._refusals = 0
+        self.estimates = queue_estimates.RunEstimates()
+        self._order_by_id: dict[str, queue_order.EndpointOrder] = {}
+        self._usage_by_id: dict[str, queue_estimates.UsageByClass] = {}
+        self._keys_by_vm: collections.defaultdict[str, set[Key]] = (
+            collections.defaultdict(set)
+        )
+        self._waiting_by_account: collections.Counter[str] = collections.Counter()
+        #: New requests that no decision has looked at, in the order of arrival.
+        self._fresh: dict[Key, queue_order.Entry] = {}
+        #: Endpoints at which room was freed since the last decision.
+        self._freed_ids: set[str] = set()
+        #: Decisions made between calls of :meth:`decide`.
+        self._decided: list[Granted | Refused] = []
+        self._timers: list[
+            tuple[float, int, queue_order.Entry | endpoint_load.Grant | str]
+        ] = []
+        self._sequence = itertools.count()
+        self._reserved = 0
+        self._since_soonest = 0
+        self._since_promoted = 0
+        self._decided_at = -math.inf
 
     def set_capacities(self, capacity_by_id: dict[str, Capacity], now: float) -> None:
-        """Set what each endpoint of the service can run; others are dropped."""
+        """Set what the endpoints of the service can run.
+
+        Grants at endpoints that are gone are dropped, and requests of which no endpoint
+        is left are refused.
+
+        :param capacity_by_id: the capacity of each endpoint, by id.
+        :param now: the time.
+        """
+        are_some_lost = False
         for endpoint_id in [i for i in self.load_by_id if i not in capacity_by_id]:
-            for key in list(self.load_by_id.pop(endpoint_id).grant_by_key):
-                del self.grant_by_key[key]
+            self._drop_endpoint(endpoint_id)
+            are_some_lost = True
         for endpoint_id, capacity in capacity_by_id.items():
             load = self.load_by_id.get(endpoint_id)
             if load is None:
                 self.load_by_id[endpoint_id] = endpoint_load.EndpointLoad(capacity)
+                self._order_by_id[endpoint_id] = queue_order.EndpointOrder()
+                self._usage_by_id[endpoint_id] = queue_estimates.UsageByClass()
             elif load.capacity != capacity:
+                are_some_lost |= load.accepts and not capacity.accepts
                 load.set_capacity(capacity)
+                self._freed_ids.add(endpoint_id)
+        if are_some_lost:
+            for key, entry in list(self.entry_by_key.items()):
+                if not self._accepting_ids(entry.request):
+                    self._refuse_without_endpoint(key)
 
     def add(self, request: WaitingRequest, now: float) -> None:
-        """Add a request; one with the same key is replaced and keeps its arrival."""
-        grant = self.grant_by_key.get(request.key)
+        """Add a request, or repeat it.
+
+        A repeated request keeps its arrival. One that was granted is granted the same
+        place again, since the message on the first grant may be lost.
+
+        :param request: the request; numbers out of range are bounded.
+        :param now: the time.
+        """
+        key = request.key
+        grant = self.grant_by_key.get(key)
         if grant is not None:
-            self._repeated.append(Granted(grant.key, grant.endpoint_id))
-        elif request.key not in self.request_by_key:
-            if len(self.request_by_key) >= MAX_WAITING:
-                self._repeated.append(self._refuse(request.key, QUEUE_FULL, now))
-            else:
-                self.request_by_key[request.key] = request
-
-    def withdraw(self, key: queue_types.Key, now: float) -> None:
-        """Forget a waiting or granted request."""
-        self.request_by_key.pop(key, None)
+            self._decided.append(Granted(key, grant.endpoint_id))
+            return
+        request = _bounded(request, now)
+        former = self.entry_by_key.get(key)
+        if former is not None:
+            if _is_same(former.request, request):
+                return
+            request = attrs.evolve(request, arrived_at=former.request.arrived_at)
+            self._forget_waiting(former)
+        ids = self._accepting_ids(request)
+        if not ids:
+            self._decided.append(Refused(key, 0.0, NO_ENDPOINT))
+            return
+        wait_s = request.send_by - request.arrived_at
+        entry = queue_order.Entry(
+            request,
+            next(self._sequence),
+            self.estimates.run_s(request) / len(request.endpoint_ids),
+            request.objective_at
+            - queue_estimates.FIRST_MARGIN * self._first_s(request),
+            request.arrived_at + PROMOTE_SHARE * wait_s,
+        )
+        if now >= entry.late_at:
+            entry.state = queue_order.State.LATE
+        self.entry_by_key[key] = self._fresh[key] = entry
+        self._keys_by_vm[key[0]].add(key)
+
+    def withdraw(self, key: Key, now: float) -> None:
+        """Forget a waiting or granted request.
+
+        :param key: the request; one that is not known is ignored.
+        :param now: the time.
+        """
+        entry = self.entry_by_key.get(key)
+        if entry is not None:
+            self._forget_waiting(entry)
         self._release(key)
 
     def adopt(
-        self,
-        key: queue_types.Key,
-        endpoint_id: str,
-        memory_tokens: int,
-        began: bool,
-        now: float,
+        self, key: Key, endpoint_id: str, memory_tokens: int, began: bool, now: float
     ) -> None:
-        """Record a grant of a former owner."""
-        self.request_by_key.pop(key, None)
+        """Record a grant of a former owner of the queue.
+
+        :param key: the request.
+        :param endpoint_id: the endpoint; ignored if it is not known.
+        :param memory_tokens: tokens of memory that it may take.
+        :param began: whether its first event has arrived.
+        :param now: the time.
+        """
+        entry = self.entry_by_key.get(key)
+        if entry is not None:
+            self._forget_waiting(entry)
         grant = self.grant_by_key.get(key)
         if grant is not None and grant.endpoint_id != endpoint_id:
             self._release(key)
             grant = None
         load = self.load_by_id.get(endpoint_id)
         if grant is None and load is not None:
-            grant = endpoint_load.Grant(key, endpoint_id, max(0, memory_tokens))
-            self.grant_by_key[key] = grant
-            load.add(grant)
+            self._hold(
+                endpoint_load.Grant(key, endpoint_id, load.bounded(memory_tokens))
+            )
         if began:
             self.began(key, now)
 
-    def began(self, key: queue_types.Key, now: float) -> None:
-        """Record the first event of a granted request."""
+    def began(self, key: Key, now: float) -> None:
+        """Record the first event of a granted request.
+
+        :param key: the request; one that is not known is ignored.
+        :param now: the time.
+        """
         grant = self.grant_by_key.get(key)
-        if grant is not None:
-            self.load_by_id[grant.endpoint_id].mark_read(grant)
+        if grant is None or grant.has_begun:
+            return
+        grant.has_begun = True
+        load = self.load_by_id[grant.endpoint_id]
+        if grant.request is not None:
+            first_s = now - grant.granted_at - grant.prompt_s
+            self.estimates.add_first(grant.request, max(0.0, first_s) * load.speed)
+        if grant.unread_s:
+            load.mark_read(grant)
+            self._freed_ids.add(grant.endpoint_id)
+
+    def ended(self, key: Key, now: float) -> None:
+        """Record the end of a granted request.
 
-    def ended(self, key: queue_types.Key, now: float) -> None:
-        """Record the end of a granted request."""
+        :param key: the request; one that is not known is ignored.
+        :param now: the time.
+        """
+        self.began(key, now)
         grant = self._release(key)
-        if grant is not None and grant.granted_at is not None:
-            run_s = max(0.0, now - grant.granted_at)
-            self.mean_run_s += 0.1 * (run_s - self.mean_run_s)
+        if grant is None or grant.request is None:
+            return
+        request = grant.request
+        run_s = max(0.0, now - grant.granted_at)
+        load = self.load_by_id[grant.endpoint_id]
+        self.estimates.add_run(request, run_s * load.speed)
+        self.shares.add(request.account, request.weight, run_s - grant.cost, now)
 
-    def was_full(self, key: queue_types.Key, now: float) -> None:
-        """Record that the endpoint refused a granted request for lack of room."""
+    def was_full(self, key: Key, now: float) -> None:
+        """Record that the endpoint refused a granted request for lack of room.
+
+        :param key: the request; one that is not known is ignored.
+        :param now: the time.
+        """
         grant = self.grant_by_key.get(key)
-        if grant is not None:
-            self.load_by_id[grant.endpoint_id].lower(now)
-            self._release(key)
+        if grant is None:
+            return
+        load = self.load_by_id[grant.endpoint_id]
+        load.lower(now)
+        self._set_timer(load.next_rise_at(now), grant.endpoint_id)
+        self._release(key)
+        if grant.request is not None:
+            request = grant.request
+            self.shares.add(request.account, request.weight, -grant.cost, now)
 
     def set_outside(self, running_by_id: dict[str, int]) -> None:
-        """Set the number of runs at each endpoint that this queue did not grant."""
+        """Set the number of runs at each endpoint that this queue did not grant.
+
+        Each of them counts with the mean memory of a granted run.
+
+        :param running_by_id: the numbers by endpoint; 0 for those it does not contain.
+        """
         for endpoint_id, load in self.load_by_id.items():
-            load.outside = max(0, running_by_id.get(endpoint_id, 0))
+            outside = max(0, running_by_id.get(endpoint_id, 0))
+            if outside < load.outside:
+                self._freed_ids.add(endpoint_id)
+            load.outside = outside
+            mean_memory = self.estimates.memory.value
+            load.outside_memory_tokens = math.ceil(outside * mean_memory)
 
     def drop_vm(self, vm: str, now: float) -> None:
-        """Forget all requests of a VM."""
-        for key in [*self.request_by_key, *self.grant_by_key]:
-            if key[0] == vm:
-                self.withdraw(key, now)
+        """Forget all requests of a VM.
+
+        :param vm: the VM.
+        :param now: the time.
+        """
+        for key in list(self._keys_by_vm.get(vm, ())):
+            self.withdraw(key, now)
 
     def decide(self, now: float) -> list[Granted | Refused]:
-        """Return the decisions that are due."""
-        decisions, self._repeated = self._repeated, []
-        ordered = sorted(
-            self.request_by_key.values(),
-            key=lambda item: (
-                now + self.mean_run_s > item.objective_at,
-                item.urgency,
-                self.shares.relative_usage(item.account),
-                item.objective_at,
-            ),
-        )
-        for request in ordered:
-            decision = self._decide_one(request, now)
-            if decision is not None:
-                del self.request_by_key[request.key]
-                decisions.append(decision)
+        """Return the decisions that are due.
+
+        :param now: the time; not before that of an earlier call.
+        """
+        self._decided_at = now
+        self._run_timers(now)
+        if self._fresh:
+            self._enter_fresh(now)
+        if self._freed_ids:
+            self._grant_freed(now)
+        if self._fresh:
+            self._check_fresh(now)
+        decisions, self._decided = self._decided, []
         return decisions
 
-    def expected_wait_s(self, key: queue_types.Key, now: float) -> float:
-        """Return the time until a waiting request is expected to be granted."""
-        slots = sum(load.slots for load in self.load_by_id.values())
-        return len(self.request_by_key) * self.mean_run_s / max(1, slots)
+    def expected_wait_s(self, key: Key, now: float) -> float:
+        """Return the time until a waiting request is expected to be granted, seconds.
+
+        :param key: the request; 0 is returned for one that does not wait.
+        :param now: the time.
+        """
+        entry = self.entry_by_key.get(key)
+        if entry is None:
+            return 0.0
+        left_s = max(0.0, entry.request.send_by - now)
+        return min(left_s, self._waits(entry.request, now).until_granted_s(entry))
 
     def next_at(self) -> float | None:
         """Return when to call :meth:`decide` at the latest; None if nothing waits."""
-        return min(
-            (item.send_by for item in self.request_by_key.values()), default=None
-        )
+        if self._fresh or self._decided or (self._freed_ids and self.entry_by_key):
+            return self._decided_at
+        if not self.entry_by_key:
+            return None
+        while self._timers and not self._is_needed(self._timers[0][2]):
+            heapq.heappop(self._timers)
+        return self._timers[0][0] if self._timers else None
 
-    def _decide_one(
-        self, request: WaitingRequest, now: float
-    ) -> Granted | Refused | None:
-        ids = [i for i in request.endpoint_ids if i in self.load_by_id]
-        ids = [i for i in ids if self.load_by_id[i].accepts]
-        if not ids:
-            return Refused(request.key, 0.0, NO_ENDPOINT)
-        if now >= request.send_by:
-            return self._refuse(request.key, TOO_LATE, now)
-        free = [i for i in ids if self._has_room(self.load_by_id[i], i, request, now)]
-        if not free:
+    # New requests.
+
+    def _enter_fresh(self, now: float) -> None:
+        """Grant a new request a free place at once, or let new requests wait."""
+        if len(self._fresh) == 1 and not self._freed_ids:
+            [entry] = self._fresh.values()
+            endpoint_id = self._choose(entry, now)
+            if endpoint_id is not None:
+                self._fresh.clear()
+                self._grant(entry, endpoint_id, now)
+                return
+        for entry in self._fresh.values():
+            self._start_to_wait(entry, now)
+            for endpoint_id in entry.request.endpoint_ids:
+                if endpoint_id in self.load_by_id:
+                    self._freed_ids.add(endpoint_id)
+
+    def _start_to_wait(self, entry: queue_order.Entry, now: float) -> None:
+        entry.is_waiting = True
+        account = entry.request.account
+        if not self._waiting_by_account[account]:
+            others = (name for name in self._waiting_by_account if name != account)
+            self.shares.activate(account, others, now)
+        self._waiting_by_account[account] += 1
+        for endpoint_id in entry.request.endpoint_ids:
+            if endpoint_id in self._order_by_id:
+                self._order_by_id[endpoint_id].add(entry)
+
+    def _check_fresh(self, now: float) -> None:
+        """Refuse new requests that cannot be granted in time, the last ones first."""
+        fresh = list(self._fresh.values())
+        self._fresh.clear()
+        for entry in reversed(fresh):
+            if len(self.entry_by_key) > MAX_WAITING:
+                self._refuse(entry, QUEUE_FULL, now)
+            elif not self._refuse_if_certain(entry, now):
+                self._set_timer(entry.next_change_at(), entry)
+
+    def _refuse_if_certain(self, entry: queue_order.Entry, now: float) -> bool:
+        """Refuse a request that waits if it will not be granted in time."""
+        left_s = entry.request.send_by - now
+        waits = self._waits(entry.request, now)
+        wait_s = waits.until_granted_s(entry)
+        if wait_s <= left_s:
+            return False
+        self._forget_waiting(entry)
+        retry_after_s = waits.retry_after_s(wait_s - left_s)
+        self._decided.append(Refused(entry.request.key, retry_after_s, NO_ROOM))
+        return True
+
+    # Endpoints with room.
+
+    def _grant_freed(self, now: float) -> None:
+        """Grant what was freed, the first request in order of all endpoints first."""
+        best_by_id = {}
+        pending_ids = set(self._freed_ids)
+        self._freed_ids.clear()
+        while True:
+            for endpoint_id in pending_ids:
+                best = self._first_at(endpoint_id, now)
+                if best is not None:
+                    best_by_id[endpoint_id] = best
+                else:
+                    best_by_id.pop(endpoint_id, None)
+            if not best_by_id:
+                break
+            first_id = min(best_by_id, key=lambda i: best_by_id[i][0])
+            _, entry = best_by_id[first_id]
+            chosen_id = self._choose(entry, now) or first_id
+            self._count_turns(entry, first_id)
+            self._grant(entry, chosen_id, now)
+            pending_ids = {i for i, best in best_by_id.items() if best[1] is entry}
+            # A reservation of the granted request may have ended.
+            pending_ids |= {chosen_id} | self._freed_ids
+            self._freed_ids.clear()
+
+    def _first_at(
+        self, endpoint_id: str, now: float
+    ) -> tuple[tuple, queue_order.Entry] | None:
+        """Return the request to be granted next at an endpoint, and its order."""
+        load = self.load_by_id.get(endpoint_id)
+        if load is None or not self._has_place(load, now):
             return None
-        chosen_id = min(free, key=lambda i: self.load_by_id[i].fullness())
-        load = self.load_by_id[chosen_id]
-        grant = endpoint_load.Grant(
-            request.key,
-            chosen_id,
-            max(0, request.memory_tokens),
-            now,
-            load.prompt_s(request, chosen_id),
-            request,
-            self.mean_run_s,
+        order = self._order_by_id[endpoint_id]
+        if not len(order):
+            return None
+
+        def fit(entry: queue_order.Entry) -> queue_order.Fit:
+            return self._fit(entry, load, endpoint_id, now)
+
+        if self._since_soonest >= SOONEST_INTERVAL - 1:
+            entry = order.by_send_by.first()
+            if entry is not None and fit(entry) is queue_order.Fit.FITS:
+                return (-1, entry.request.send_by, entry.sequence), entry
+        put_off = (
+            self._since_promoted < PROMOTED_INTERVAL - 1 and order.has_urgent_on_time()
         )
-        load.add(grant)
-        self.grant_by_key[request.key] = grant
-        self.shares.add(request.account, request.weight, grant.cost, now)
-        return Granted(request.key, chosen_id)
+        deferred = []
+        for key, bucket in order.heads(self.shares.relative_usage):
+            if put_off and bucket.state is queue_order.State.PROMOTED:
+                deferred.append((key, bucket))
+                continue
+            entry = bucket.find(fit)
+            if entry is not None:
+                return key, entry
+        for key, bucket in deferred:
+            entry = bucket.find(fit)
+            if entry is not None:
+                return key, entry
+        return None
+
+    def _count_turns(self, entry: queue_order.Entry, endpoint_id: str) -> None:
+        """Count the grants since the last one of each kind that is bounded."""
+        order = self._order_by_id[endpoint_id]
+        if order.by_send_by.first() is entry:
+            self._since_soonest = 0
+        else:
+            self._since_soonest += 1
+        if entry.state is queue_order.State.PROMOTED:
+            self._since_promoted = 0
+        else:
+            self._since_promoted += 1
 
-    def _has_room(
+    def _fit(
         self,
+        entry: queue_order.Entry,
         load: endpoint_load.EndpointLoad,
         endpoint_id: str,
-        request: WaitingRequest,
         now: float,
+    ) -> queue_order.Fit:
+        request = entry.request
+        is_promoted = entry.state is queue_order.State.PROMOTED
+        if load.reserved_for is not None and not self._precedes_reserved(entry, load):
+            return queue_order.Fit.BLOCKED
+        if request.is_patient and not is_promoted and load.is_full_for_patient():
+            return queue_order.Fit.BLOCKED
+        if not load.has_memory(load.bounded(request.memory_tokens)) or not (
+            load.has_prefill(load.prompt_s(request, endpoint_id))
+        ):
+            self._reserve(entry, load, endpoint_id)
+            return queue_order.Fit.BLOCKED
+        if entry.state is queue_order.State.ON_TIME:
+            first_s = self.estimates.loaded_first_s(request, load, endpoint_id)
+            if now + first_s > request.objective_at:
+                return queue_order.Fit.TOO_SLOW
+        return queue_order.Fit.FITS
+
+    def _reserve(
+        self,
+        entry: queue_order.Entry,
+        load: endpoint_load.EndpointLoad,
+        endpoint_id: str,
+    ) -> None:
+        """Reserve an endpoint for a waiting request that is blocked there."""
+        max_reserved = max(1, int(MAX_RESERVED_SHARE * len(self.load_by_id)))
+        if (
+            entry.is_waiting
+            and entry.reserved_id is None
+            and load.reserved_for is None
+            and self._reserved < max_reserved
+        ):
+            load.reserved_for = entry
+            entry.reserved_id = endpoint_id
+            self._reserved += 1
+
+    def _precedes_reserved(
+        self, entry: queue_order.Entry, load: endpoint_load.EndpointLoad
     ) -> bool:
-        return (
-            load.has_place(self.mean_run_s, now)
-            and (not request.is_patient or load.patient < load.max_patient)
-            and load.has_memory(max(0, request.memory_tokens))
-            and load.has_prefill(load.prompt_s(request, endpoint_id))
+        usage = self.shares.relative_usage
+        return queue_order.order_key(entry, usage) <= queue_order.order_key(
+            load.reserved_for, usage
         )
 
-    def _refuse(self, key: queue_types.Key, reason: str, now: float) -> Refused:
-        return Refused(
-            key, max(MIN_RETRY_AFTER_S, self.expected_wait_s(key, now)), reason
+    def _has_place(self, load: endpoint_load.EndpointLoad, now: float) -> bool:
+        return load.has_place(self.estimates.run.value, now)
+
+    def _choose(self, entry: queue_order.Entry, now: float) -> str | None:
+        """Return the endpoint with room that suits a request best.
+
+        None is returned if none has room, or if the request can begin in time, but not
+        at an endpoint that has room.
+        """
+        request = entry.request
+        best = None
+        best_id = None
+        for endpoint_id in request.endpoint_ids:
+            load = self.load_by_id.get(endpoint_id)
+            if load is None or not self._has_place(load, now):
+                continue
+            fit = self._fit(entry, load, endpoint_id, now)
+            if fit is not queue_order.Fit.FITS:
+                continue
+            first_s = self.estimates.loaded_first_s(request, load, endpoint_id)
+            is_late = now + first_s > request.objective_at
+            is_full = load.fullness() > MAX_FULLNESS
+            is_remote = endpoint_id not in request.local_ids
+            score = is_late, is_full, is_remote and not is_full, first_s
+            if best is None or score < best:
+                best, best_id = score, endpoint_id
+        return best_id
+
+    def _grant(self, entry: queue_order.Entry, endpoint_id: str, now: float) -> None:
+        request = entry.request
+        self._forget_waiting(entry)
+        load = self.load_by_id[endpoint_id]
+        prompt_s = load.prompt_s(request, endpoint_id)
+        cost = self.estimates.run_s(request)
+        grant = endpoint_load.Grant(
+            request.key,
+            endpoint_id,
+            load.bounded(request.memory_tokens),
+            now,
+            prompt_s,
+            prompt_s,
+            request,
+            cost / load.speed,
+        )
+        self._hold(grant)
+        if prompt_s:
+            read_s = endpoint_load.READ_AFTER_RATIO * load.unread_s
+            self._set_timer(now + read_s, grant)
+        self.estimates.memory.add(grant.memory_tokens)
+        self.shares.add(request.account, request.weight, grant.cost, now)
+        self._usage_by_id[endpoint_id].add(entry, cost, now)
+        self._decided.append(Granted(request.key, endpoint_id))
+
+    # Timers.
+
+    def _set_timer(
+        self, at: float, subject: queue_order.Entry | endpoint_load.Grant | str
+    ) -> None:
+        heapq.heappush(self._timers, (at, next(self._sequence), subject))
+        requests = len(self.entry_by_key) + len(self.grant_by_key)
+        if len(self._timers) > 2 * requests + MIN_STALE_TIMERS:
+            self._timers = [item for item in self._timers if self._is_needed(item[2])]
+            heapq.heapify(self._timers)
+
+    def _is_needed(
+        self, subject: queue_order.Entry | endpoint_load.Grant | str
+    ) -> bool:
+        match subject:
+            case queue_order.Entry():
+                return subject.is_waiting
+            case endpoint_load.Grant():
+                return subject.unread_s > 0
+        return subject in self.load_by_id
+
+    def _run_timers(self, now: float) -> None:
+        while self._timers and self._timers[0][0] <= now:
+            _, _, subject = heapq.heappop(self._timers)
+            if not self._is_needed(subject):
+                continue
+            match subject:
+                case queue_order.Entry():
+                    self._update_state(subject, now)
+                case endpoint_load.Grant():
+                    self.load_by_id[subject.endpoint_id].mark_read(subject)
+                    self._freed_ids.add(subject.endpoint_id)
+                case endpoint_id:
+                    self._freed_ids.add(endpoint_id)
+                    rise_at = self.load_by_id[endpoint_id].next_rise_at(now)
+                    if rise_at is not None:
+                        self._set_timer(rise_at, endpoint_id)
+
+    def _update_state(self, entry: queue_order.Entry, now: float) -> None:
+        """Refuse, promote or put back a waiting request whose time has come."""
+        if now >= entry.request.send_by:
+            self._refuse(entry, NOT_GRANTED, now)
+            return
+        state = entry.state
+        # A late request that is not patient has missed its objective: the one grant in
+        # SOONEST_INTERVAL is its share, and it does not make further ones late.
+        if now >= entry.promote_at and (
+            entry.request.is_patient or now < entry.late_at
+        ):
+            state = queue_order.State.PROMOTED
+        elif now >= entry.late_at:
+            state = queue_order.State.LATE
+        if state is not entry.state:
+            old_key = queue_order.bucket_key(entry)
+            entry.state = state
+            for endpoint_id in entry.request.endpoint_ids:
+                if endpoint_id in self._order_by_id:
+                    self._order_by_id[endpoint_id].move(entry, old_key)
+                    # It may take room that it could not take in its former state.
+                    self._freed_ids.add(endpoint_id)
+            if self._refuse_if_certain(entry, now):
+                return
+        next_at = entry.next_change_at()
+        self._set_timer(next_at if next_at > now else entry.request.send_by, entry)
+
+    # Bookkeeping.
+
+    def _waits(self, request: WaitingRequest, now: float) -> queue_estimates.Waits:
+        rows = [
+            (self.load_by_id[i], self._order_by_id[i], self._usage_by_id[i])
+            for i in self._accepting_ids(request)
+        ]
+        return queue_estimates.Waits(request, rows, self.estimates, now)
+
+    def _refuse(self, entry: queue_order.Entry, reason: str, now: float) -> None:
+        waits = self._waits(entry.request, now)
+        wait_s = waits.until_granted_s(entry)
+        left_s = max(0.0, entry.request.send_by - entry.request.arrived_at)
+        self._forget_waiting(entry)
+        retry_after_s = waits.retry_after_s(wait_s - left_s)
+        self._decided.append(Refused(entry.request.key, retry_after_s, reason))
+
+    def _refuse_without_endpoint(self, key: Key) -> None:
+        self._forget_waiting(self.entry_by_key[key])
+        self._decided.append(Refused(key, 0.0, NO_ENDPOINT))
+
+    def _first_s(self, request: WaitingRequest) -> float:
+        """Return the shortest expected time to the request's first event."""
+        return min(
+            self.estimates.first_s(request, self.load_by_id[i], i)
+            for i in self._accepting_ids(request)
         )
 
-    def _release(self, key: queue_types.Key) -> endpoint_load.Grant | None:
+    def _accepting_ids(self, request: WaitingRequest) -> list[str]:
+        loads = self.load_by_id
+        return [i for i in request.endpoint_ids if i in loads and loads[i].accepts]
+
+    def _forget_waiting(self, entry: queue_order.Entry) -> None:
+        key = entry.request.key
+        self.entry_by_key.pop(key, None)
+        self._fresh.pop(key, None)
+        self._forget_key(key)
+        if not entry.is_waiting:
+            return
+        entry.is_waiting = False
+        bucket_key = queue_order.bucket_key(entry)
+        for endpoint_id in entry.request.endpoint_ids:
+            if endpoint_id in self._order_by_id:
+                self._order_by_id[endpoint_id].remove(entry, bucket_key)
+        account = entry.request.account
+        self._waiting_by_account[account] -= 1
+        if not self._waiting_by_account[account]:
+            del self._waiting_by_account[account]
+        if entry.reserved_id is not None:
+            self._end_reservation(entry)
+
+    def _end_reservation(self, entry: queue_order.Entry) -> None:
+        load = self.load_by_id.get(entry.reserved_id)
+        if load is not None:
+            load.reserved_for = None
+            self._freed_ids.add(entry.reserved_id)
+        entry.reserved_id = None
+        self._reserved -= 1
+
+    def _hold(self, grant: endpoint_load.Grant) -> None:
+        self.grant_by_key[grant.key] = grant
+        self._keys_by_vm[grant.key[0]].add(grant.key)
+        self.load_by_id[grant.endpoint_id].add(grant)
+
+    def _release(self, key: Key) -> endpoint_load.Grant | None:
         grant = self.grant_by_key.pop(key, None)
         if grant is not None:
+            self._forget_key(key)
             self.load_by_id[grant.endpoint_id].remove(grant)
+            if len(self._order_by_id[grant.endpoint_id]):
+                self._freed_ids.add(grant.endpoint_id)
         return grant
+
+    def _forget_key(self, key: Key) -> None:
+        keys = self._keys_by_vm.get(key[0])
+        if keys is not None:
+            keys.discard(key)
+            if not keys:
+                del self._keys_by_vm[key[0]]
+
+    def _drop_endpoint(self, endpoint_id: str) -> None:
+        load = self.load_by_id[endpoint_id]
+        for key in list(load.grant_by_key):
+            self._release(key)
+        if load.reserved_for is not None:
+            self._end_reservation(load.reserved_for)
+        del self.load_by_id[endpoint_id]
+        del self._order_by_id[endpoint_id]
+        del self._usage_by_id[endpoint_id]
+        self._freed_ids.discard(endpoint_id)
+
+
+def _bounded(request: WaitingRequest, now: float) -> WaitingRequest:
+    """Return a request whose numbers are within their bounds."""
+    latest = now + MAX_WAIT_S
+    # Comparisons with NaN are false, so that such times count as now.
+    send_by = min(request.send_by, latest) if request.send_by > now else now
+    objective_at = request.objective_at if request.objective_at > 0 else now
+    arrived_at = request.arrived_at if request.arrived_at <= now else now
+    weight = fair_shares.bounded_weight(request.weight)
+    urgency = min(max(request.urgency, 0), declaration_types.LOWEST_URGENCY)
+    endpoint_ids = request.endpoint_ids
+    if len(endpoint_ids) > MAX_ENDPOINTS or len(set(endpoint_ids)) < len(endpoint_ids):
+        endpoint_ids = tuple(dict.fromkeys(endpoint_ids))[:MAX_ENDPOINTS]
+    if (
+        send_by == request.send_by
+        and objective_at == request.objective_at
+        and arrived_at == request.arrived_at
+        and weight == request.weight
+        and urgency == request.urgency
+        and endpoint_ids is request.endpoint_ids
+    ):
+        return request
+    return attrs.evolve(
+        request,
+        send_by=send_by,
+        objective_at=objective_at,
+        arrived_at=arrived_at,
+        weight=weight,
+        urgency=urgency,
+        endpoint_ids=endpoint_ids,
+    )
+
+
+def _is_same(former: WaitingRequest, request: WaitingRequest) -> bool:
+    """Return whether a repeated request differs by its times at most."""
+    return (
+        former.endpoint_ids == request.endpoint_ids
+        and former.local_ids == request.local_ids
+        and former.prompt_tokens == request.prompt_tokens
+        and former.shared_tokens == request.shared_tokens
+        and former.memory_tokens == request.memory_tokens
+        and former.urgency == request.urgency
+        and former.account == request.account
+        and former.weight == request.weight
+        and former.is_patient == request.is_patient
+    )
--- a/packages/mothworks_gateway/src/mothworks_gateway/fair_shares.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/fair_shares.py
@@ -11,9 +11,8 @@
 #: Bounds of a weight. A smaller one would let a single run count for minutes.
 MIN_WEIGHT = 0.01
 MAX_WEIGHT = 100.0
-#: Age of the reference time at which usages are rebased, seconds: 2**60 is far from
-#: the limits of a float.
-REBASE_AFTER_S = 60 * HALF_LIFE_S
+#: Half-lives after which usages are rebased: 2**60 is far from the limits of a float.
+REBASE_AFTER_HALF_LIVES = 60
 
 
 class FairShares:
@@ -21,12 +20,19 @@
 
     Usages are kept relative to a reference time: a cost counts for more the later it
     was added. All usages decay alike, so that they can be compared without the time.
+
+    :param half_life_s: half-life of the sums, seconds.
+    :param max_accounts: upper bound of the number of accounts.
     """
 
-    def __init__(self):
-        self._usage_by_account: collections.defaultdict[str, float] = (
-            collections.defaultdict(float)
-        )
+    def __init__(
+        self, half_life_s: float = HALF_LIFE_S, max_accounts: int = MAX_ACCOUNTS
+    ):
+        self.half_life_s = half_life_s
+        self.max_accounts = max_accounts
+        self._usage_by_account: collections.defaultdict[
+            collections.abc.Hashable, float
+        ] = collections.defaultdict(float)
         self._reference_at: float | None = None
 
     def add(self, account: str, weight: float, cost: float, now: float) -> None:
@@ -42,7 +48,7 @@
         usage = self._usage_by_account
         scaled = cost / bounded_weight(weight) * self._scale(now)
         usage[account] = max(0.0, usage[account] + scaled)
-        if len(usage) > MAX_ACCOUNTS:
+        if len(usage) > self.max_accounts:
             self._evict()
 
     def usage(self, account: str, now: float) -> float:
@@ -68,6 +74,16 @@
         """
         return min(accounts, key=self.relative_usage, default=None)
 
+    def per_s_by_account(self, now: float) -> dict[collections.abc.Hashable, float]:
+        """Return the recent cost by second of each account.
+
+        :param now: the time, seconds.
+        """
+        factor = math.log(2.0) / self.half_life_s / self._scale(now)
+        return {
+            account: usage * factor for account, usage in self._usage_by_account.items()
+        }
+
     def activate(
         self, account: str, waiting: collections.abc.Iterable[str], now: float
     ) -> None:
@@ -85,7 +101,7 @@
             return
         usage = self._usage_by_account
         usage[account] = max(usage[account], usage.get(least, 0.0))
-        if len(usage) > MAX_ACCOUNTS:
+        if len(usage) > self.max_accounts:
             self._evict()
 
     def _scale(self, now: float) -> float:
@@ -93,18 +109,18 @@
         if self._reference_at is None:
             self._reference_at = now
         age_s = now - self._reference_at
-        if age_s > REBASE_AFTER_S:
-            factor = 2.0 ** (-age_s / HALF_LIFE_S)
+        if age_s > REBASE_AFTER_HALF_LIVES * self.half_life_s:
+            factor = 2.0 ** (-age_s / self.half_life_s)
             for account, usage in self._usage_by_account.items():
                 self._usage_by_account[account] = usage * factor
             self._reference_at = now
             return 1.0
-        return 2.0 ** (age_s / HALF_LIFE_S)
+        return 2.0 ** (age_s / self.half_life_s)
 
     def _evict(self) -> None:
         """Evict the least used eighth, so that it is seldom needed."""
         usage = self._usage_by_account
-        for account in sorted(usage, key=usage.get)[: MAX_ACCOUNTS // 8]:
+        for account in sorted(usage, key=usage.get)[: max(1, self.max_accounts // 8)]:
             del usage[account]
 
 
--- /dev/null
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_order.py
@@ -0,0 +1,235 @@
+"""The order in which requests wait at each endpoint.
+
+A request waits at all endpoints that can run it, in a heap by objective for each state,
+urgency and account. A heap may contain requests that left; they are skipped.
+"""
+
+import collections.abc
+import enum
+import heapq
+
+import attrs
+
+from mothworks_gateway import queue_types
+
+#: Requests of a heap that are tried at an endpoint that is too slow for the first ones.
+MAX_TRIED = 8
+#: Requests that left are removed from a heap once it has more than twice as many items
+#: as requests, and this many more.
+MIN_STALE = 16
+
+
+class State(enum.IntEnum):
+    """State of a waiting request, in the order in which places are granted."""
+
+    #: Most of its time until ``send_by`` has passed.
+    PROMOTED = 0
+    #: It can still meet its objective.
+    ON_TIME = 1
+    LATE = 2
+
+
+class Fit(enum.Enum):
+    """Whether a request can be granted a place at an endpoint now."""
+
+    FITS = enum.auto()
+    #: The memory or the prompts that are not read leave no room. Requests after it may
+    #: not pass, since small ones would otherwise delay a large one without end.
+    BLOCKED = enum.auto()
+    #: It would not begin in time there, and can begin in time at another endpoint.
+    TOO_SLOW = enum.auto()
+
+
+@attrs.define(eq=False)
+class Entry:
+    """A waiting request and its state.
+
+    :param request: the request.
+    :param sequence: position among all requests, which decides between equal ones.
+    :param work_s: expected duration of its run, seconds, divided by the number of its
+        endpoints.
+    :param late_at: time from which on it cannot meet its objective.
+    :param promote_at: time at which it is promoted.
+    """
+
+    request: queue_types.WaitingRequest
+    sequence: int
+    work_s: float
+    late_at: float
+    promote_at: float
+    state: State = State.ON_TIME
+    is_waiting: bool = False
+    #: The endpoint at which no request after this one is granted a place.
+    reserved_id: str | None = None
+
+    def next_change_at(self) -> float:
+        """Return when its state changes next, or it has to be refused."""
+        if self.state is State.ON_TIME:
+            return min(self.late_at, self.promote_at, self.request.send_by)
+        if self.state is State.LATE:
+            return min(max(self.late_at, self.promote_at), self.request.send_by)
+        return self.request.send_by
+
+
+#: State, urgency, whether patient, account.
+BucketKey = tuple[State, int, bool, str]
+#: State, urgency, usage of the account, objective, sequence.
+OrderKey = tuple[State, int, float, float, int]
+Usage = collections.abc.Callable[[str], float]
+
+
+def order_key(entry: Entry, usage: Usage) -> OrderKey:
+    """Return what a waiting request is ordered by.
+
+    :param entry: the request.
+    :param usage: returns what an account received recently.
+    """
+    request = entry.request
+    return (
+        entry.state,
+        request.urgency,
+        usage(request.account),
+        request.objective_at,
+        entry.sequence,
+    )
+
+
+def bucket_key(entry: Entry) -> BucketKey:
+    """Return the key of the bucket in which a request waits.
+
+    :param entry: the request.
+    """
+    request = entry.request
+    return entry.state, request.urgency, request.is_patient, request.account
+
+
+class _Heap:
+    """Entries by a time; those for which ``is_live`` is false are skipped."""
+
+    def __init__(self, is_live: collections.abc.Callable[[Entry], bool]):
+        self.is_live = is_live
+        self.items: list[tuple[float, int, Entry]] = []
+        self.live = 0
+
+    def push(self, at: float, entry: Entry) -> None:
+        heapq.heappush(self.items, (at, entry.sequence, entry))
+        self.live += 1
+
+    def discard_one(self) -> None:
+        """Record that an entry is not live any more."""
+        self.live -= 1
+        if len(self.items) > 2 * self.live + MIN_STALE:
+            self.items = [item for item in self.items if self.is_live(item[2])]
+            heapq.heapify(self.items)
+
+    def first(self) -> Entry | None:
+        items = self.items
+        while items and not self.is_live(items[0][2]):
+            heapq.heappop(items)
+        return items[0][2] if items else None
+
+    def find(self, fit: collections.abc.Callable[[Entry], Fit]) -> Entry | None:
+        """Return the first entry that fits, unless one before it is blocked."""
+        passed = []
+        found = None
+        while len(passed) < MAX_TRIED and (entry := self.first()) is not None:
+            match fit(entry):
+                case Fit.FITS:
+                    found = entry
+                    break
+                case Fit.BLOCKED:
+                    break
+                case Fit.TOO_SLOW:
+                    passed.append(heapq.heappop(self.items))
+        for item in passed:
+            heapq.heappush(self.items, item)
+        return found
+
+
+class Bucket(_Heap):
+    """Waiting requests of equal state, urgency and account, by objective.
+
+    :param key: the bucket's key.
+    :param weight: weight of the account.
+    """
+
+    def __init__(self, key: BucketKey, weight: float):
+        self.key = key
+        self.state, self.urgency, self.is_patient, self.account = key
+        self.weight = weight
+        self.work_s = 0.0
+        super().__init__(
+            lambda entry: entry.is_waiting and entry.state is self.state,
+        )
+
+
+class EndpointOrder:
+    """The requests that wait at one endpoint."""
+
+    def __init__(self):
+        self.bucket_by_key: dict[BucketKey, Bucket] = {}
+        self.by_send_by = _Heap(lambda entry: entry.is_waiting)
+
+    def __len__(self) -> int:
+        return self.by_send_by.live
+
+    def add(self, entry: Entry) -> None:
+        """Add a request.
+
+        :param entry: the request, marked as waiting.
+        """
+        self._add_to_bucket(entry)
+        self.by_send_by.push(entry.request.send_by, entry)
+
+    def remove(self, entry: Entry, key: BucketKey) -> None:
+        """Remove a request.
+
+        :param entry: the request, not marked as waiting any more.
+        :param key: the key of its bucket.
+        """
+        self._remove_from_bucket(entry, key)
+        self.by_send_by.discard_one()
+
+    def move(self, entry: Entry, old_key: BucketKey) -> None:
+        """Move a request whose state has changed.
+
+        :param entry: the request, with its new state.
+        :param old_key: the key of its former bucket.
+        """
+        self._remove_from_bucket(entry, old_key)
+        self._add_to_bucket(entry)
+
+    def heads(self, usage: Usage) -> list[tuple[OrderKey, Bucket]]:
+        """Return the buckets in the order of their first requests.
+
+        :param usage: returns what an account received recently.
+        """
+        heads = [
+            (order_key(entry, usage), bucket)
+            for bucket in self.bucket_by_key.values()
+            if (entry := bucket.first()) is not None
+        ]
+        heads.sort(key=lambda item: item[0])
+        return heads
+
+    def has_urgent_on_time(self) -> bool:
+        """Return whether a request waits that is neither patient nor late."""
+        return any(
+            bucket.state is State.ON_TIME and not bucket.is_patient
+            for bucket in self.bucket_by_key.values()
+        )
+
+    def _add_to_bucket(self, entry: Entry) -> None:
+        key = bucket_key(entry)
+        bucket = self.bucket_by_key.get(key)
+        if bucket is None:
+            bucket = self.bucket_by_key[key] = Bucket(key, entry.request.weight)
+        bucket.push(entry.request.objective_at, entry)
+        bucket.work_s += entry.work_s
+
+    def _remove_from_bucket(self, entry: Entry, key: BucketKey) -> None:
+        bucket = self.bucket_by_key[key]
+        bucket.work_s -= entry.work_s
+        bucket.discard_one()
+        if not bucket.live:
+            del self.bucket_by_key[key]
