Speeds and run times are published, and used by selection and placement

Their needs were counted by prompts only and all endpoints as equally fast. The owner of a queue publishes what it measured in its heartbeats; collectors pass it on. Occupancy is divided by speed, capacity is counted in speed, and a model's need is the larger one of prompts and batch slots. Without speeds and run times, nothing changes.

--- a/packages/mothworks_gateway/src/mothworks_gateway/aggregation.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/aggregation.py
@@ -24,6 +24,7 @@
     ranking,
     running_requests,
     shared_health,
+    shared_speeds,
 )
 
 #: Time after an endpoint's last error for which totals include its answers, seconds.
@@ -45,6 +46,8 @@
     :param answers: answers to all VMs since the last totals, from endpoints with recent
         errors only.
     :param limits: limits that endpoints reported since the last totals.
+    :param speeds: endpoints' speeds that were published since the last totals.
+    :param run_times: the same for the run times of models.
     """
 
     running_by_endpoint: dict[str, int]
@@ -55,6 +58,8 @@
     lease_version: str = ""
     answers: tuple[heartbeat.AnswerRow, ...] = ()
     limits: tuple[heartbeat.LimitRow, ...] = ()
+    speeds: tuple[heartbeat.SpeedRow, ...] = ()
+    run_times: tuple[heartbeat.RunTimeRow, ...] = ()
 
 
 class HeartbeatAggregate:
@@ -72,6 +77,7 @@
         self.answers = shared_health.AnswerCounts()
         self.spent: collections.Counter[tuple[str, str]] = collections.Counter()
         self.limits = endpoint_limits.NewestLimits()
+        self.speeds = shared_speeds.NewestSpeeds()
 
     def add(self, vm: str, received: heartbeat.Heartbeat, now: float) -> None:
         """Add a VM's heartbeat.
@@ -90,6 +96,7 @@
         for budget, granter, units in received.spent:
             self.spent[budget, granter] += units
         self.limits.add(received.limits, now)
+        self.speeds.add(received)
 
     def evict_stale(self, now: float) -> None:
         """Drop the running requests of VMs whose last heartbeat is stale.
@@ -129,6 +136,7 @@
             spent=spent,
             limits=self.limits.drain(now),
             is_aggregate=True,
+            **self.speeds.drain(),
         )
 
 
@@ -162,6 +170,8 @@
         self.limits = node_kernel.get(endpoint_limits.EndpointLimits)
         #: Limits that endpoints reported, for the next totals.
         self.newest_limits = endpoint_limits.NewestLimits()
+        #: Speeds and run times that were published, for the next totals.
+        self.newest_speeds = shared_speeds.NewestSpeeds()
         self.peers.handle(Totals, self._on_totals)
 
     def _transmit(self, own: heartbeat.Heartbeat) -> None:
@@ -197,6 +207,7 @@
         self.aggregate.add(self.name, own, now)
         self.answers.add(own.answers)
         self.newest_limits.add(own.limits, now)
+        self.newest_speeds.add(own)
         recipients = {*collector_vms, self.lease.holder()} - {self.name, ""}
         self.peers.multicast(recipients, self.aggregate.drain(own, now))
         if reporting_vms:
@@ -212,6 +223,7 @@
             own.registry_changed_at,
             answers=self._suspect_answers(),
             limits=self.newest_limits.drain(time.monotonic()),
+            **self.newest_speeds.drain(),
         )
         if update is None:
             return totals
@@ -246,6 +258,7 @@
             return
         self.answers.add(received.answers)
         self.newest_limits.add(received.limits, time.monotonic())
+        self.newest_speeds.add(received)
         if received.fence and not received.relayed:
             self.holder_update = (vm, received)
         if not (received.is_aggregate or received.relayed or self._is_full_mesh()):
@@ -261,9 +274,14 @@
         self.shared_health.merge(totals.answers)
         self.limits.merge(totals.limits, vm)
         versions = (totals.declaration_version, totals.registry_changed_at)
-        self.heartbeats.receive(
-            vm, heartbeat.Heartbeat(*versions, fence=0, relayed=True)
+        relayed = heartbeat.Heartbeat(
+            *versions,
+            fence=0,
+            relayed=True,
+            speeds=totals.speeds,
+            run_times=totals.run_times,
         )
+        self.heartbeats.receive(vm, relayed)
         if totals.holder:
             holder_heartbeat = heartbeat.Heartbeat(
                 0, 0, totals.fence, lease_version=totals.lease_version, relayed=True
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_selection.py
@@ -8,6 +8,7 @@
 would pick the same one.
 """
 
+import collections.abc
 import random
 
 import attrs
@@ -64,6 +65,8 @@
         self.health = node_kernel.get(health.Health)
         self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
+        #: Returns an endpoint's speed by its id; see :mod:`shared_speeds`.
+        self.speed: collections.abc.Callable[[str], float] = lambda _: 1.0
 
     def service(self, route: declaration_types.Route) -> str:
         """Pick a service for a request at random, by the route's weights.
@@ -128,12 +131,14 @@
         return [*pair, *sorted(rest, key=self._occupancy)]
 
     def _occupancy(self, endpoint: registry.Endpoint) -> float:
-        """Return an endpoint's load as a share of its batch slots.
+        """Return an endpoint's load as a share of its batch slots, by its speed.
 
+        A faster endpoint frees its slots sooner, so that it bears more requests.
         Endpoints in other data centres get a surcharge.
         """
         running = self.running_requests.of_endpoint(endpoint.id)
-        occupancy = running / max(1, endpoint.entry.batch_slots)
+        slots = max(1, endpoint.entry.batch_slots)
+        occupancy = running / slots / self.speed(endpoint.id)
         is_local = endpoint.entry.data_centre == self.data_centre
         return occupancy if is_local else occupancy + _margin(endpoint)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_speeds.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_speeds.py
@@ -56,6 +56,8 @@
 MAX_MODELS = 1024
 #: Half-life of a run's weight in the mean run time, seconds.
 RUN_HALF_LIFE_S = 15.0
+#: Time after its last run for which a model counts as recent, seconds.
+RECENT_RUN_S = 60.0
 #: Prefill speed returned while there are too few samples, tokens per second.
 DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
 #: Prompts for the prefill speed of the service, and new ones between two estimates.
@@ -278,9 +280,23 @@
         """Return the endpoints with samples."""
         return list(self._endpoint_by_id)
 
-    def models(self) -> list[str]:
-        """Return the models with a mean run time."""
-        return list(self._run_by_model)
+    def recent_models(self, now: float) -> list[str]:
+        """Return the models with recent runs.
+
+        :param now: monotonic time.
+        """
+        oldest_at = now - RECENT_RUN_S
+        return [key for key, run in self._run_by_model.items() if run.at >= oldest_at]
+
+    def assume(self, endpoint_id: str, speed: float, now: float) -> None:
+        """Start with a speed that a former estimator found.
+
+        :param endpoint_id: the endpoint.
+        :param speed: its speed.
+        :param now: monotonic time.
+        """
+        if _are_positive(speed):
+            self._endpoint(endpoint_id, now).speed = _within_bounds(math.log(speed))
 
     def forget(self, endpoint_id: str) -> None:
         """Remove an endpoint that is gone.
--- a/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
@@ -40,6 +40,12 @@
 #: An endpoint's id, the limit that it reported in requests per second or None, and the
 #: ages of the request and of its answer, seconds.
 LimitRow = tuple[str, float | None, float, float]
+#: An endpoint's id, its speed relative to its service's mean, and its prefill speed in
+#: tokens per second, 0 if unknown.
+SpeedRow = tuple[str, float, float]
+#: A service, a model, and the mean time for which a run occupies a batch slot, seconds.
+#: An empty model stands for the service's mean.
+RunTimeRow = tuple[str, str, float]
 
 
 @messages.message(110)
@@ -66,6 +72,8 @@
     :param limits: limits that endpoints reported since the last heartbeat.
     :param blocked_digest: digest of the blocked requests; see
         :mod:`poison_replication`.
+    :param speeds: endpoints' speeds that changed or are due; see :mod:`shared_speeds`.
+    :param run_times: the same for the run times of models.
     """
 
     declaration_version: int
@@ -81,6 +89,8 @@
     spent: tuple[tuple[str, str, float], ...] = ()
     limits: tuple[LimitRow, ...] = ()
     blocked_digest: int = 0
+    speeds: tuple[SpeedRow, ...] = ()
+    run_times: tuple[RunTimeRow, ...] = ()
 
 
 @messages.message(111)
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -32,6 +32,7 @@
     residency,
     scheduler,
     settings,
+    shared_speeds,
     watching,
 )
 
@@ -62,6 +63,7 @@
     residency.Residency,
     job_execution.JobExecutor,
     scheduler.Scheduler,
+    shared_speeds.SharedSpeeds,
     poison_replication.PoisonReplication,
     forwarding_server.ForwardingServer,
     front.Front,
--- a/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/placement_candidates.py
@@ -4,6 +4,7 @@
 the model loads, and those for the models that are evicted to free memory.
 """
 
+import collections.abc
 import enum
 
 import attrs
@@ -45,6 +46,14 @@
 #: Share of an endpoint's prefill speed that prompts are to use. Above it, answers
 #: queue behind each other's prompts and running streams stall.
 PREFILL_SHARE = 0.35
+#: Share of an endpoint's batch slots that a model's requests are to use. Requests do
+#: not arrive evenly; above it, many of them find all slots in use.
+SLOT_SHARE = 0.6
+#: Cost of a speed of half the mean for each request per second that a model gets more
+#: than the mean model, in requests, and the upper bound of this cost. It decides
+#: between equal candidates only: an eviction that matters costs more.
+SLOWNESS_COST = 0.05
+MAX_SLOWNESS_COST = 0.2
 #: Time over which one replica more or less is valued, seconds: about as long as a load
 #: from the weight store takes.
 HORIZON_S = 4.0
@@ -75,6 +84,8 @@
     :param eviction_cost: cost of evicting them, in requests.
     :param ready_in_s: time until the model would be ready, seconds.
     :param forced: whether running requests use one of the models to evict.
+    :param slowness_cost: cost of the endpoint's speed, in requests; negative if it
+        suits the model's demand.
     """
 
     state: endpoint_state.EndpointState
@@ -82,14 +93,16 @@
     eviction_cost: float
     ready_in_s: float
     forced: bool
+    slowness_cost: float = 0.0
 
     def total_cost(self, callers: int) -> float:
-        """Return the total cost in requests: evictions and waiting callers.
+        """Return the total cost in requests: evictions, waiting callers and speed.
 
         :param callers: number of callers that wait for the model.
         """
         return (
             self.eviction_cost
+            + self.slowness_cost
             + COST_PER_WAITING_S * max(MIN_CALLERS, callers) * self.ready_in_s
         )
 
@@ -128,18 +141,45 @@
             str, dict[str, list[endpoint_state.EndpointState]]
         ] = {}
         self.unmet_models_by_service: dict[str, set[str]] = {}
+        self.mean_rate_by_service: dict[str, float] = {}
+        #: Returns an endpoint's speed by its id; see :mod:`shared_speeds`.
+        self.speed: collections.abc.Callable[[str], float] = lambda _: 1.0
+        #: Returns the mean run time of a service's model, seconds; None if unknown.
+        self.mean_run_s: collections.abc.Callable[[str, str], float | None] = (
+            lambda _service, _model: None
+        )
 
     def endpoints_needed(self, target: caller_request.Target) -> float:
-        """Return the number of endpoints that a model's prompts keep busy.
+        """Return the number of endpoints that a model's requests keep busy.
+
+        Either their prompts or their batch slots are scarce: with batches of 12 to 16
+        and runs of 1.7 s, the slots are exhausted three to five times sooner.
 
         :param target: the model.
         """
         per_s = self.prefill_speed.tokens_per_s(target.service) * PREFILL_SHARE
-        return self.demand.prompt_tokens_per_s(target) / per_s
+        by_prompts = self.demand.prompt_tokens_per_s(target) / per_s
+        return max(by_prompts, self._needed_by_slots(target))
+
+    def _needed_by_slots(self, target: caller_request.Target) -> float:
+        """Return the number of endpoints whose batch slots a model's requests fill.
+
+        It is 0 while the duration of the runs is unknown.
+        """
+        run_s = self.mean_run_s(target.service, target.model)
+        if run_s is None:
+            return 0.0
+        states = self.job_executor.of_service(target.service)
+        if not states:
+            return 0.0
+        slots = max(1, states[0].accelerator.batch_slots)
+        return self.demand.rate(target) * run_s / (slots * SLOT_SHARE)
 
     def capacity(self, states: list[endpoint_state.EndpointState]) -> float:
         """Return the capacity of some endpoints, as a number of unlimited endpoints.
 
+        The unit is an endpoint of the service's mean speed.
+
         :param states: the endpoints.
         """
         return sum(map(self._capacity, states))
@@ -147,19 +187,23 @@
     def _capacity(self, state: endpoint_state.EndpointState) -> float:
         if self.notices.backoff(state.endpoint) is not None:
             return 0.0
+        speed = self.speed(state.endpoint.id)
         per_s = self.limits.per_s(state.endpoint.id)
         if per_s is None:
-            return 1.0
-        return min(1.0, per_s * REQUEST_DURATION_S / state.accelerator.batch_slots)
+            return speed
+        return min(speed, per_s * REQUEST_DURATION_S / state.accelerator.batch_slots)
 
-    def replica_value(self, target: caller_request.Target, replicas: float) -> float:
+    def replica_value(
+        self, target: caller_request.Target, replicas: float, last: float = 1.0
+    ) -> float:
         """Return how many requests a model's last replica serves in time.
 
         :param target: the model.
         :param replicas: its replicas, that one included, as a :meth:`capacity`.
+        :param last: speed of the last one's endpoint.
         """
         needed = max(1.0, self.endpoints_needed(target))
-        share = min(1.0, replicas / needed) - min(1.0, (replicas - 1) / needed)
+        share = min(1.0, replicas / needed) - min(1.0, (replicas - last) / needed)
         return self.demand.rate(target) * share * HORIZON_S
 
     def endpoints_holding(
@@ -192,6 +236,7 @@
         self.holders_by_target.clear()
         self.involved_by_service.clear()
         self.unmet_models_by_service.clear()
+        self.mean_rate_by_service.clear()
 
     def _involved(
         self, target: caller_request.Target
@@ -316,7 +361,40 @@
             + endpoint_state.expected_drain_s(running)
         )
         ready_in_s += max(state.ready_s_by_model().values(), default=0.0)
-        return Candidate(state, names, eviction_cost, ready_in_s, running > 0)
+        slowness_cost = self._slowness_cost(state, model)
+        return Candidate(
+            state, names, eviction_cost, ready_in_s, running > 0, slowness_cost
+        )
+
+    def _slowness_cost(
+        self, state: endpoint_state.EndpointState, model: declaration_types.Model
+    ) -> float:
+        """Return the cost of an endpoint's speed for a model, in requests.
+
+        A model with more demand than the mean model prefers fast endpoints, one with
+        less leaves them to others.
+        """
+        speed = self.speed(state.endpoint.id)
+        if speed == 1.0:
+            return 0.0
+        service = state.endpoint.entry.service
+        rate = self.demand.rate(caller_request.Target(service, model.name))
+        excess = rate - self._mean_rate(service)
+        cost = SLOWNESS_COST * excess * (1.0 / speed - 1.0)
+        return min(MAX_SLOWNESS_COST, max(-MAX_SLOWNESS_COST, cost))
+
+    def _mean_rate(self, service: str) -> float:
+        """Return the mean of the request rates of a service's requested models."""
+        cached = self.mean_rate_by_service.get(service)
+        if cached is None:
+            rates = [
+                self.demand.rate(item)
+                for item in self.demand.models()
+                if item.service == service
+            ]
+            cached = sum(rates) / len(rates) if rates else 0.0
+            self.mean_rate_by_service[service] = cached
+        return cached
 
     def eviction_cost(self, state: endpoint_state.EndpointState, name: str) -> float:
         """Return the cost of evicting a model from an endpoint, in requests.
@@ -333,7 +411,9 @@
         seconds = UNAVAILABLE_S + (model.host_load_s if model else 0.0)
         if not others:
             return rate * seconds
-        value = self.replica_value(target, len(others) + 1)
+        speed = self.speed(state.endpoint.id)
+        replicas = speed + sum(self.speed(item.endpoint.id) for item in others)
+        value = self.replica_value(target, replicas, speed)
         if value > 0:
             return max(value, rate * seconds * SPARE_REPLICA_COST_SHARE)
         running = self.running(name, [state, *others])
--- a/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/scheduler.py
@@ -97,7 +97,7 @@
 
 #: Reasons for a load, as logged.
 CALLERS_WAITING = "wanted"
-DEMAND = "its prompts need more endpoints"
+DEMAND = "its requests need more endpoints"
 SLOW = "its endpoints are slow or nearly full"
 NOT_HELD = "no endpoint holds it"
 COPY = "too few endpoints have a copy"
@@ -278,7 +278,7 @@
     def _spread_by_demand(
         self, target: caller_request.Target, model: declaration_types.Model
     ) -> None:
-        """Load a model on as many endpoints as its prompts need, all at once.
+        """Load a model on as many endpoints as its requests need, all at once.
 
         When demand moves to a model, its prompts exceed what one endpoint can prefill
         several times within two seconds. Adding one endpoint per second, each only once
@@ -300,7 +300,7 @@
             )
             if candidate is None:
                 return
-            replicas += 1
+            replicas += self.placement.speed(candidate.state.endpoint.id)
 
     def _needs_more(
         self, target: caller_request.Target, accelerator: declaration_types.Accelerator
