--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
@@ -51,6 +51,8 @@
 #: 16 s before 360 requests a second.
 LIVE_S = 1.0
 LIVE_TIMEOUT_S = 0.2
+#: Shortest time between reports to a VM that is not known as the owner, seconds.
+INTRODUCE_INTERVAL_S = 0.1
 #: Interval at which granted requests are reported to the owner, seconds.
 HOLDS_INTERVAL_S = 2.0
 #: Time for which events are collected into one message, seconds.
@@ -247,6 +249,8 @@
         self.owner_by_service: dict[str, str] = {}
         #: Monotonic time of the last reply of each owner.
         self.replied_at_by_owner: dict[str, float] = {}
+        #: Monotonic time of the last report to a possible new owner, by service and VM.
+        self.introduced_at: dict[tuple[str, str], float] = {}
         self.rows_by_owner: collections.defaultdict[
             str, list[queue_messages.EventRow]
         ] = collections.defaultdict(list)
@@ -447,6 +451,7 @@
         message = self._message(waiting)
         key = queue_messages.owner_key(message.service)
         for owner in self.budgets.responsive_owners(key):
+            self._introduce(message.service, owner)
             reply = self._ask_owner(owner, message, waiting)
             if isinstance(reply, queue_messages.QueueReply) and reply.is_owner:
                 if waiting.owner not in ("", owner):
@@ -506,12 +511,37 @@
 
     def _record_owner(self, service: str, owner: str) -> None:
         """Report what this VM runs to a new owner of a service's queue."""
+        if self.owner_by_service.get(service) != owner:
+            self.owner_by_service[service] = owner
+            self._send_holds(service, owner)
+
+    def _introduce(self, service: str, owner: str) -> None:
+        """Report what this VM runs to a VM that may be the new owner.
+
+        It must know of the runs before it decides about the first request.
+        """
+        now = time.monotonic()
         if self.owner_by_service.get(service) == owner:
             return
-        self.owner_by_service[service] = owner
-        for admission in list(self.admission_by_ticket.values()):
-            if admission.service == service:
-                self._report_holds(admission, owner)
+        if now >= self.introduced_at.get((service, owner), 0.0) + INTRODUCE_INTERVAL_S:
+            self.introduced_at[service, owner] = now
+            self._send_holds(service, owner)
+
+    def _send_holds(self, service: str, owner: str) -> None:
+        """Report what this VM runs, at once."""
+        admissions = [
+            item
+            for item in self.admission_by_ticket.values()
+            if item.service == service
+        ]
+        rows = tuple(admission.holds_row() for admission in admissions)
+        for admission in admissions:
+            if owner not in admission.owners:
+                admission.owners.append(owner)
+        if owner == self.name:
+            self.owner.apply_events(owner, rows)
+        elif rows and self.peers.is_connected(owner):
+            self.peers.send_nowait(owner, queue_messages.RunEvents(rows))
 
     def _report_held(self) -> None:
         """Report all that this VM runs."""
@@ -581,8 +611,7 @@
         for ticket in lost:
             waiting = self.waiting_by_ticket.get(ticket)
             if waiting is not None and waiting.owner == owner and not waiting.pushed:
-                if reply is None:
-                    self._withdraw(waiting, owner)
+                self._withdraw(waiting, owner)
                 waiting.owner = ""
                 waiting.changed.set()
 
--- a/packages/mothworks_gateway/tests/queue_builders.py
+++ b/packages/mothworks_gateway/tests/queue_builders.py
@@ -1,11 +1,13 @@
 """Builders of fleets whose VMs share endpoint queues, without network."""
 
+import contextlib
 import types
 
 import fleet_builders
 import gateway_builders
 from mothworks import membership, peers
 from mothworks_gateway import (
+    caller_request,
     declaration_types,
     declarations,
     discovery,
@@ -114,7 +116,8 @@
             )
             self.registry.by_id[endpoint_id] = built
         self.running = gateway_builders.RunningRequests()
-        self.waiting_reports = []
+        #: Requests that were reported to the lease holder.
+        self.reported_ids = []
         parts = {
             discovery.Discovery: types.SimpleNamespace(registry=self.registry),
             declarations.Declarations: types.SimpleNamespace(current=fleet.declaration),
@@ -153,9 +156,10 @@
         self.owner.stop()
         self.client.stop()
 
+    @contextlib.contextmanager
     def _count_as_waiting(self, request):
-        self.waiting_reports.append(request.id)
-        return types.SimpleNamespace(__enter__=None, __exit__=None)
+        self.reported_ids.append(request.id)
+        yield
 
     def served(self):
         """Return the queue of the service, as this VM knows it as its owner."""
@@ -192,8 +196,7 @@
     return gateway_builders.request(
         id=request_id,
         route=make_route(objective_s),
-        target=gateway_builders.caller_request.Target(SERVICE),
         received_at=received_at,
         deadline=received_at + 20.0,
-        **fields,
+        **{"target": caller_request.Target(SERVICE), **fields},
     )
--- /dev/null
+++ b/packages/mothworks_gateway/tests/test_queue_client.py
@@ -0,0 +1,224 @@
+"""Admission to a queue at each VM: a request is released exactly once on every path."""
+
+import time
+
+import gevent
+import pytest
+
+import gateway_builders
+import queue_builders
+from mothworks_gateway import (
+    client_accounts,
+    queue_client,
+    request_progress,
+)
+
+#: Places of an endpoint with two slots; see test_queue_owner.
+PLACES = 3
+#: Time for which events are collected, and a margin, seconds.
+SETTLE_S = 0.06
+
+
+@pytest.fixture
+def start_fleet():
+    started = []
+
+    def make(**fields):
+        started.append(queue_builders.Fleet(**{"endpoints": 1, **fields}))
+        return started[-1]
+
+    yield make
+    for fleet in started:
+        fleet.stop()
+
+
+@pytest.fixture
+def fleet(start_fleet):
+    return start_fleet()
+
+
+def admit(vm, wait_s=5.0, progress=None, **fields):
+    """Ask for a place at any endpoint that a VM knows."""
+    now = time.monotonic()
+    request = queue_builders.make_request("q-1", now, **fields)
+    endpoints = list(vm.registry.by_id.values())
+    return vm.client.admit(request, endpoints, progress, now + wait_s)
+
+
+def fill(vm):
+    """Return admissions that take all places of an endpoint."""
+    return [admit(vm).ok_value for _ in range(PLACES)]
+
+
+def held(vm):
+    """Return how many places are in use by an owner's view."""
+    gevent.sleep(SETTLE_S)
+    return vm.served().granted_by_id.total()
+
+
+def waiting_count(vm):
+    return vm.served().waiting_count
+
+
+# The caller is VM 0, which owns the queue itself, or another one.
+@pytest.mark.parametrize("number", [0, 2])
+@pytest.mark.parametrize(
+    "end", ["ended", "was_full", "withdraw"], ids=["end", "full", "not sent"]
+)
+def test_a_place_is_released_once(fleet, number, end):
+    vm = fleet.vms[number]
+    admissions = fill(vm)
+    assert held(fleet.vms[0]) == PLACES
+    admissions[0].began(0.05)
+    for _ in range(2):
+        getattr(admissions[0], end)()
+        admissions[0].ended()
+    assert held(fleet.vms[0]) == PLACES - 1
+    assert len(vm.client.admission_by_ticket) == PLACES - 1
+
+
+def test_a_request_waits_for_a_place(fleet):
+    first, second = fleet.vms[1:]
+    admissions = fill(first)
+    waiting = gevent.spawn(admit, second)
+    gevent.sleep(SETTLE_S)
+    assert not waiting.ready()
+    admissions[0].ended()
+    assert waiting.get(timeout=1.0).ok_value.endpoint.id == "i-0"
+    assert held(fleet.vms[0]) == PLACES
+
+
+# Row: a caller leaves while queued.
+def test_a_caller_that_leaves_while_it_waits_is_withdrawn(fleet):
+    vm = fleet.vms[2]
+    fill(vm)
+    waiting = gevent.spawn(admit, vm)
+    gevent.sleep(SETTLE_S)
+    assert waiting_count(fleet.vms[0]) == 1
+    waiting.kill()
+    gevent.sleep(SETTLE_S)
+    assert waiting_count(fleet.vms[0]) == 0
+    assert not vm.client.waiting_by_ticket
+
+
+# Guards against a place that is granted to a caller that left during the call.
+def test_a_caller_that_leaves_during_the_call_is_withdrawn(fleet):
+    vm = fleet.vms[2]
+    call = vm.peers.call
+
+    def answer_late(name, message, timeout_s):
+        reply = call(name, message, timeout_s)
+        gevent.sleep(1.0)
+        return reply
+
+    vm.peers.call = answer_late
+    asking = gevent.spawn(admit, vm)
+    gevent.sleep(SETTLE_S)
+    assert held(fleet.vms[0]) == 1
+    asking.kill()
+    assert held(fleet.vms[0]) == 0
+
+
+def test_requests_are_sent_without_a_queue_if_there_is_no_owner(fleet):
+    fleet.network.down.update({"vm-0", "vm-1"})
+    assert admit(fleet.vms[2]) is None
+
+
+@pytest.mark.parametrize(
+    ("mode", "objectives", "active"),
+    [
+        ("auto", (0.4, 3.1), False),
+        ("auto", (0.4, 3.2), True),
+        ("on", (0.4,), True),
+        ("off", (0.4, 6.0), False),
+    ],
+)
+def test_the_queue_acts_only_where_it_should(start_fleet, mode, objectives, active):
+    routes = [queue_builders.make_route(objective_s) for objective_s in objectives]
+    declaration = queue_builders.make_declaration(routes=routes)
+    vm = start_fleet(declaration=declaration).vms[0]
+    vm.client.mode = mode
+    assert (admit(vm) is not None) == active
+
+
+# Row: the owner is killed, while requests wait and run.
+def test_a_new_owner_learns_what_waits_and_runs(fleet):
+    vm, successor = fleet.vms[2], fleet.vms[1]
+    admissions = fill(vm)
+    waiting = gevent.spawn(admit, vm)
+    gevent.sleep(SETTLE_S)
+    fleet.network.down.add("vm-0")
+    gevent.sleep(3 * queue_client.REPEAT_INTERVAL_S)
+    assert held(successor) == PLACES
+    assert waiting_count(successor) == 1
+    admissions[0].ended()
+    assert waiting.get(timeout=1.0).is_ok()
+
+
+# Guards against a second place at a former owner, which queued the request before.
+def test_a_request_is_withdrawn_at_a_former_owner(fleet):
+    vm = fleet.vms[2]
+    fill(vm)
+    waiting = gevent.spawn(admit, vm)
+    gevent.sleep(SETTLE_S)
+    fleet.names.reverse()  # VM 2 owns the queue now.
+    gevent.sleep(3 * queue_client.REPEAT_INTERVAL_S)
+    assert waiting_count(fleet.vms[0]) == 0
+    assert waiting_count(vm) == 1
+    waiting.kill()
+
+
+# Row: an endpoint leaves or unloads the model while requests wait.
+def test_a_request_whose_endpoints_left_chooses_anew(fleet):
+    owner, vm = fleet.vms[0], fleet.vms[2]
+    fill(vm)
+    progress = request_progress.RequestProgress()
+    waiting = gevent.spawn(admit, vm, progress=progress)
+    gevent.sleep(SETTLE_S)
+    for item in (owner, vm):
+        item.registry.by_id["i-0"].exclusion_reason = "leaves"
+        item.registry.notify_changed()
+    assert waiting.get(timeout=1.0).err_value.must_choose_anew
+
+
+# Guards against requests that are refused because the owner's registry lags.
+def test_an_endpoint_that_the_owner_lacks_is_used_without_the_queue(fleet):
+    del fleet.vms[0].registry.by_id["i-0"]
+    assert admit(fleet.vms[2]) is None
+
+
+def test_a_request_is_granted_an_endpoint_that_loads_its_model(start_fleet):
+    fleet = start_fleet(models=("m-a",))
+    vm = fleet.vms[2]
+    fill(vm)
+    target = gateway_builders.caller_request.Target("s", "m-a")
+    progress = request_progress.RequestProgress()
+    waiting = gevent.spawn(admit, vm, progress=progress, target=target)
+    gevent.sleep(queue_client.REPORT_AFTER_S + SETTLE_S)
+    assert vm.reported_ids == ["q-1"]
+    for item in fleet.vms:
+        item.registry.by_id["i-9"] = gateway_builders.endpoint("i-9", "s", 2, ["m-a"])
+        item.registry.notify_changed()
+    assert waiting.get(timeout=1.0).ok_value.endpoint.id == "i-9"
+
+
+def test_what_can_not_be_served_is_refused_at_once(fleet):
+    vm = fleet.vms[2]
+    fill(vm)
+    waiting = [gevent.spawn(admit, vm, wait_s=0.3) for _ in range(100)]
+    gevent.sleep(0.25)
+    refused = [task.value.err_value for task in waiting if task.ready()]
+    assert len(refused) >= 50
+    assert min(item.retry_after_s for item in refused) >= 0.1
+    gevent.killall(waiting)
+
+
+def test_the_weight_of_an_account_is_its_cap_relative_to_the_mean():
+    def account(name, per_s):
+        cap = client_accounts.UsageCap(per_s, 1.0) if per_s else None
+        return client_accounts.ClientAccount(name, frozenset(), cap=cap)
+
+    accounts = [account("a", 30.0), account("b", 10.0), account("c", None)]
+    by_name = {item.name: item for item in accounts}
+    weights = client_accounts.Accounts(by_name).weight_by_name
+    assert weights == {"a": 1.5, "b": 0.5}
