--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -176,7 +176,7 @@
         with self.running_requests.count_as_running(endpoint, request.target):
             self.rooms.begin(endpoint)
             may_send = self.slots.wait(slot)
-            if may_send and progress.admission is None:
+            if may_send and not progress.is_granted:
                 self.prefill_pacing.wait(request, endpoint)
         # During the wait, the endpoint may have left, unloaded the model, lowered its
         # limit or asked this VM to back off, copies of the request may have crashed
@@ -270,6 +270,8 @@
                 case None:
                     acquired = self._acquire_slot(request, progress, eligible)
                     if acquired.is_ok():
+                        endpoint = acquired.ok_value.endpoint
+                        progress.admission = self.queue.track(request, endpoint)
                         return acquired
                     return self._refuse(request, progress, 503, acquired.err_value)
                 case result.Err(refused) if refused.must_choose_anew:
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
@@ -95,7 +95,7 @@
     :param request: the request.
     :param endpoint: the endpoint.
     :param prompt_tokens: prompt tokens that the endpoint has to read.
-    :param owner: the VM that granted it.
+    :param owner: the VM that granted it; empty if the request is sent without a queue.
     """
 
     def __init__(
@@ -115,7 +115,9 @@
         self.memory_tokens = memory_tokens(request)
         self.is_stream = request.route.streaming
         #: The VMs that count it: the one that granted it, and later owners.
-        self.owners = [owner]
+        self.owners = [owner] if owner else []
+        #: Whether an owner has granted the place.
+        self.is_granted = bool(owner)
         #: Monotonic time of the first event; None before.
         self.began_at: float | None = None
         self.first_event_s = 0.0
@@ -321,6 +323,23 @@
             if not is_decided and waiting.owner:
                 self._withdraw(waiting, waiting.owner)
 
+    def track(
+        self, request: caller_request.CallerRequest, endpoint: registry.Endpoint
+    ) -> Admission | None:
+        """Return a place that no owner granted, so that the next owner learns of it.
+
+        :param request: a request that is sent without the queue.
+        :param endpoint: its endpoint.
+        :returns: None if the queue is not active.
+        """
+        if not self.is_active():
+            return None
+        ticket = next(self.tickets)
+        tokens = request.unshared_tokens
+        admission = Admission(self, ticket, request, endpoint, tokens, "")
+        self.admission_by_ticket[ticket] = admission
+        return admission
+
     def report(self, owner: str, row: queue_messages.EventRow) -> None:
         """Report an event to an owner, together with others.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
@@ -100,6 +100,8 @@
         #: Monotonic times since which this VM owns the queue, and of the last request.
         self.since = now
         self.used_at = now
+        #: The VMs that have reported what they run since then.
+        self.reported_vms: set[str] = set()
         self.entry_by_key: dict[Key, _Entry] = {}
         #: Numbers of granted requests by endpoint's id.
         self.granted_by_id: collections.Counter[str] = collections.Counter()
@@ -156,6 +158,7 @@
                 self.remove(key)
                 self.queue.withdraw(key, now)
             case queue_messages.EventKind.HOLDS:
+                self.reported_vms.add(vm)
                 self._on_holds(key, endpoint_id, tokens, seconds >= 0, now)
 
     def _on_began(self, key: Key, tokens: int, seconds: float, now: float) -> None:
@@ -302,6 +305,8 @@
             return queue_messages.QueueReply(False, message.ticket)
         now = time.monotonic()
         served = self._queue_of(message.service, now)
+        # A VM reports its runs before it asks a new owner.
+        served.reported_vms.add(vm)
         key = (vm, message.ticket)
         entry = served.entry_by_key.get(key)
         if entry is not None and entry.endpoint_id:
@@ -399,6 +404,7 @@
         elif now - served.used_at > TAKEOVER_S:
             # Another VM may have owned the queue meanwhile.
             served.since = now
+            served.reported_vms.clear()
         served.used_at = now
         if not self.in_use.is_set():
             self.in_use.set()
@@ -615,14 +621,24 @@
         return endpoint.available and self.notices.backoff(endpoint) is None
 
     def _outside(self, served: _ServiceQueue, now: float) -> dict[str, int]:
-        """Return the runs that this VM did not grant, while it is a new owner."""
+        """Return the runs that a new owner does not know yet, by endpoint's id.
+
+        They are those in the heartbeats of VMs that have not reported their runs.
+        """
         if now - served.since > TAKEOVER_S:
             return {}
+        totals = self.running_requests.totals
+        if totals is None:
+            return self.running_requests.running_without(served.reported_vms)
+        # Totals do not say which VM runs what.
+        unknown_share = 1 - len(served.reported_vms) / max(1, self.budgets.fleet.live)
         return {
-            endpoint_id: max(
-                0,
-                self.running_requests.of_endpoint(endpoint_id)
-                - served.granted_by_id[endpoint_id],
+            endpoint_id: math.ceil(
+                max(0.0, unknown_share)
+                * (
+                    self.running_requests.of_endpoint(endpoint_id)
+                    - served.granted_by_id[endpoint_id]
+                )
             )
             for endpoint_id in served.known_ids
         }
--- a/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
@@ -36,6 +36,11 @@
     wait_until: float = math.inf
     admission: typing.Any = None
 
+    @property
+    def is_granted(self) -> bool:
+        """Return whether the owner of a queue granted the attempt in progress."""
+        return self.admission is not None and self.admission.is_granted
+
     def began(self, seconds: float) -> None:
         """Record that the answer of the attempt in progress has begun.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/running_requests.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/running_requests.py
@@ -166,6 +166,22 @@
             endpoint_id: self.of_endpoint(endpoint_id) for endpoint_id in endpoint_ids
         }
 
+    def running_without(self, vms: set[str]) -> dict[str, int]:
+        """Return the running requests of all VMs but some, by endpoint id.
+
+        In a fleet whose heartbeats are aggregated, only this VM's own are known.
+
+        :param vms: the VMs that are left out.
+        """
+        counts: collections.Counter[str] = collections.Counter()
+        if self.kernel.settings.name not in vms:
+            counts.update(self.running.by_endpoint)
+        for vm, message in self.heartbeat_by_vm.items():
+            if vm not in vms:
+                for endpoint_id, _, _, count in message.running:
+                    counts[endpoint_id] += count
+        return dict(counts)
+
     def set_totals(self, running_by_endpoint: dict[str, int]) -> None:
         """Set the totals of all VMs, this one included.
 
--- a/packages/mothworks_gateway/tests/queue_builders.py
+++ b/packages/mothworks_gateway/tests/queue_builders.py
@@ -116,6 +116,10 @@
             )
             self.registry.by_id[endpoint_id] = built
         self.running = gateway_builders.RunningRequests()
+        self.running.totals = None
+        self.running.running_without = lambda vms: (
+            {} if "vm-9" in vms else self.running.running
+        )
         #: Requests that were reported to the lease holder.
         self.reported_ids = []
         parts = {
