--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
@@ -62,9 +62,10 @@
     """Grants at one endpoint.
 
     :param capacity: what the endpoint can run.
+    :param mean_run_s: mean duration of a run, seconds.
     """
 
-    def __init__(self, capacity: queue_types.Capacity):
+    def __init__(self, capacity: queue_types.Capacity, mean_run_s: float):
         self.grant_by_key: dict[queue_types.Key, Grant] = {}
         self.memory_tokens = 0
         self.patient = 0
@@ -77,6 +78,7 @@
         self._lowered_to: int | None = None
         self._lowered_at = 0.0
         self.set_capacity(capacity)
+        self.set_mean_run(mean_run_s)
 
     def set_capacity(self, capacity: queue_types.Capacity) -> None:
         """Set what the endpoint can run.
@@ -89,6 +91,8 @@
         # A comparison with NaN is false, so that it becomes the mean speed.
         self.speed = min(MAX_SPEED, max(MIN_SPEED, speed)) if speed > 0 else 1.0
         prefill = capacity.prefill_tokens_per_s
+        #: Share of the endpoint that one run takes, relative to its speed.
+        self.fullness_per_run = 1.0 / (max(1, self.slots) * self.speed)
         self.s_per_token = 1.0 / prefill if prefill > 0 else 0.0
         self.max_patient = max(1, math.floor(PATIENT_SHARE * self.slots))
         self.accepts = capacity.accepts and self.slots > 0
@@ -100,22 +104,29 @@
 
     def fullness(self) -> float:
         """Return the share of the slots in use, relative to the speed."""
-        return self.running / (max(1, self.slots) * self.speed)
+        return self.running * self.fullness_per_run
 
-    def limit(self, mean_run_s: float, now: float) -> int:
-        """Return how many requests it may run.
+    def set_mean_run(self, mean_run_s: float) -> None:
+        """Set the overlap by the duration of runs.
 
         :param mean_run_s: mean duration of a run, seconds.
+        """
+        overlap = math.ceil(self.slots * ROUND_TRIP_S / max(1e-3, mean_run_s))
+        self._full_limit = self.slots + min(
+            overlap, int(self.slots * MAX_OVERLAP_SHARE)
+        )
+
+    def limit(self, now: float) -> int:
+        """Return how many requests it may run.
+
         :param now: the time.
         """
-        overlap = math.ceil(self.slots * ROUND_TRIP_S / max(mean_run_s, 1e-3))
-        limit = self.slots + min(overlap, int(self.slots * MAX_OVERLAP_SHARE))
         if self._lowered_to is None:
-            return limit
+            return self._full_limit
         risen = int((now - self._lowered_at) / RISE_INTERVAL_S)
-        if self._lowered_to + risen >= limit:
+        if self._lowered_to + risen >= self._full_limit:
             self._lowered_to = None
-            return limit
+            return self._full_limit
         return self._lowered_to + risen
 
     def next_rise_at(self, now: float) -> float | None:
@@ -128,13 +139,13 @@
         risen = int((now - self._lowered_at) / RISE_INTERVAL_S)
         return self._lowered_at + (risen + 1) * RISE_INTERVAL_S
 
-    def has_place(self, mean_run_s: float, now: float) -> bool:
+    def has_place(self, now: float) -> bool:
         """Return whether it may run one more request.
 
-        :param mean_run_s: mean duration of a run, seconds.
         :param now: the time.
         """
-        return self.accepts and self.running < self.limit(mean_run_s, now)
+        running = len(self.grant_by_key) + self.outside
+        return self.accepts and running < self.limit(now)
 
     def has_memory(self, memory_tokens: int) -> bool:
         """Return whether a request fits into its memory.
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -71,7 +71,7 @@
         self.shares = fair_shares.FairShares()
         self.estimates = queue_estimates.RunEstimates()
         self._order_by_id: dict[str, queue_order.EndpointOrder] = {}
-        self._usage_by_id: dict[str, queue_estimates.UsageByClass] = {}
+        self._view_by_id: dict[str, queue_estimates.EndpointView] = {}
         self._keys_by_vm: collections.defaultdict[str, set[Key]] = (
             collections.defaultdict(set)
         )
@@ -107,16 +107,15 @@
         for endpoint_id, capacity in capacity_by_id.items():
             load = self.load_by_id.get(endpoint_id)
             if load is None:
-                self.load_by_id[endpoint_id] = endpoint_load.EndpointLoad(capacity)
-                self._order_by_id[endpoint_id] = queue_order.EndpointOrder()
-                self._usage_by_id[endpoint_id] = queue_estimates.UsageByClass()
+                self._add_endpoint(endpoint_id, capacity)
             elif load.capacity != capacity:
                 are_some_lost |= load.accepts and not capacity.accepts
                 load.set_capacity(capacity)
+                load.set_mean_run(self.estimates.run.value)
                 self._freed_ids.add(endpoint_id)
         if are_some_lost:
             for key, entry in list(self.entry_by_key.items()):
-                if not self._accepting_ids(entry.request):
+                if not self._accepts(entry.request):
                     self._refuse_without_endpoint(key)
 
     def add(self, request: WaitingRequest, now: float) -> None:
@@ -140,20 +139,17 @@
                 return
             request = attrs.evolve(request, arrived_at=former.request.arrived_at)
             self._forget_waiting(former)
-        ids = self._accepting_ids(request)
-        if not ids:
+        if not self._accepts(request):
             self._decided.append(Refused(key, 0.0, NO_ENDPOINT))
             return
         wait_s = request.send_by - request.arrived_at
         entry = queue_order.Entry(
             request,
             next(self._sequence),
-            self.estimates.run_s(request) / len(request.endpoint_ids),
-            request.objective_at - self._first_s(request, now),
+            self.estimates.run_s(request),
+            self.estimates.first_s(request),
             request.arrived_at + PROMOTE_SHARE * wait_s,
         )
-        if now >= entry.late_at:
-            entry.state = queue_order.State.LATE
         self.entry_by_key[key] = self._fresh[key] = entry
         self._keys_by_vm[key[0]].add(key)
 
@@ -227,6 +223,7 @@
         load = self.load_by_id[grant.endpoint_id]
         alone_s = max(0.0, run_s - grant.queued_s)
         self.estimates.add_run(request, alone_s * load.speed)
+        load.set_mean_run(self.estimates.run.value)
         self.shares.add(request.account, request.weight, run_s - grant.cost, now)
 
     def was_full(self, key: Key, now: float) -> None:
@@ -297,7 +294,7 @@
             return 0.0
         # The estimate at its arrival knows what was ahead of it, the present one what
         # has left since.
-        wait_s = self._waits(entry.request, now).until_granted_s(entry)
+        wait_s = self._waits(entry, now).until_granted_s()
         return max(0.0, min(wait_s, entry.expected_at - now))
 
     def next_at(self) -> float | None:
@@ -321,14 +318,19 @@
                 self._fresh.clear()
                 self._grant(entry, endpoint_id, now)
                 return
-        for entry in self._fresh.values():
             self._start_to_wait(entry, now)
-            for endpoint_id in entry.request.endpoint_ids:
-                if endpoint_id in self.load_by_id:
-                    self._freed_ids.add(endpoint_id)
+            if entry.state is not queue_order.State.LATE:
+                return
+        for entry in self._fresh.values():
+            if not entry.is_waiting:
+                self._start_to_wait(entry, now)
+            self._freed_ids.update(entry.request.endpoint_ids)
 
     def _start_to_wait(self, entry: queue_order.Entry, now: float) -> None:
         entry.is_waiting = True
+        entry.late_at = entry.request.objective_at - self._first_s(entry, now)
+        if now >= entry.late_at:
+            entry.state = queue_order.State.LATE
         account = entry.request.account
         if not self._waiting_by_account[account]:
             others = (name for name in self._waiting_by_account if name != account)
@@ -351,8 +353,8 @@
     def _refuse_if_certain(self, entry: queue_order.Entry, now: float) -> bool:
         """Refuse a request that waits if it will not be granted in time."""
         left_s = entry.request.send_by - now
-        waits = self._waits(entry.request, now)
-        wait_s = waits.until_granted_s(entry)
+        waits = self._waits(entry, now)
+        wait_s = waits.until_granted_s()
         if wait_s <= left_s:
             entry.expected_at = now + wait_s
             return False
@@ -392,7 +394,7 @@
     ) -> tuple[tuple, queue_order.Entry] | None:
         """Return the request to be granted next at an endpoint, and its order."""
         load = self.load_by_id.get(endpoint_id)
-        if load is None or not self._has_place(load, now):
+        if load is None or not load.has_place(now):
             return None
         order = self._order_by_id[endpoint_id]
         if not len(order):
@@ -410,7 +412,7 @@
         )
         deferred = []
         for key, bucket in order.heads(self.shares.relative_usage):
-            if put_off and bucket.state is queue_order.State.PROMOTED:
+            if put_off and key[0] is queue_order.State.PROMOTED:
                 deferred.append((key, bucket))
                 continue
             entry = bucket.find(fit)
@@ -453,7 +455,7 @@
             self._reserve(entry, load, endpoint_id)
             return queue_order.Fit.BLOCKED
         if entry.state is queue_order.State.ON_TIME:
-            first_s = self.estimates.loaded_first_s(request, load, endpoint_id)
+            first_s = queue_estimates.loaded_first_s(entry, load, endpoint_id)
             if now + first_s > request.objective_at:
                 return queue_order.Fit.TOO_SLOW
         return queue_order.Fit.FITS
@@ -484,9 +486,6 @@
             load.reserved_for, usage
         )
 
-    def _has_place(self, load: endpoint_load.EndpointLoad, now: float) -> bool:
-        return load.has_place(self.estimates.run.value, now)
-
     def _choose(self, entry: queue_order.Entry, now: float) -> str | None:
         """Return the endpoint with room that suits a request best.
 
@@ -498,12 +497,12 @@
         best_id = None
         for endpoint_id in request.endpoint_ids:
             load = self.load_by_id.get(endpoint_id)
-            if load is None or not self._has_place(load, now):
+            if load is None or not load.has_place(now):
                 continue
             fit = self._fit(entry, load, endpoint_id, now)
             if fit is not queue_order.Fit.FITS:
                 continue
-            first_s = self.estimates.loaded_first_s(request, load, endpoint_id)
+            first_s = queue_estimates.loaded_first_s(entry, load, endpoint_id)
             is_late = now + first_s > request.objective_at
             is_full = load.fullness() > MAX_FULLNESS
             is_remote = endpoint_id not in request.local_ids
@@ -517,8 +516,7 @@
         self._forget_waiting(entry)
         load = self.load_by_id[endpoint_id]
         prompt_s = load.prompt_s(request, endpoint_id)
-        queued_s = self.estimates.queued_s(request, load, load.running)
-        cost = self.estimates.run_s(request)
+        queued_s = queue_estimates.queued_s(entry, load, load.running)
         grant = endpoint_load.Grant(
             request.key,
             endpoint_id,
@@ -528,7 +526,7 @@
             prompt_s + load.unread_s,
             queued_s,
             request,
-            cost / load.speed,
+            entry.run_s / load.speed,
         )
         self._hold(grant)
         if prompt_s:
@@ -536,7 +534,7 @@
             self._set_timer(now + read_s, grant)
         self.estimates.memory.add(grant.memory_tokens)
         self.shares.add(request.account, request.weight, grant.cost, now)
-        self._usage_by_id[endpoint_id].add(entry, cost, now)
+        self._view_by_id[endpoint_id].usage.add(entry, now)
         self._decided.append(Granted(request.key, endpoint_id))
 
     # Timers.
@@ -606,16 +604,13 @@
 
     # Bookkeeping.
 
-    def _waits(self, request: WaitingRequest, now: float) -> queue_estimates.Waits:
-        rows = [
-            (self.load_by_id[i], self._order_by_id[i], self._usage_by_id[i])
-            for i in self._accepting_ids(request)
-        ]
-        return queue_estimates.Waits(request, rows, self.estimates, now)
+    def _waits(self, entry: queue_order.Entry, now: float) -> queue_estimates.Waits:
+        views = [self._view_by_id[i] for i in self._accepting_ids(entry.request)]
+        return queue_estimates.Waits(entry, views, self.estimates, now)
 
     def _refuse(self, entry: queue_order.Entry, reason: str, now: float) -> None:
-        waits = self._waits(entry.request, now)
-        wait_s = waits.until_granted_s(entry)
+        waits = self._waits(entry, now)
+        wait_s = waits.until_granted_s()
         left_s = max(0.0, entry.request.send_by - entry.request.arrived_at)
         self._forget_waiting(entry)
         retry_after_s = waits.retry_after_s(wait_s - left_s)
@@ -625,13 +620,20 @@
         self._forget_waiting(self.entry_by_key[key])
         self._decided.append(Refused(key, 0.0, NO_ENDPOINT))
 
-    def _first_s(self, request: WaitingRequest, now: float) -> float:
+    def _first_s(self, entry: queue_order.Entry, now: float) -> float:
         """Return the time to the first event that a request can count on."""
         return min(
-            self.estimates.full_first_s(request, self.load_by_id[i], i, now)
-            for i in self._accepting_ids(request)
+            (
+                queue_estimates.full_first_s(entry, self.load_by_id[i], i, now)
+                for i in self._accepting_ids(entry.request)
+            ),
+            default=0.0,
         )
 
+    def _accepts(self, request: WaitingRequest) -> bool:
+        loads = self.load_by_id
+        return any(i in loads and loads[i].accepts for i in request.endpoint_ids)
+
     def _accepting_ids(self, request: WaitingRequest) -> list[str]:
         loads = self.load_by_id
         return [i for i in request.endpoint_ids if i in loads and loads[i].accepts]
@@ -684,6 +686,19 @@
             if not keys:
                 del self._keys_by_vm[key[0]]
 
+    def _add_endpoint(self, endpoint_id: str, capacity: Capacity) -> None:
+        load = endpoint_load.EndpointLoad(capacity, self.estimates.run.value)
+        order = queue_order.EndpointOrder()
+        usage = queue_estimates.EndpointUsage()
+        self.load_by_id[endpoint_id] = load
+        self._order_by_id[endpoint_id] = order
+        self._view_by_id[endpoint_id] = queue_estimates.EndpointView(load, order, usage)
+        # Requests may wait for an endpoint that returns while others are left.
+        for entry in self.entry_by_key.values():
+            if entry.is_waiting and endpoint_id in entry.request.endpoint_ids:
+                order.add(entry)
+        self._freed_ids.add(endpoint_id)
+
     def _drop_endpoint(self, endpoint_id: str) -> None:
         load = self.load_by_id[endpoint_id]
         for key in list(load.grant_by_key):
@@ -692,7 +707,7 @@
             self._end_reservation(load.reserved_for)
         del self.load_by_id[endpoint_id]
         del self._order_by_id[endpoint_id]
-        del self._usage_by_id[endpoint_id]
+        del self._view_by_id[endpoint_id]
         self._freed_ids.discard(endpoint_id)
 
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
@@ -3,6 +3,8 @@
 import collections.abc
 import math
 
+import attrs
+
 from mothworks_gateway import endpoint_load, fair_shares, queue_order, queue_types
 
 #: Mean duration of a run, and of the time to the first event, before the first sample,
@@ -28,6 +30,10 @@
 USAGE_HALF_LIFE_S = 1.0
 #: Upper bound of the number of classes whose usage is kept for each endpoint.
 MAX_USAGE_CLASSES = 128
+#: Interval at which the usage of an endpoint is computed anew, seconds.
+USAGE_INTERVAL_S = 0.05
+#: Usage below this has decayed and is not an active account's, seconds a second.
+MIN_PER_S = 1e-3
 #: Least share of the capacity that a request can count on: while more urgent requests
 #: wait, one grant in ten goes to others.
 MIN_SHARE = 0.1
@@ -106,78 +112,15 @@
         mean = self._run_by_class.get((request.urgency, request.is_patient), self.run)
         return max(1e-3, mean.value)
 
-    def first_s(
-        self,
-        request: queue_types.WaitingRequest,
-        load: endpoint_load.EndpointLoad,
-        endpoint_id: str,
-    ) -> float:
-        """Return the expected time to a first event at an idle endpoint, seconds.
-
-        :param request: the request.
-        :param load: the endpoint's load.
-        :param endpoint_id: the endpoint's id.
-        """
-        key = request.urgency, request.is_patient
-        mean = self._first_by_class.get(key, self.first)
-        return load.prompt_s(request, endpoint_id) + mean.value / load.speed
-
-    def queued_s(
-        self,
-        request: queue_types.WaitingRequest,
-        load: endpoint_load.EndpointLoad,
-        running: int,
-    ) -> float:
-        """Return how long a request waits at an endpoint for the end of a run, seconds.
-
-        :param request: the request.
-        :param load: the endpoint's load.
-        :param running: requests that run or wait there before it.
-        """
-        excess = running + 1 - load.slots
-        if excess <= 0:
-            return 0.0
-        return excess * self.run_s(request) / (max(1, load.slots) * load.speed)
-
-    def loaded_first_s(
-        self,
-        request: queue_types.WaitingRequest,
-        load: endpoint_load.EndpointLoad,
-        endpoint_id: str,
-    ) -> float:
-        """Return the expected time to a first event at an endpoint as it is, seconds.
+    def first_s(self, request: queue_types.WaitingRequest) -> float:
+        """Return the expected time to a first event at mean speed, seconds.
 
-        :param request: the request.
-        :param load: the endpoint's load.
-        :param endpoint_id: the endpoint's id.
-        """
-        return (
-            self.first_s(request, load, endpoint_id)
-            + load.unread_s
-            + self.queued_s(request, load, load.running)
-            + LOAD_S * load.fullness()
-        )
-
-    def full_first_s(
-        self,
-        request: queue_types.WaitingRequest,
-        load: endpoint_load.EndpointLoad,
-        endpoint_id: str,
-        now: float,
-    ) -> float:
-        """Return the same for the last place of an endpoint, with a margin.
+        The time to process the prompt is not included.
 
         :param request: the request.
-        :param load: the endpoint's load.
-        :param endpoint_id: the endpoint's id.
-        :param now: the time.
         """
-        running = load.limit(self.run.value, now) - 1
-        return FIRST_MARGIN * (
-            self.first_s(request, load, endpoint_id)
-            + self.queued_s(request, load, running)
-            + LOAD_S
-        )
+        key = request.urgency, request.is_patient
+        return self._first_by_class.get(key, self.first).value
 
     def places(self, load: endpoint_load.EndpointLoad, now: float) -> float:
         """Return how many runs fit at an endpoint, with the mean memory of a run.
@@ -187,77 +130,125 @@
         """
         # A place is idle for a round trip after each run, which the overlap makes up.
         overlap = load.slots * endpoint_load.ROUND_TRIP_S / max(1e-3, self.run.value)
-        limit = load.limit(self.run.value, now)
-        places = min(load.slots + overlap, float(limit))
+        places = min(load.slots + overlap, float(load.limit(now)))
         if load.capacity.memory_tokens > 0 and self.memory.value > 0:
             places = min(places, load.capacity.memory_tokens / self.memory.value)
         return max(1.0, places)
 
 
-class UsageByClass:
+class EndpointUsage:
     """What an endpoint's places were lately used for, and until when they are booked.
 
     :param booked_until: time until which callers were told to come back.
     """
 
     def __init__(self):
-        self.sums = fair_shares.FairShares(USAGE_HALF_LIFE_S, MAX_USAGE_CLASSES)
         self.booked_until = -math.inf
+        self._sums = fair_shares.FairShares(USAGE_HALF_LIFE_S, MAX_USAGE_CLASSES)
+        self._first_by_class: dict[tuple[bool, int, str], float] = {}
+        self._updated_at = -math.inf
 
-    def add(self, entry: queue_order.Entry, cost: float, now: float) -> None:
+    def add(self, entry: queue_order.Entry, now: float) -> None:
         """Add a grant.
 
         :param entry: the request.
-        :param cost: expected duration of its run at mean speed, seconds.
         :param now: the time.
         """
         is_late = entry.state is queue_order.State.LATE
         request = entry.request
         key = is_late, request.urgency, request.account
-        self.sums.add(key, 1.0, cost, now)
+        self._sums.add(key, 1.0, entry.run_s, now)
+
+    def first_per_s(
+        self, is_late: bool, urgency: int, account: str, rate: float, now: float
+    ) -> float:
+        """Return the seconds of runs a second that go before a request's.
+
+        These are the more urgent ones, and those of the same rank of other accounts up
+        to their fair share.
+
+        :param is_late: whether the request is late.
+        :param urgency: its urgency.
+        :param account: its account.
+        :param rate: seconds of runs that the endpoint can do in a second.
+        :param now: the time.
+        """
+        if not 0 <= now - self._updated_at < USAGE_INTERVAL_S:
+            self._first_by_class.clear()
+            self._updated_at = now
+        key = is_late, urgency, account
+        first_per_s = self._first_by_class.get(key)
+        if first_per_s is None:
+            first_per_s = self._compute_first_per_s(key, rate, now)
+            self._first_by_class[key] = first_per_s
+        return first_per_s
+
+    def _compute_first_per_s(
+        self, key: tuple[bool, int, str], rate: float, now: float
+    ) -> float:
+        *rank, account = key
+        first_per_s = 0.0
+        others = []
+        for (*other_rank, other), per_s in self._sums.per_s_by_account(now).items():
+            if other_rank < rank:
+                first_per_s += per_s
+            elif other_rank == rank and other != account and per_s > MIN_PER_S:
+                others.append(per_s)
+        fair_per_s = max(0.0, rate - first_per_s) / (1 + len(others))
+        return first_per_s + sum(min(per_s, fair_per_s) for per_s in others)
+
+
+@attrs.frozen
+class EndpointView:
+    """What estimates need of one endpoint.
+
+    :param load: its load.
+    :param order: the requests that wait there.
+    :param usage: what it was lately used for.
+    """
+
+    load: endpoint_load.EndpointLoad
+    order: queue_order.EndpointOrder
+    usage: EndpointUsage
 
 
 class Waits:
     """Expected waits at the endpoints of one request.
 
-    :param request: the request.
-    :param rows: load, order and usage of each of its endpoints that accepts requests.
+    :param entry: the request, which waits at the endpoints.
+    :param views: its endpoints that accept requests.
     :param estimates: the learned durations.
     :param now: the time.
     """
 
     def __init__(
         self,
-        request: queue_types.WaitingRequest,
-        rows: collections.abc.Sequence[
-            tuple[endpoint_load.EndpointLoad, queue_order.EndpointOrder, UsageByClass]
-        ],
+        entry: queue_order.Entry,
+        views: collections.abc.Sequence[EndpointView],
         estimates: RunEstimates,
         now: float,
     ):
-        self.request = request
-        self.rows = rows
+        self.entry = entry
+        self.views = views
         self.now = now
         #: Seconds of runs that the endpoints can do in a second.
-        self.rate = sum(estimates.places(load, now) * load.speed for load, *_ in rows)
-        self.run_s = estimates.run_s(request)
-        self._used = [usage.sums.per_s_by_account(now) for *_, usage in rows]
-
-    def until_granted_s(self, entry: queue_order.Entry) -> float:
-        """Return the expected time until a waiting request is granted, seconds.
+        self._rates = [
+            estimates.places(view.load, now) * view.load.speed for view in views
+        ]
+        self.rate = sum(self._rates)
 
-        :param entry: the request, which waits at the endpoints.
-        """
+    def until_granted_s(self) -> float:
+        """Return the expected time until the request is granted, seconds."""
         if not self.rate:
             return math.inf
-        if self.request.is_patient:
+        if self.entry.request.is_patient:
             # Promotion bounds its wait also if it becomes late.
-            return PATIENT_MARGIN * self._wait_s(entry, queue_order.State.ON_TIME)
-        if entry.state is not queue_order.State.LATE:
-            wait_s = self._wait_s(entry, entry.state)
-            if self.now + wait_s <= entry.late_at:
+            return PATIENT_MARGIN * self._wait_s(queue_order.State.ON_TIME)
+        if self.entry.state is not queue_order.State.LATE:
+            wait_s = self._wait_s(self.entry.state)
+            if self.now + wait_s <= self.entry.late_at:
                 return wait_s
-        return LATE_MARGIN * self._wait_s(entry, queue_order.State.LATE)
+        return LATE_MARGIN * self._wait_s(queue_order.State.LATE)
 
     def retry_after_s(self, excess_s: float) -> float:
         """Return when there will be room for the request, and book that time.
@@ -266,61 +257,90 @@
         """
         if not self.rate:
             return MIN_RETRY_AFTER_S
-        load, _, usage = min(self.rows, key=lambda row: row[2].booked_until)
+        usage = min((view.usage for view in self.views), key=lambda i: i.booked_until)
         # All endpoints of the request work at the backlog, and each further refusal
         # books the time of one run at one of them.
-        step_s = self.run_s * len(self.rows) / (self.rate * BOOKED_SHARE)
+        step_s = self.entry.run_s * len(self.views) / (self.rate * BOOKED_SHARE)
         soonest = self.now + max(MIN_RETRY_AFTER_S, excess_s)
         at = max(soonest, usage.booked_until + step_s)
         usage.booked_until = min(at, self.now + MAX_RETRY_AFTER_S)
         return min(MAX_RETRY_AFTER_S, at - self.now)
 
-    def _wait_s(self, entry: queue_order.Entry, state: queue_order.State) -> float:
-        ahead_s = -entry.work_s * len(self.rows)
-        for _, order, _ in self.rows:
-            for bucket in order.bucket_by_key.values():
-                if bucket.key == queue_order.bucket_key(entry) or self._precedes(
-                    bucket, state
-                ):
-                    ahead_s += bucket.work_s
-        return max(0.0, ahead_s) / (self.rate * self._share(state))
-
-    def _precedes(self, bucket: queue_order.Bucket, state: queue_order.State) -> bool:
-        """Return whether a bucket's requests are granted before this one."""
-        request = self.request
-        if request.is_patient and bucket.is_patient:
-            return bucket.account == request.account
-        if (bucket.state, bucket.urgency) != (state, request.urgency):
-            return (bucket.state, bucket.urgency) < (state, request.urgency)
-        # Other accounts of the same rank are a part of the share.
-        is_later = bucket.is_patient and not request.is_patient
-        return bucket.account == request.account and not is_later
-
-    def _share(self, state: queue_order.State) -> float:
-        """Return the share of the capacity left by requests that go first.
-
-        Other accounts of the same rank go first until they have their fair share.
-        """
-        is_late = state is queue_order.State.LATE
-        rank = is_late, self.request.urgency
+    def _wait_s(self, state: queue_order.State) -> float:
+        request = self.entry.request
+        rank = state, request.urgency
+        ahead_s = 0.0
         first_per_s = 0.0
-        per_s_by_account: dict[str, float] = {}
-        for used in self._used:
-            for (used_late, urgency, account), per_s in used.items():
-                if (used_late, urgency) < rank:
-                    first_per_s += per_s
-                elif (used_late, urgency) == rank and account != self.request.account:
-                    per_s_by_account[account] = (
-                        per_s_by_account.get(account, 0.0) + per_s
-                    )
-        # Usage that has decayed to almost nothing is not an active account's.
-        active = [per_s for per_s in per_s_by_account.values() if per_s > 1e-3]
-        fair_per_s = max(0.0, self.rate - first_per_s) / (1 + len(active))
-        first_per_s += sum(min(per_s, fair_per_s) for per_s in active)
+        is_late = state is queue_order.State.LATE
+        for view, rate in zip(self.views, self._rates, strict=True):
+            ahead_s += view.order.work_ahead_s(
+                rank, request.is_patient, request.account
+            )
+            first_per_s += view.usage.first_per_s(
+                is_late, request.urgency, request.account, rate, self.now
+            )
+        if self.entry.is_waiting:
+            ahead_s -= self.entry.work_s * len(self.views)
         share = max(MIN_SHARE, 1.0 - first_per_s / self.rate)
-        if self.request.is_patient:
+        if request.is_patient:
             share = min(share, endpoint_load.PATIENT_SHARE)
-        return share
+        return max(0.0, ahead_s) / (self.rate * share)
+
+
+def queued_s(
+    entry: queue_order.Entry, load: endpoint_load.EndpointLoad, running: int
+) -> float:
+    """Return how long a request waits at an endpoint for the end of a run, seconds.
+
+    :param entry: the request.
+    :param load: the endpoint's load.
+    :param running: requests that run or wait there before it.
+    """
+    excess = running + 1 - load.slots
+    return excess * entry.run_s * load.fullness_per_run if excess > 0 else 0.0
+
+
+def loaded_first_s(
+    entry: queue_order.Entry, load: endpoint_load.EndpointLoad, endpoint_id: str
+) -> float:
+    """Return the expected time to a first event at an endpoint as it is, seconds.
+
+    :param entry: the request.
+    :param load: the endpoint's load.
+    :param endpoint_id: the endpoint's id.
+    """
+    running = load.running
+    first_s = (
+        load.unread_s
+        + entry.first_s / load.speed
+        + LOAD_S * running * load.fullness_per_run
+    )
+    if load.s_per_token:
+        first_s += load.prompt_s(entry.request, endpoint_id)
+    if running >= load.slots:
+        first_s += queued_s(entry, load, running)
+    return first_s
+
+
+def full_first_s(
+    entry: queue_order.Entry,
+    load: endpoint_load.EndpointLoad,
+    endpoint_id: str,
+    now: float,
+) -> float:
+    """Return the expected time at the last place of an endpoint, with a margin.
+
+    :param entry: the request.
+    :param load: the endpoint's load.
+    :param endpoint_id: the endpoint's id.
+    :param now: the time.
+    """
+    return FIRST_MARGIN * (
+        load.prompt_s(entry.request, endpoint_id)
+        + entry.first_s / load.speed
+        + queued_s(entry, load, load.limit(now) - 1)
+        + LOAD_S
+    )
 
 
 def _mean_of(
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_order.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_order.py
@@ -47,8 +47,9 @@
 
     :param request: the request.
     :param sequence: position among all requests, which decides between equal ones.
-    :param work_s: expected duration of its run, seconds, divided by the number of its
-        endpoints.
+    :param run_s: expected duration of its run at the mean speed, seconds.
+    :param first_s: expected time to its first event at the mean speed, without its
+        prompt, seconds.
     :param late_at: time from which on it cannot meet its objective.
     :param promote_at: time at which it is promoted.
     :param expected_at: time at which it is expected to be granted.
@@ -56,15 +57,21 @@
 
     request: queue_types.WaitingRequest
     sequence: int
-    work_s: float
-    late_at: float
+    run_s: float
+    first_s: float
     promote_at: float
+    late_at: float = math.inf
     expected_at: float = math.inf
     state: State = State.ON_TIME
     is_waiting: bool = False
     #: The endpoint at which no request after this one is granted a place.
     reserved_id: str | None = None
 
+    @property
+    def work_s(self) -> float:
+        """Return the part of its run that counts at each of its endpoints, seconds."""
+        return self.run_s / len(self.request.endpoint_ids)
+
     def next_change_at(self) -> float:
         """Return when its state changes next, or it has to be refused."""
         if self.state is State.ON_TIME:
@@ -74,8 +81,10 @@
         return self.request.send_by
 
 
-#: State, urgency, whether patient, account.
-BucketKey = tuple[State, int, bool, str]
+#: State and urgency.
+Rank = tuple[State, int]
+#: Rank, whether patient, account.
+BucketKey = tuple[Rank, bool, str]
 #: State, urgency, usage of the account, objective, sequence.
 OrderKey = tuple[State, int, float, float, int]
 Usage = collections.abc.Callable[[str], float]
@@ -103,7 +112,7 @@
     :param entry: the request.
     """
     request = entry.request
-    return entry.state, request.urgency, request.is_patient, request.account
+    return (entry.state, request.urgency), request.is_patient, request.account
 
 
 class _Heap:
@@ -152,25 +161,21 @@
 class Bucket(_Heap):
     """Waiting requests of equal state, urgency and account, by objective.
 
-    :param key: the bucket's key.
-    :param weight: weight of the account.
+    :param state: the state.
     """
 
-    def __init__(self, key: BucketKey, weight: float):
-        self.key = key
-        self.state, self.urgency, self.is_patient, self.account = key
-        self.weight = weight
+    def __init__(self, state: State):
         self.work_s = 0.0
-        super().__init__(
-            lambda entry: entry.is_waiting and entry.state is self.state,
-        )
+        super().__init__(lambda entry: entry.is_waiting and entry.state is state)
 
 
 class EndpointOrder:
     """The requests that wait at one endpoint."""
 
     def __init__(self):
-        self.bucket_by_key: dict[BucketKey, Bucket] = {}
+        self.buckets_by_rank: dict[Rank, dict[tuple[bool, str], Bucket]] = {}
+        #: Expected seconds of runs that wait, by rank.
+        self.work_by_rank: dict[Rank, float] = {}
         self.by_send_by = _Heap(lambda entry: entry.is_waiting)
 
     def __len__(self) -> int:
@@ -202,37 +207,73 @@
         self._remove_from_bucket(entry, old_key)
         self._add_to_bucket(entry)
 
-    def heads(self, usage: Usage) -> list[tuple[OrderKey, Bucket]]:
-        """Return the buckets in the order of their first requests.
+    def heads(self, usage: Usage) -> collections.abc.Iterator[tuple[OrderKey, Bucket]]:
+        """Yield the buckets in the order of their first requests.
 
         :param usage: returns what an account received recently.
         """
-        heads = [
-            (order_key(entry, usage), bucket)
-            for bucket in self.bucket_by_key.values()
-            if (entry := bucket.first()) is not None
-        ]
-        heads.sort(key=lambda item: item[0])
-        return heads
+        for rank in sorted(self.buckets_by_rank):
+            heads = [
+                (order_key(entry, usage), bucket)
+                for bucket in self.buckets_by_rank[rank].values()
+                if (entry := bucket.first()) is not None
+            ]
+            # Keys differ by their sequence, so that buckets are not compared.
+            heads.sort()
+            yield from heads
 
     def has_urgent_on_time(self) -> bool:
         """Return whether a request waits that is neither patient nor late."""
         return any(
-            bucket.state is State.ON_TIME and not bucket.is_patient
-            for bucket in self.bucket_by_key.values()
+            state is State.ON_TIME and not is_patient
+            for (state, _), buckets in self.buckets_by_rank.items()
+            for is_patient, _ in buckets
+        )
+
+    def work_ahead_s(self, rank: Rank, is_patient: bool, account: str) -> float:
+        """Return the expected runs granted before another request of an account.
+
+        Other accounts of the same rank are not counted: they go first until they have
+        their fair share, which is a part of the capacity.
+
+        :param rank: the request's rank.
+        :param is_patient: whether it is patient; its state does not count then, since
+            it is promoted in the end.
+        :param account: its account.
+        """
+        ahead_s = sum(
+            work_s for other, work_s in self.work_by_rank.items() if other < rank
         )
+        kinds = [(rank, False)]
+        if is_patient:
+            kinds += [(rank, True), ((State.LATE, rank[1]), True)]
+        for kind_rank, is_kind_patient in kinds:
+            buckets = self.buckets_by_rank.get(kind_rank)
+            if buckets is not None:
+                bucket = buckets.get((is_kind_patient, account))
+                ahead_s += bucket.work_s if bucket is not None else 0.0
+        return ahead_s
 
     def _add_to_bucket(self, entry: Entry) -> None:
-        key = bucket_key(entry)
-        bucket = self.bucket_by_key.get(key)
+        rank, *key = bucket_key(entry)
+        buckets = self.buckets_by_rank.setdefault(rank, {})
+        bucket = buckets.get(tuple(key))
         if bucket is None:
-            bucket = self.bucket_by_key[key] = Bucket(key, entry.request.weight)
+            bucket = buckets[tuple(key)] = Bucket(entry.state)
         bucket.push(entry.request.objective_at, entry)
         bucket.work_s += entry.work_s
+        self.work_by_rank[rank] = self.work_by_rank.get(rank, 0.0) + entry.work_s
 
     def _remove_from_bucket(self, entry: Entry, key: BucketKey) -> None:
-        bucket = self.bucket_by_key[key]
+        rank, *rest = key
+        buckets = self.buckets_by_rank[rank]
+        bucket = buckets[tuple(rest)]
         bucket.work_s -= entry.work_s
         bucket.discard_one()
-        if not bucket.live:
-            del self.bucket_by_key[key]
+        self.work_by_rank[rank] -= entry.work_s
+        if bucket.live:
+            return
+        del buckets[tuple(rest)]
+        if not buckets:
+            del self.buckets_by_rank[rank]
+            del self.work_by_rank[rank]
