--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
@@ -68,6 +68,8 @@
     def __init__(self, capacity: queue_types.Capacity, mean_run_s: float):
         self.grant_by_key: dict[queue_types.Key, Grant] = {}
         self.memory_tokens = 0
+        #: Requests that may run there, and those of them that are patient.
+        self.running = 0
         self.patient = 0
         self.unread_s = 0.0
         #: The waiting request that precedes all later ones here; None if there is none.
@@ -97,11 +99,6 @@
         self.max_patient = max(1, math.floor(PATIENT_SHARE * self.slots))
         self.accepts = capacity.accepts and self.slots > 0
 
-    @property
-    def running(self) -> int:
-        """Return the number of requests that may run there."""
-        return len(self.grant_by_key) + self.outside
-
     def fullness(self) -> float:
         """Return the share of the slots in use, relative to the speed."""
         return self.running * self.fullness_per_run
@@ -144,19 +141,26 @@
 
         :param now: the time.
         """
-        running = len(self.grant_by_key) + self.outside
-        return self.accepts and running < self.limit(now)
+        return self.accepts and self.running < self.limit(now)
+
+    def has_room(self, memory_tokens: int, prompt_s: float) -> bool:
+        """Return whether a request fits into the memory and would be read soon.
 
-    def has_memory(self, memory_tokens: int) -> bool:
-        """Return whether a request fits into its memory.
+        A single prompt always fits, however long it is.
 
         :param memory_tokens: tokens of memory that the request may take.
+        :param prompt_s: prefill time of its prompt, seconds.
         """
         limit = self.capacity.memory_tokens
-        if limit <= 0:
-            return True
-        used = self.memory_tokens + self.outside_memory_tokens
-        return used + memory_tokens <= limit
+        if limit > 0:
+            used = self.memory_tokens + self.outside_memory_tokens
+            if used + min(memory_tokens, limit) > limit:
+                return False
+        return (
+            prompt_s <= 0
+            or self.unread_s <= 0
+            or self.unread_s + prompt_s <= self.capacity.max_unread_s
+        )
 
     def bounded(self, memory_tokens: int) -> int:
         """Return what a request counts for: at most all of the endpoint's memory.
@@ -173,26 +177,15 @@
         """Return whether patient requests have taken their share of the slots."""
         return self.patient >= self.max_patient
 
-    def has_prefill(self, prompt_s: float) -> bool:
-        """Return whether a prompt would be read soon; a single one always fits.
-
-        :param prompt_s: prefill time of the prompt, seconds.
-        """
-        return (
-            prompt_s <= 0
-            or self.unread_s <= 0
-            or self.unread_s + prompt_s <= self.capacity.max_unread_s
-        )
-
     def prompt_s(self, request: queue_types.WaitingRequest, endpoint_id: str) -> float:
         """Return the prefill time of a request's prompt there, seconds.
 
         :param request: the request.
         :param endpoint_id: the endpoint's id.
         """
-        tokens = max(0, request.prompt_tokens)
+        tokens = request.prompt_tokens
         if request.endpoint_ids[0] != endpoint_id:
-            tokens += max(0, request.shared_tokens)
+            tokens += request.shared_tokens
         return tokens * self.s_per_token
 
     def add(self, grant: Grant) -> None:
@@ -201,6 +194,7 @@
         :param grant: the grant, at this endpoint.
         """
         self.grant_by_key[grant.key] = grant
+        self.running += 1
         self.memory_tokens += grant.memory_tokens
         self.patient += grant.is_patient
         self.unread_s += grant.unread_s
@@ -212,9 +206,20 @@
         """
         self.mark_read(grant)
         del self.grant_by_key[grant.key]
+        self.running -= 1
         self.memory_tokens -= grant.memory_tokens
         self.patient -= grant.is_patient
 
+    def set_outside(self, running: int, mean_memory_tokens: float) -> None:
+        """Set the runs that the queue did not grant.
+
+        :param running: their number.
+        :param mean_memory_tokens: tokens of memory that each of them may take.
+        """
+        self.running += running - self.outside
+        self.outside = running
+        self.outside_memory_tokens = math.ceil(running * mean_memory_tokens)
+
     def mark_read(self, grant: Grant) -> None:
         """Record that the prompt of a grant was read.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -254,9 +254,7 @@
             outside = max(0, running_by_id.get(endpoint_id, 0))
             if outside < load.outside:
                 self._freed_ids.add(endpoint_id)
-            load.outside = outside
-            mean_memory = self.estimates.memory.value
-            load.outside_memory_tokens = math.ceil(outside * mean_memory)
+            load.set_outside(outside, self.estimates.memory.value)
 
     def drop_vm(self, vm: str, now: float) -> None:
         """Forget all requests of a VM.
@@ -443,23 +441,32 @@
         endpoint_id: str,
         now: float,
     ) -> queue_order.Fit:
+        """Return whether a waiting request fits at an endpoint that has a place."""
         request = entry.request
-        is_promoted = entry.state is queue_order.State.PROMOTED
-        if load.reserved_for is not None and not self._precedes_reserved(entry, load):
-            return queue_order.Fit.BLOCKED
-        if request.is_patient and not is_promoted and load.is_full_for_patient():
+        prompt_s = load.prompt_s(request, endpoint_id)
+        if self._must_wait(entry, load):
             return queue_order.Fit.BLOCKED
-        if not load.has_memory(load.bounded(request.memory_tokens)) or not (
-            load.has_prefill(load.prompt_s(request, endpoint_id))
-        ):
+        if not load.has_room(request.memory_tokens, prompt_s):
             self._reserve(entry, load, endpoint_id)
             return queue_order.Fit.BLOCKED
         if entry.state is queue_order.State.ON_TIME:
-            first_s = queue_estimates.loaded_first_s(entry, load, endpoint_id)
+            first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
             if now + first_s > request.objective_at:
                 return queue_order.Fit.TOO_SLOW
         return queue_order.Fit.FITS
 
+    def _must_wait(
+        self, entry: queue_order.Entry, load: endpoint_load.EndpointLoad
+    ) -> bool:
+        """Return whether the endpoint's free place is kept for another request."""
+        if load.reserved_for is not None and not self._precedes_reserved(entry, load):
+            return True
+        return (
+            entry.request.is_patient
+            and load.is_full_for_patient()
+            and entry.state is not queue_order.State.PROMOTED
+        )
+
     def _reserve(
         self,
         entry: queue_order.Entry,
@@ -493,20 +500,25 @@
         at an endpoint that has room.
         """
         request = entry.request
+        is_on_time = entry.state is queue_order.State.ON_TIME
         best = None
         best_id = None
         for endpoint_id in request.endpoint_ids:
             load = self.load_by_id.get(endpoint_id)
             if load is None or not load.has_place(now):
                 continue
-            fit = self._fit(entry, load, endpoint_id, now)
-            if fit is not queue_order.Fit.FITS:
+            prompt_s = load.prompt_s(request, endpoint_id)
+            if not load.has_room(request.memory_tokens, prompt_s) or (
+                self._must_wait(entry, load)
+            ):
                 continue
-            first_s = queue_estimates.loaded_first_s(entry, load, endpoint_id)
+            first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
             is_late = now + first_s > request.objective_at
-            is_full = load.fullness() > MAX_FULLNESS
-            is_remote = endpoint_id not in request.local_ids
-            score = is_late, is_full, is_remote and not is_full, first_s
+            if is_late and is_on_time:
+                continue
+            is_full = load.running * load.fullness_per_run > MAX_FULLNESS
+            is_remote = not is_full and endpoint_id not in request.local_ids
+            score = is_late, is_full, is_remote, first_s
             if best is None or score < best:
                 best, best_id = score, endpoint_id
         return best_id
@@ -720,6 +732,9 @@
     arrived_at = request.arrived_at if request.arrived_at <= now else now
     weight = fair_shares.bounded_weight(request.weight)
     urgency = min(max(request.urgency, 0), declaration_types.LOWEST_URGENCY)
+    prompt_tokens = max(0, request.prompt_tokens)
+    shared_tokens = max(0, request.shared_tokens)
+    memory_tokens = max(0, request.memory_tokens)
     endpoint_ids = request.endpoint_ids
     if len(endpoint_ids) > MAX_ENDPOINTS or len(set(endpoint_ids)) < len(endpoint_ids):
         endpoint_ids = tuple(dict.fromkeys(endpoint_ids))[:MAX_ENDPOINTS]
@@ -729,6 +744,9 @@
         and arrived_at == request.arrived_at
         and weight == request.weight
         and urgency == request.urgency
+        and prompt_tokens == request.prompt_tokens
+        and shared_tokens == request.shared_tokens
+        and memory_tokens == request.memory_tokens
         and endpoint_ids is request.endpoint_ids
     ):
         return request
@@ -739,6 +757,9 @@
         arrived_at=arrived_at,
         weight=weight,
         urgency=urgency,
+        prompt_tokens=prompt_tokens,
+        shared_tokens=shared_tokens,
+        memory_tokens=memory_tokens,
         endpoint_ids=endpoint_ids,
     )
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
@@ -31,7 +31,7 @@
 #: Upper bound of the number of classes whose usage is kept for each endpoint.
 MAX_USAGE_CLASSES = 128
 #: Interval at which the usage of an endpoint is computed anew, seconds.
-USAGE_INTERVAL_S = 0.05
+USAGE_INTERVAL_S = 0.1
 #: Usage below this has decayed and is not an active account's, seconds a second.
 MIN_PER_S = 1e-3
 #: Least share of the capacity that a request can count on: while more urgent requests
@@ -145,7 +145,7 @@
     def __init__(self):
         self.booked_until = -math.inf
         self._sums = fair_shares.FairShares(USAGE_HALF_LIFE_S, MAX_USAGE_CLASSES)
-        self._first_by_class: dict[tuple[bool, int, str], float] = {}
+        self._used_by_rank: dict[tuple[bool, int], _UsedByRank] = {}
         self._updated_at = -math.inf
 
     def add(self, entry: queue_order.Entry, now: float) -> None:
@@ -174,28 +174,48 @@
         :param now: the time.
         """
         if not 0 <= now - self._updated_at < USAGE_INTERVAL_S:
-            self._first_by_class.clear()
-            self._updated_at = now
-        key = is_late, urgency, account
-        first_per_s = self._first_by_class.get(key)
-        if first_per_s is None:
-            first_per_s = self._compute_first_per_s(key, rate, now)
-            self._first_by_class[key] = first_per_s
-        return first_per_s
-
-    def _compute_first_per_s(
-        self, key: tuple[bool, int, str], rate: float, now: float
-    ) -> float:
-        *rank, account = key
+            self._update(rate, now)
+        rank = is_late, urgency
+        used = self._used_by_rank.get(rank)
+        if used is not None:
+            own_per_s = used.per_s_by_account.get(account, 0.0)
+            return used.first_per_s + used.fair_total - min(own_per_s, used.fair_per_s)
+        return sum(
+            sum(used.per_s_by_account.values())
+            for other, used in self._used_by_rank.items()
+            if other < rank
+        )
+
+    def _update(self, rate: float, now: float) -> None:
+        self._updated_at = now
+        self._used_by_rank.clear()
+        for key, per_s in self._sums.per_s_by_account(now).items():
+            if per_s > MIN_PER_S:
+                is_late, urgency, account = key
+                used = self._used_by_rank.setdefault((is_late, urgency), _UsedByRank())
+                used.per_s_by_account[account] = per_s
         first_per_s = 0.0
-        others = []
-        for (*other_rank, other), per_s in self._sums.per_s_by_account(now).items():
-            if other_rank < rank:
-                first_per_s += per_s
-            elif other_rank == rank and other != account and per_s > MIN_PER_S:
-                others.append(per_s)
-        fair_per_s = max(0.0, rate - first_per_s) / (1 + len(others))
-        return first_per_s + sum(min(per_s, fair_per_s) for per_s in others)
+        for _, used in sorted(self._used_by_rank.items(), key=lambda item: item[0]):
+            per_s = used.per_s_by_account.values()
+            used.first_per_s = first_per_s
+            used.fair_per_s = max(0.0, rate - first_per_s) / len(per_s)
+            used.fair_total = sum(min(item, used.fair_per_s) for item in per_s)
+            first_per_s += sum(per_s)
+
+
+@attrs.define(eq=False)
+class _UsedByRank:
+    """What the accounts of one rank used, seconds of runs a second.
+
+    :param first_per_s: usage of all ranks before this one.
+    :param fair_per_s: fair share of an account.
+    :param fair_total: usage of all accounts up to their fair shares.
+    """
+
+    per_s_by_account: dict[str, float] = attrs.field(factory=dict)
+    first_per_s: float = 0.0
+    fair_per_s: float = 0.0
+    fair_total: float = 0.0
 
 
 @attrs.frozen
@@ -301,22 +321,21 @@
 
 
 def loaded_first_s(
-    entry: queue_order.Entry, load: endpoint_load.EndpointLoad, endpoint_id: str
+    entry: queue_order.Entry, load: endpoint_load.EndpointLoad, prompt_s: float
 ) -> float:
     """Return the expected time to a first event at an endpoint as it is, seconds.
 
     :param entry: the request.
     :param load: the endpoint's load.
-    :param endpoint_id: the endpoint's id.
+    :param prompt_s: prefill time of its prompt there, seconds.
     """
     running = load.running
     first_s = (
-        load.unread_s
+        prompt_s
+        + load.unread_s
         + entry.first_s / load.speed
         + LOAD_S * running * load.fullness_per_run
     )
-    if load.s_per_token:
-        first_s += load.prompt_s(entry.request, endpoint_id)
     if running >= load.slots:
         first_s += queued_s(entry, load, running)
     return first_s
