--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
@@ -62,11 +62,14 @@
     """Grants at one endpoint.
 
     :param capacity: what the endpoint can run.
+    :param mean_run_s: mean duration of a run, seconds.
     """
 
-    def __init__(self, capacity: queue_types.Capacity):
+    def __init__(self, capacity: queue_types.Capacity, mean_run_s: float):
         self.grant_by_key: dict[queue_types.Key, Grant] = {}
         self.memory_tokens = 0
+        #: Requests that may run there, and those of them that are patient.
+        self.running = 0
         self.patient = 0
         self.unread_s = 0.0
         #: The waiting request that precedes all later ones here; None if there is none.
@@ -77,6 +80,7 @@
         self._lowered_to: int | None = None
         self._lowered_at = 0.0
         self.set_capacity(capacity)
+        self.set_mean_run(mean_run_s)
 
     def set_capacity(self, capacity: queue_types.Capacity) -> None:
         """Set what the endpoint can run.
@@ -89,33 +93,37 @@
         # A comparison with NaN is false, so that it becomes the mean speed.
         self.speed = min(MAX_SPEED, max(MIN_SPEED, speed)) if speed > 0 else 1.0
         prefill = capacity.prefill_tokens_per_s
+        #: Share of the endpoint that one run takes, relative to its speed.
+        self.fullness_per_run = 1.0 / (max(1, self.slots) * self.speed)
         self.s_per_token = 1.0 / prefill if prefill > 0 else 0.0
         self.max_patient = max(1, math.floor(PATIENT_SHARE * self.slots))
         self.accepts = capacity.accepts and self.slots > 0
 
-    @property
-    def running(self) -> int:
-        """Return the number of requests that may run there."""
-        return len(self.grant_by_key) + self.outside
-
     def fullness(self) -> float:
         """Return the share of the slots in use, relative to the speed."""
-        return self.running / (max(1, self.slots) * self.speed)
+        return self.running * self.fullness_per_run
 
-    def limit(self, mean_run_s: float, now: float) -> int:
-        """Return how many requests it may run.
+    def set_mean_run(self, mean_run_s: float) -> None:
+        """Set the overlap by the duration of runs.
 
         :param mean_run_s: mean duration of a run, seconds.
+        """
+        overlap = math.ceil(self.slots * ROUND_TRIP_S / max(1e-3, mean_run_s))
+        self._full_limit = self.slots + min(
+            overlap, int(self.slots * MAX_OVERLAP_SHARE)
+        )
+
+    def limit(self, now: float) -> int:
+        """Return how many requests it may run.
+
         :param now: the time.
         """
-        overlap = math.ceil(self.slots * ROUND_TRIP_S / max(mean_run_s, 1e-3))
-        limit = self.slots + min(overlap, int(self.slots * MAX_OVERLAP_SHARE))
         if self._lowered_to is None:
-            return limit
+            return self._full_limit
         risen = int((now - self._lowered_at) / RISE_INTERVAL_S)
-        if self._lowered_to + risen >= limit:
+        if self._lowered_to + risen >= self._full_limit:
             self._lowered_to = None
-            return limit
+            return self._full_limit
         return self._lowered_to + risen
 
     def next_rise_at(self, now: float) -> float | None:
@@ -128,24 +136,31 @@
         risen = int((now - self._lowered_at) / RISE_INTERVAL_S)
         return self._lowered_at + (risen + 1) * RISE_INTERVAL_S
 
-    def has_place(self, mean_run_s: float, now: float) -> bool:
+    def has_place(self, now: float) -> bool:
         """Return whether it may run one more request.
 
-        :param mean_run_s: mean duration of a run, seconds.
         :param now: the time.
         """
-        return self.accepts and self.running < self.limit(mean_run_s, now)
+        return self.accepts and self.running < self.limit(now)
+
+    def has_room(self, memory_tokens: int, prompt_s: float) -> bool:
+        """Return whether a request fits into the memory and would be read soon.
 
-    def has_memory(self, memory_tokens: int) -> bool:
-        """Return whether a request fits into its memory.
+        A single prompt always fits, however long it is.
 
         :param memory_tokens: tokens of memory that the request may take.
+        :param prompt_s: prefill time of its prompt, seconds.
         """
         limit = self.capacity.memory_tokens
-        if limit <= 0:
-            return True
-        used = self.memory_tokens + self.outside_memory_tokens
-        return used + memory_tokens <= limit
+        if limit > 0:
+            used = self.memory_tokens + self.outside_memory_tokens
+            if used + min(memory_tokens, limit) > limit:
+                return False
+        return (
+            prompt_s <= 0
+            or self.unread_s <= 0
+            or self.unread_s + prompt_s <= self.capacity.max_unread_s
+        )
 
     def bounded(self, memory_tokens: int) -> int:
         """Return what a request counts for: at most all of the endpoint's memory.
@@ -162,26 +177,15 @@
         """Return whether patient requests have taken their share of the slots."""
         return self.patient >= self.max_patient
 
-    def has_prefill(self, prompt_s: float) -> bool:
-        """Return whether a prompt would be read soon; a single one always fits.
-
-        :param prompt_s: prefill time of the prompt, seconds.
-        """
-        return (
-            prompt_s <= 0
-            or self.unread_s <= 0
-            or self.unread_s + prompt_s <= self.capacity.max_unread_s
-        )
-
     def prompt_s(self, request: queue_types.WaitingRequest, endpoint_id: str) -> float:
         """Return the prefill time of a request's prompt there, seconds.
 
         :param request: the request.
         :param endpoint_id: the endpoint's id.
         """
-        tokens = max(0, request.prompt_tokens)
+        tokens = request.prompt_tokens
         if request.endpoint_ids[0] != endpoint_id:
-            tokens += max(0, request.shared_tokens)
+            tokens += request.shared_tokens
         return tokens * self.s_per_token
 
     def add(self, grant: Grant) -> None:
@@ -190,6 +194,7 @@
         :param grant: the grant, at this endpoint.
         """
         self.grant_by_key[grant.key] = grant
+        self.running += 1
         self.memory_tokens += grant.memory_tokens
         self.patient += grant.is_patient
         self.unread_s += grant.unread_s
@@ -201,9 +206,20 @@
         """
         self.mark_read(grant)
         del self.grant_by_key[grant.key]
+        self.running -= 1
         self.memory_tokens -= grant.memory_tokens
         self.patient -= grant.is_patient
 
+    def set_outside(self, running: int, mean_memory_tokens: float) -> None:
+        """Set the runs that the queue did not grant.
+
+        :param running: their number.
+        :param mean_memory_tokens: tokens of memory that each of them may take.
+        """
+        self.running += running - self.outside
+        self.outside = running
+        self.outside_memory_tokens = math.ceil(running * mean_memory_tokens)
+
     def mark_read(self, grant: Grant) -> None:
         """Record that the prompt of a grant was read.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -71,7 +71,7 @@
         self.shares = fair_shares.FairShares()
         self.estimates = queue_estimates.RunEstimates()
         self._order_by_id: dict[str, queue_order.EndpointOrder] = {}
-        self._usage_by_id: dict[str, queue_estimates.UsageByClass] = {}
+        self._view_by_id: dict[str, queue_estimates.EndpointView] = {}
         self._keys_by_vm: collections.defaultdict[str, set[Key]] = (
             collections.defaultdict(set)
         )
@@ -107,16 +107,15 @@
         for endpoint_id, capacity in capacity_by_id.items():
             load = self.load_by_id.get(endpoint_id)
             if load is None:
-                self.load_by_id[endpoint_id] = endpoint_load.EndpointLoad(capacity)
-                self._order_by_id[endpoint_id] = queue_order.EndpointOrder()
-                self._usage_by_id[endpoint_id] = queue_estimates.UsageByClass()
+                self._add_endpoint(endpoint_id, capacity)
             elif load.capacity != capacity:
                 are_some_lost |= load.accepts and not capacity.accepts
                 load.set_capacity(capacity)
+                load.set_mean_run(self.estimates.run.value)
                 self._freed_ids.add(endpoint_id)
         if are_some_lost:
             for key, entry in list(self.entry_by_key.items()):
-                if not self._accepting_ids(entry.request):
+                if not self._accepts(entry.request):
                     self._refuse_without_endpoint(key)
 
     def add(self, request: WaitingRequest, now: float) -> None:
@@ -140,20 +139,17 @@
                 return
             request = attrs.evolve(request, arrived_at=former.request.arrived_at)
             self._forget_waiting(former)
-        ids = self._accepting_ids(request)
-        if not ids:
+        if not self._accepts(request):
             self._decided.append(Refused(key, 0.0, NO_ENDPOINT))
             return
         wait_s = request.send_by - request.arrived_at
         entry = queue_order.Entry(
             request,
             next(self._sequence),
-            self.estimates.run_s(request) / len(request.endpoint_ids),
-            request.objective_at - self._first_s(request, now),
+            self.estimates.run_s(request),
+            self.estimates.first_s(request),
             request.arrived_at + PROMOTE_SHARE * wait_s,
         )
-        if now >= entry.late_at:
-            entry.state = queue_order.State.LATE
         self.entry_by_key[key] = self._fresh[key] = entry
         self._keys_by_vm[key[0]].add(key)
 
@@ -227,6 +223,7 @@
         load = self.load_by_id[grant.endpoint_id]
         alone_s = max(0.0, run_s - grant.queued_s)
         self.estimates.add_run(request, alone_s * load.speed)
+        load.set_mean_run(self.estimates.run.value)
         self.shares.add(request.account, request.weight, run_s - grant.cost, now)
 
     def was_full(self, key: Key, now: float) -> None:
@@ -257,9 +254,7 @@
             outside = max(0, running_by_id.get(endpoint_id, 0))
             if outside < load.outside:
                 self._freed_ids.add(endpoint_id)
-            load.outside = outside
-            mean_memory = self.estimates.memory.value
-            load.outside_memory_tokens = math.ceil(outside * mean_memory)
+            load.set_outside(outside, self.estimates.memory.value)
 
     def drop_vm(self, vm: str, now: float) -> None:
         """Forget all requests of a VM.
@@ -297,7 +292,7 @@
             return 0.0
         # The estimate at its arrival knows what was ahead of it, the present one what
         # has left since.
-        wait_s = self._waits(entry.request, now).until_granted_s(entry)
+        wait_s = self._waits(entry, now).until_granted_s()
         return max(0.0, min(wait_s, entry.expected_at - now))
 
     def next_at(self) -> float | None:
@@ -321,14 +316,19 @@
                 self._fresh.clear()
                 self._grant(entry, endpoint_id, now)
                 return
-        for entry in self._fresh.values():
             self._start_to_wait(entry, now)
-            for endpoint_id in entry.request.endpoint_ids:
-                if endpoint_id in self.load_by_id:
-                    self._freed_ids.add(endpoint_id)
+            if entry.state is not queue_order.State.LATE:
+                return
+        for entry in self._fresh.values():
+            if not entry.is_waiting:
+                self._start_to_wait(entry, now)
+            self._freed_ids.update(entry.request.endpoint_ids)
 
     def _start_to_wait(self, entry: queue_order.Entry, now: float) -> None:
         entry.is_waiting = True
+        entry.late_at = entry.request.objective_at - self._first_s(entry, now)
+        if now >= entry.late_at:
+            entry.state = queue_order.State.LATE
         account = entry.request.account
         if not self._waiting_by_account[account]:
             others = (name for name in self._waiting_by_account if name != account)
@@ -351,8 +351,8 @@
     def _refuse_if_certain(self, entry: queue_order.Entry, now: float) -> bool:
         """Refuse a request that waits if it will not be granted in time."""
         left_s = entry.request.send_by - now
-        waits = self._waits(entry.request, now)
-        wait_s = waits.until_granted_s(entry)
+        waits = self._waits(entry, now)
+        wait_s = waits.until_granted_s()
         if wait_s <= left_s:
             entry.expected_at = now + wait_s
             return False
@@ -392,7 +392,7 @@
     ) -> tuple[tuple, queue_order.Entry] | None:
         """Return the request to be granted next at an endpoint, and its order."""
         load = self.load_by_id.get(endpoint_id)
-        if load is None or not self._has_place(load, now):
+        if load is None or not load.has_place(now):
             return None
         order = self._order_by_id[endpoint_id]
         if not len(order):
@@ -410,7 +410,7 @@
         )
         deferred = []
         for key, bucket in order.heads(self.shares.relative_usage):
-            if put_off and bucket.state is queue_order.State.PROMOTED:
+            if put_off and key[0] is queue_order.State.PROMOTED:
                 deferred.append((key, bucket))
                 continue
             entry = bucket.find(fit)
@@ -441,23 +441,32 @@
         endpoint_id: str,
         now: float,
     ) -> queue_order.Fit:
+        """Return whether a waiting request fits at an endpoint that has a place."""
         request = entry.request
-        is_promoted = entry.state is queue_order.State.PROMOTED
-        if load.reserved_for is not None and not self._precedes_reserved(entry, load):
-            return queue_order.Fit.BLOCKED
-        if request.is_patient and not is_promoted and load.is_full_for_patient():
+        prompt_s = load.prompt_s(request, endpoint_id)
+        if self._must_wait(entry, load):
             return queue_order.Fit.BLOCKED
-        if not load.has_memory(load.bounded(request.memory_tokens)) or not (
-            load.has_prefill(load.prompt_s(request, endpoint_id))
-        ):
+        if not load.has_room(request.memory_tokens, prompt_s):
             self._reserve(entry, load, endpoint_id)
             return queue_order.Fit.BLOCKED
         if entry.state is queue_order.State.ON_TIME:
-            first_s = self.estimates.loaded_first_s(request, load, endpoint_id)
+            first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
             if now + first_s > request.objective_at:
                 return queue_order.Fit.TOO_SLOW
         return queue_order.Fit.FITS
 
+    def _must_wait(
+        self, entry: queue_order.Entry, load: endpoint_load.EndpointLoad
+    ) -> bool:
+        """Return whether the endpoint's free place is kept for another request."""
+        if load.reserved_for is not None and not self._precedes_reserved(entry, load):
+            return True
+        return (
+            entry.request.is_patient
+            and load.is_full_for_patient()
+            and entry.state is not queue_order.State.PROMOTED
+        )
+
     def _reserve(
         self,
         entry: queue_order.Entry,
@@ -484,9 +493,6 @@
             load.reserved_for, usage
         )
 
-    def _has_place(self, load: endpoint_load.EndpointLoad, now: float) -> bool:
-        return load.has_place(self.estimates.run.value, now)
-
     def _choose(self, entry: queue_order.Entry, now: float) -> str | None:
         """Return the endpoint with room that suits a request best.
 
@@ -494,20 +500,25 @@
         at an endpoint that has room.
         """
         request = entry.request
+        is_on_time = entry.state is queue_order.State.ON_TIME
         best = None
         best_id = None
         for endpoint_id in request.endpoint_ids:
             load = self.load_by_id.get(endpoint_id)
-            if load is None or not self._has_place(load, now):
+            if load is None or not load.has_place(now):
                 continue
-            fit = self._fit(entry, load, endpoint_id, now)
-            if fit is not queue_order.Fit.FITS:
+            prompt_s = load.prompt_s(request, endpoint_id)
+            if not load.has_room(request.memory_tokens, prompt_s) or (
+                self._must_wait(entry, load)
+            ):
                 continue
-            first_s = self.estimates.loaded_first_s(request, load, endpoint_id)
+            first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
             is_late = now + first_s > request.objective_at
-            is_full = load.fullness() > MAX_FULLNESS
-            is_remote = endpoint_id not in request.local_ids
-            score = is_late, is_full, is_remote and not is_full, first_s
+            if is_late and is_on_time:
+                continue
+            is_full = load.running * load.fullness_per_run > MAX_FULLNESS
+            is_remote = not is_full and endpoint_id not in request.local_ids
+            score = is_late, is_full, is_remote, first_s
             if best is None or score < best:
                 best, best_id = score, endpoint_id
         return best_id
@@ -517,8 +528,7 @@
         self._forget_waiting(entry)
         load = self.load_by_id[endpoint_id]
         prompt_s = load.prompt_s(request, endpoint_id)
-        queued_s = self.estimates.queued_s(request, load, load.running)
-        cost = self.estimates.run_s(request)
+        queued_s = queue_estimates.queued_s(entry, load, load.running)
         grant = endpoint_load.Grant(
             request.key,
             endpoint_id,
@@ -528,7 +538,7 @@
             prompt_s + load.unread_s,
             queued_s,
             request,
-            cost / load.speed,
+            entry.run_s / load.speed,
         )
         self._hold(grant)
         if prompt_s:
@@ -536,7 +546,7 @@
             self._set_timer(now + read_s, grant)
         self.estimates.memory.add(grant.memory_tokens)
         self.shares.add(request.account, request.weight, grant.cost, now)
-        self._usage_by_id[endpoint_id].add(entry, cost, now)
+        self._view_by_id[endpoint_id].usage.add(entry, now)
         self._decided.append(Granted(request.key, endpoint_id))
 
     # Timers.
@@ -606,16 +616,13 @@
 
     # Bookkeeping.
 
-    def _waits(self, request: WaitingRequest, now: float) -> queue_estimates.Waits:
-        rows = [
-            (self.load_by_id[i], self._order_by_id[i], self._usage_by_id[i])
-            for i in self._accepting_ids(request)
-        ]
-        return queue_estimates.Waits(request, rows, self.estimates, now)
+    def _waits(self, entry: queue_order.Entry, now: float) -> queue_estimates.Waits:
+        views = [self._view_by_id[i] for i in self._accepting_ids(entry.request)]
+        return queue_estimates.Waits(entry, views, self.estimates, now)
 
     def _refuse(self, entry: queue_order.Entry, reason: str, now: float) -> None:
-        waits = self._waits(entry.request, now)
-        wait_s = waits.until_granted_s(entry)
+        waits = self._waits(entry, now)
+        wait_s = waits.until_granted_s()
         left_s = max(0.0, entry.request.send_by - entry.request.arrived_at)
         self._forget_waiting(entry)
         retry_after_s = waits.retry_after_s(wait_s - left_s)
@@ -625,13 +632,20 @@
         self._forget_waiting(self.entry_by_key[key])
         self._decided.append(Refused(key, 0.0, NO_ENDPOINT))
 
-    def _first_s(self, request: WaitingRequest, now: float) -> float:
+    def _first_s(self, entry: queue_order.Entry, now: float) -> float:
         """Return the time to the first event that a request can count on."""
         return min(
-            self.estimates.full_first_s(request, self.load_by_id[i], i, now)
-            for i in self._accepting_ids(request)
+            (
+                queue_estimates.full_first_s(entry, self.load_by_id[i], i, now)
+                for i in self._accepting_ids(entry.request)
+            ),
+            default=0.0,
         )
 
+    def _accepts(self, request: WaitingRequest) -> bool:
+        loads = self.load_by_id
+        return any(i in loads and loads[i].accepts for i in request.endpoint_ids)
+
     def _accepting_ids(self, request: WaitingRequest) -> list[str]:
         loads = self.load_by_id
         return [i for i in request.endpoint_ids if i in loads and loads[i].accepts]
@@ -684,6 +698,19 @@
             if not keys:
                 del self._keys_by_vm[key[0]]
 
+    def _add_endpoint(self, endpoint_id: str, capacity: Capacity) -> None:
+        load = endpoint_load.EndpointLoad(capacity, self.estimates.run.value)
+        order = queue_order.EndpointOrder()
+        usage = queue_estimates.EndpointUsage()
+        self.load_by_id[endpoint_id] = load
+        self._order_by_id[endpoint_id] = order
+        self._view_by_id[endpoint_id] = queue_estimates.EndpointView(load, order, usage)
+        # Requests may wait for an endpoint that returns while others are left.
+        for entry in self.entry_by_key.values():
+            if entry.is_waiting and endpoint_id in entry.request.endpoint_ids:
+                order.add(entry)
+        self._freed_ids.add(endpoint_id)
+
     def _drop_endpoint(self, endpoint_id: str) -> None:
         load = self.load_by_id[endpoint_id]
         for key in list(load.grant_by_key):
@@ -692,7 +719,7 @@
             self._end_reservation(load.reserved_for)
         del self.load_by_id[endpoint_id]
         del self._order_by_id[endpoint_id]
-        del self._usage_by_id[endpoint_id]
+        del self._view_by_id[endpoint_id]
         self._freed_ids.discard(endpoint_id)
 
 
@@ -705,6 +732,9 @@
     arrived_at = request.arrived_at if request.arrived_at <= now else now
     weight = fair_shares.bounded_weight(request.weight)
     urgency = min(max(request.urgency, 0), declaration_types.LOWEST_URGENCY)
+    prompt_tokens = max(0, request.prompt_tokens)
+    shared_tokens = max(0, request.shared_tokens)
+    memory_tokens = max(0, request.memory_tokens)
     endpoint_ids = request.endpoint_ids
     if len(endpoint_ids) > MAX_ENDPOINTS or len(set(endpoint_ids)) < len(endpoint_ids):
         endpoint_ids = tuple(dict.fromkeys(endpoint_ids))[:MAX_ENDPOINTS]
@@ -714,6 +744,9 @@
         and arrived_at == request.arrived_at
         and weight == request.weight
         and urgency == request.urgency
+        and prompt_tokens == request.prompt_tokens
+        and shared_tokens == request.shared_tokens
+        and memory_tokens == request.memory_tokens
         and endpoint_ids is request.endpoint_ids
     ):
         return request
@@ -724,6 +757,9 @@
         arrived_at=arrived_at,
         weight=weight,
         urgency=urgency,
+        prompt_tokens=prompt_tokens,
+        shared_tokens=shared_tokens,
+        memory_tokens=memory_tokens,
         endpoint_ids=endpoint_ids,
     )
 
