--- a/packages/mothworks_gateway/tests/test_moving_demand.py
+++ b/packages/mothworks_gateway/tests/test_moving_demand.py
@@ -17,7 +17,11 @@
 TOKENS = 1_800
 PER_S = 33.0
 #: See :func:`test_without_speeds_models_are_placed_as_before`.
-PLACED_WITHOUT_SPEEDS = {}
+PLACED_WITHOUT_SPEEDS = {
+    "rising": ["i-0", "i-1", "i-2", "i-3", "i-5"],
+    "rare-3": ["i-3", "i-4"],
+    "fallen": ["i-6", "i-7", "i-8"],
+}
 HOLDING = [("rising", "rare-0")] + [("fallen", f"rare-{n}") for n in range(1, 9)]
 
 
--- a/packages/mothworks_gateway/tests/test_placement_candidates.py
+++ b/packages/mothworks_gateway/tests/test_placement_candidates.py
@@ -62,8 +62,9 @@
     clock = scheduling_builders.Clock(monkeypatch)
     scheduling = scheduling_builders.Scheduling(clock, accelerator, holding)
     scheduling.placement.speed = lambda endpoint_id: speed_by_id.get(endpoint_id, 1.0)
-    for model, per_s in (("busy", 10.0), ("rare", 0.4), ("other", 0.4)):
-        arrived = ((scheduling_builders.SERVICE, model, "", per_s * 10, 0),)
+    for model in names:
+        count = 100.0 if model == "busy" else 4.0
+        arrived = ((scheduling_builders.SERVICE, model, "", count, 0),)
         message = heartbeat.Heartbeat(1, 1, 0, arrived=arrived)
         scheduling.demand._on_heartbeat("vm-1", message)
     return scheduling
