Tests of the endpoint queue and the fair shares, in virtual time

A usage is read after it was rebased (it was wrong by 2**60 after 5 minutes without a request), and a request whose time is over is refused when added.

--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -56,6 +56,8 @@
 MAX_RESERVED_SHARE = 0.25
 #: Longest time for which a request may wait, seconds; later times count as this.
 MAX_WAIT_S = 600.0
+#: Shortest time until a timer that is set again, seconds.
+MIN_TIMER_S = 0.01
 #: Timers that are not needed any more are removed once there are this many more than
 #: twice the requests.
 MIN_STALE_TIMERS = 1024
@@ -80,6 +82,8 @@
         self._fresh: dict[Key, queue_order.Entry] = {}
         #: Endpoints at which room was freed since the last decision.
         self._freed_ids: set[str] = set()
+        #: Requests whose state has changed since the last decision.
+        self._changed: list[queue_order.Entry] = []
         #: Decisions made between calls of :meth:`decide`.
         self._decided: list[Granted | Refused] = []
         self._timers: list[
@@ -132,6 +136,10 @@
         if grant is not None:
             self._decided.append(Granted(key, grant.endpoint_id))
             return
+        if not request.send_by >= now:
+            # Also a time that is not a number.
+            self._refuse_unsent(request, now)
+            return
         request = _bounded(request, now)
         former = self.entry_by_key.get(key)
         if former is not None:
@@ -276,6 +284,11 @@
             self._enter_fresh(now)
         if self._freed_ids:
             self._grant_freed(now)
+        for entry in self._changed:
+            endpoint_id = self._choose(entry, now) if entry.is_waiting else None
+            if endpoint_id is not None:
+                self._grant(entry, endpoint_id, now)
+        self._changed.clear()
         if self._fresh:
             self._check_fresh(now)
         decisions, self._decided = self._decided, []
@@ -585,6 +598,8 @@
                     self._freed_ids.add(endpoint_id)
                     rise_at = self.load_by_id[endpoint_id].next_rise_at(now)
                     if rise_at is not None:
+                        # Rounding must not give a time that has come already.
+                        rise_at = max(rise_at, now + MIN_TIMER_S)
                         self._set_timer(rise_at, endpoint_id)
 
     def _update_state(self, entry: queue_order.Entry, now: float) -> None:
@@ -607,8 +622,8 @@
             for endpoint_id in entry.request.endpoint_ids:
                 if endpoint_id in self._order_by_id:
                     self._order_by_id[endpoint_id].move(entry, old_key)
-                    # It may take room that it could not take in its former state.
-                    self._freed_ids.add(endpoint_id)
+            # It may take room that it could not take in its former state.
+            self._changed.append(entry)
             if not entry.request.is_patient and self._refuse_if_certain(entry, now):
                 return
         next_at = entry.next_change_at()
@@ -628,6 +643,15 @@
         retry_after_s = waits.retry_after_s(wait_s - left_s)
         self._decided.append(Refused(entry.request.key, retry_after_s, reason))
 
+    def _refuse_unsent(self, request: WaitingRequest, now: float) -> None:
+        """Refuse a request whose time is over when it is added or repeated."""
+        entry = self.entry_by_key.get(request.key)
+        if entry is not None:
+            self._refuse(entry, NOT_GRANTED, now)
+            return
+        retry_after_s = queue_estimates.MIN_RETRY_AFTER_S
+        self._decided.append(Refused(request.key, retry_after_s, NOT_GRANTED))
+
     def _refuse_without_endpoint(self, key: Key) -> None:
         self._forget_waiting(self.entry_by_key[key])
         self._decided.append(Refused(key, 0.0, NO_ENDPOINT))
@@ -726,8 +750,8 @@
 def _bounded(request: WaitingRequest, now: float) -> WaitingRequest:
     """Return a request whose numbers are within their bounds."""
     latest = now + MAX_WAIT_S
+    send_by = min(request.send_by, latest)
     # Comparisons with NaN are false, so that such times count as now.
-    send_by = min(request.send_by, latest) if request.send_by > now else now
     objective_at = request.objective_at if request.objective_at > 0 else now
     arrived_at = request.arrived_at if request.arrived_at <= now else now
     weight = fair_shares.bounded_weight(request.weight)
--- a/packages/mothworks_gateway/src/mothworks_gateway/fair_shares.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/fair_shares.py
@@ -57,7 +57,9 @@
         :param account: the account; 0 for one that is not known.
         :param now: the time, seconds.
         """
-        return self.relative_usage(account) / self._scale(now)
+        # The scale may rebase the usages, and so is taken first.
+        scale = self._scale(now)
+        return self.relative_usage(account) / scale
 
     def relative_usage(self, account: str) -> float:
         """Return a number that orders accounts as their usage does.
--- a/packages/mothworks_gateway/tests/queue_builders.py
+++ b/packages/mothworks_gateway/tests/queue_builders.py
@@ -67,6 +67,23 @@
     }
 
 
+def container_sizes(queue):
+    """Return the number of items in each container that a queue holds."""
+    sizes = {}
+    pending = [("queue", queue)]
+    while pending:
+        path, item = pending.pop()
+        if isinstance(item, dict | list | set | collections.deque):
+            sizes[path] = len(item)
+        if isinstance(item, dict):
+            pending += [(f"{path}[{key}]", value) for key, value in item.items()]
+        elif type(item).__module__.startswith("mothworks_gateway") and hasattr(
+            item, "__dict__"
+        ):
+            pending += [(f"{path}.{key}", value) for key, value in vars(item).items()]
+    return sizes
+
+
 @attrs.frozen
 class Callers:
     """Callers that send at random times, and once more if they are refused.
