--- a/packages/mothworks_gateway/tests/test_queue_owner.py
+++ b/packages/mothworks_gateway/tests/test_queue_owner.py
@@ -6,10 +6,10 @@
 import pytest
 
 import gateway_builders
-import queue_builders
+import queue_fleet_builders
 from mothworks_gateway import queue_messages, queue_owner
 
-SERVICE = queue_builders.SERVICE
+SERVICE = queue_fleet_builders.SERVICE
 BEGAN, ENDED, FULL, WITHDRAWN, HOLDS = queue_messages.EventKind
 #: Time for which the tests let an owner decide after a pause, seconds.
 SETTLE_S = 0.05
@@ -24,7 +24,7 @@
     started = []
 
     def make(**fields):
-        started.append(queue_builders.Fleet(**fields))
+        started.append(queue_fleet_builders.Fleet(**fields))
         return started[-1]
 
     yield make
@@ -216,7 +216,7 @@
 
 
 def test_a_request_larger_than_the_memory_runs_alone(start_fleet):
-    declaration = queue_builders.make_declaration(kv_tokens=1000)
+    declaration = queue_fleet_builders.make_declaration(kv_tokens=1000)
     fleet = start_fleet(endpoints=1, slots=4, declaration=declaration)
     assert ask(fleet.vms[0], 1, memory_tokens=5000).endpoint_id == "i-0"
     assert not ask(fleet.vms[0], 2, memory_tokens=100).endpoint_id
