Start: byte code from the build, fewer imports, no collections meanwhile

A VM's checkout is read-only and has no byte code, so that each start compiled all modules of the project, and the methods that attrs generates for 158 classes. The build now makes byte code of both under target/; a file that is missing or belongs to another source is not used. The __init__ of geventhttpclient and aioprometheus, of which single modules are used, runs only if needed. Collections are off during the imports.

--- a/deploy/mothworks_node.py
+++ b/deploy/mothworks_node.py
@@ -4,8 +4,8 @@
 its folder ``platform`` would hide the standard library's module of that name.
 """
 
+import gc
 import os
-import pathlib
 import signal
 import sys
 
@@ -13,14 +13,27 @@
 # handle it.
 signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-PACKAGES = ("packages/mothworks", "packages/mothworks_gateway", "platform")
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+import byte_code  # noqa: E402
+import deferred_packages  # noqa: E402
+
 #: The environment variable that contains the path of the settings file.
 SETTINGS_VARIABLE = "MOTHWORKS_CONFIG"
 
-for package in PACKAGES:
-    sys.path.insert(0, str(ROOT / package / "src"))
+# Imports leave hardly any garbage, but would trigger dozens of collections. What they
+# made lives as long as the process, so later collections don't need to visit it.
+gc.disable()
+byte_code.install()
+deferred_packages.install()
+
+import generated_methods  # noqa: E402
+
+generated_methods.install(byte_code.FOLDER)
 
 from mothworks_gateway import node  # noqa: E402
 
+gc.freeze()
+gc.enable()
+
 sys.exit(node.main(os.environ[SETTINGS_VARIABLE]))
--- a/packages/mothworks/src/mothworks/metrics.py
+++ b/packages/mothworks/src/mothworks/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of one node in the Prometheus text format."""
 
-import aioprometheus
 import aioprometheus.collectors
+import aioprometheus.renderer
 
 #: Upper bounds of the buckets, seconds. Among them are the default targets between
 #: tokens (35 ms) and to the first token (1.6 s).
@@ -13,38 +13,40 @@
     """Creates and renders metrics; a repeated name returns the existing metric."""
 
     def __init__(self):
-        self.registry = aioprometheus.Registry()
+        self.registry = aioprometheus.collectors.Registry()
         self.metric_by_name: dict[str, aioprometheus.collectors.Collector] = {}
 
-    def counter(self, name: str, doc: str) -> aioprometheus.Counter:
+    def counter(self, name: str, doc: str) -> aioprometheus.collectors.Counter:
         """Return a counter.
 
         :param name: its name, without the prefix ``mothworks_``.
         :param doc: its help text.
         """
-        return self._make(aioprometheus.Counter, name, doc)
+        return self._make(aioprometheus.collectors.Counter, name, doc)
 
-    def gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+    def gauge(self, name: str, doc: str) -> aioprometheus.collectors.Gauge:
         """Return a gauge.
 
         :param name: its name, without the prefix ``mothworks_``.
         :param doc: its help text.
         """
-        return self._make(aioprometheus.Gauge, name, doc)
+        return self._make(aioprometheus.collectors.Gauge, name, doc)
 
-    def duration_histogram(self, name: str, doc: str) -> aioprometheus.Histogram:
+    def duration_histogram(
+        self, name: str, doc: str
+    ) -> aioprometheus.collectors.Histogram:
         """Return a histogram of durations in seconds.
 
         :param name: its name, without the prefix ``mothworks_``.
         :param doc: its help text.
         """
         return self._make(
-            aioprometheus.Histogram, name, doc, buckets=DURATION_BUCKETS_S
+            aioprometheus.collectors.Histogram, name, doc, buckets=DURATION_BUCKETS_S
         )
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the text of all metrics and its HTTP headers."""
-        return aioprometheus.render(self.registry, [])
+        return aioprometheus.renderer.render(self.registry, [])
 
     def _make(self, metric_class: type, name: str, doc: str, **options):
         if name not in self.metric_by_name:
