Idle VM: periodic tasks of a VM wake together; gauges are set when they are read

Most of the processor time of an idle VM is spent on waking up. Each part woke for its own jittered interval; now one wake-up serves all tasks whose interval has nearly ended. The list of live VMs, which each probe and heartbeat needs, is cached until a change.

--- a/packages/mothworks/src/mothworks/kernel.py
+++ b/packages/mothworks/src/mothworks/kernel.py
@@ -27,7 +27,7 @@
 
     def __init__(self, kernel: "Kernel"):
         self.kernel = kernel
-        self.tasks = tasks.Tasks(kernel.crash)
+        self.tasks = tasks.Tasks(kernel.crash, kernel.rhythm)
 
     def start(self) -> None:
         """Start tasks and listeners."""
@@ -52,6 +52,7 @@
     def __init__(self, node_settings: settings.Settings):
         self.settings = node_settings
         self.metrics = metrics.Metrics()
+        self.rhythm = tasks.Rhythm()
         self.part_by_class: dict[type, Part] = {}
         self.draining = False
         #: Deadline of a graceful shutdown on the monotonic clock, seconds.
--- a/packages/mothworks/src/mothworks/members.py
+++ b/packages/mothworks/src/mothworks/members.py
@@ -144,10 +144,16 @@
         self.on_live_change = on_live_change
         self.get_suspicion_rounds = get_suspicion_rounds
         self.record_by_name: dict[str, Record] = {}
+        #: The live VMs except this one; None after a change. Each probe, packet and
+        #: heartbeat needs them.
+        self._live: list[Member] | None = None
 
     def live(self) -> list[Member]:
         """Return all live VMs except this one."""
-        return [item.member for item in self.record_by_name.values() if item.live]
+        if self._live is None:
+            records = self.record_by_name.values()
+            self._live = [item.member for item in records if item.live]
+        return [*self._live]
 
     def dead(self) -> list[Member]:
         """Return the dead VMs that are not yet removed."""
@@ -217,6 +223,7 @@
                 self.merge(record.row()._replace(state=int(State.DEAD)))
             else:
                 del self.record_by_name[record.member.name]
+                self._live = None
 
     def merge(self, row: Row) -> bool:
         """Apply a received row if it is newer than the current record.
@@ -239,6 +246,7 @@
         self.record_by_name[row.name] = Record(
             member, row.incarnation, state, self._initial_rounds(state)
         )
+        self._live = None
         self.on_update(row)
         if current is None or current.state is not state:
             log.info("{} is {}", row.name, state.name.lower())
--- a/packages/mothworks/src/mothworks/metrics.py
+++ b/packages/mothworks/src/mothworks/metrics.py
@@ -15,6 +15,8 @@
     def __init__(self):
         self.registry = aioprometheus.collectors.Registry()
         self.metric_by_name: dict[str, aioprometheus.collectors.Collector] = {}
+        #: Callbacks without arguments that set values right before they are read.
+        self.on_render: list = []
 
     def counter(self, name: str, doc: str) -> aioprometheus.collectors.Counter:
         """Return a counter.
@@ -46,6 +48,8 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the text of all metrics and its HTTP headers."""
+        for callback in self.on_render:
+            callback()
         return aioprometheus.renderer.render(self.registry, [])
 
     def _make(self, metric_class: type, name: str, doc: str, **options):
--- a/packages/mothworks/src/mothworks/peers.py
+++ b/packages/mothworks/src/mothworks/peers.py
@@ -36,8 +36,6 @@
 CONNECT_TIMEOUT_S = 0.5
 #: Delay before another connection attempt to an unreachable VM, seconds.
 RETRY_DELAY_S = 0.5
-#: Interval between updates of the metrics, seconds.
-METRICS_INTERVAL_S = 1.0
 
 
 @attrs.frozen
@@ -94,11 +92,11 @@
         self.control_bytes = node_kernel.metrics.counter(
             "control_bytes", "Bytes exchanged with other VMs, by transport."
         )
+        node_kernel.metrics.on_render.append(self._update_metrics)
 
     def start(self) -> None:
         """Start to accept connections from peers."""
         self.listener.start()
-        self.tasks.every(METRICS_INTERVAL_S, self._update_metrics)
 
     def stop(self) -> None:
         """Close all connections."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
@@ -160,8 +160,12 @@
     def _check(self) -> None:
         """Check the paths while they are lost or may be lost."""
         while True:
-            # Jitter keeps VMs that lost their paths together from returning together.
-            gevent.sleep(CHECK_INTERVAL_S * random.uniform(0.7, 1.3))
+            if self.lost or self.cannot_open:
+                # Jitter keeps VMs that lost their paths together from returning
+                # together.
+                gevent.sleep(CHECK_INTERVAL_S * random.uniform(0.7, 1.3))
+            else:
+                self.tasks.rhythm.sleep(CHECK_INTERVAL_S)
             if self.lost or self.cannot_open:
                 self._probe_some(1)
             elif self._is_silent():
--- a/packages/mothworks_gateway/src/mothworks_gateway/feed_reports.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/feed_reports.py
@@ -35,18 +35,23 @@
             "feed_followed", "Whether this VM follows a feed by itself."
         )
 
+        node_kernel.metrics.on_render.append(self._set_gauges)
+
     def start(self) -> None:
         """Start the periodic reports."""
         self.tasks.every(REPORT_S, self.report)
 
     def report(self) -> None:
-        """Set the gauges, and log feeds that became stale or fresh."""
+        """Log feeds that became stale or fresh."""
+        for follower in self.feeding.follower_by_name.values():
+            self._log_staleness(follower)
+
+    def _set_gauges(self) -> None:
         for name, follower in self.feeding.follower_by_name.items():
             labels = {"feed": name}
             self.unanswered_seconds.set(labels, round(follower.unanswered_s, 3))
             self.poll_seconds.set(labels, round(follower.poll_duration_s, 3))
             self.followed.set(labels, int(follower.followed))
-            self._log_staleness(follower)
 
     def _log_staleness(self, follower: feeding.Follower) -> None:
         """Log when a feed becomes stale, fresh, or is left to other VMs."""
--- a/packages/mothworks_gateway/tests/gateway_builders.py
+++ b/packages/mothworks_gateway/tests/gateway_builders.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from mothworks import metrics
+from mothworks import metrics, tasks
 from mothworks_gateway import (
     caller_request,
     client_accounts,
@@ -27,6 +27,7 @@
     def __init__(self, parts, **bounds):
         self.settings = make_settings(bounds=settings.Bounds(**bounds))
         self.metrics = metrics.Metrics()
+        self.rhythm = tasks.Rhythm()
         self.parts = parts
         self.draining = False
         self.on_draining = []
--- a/packages/mothworks_gateway/tests/test_feed_reports.py
+++ b/packages/mothworks_gateway/tests/test_feed_reports.py
@@ -80,11 +80,11 @@
 
 def test_the_age_of_a_feed_is_exported_as_a_metric(reports, clock):
     clock.advance(0.25)
-    report(reports)
+    reports.kernel.metrics.render()
     assert gauge_value(reports.unanswered_seconds) == 0.25
     assert gauge_value(reports.followed) == 1
     reports.feeding.follower_by_name["declarations"].set_followed(False)
-    report(reports)
+    reports.kernel.metrics.render()
     assert gauge_value(reports.followed) == 0
 
 
