A slow attempt is given up only once another is granted

Attempts were cancelled after 0.6 of the objective, and only then was it checked whether a retry was left and another endpoint had room. retry_grants decides that while the attempt goes on, charges the retry once, and names the endpoint it goes to.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -243,6 +243,27 @@
     idle_timeout_s = IDLE_TIMEOUT_S
     #: Whether it is closed after one request instead of being pooled.
     single_use = False
+    #: Called when a receive times out; returns the next timeout in seconds, or None to
+    #: let it time out.
+    on_timeout: collections.abc.Callable[[], float | None] | None = None
+
+    def recv(self, *args) -> bytes:
+        """Receive as the base class does, with a timeout that may be extended."""
+        while True:
+            try:
+                return super().recv(*args)
+            except TimeoutError:
+                if self.on_timeout is None:
+                    raise
+                # The event loop may find the timer due together with the data, and the
+                # call may take as long as the data needs to arrive.
+                if _is_readable(self):
+                    continue
+                timeout_s = self.on_timeout()
+                if timeout_s is not None:
+                    self.settimeout(timeout_s)
+                elif not _is_readable(self):
+                    raise
 
 
 class _Pool(geventhttpclient.connectionpool.ConnectionPool):
@@ -332,10 +353,7 @@
         # closes the connection looks as if it had crashed the endpoint.
         if not _is_reusable(sock, time.monotonic()):
             return False
-        # select(), which the base class uses, fails on descriptors above 1023.
-        poller = select.poll()
-        poller.register(sock, select.POLLIN)
-        return not poller.poll(0)
+        return not _is_readable(sock)
 
 
 @attrs.frozen
@@ -348,6 +366,9 @@
     :param host: the Host header; empty for the address.
     :param deadline: monotonic time by which the whole answer must have arrived.
     :param head_deadline: monotonic time by which its head must have arrived.
+    :param on_head_late: called when it has not arrived by then; returns the next
+        monotonic time at which to call it again, or None to give the request up. An
+        answer that begins during the call is returned.
     :param may_send: called once the connection is open, right before the first
         byte is sent; the request is not sent unless it returns true.
     """
@@ -356,6 +377,7 @@
     host: str = ""
     deadline: float | None = None
     head_deadline: float | None = None
+    on_head_late: collections.abc.Callable[[], float | None] | None = None
     may_send: collections.abc.Callable[[], bool] | None = None
 
 
@@ -428,7 +450,7 @@
             )
         head = _encode_head(options.host or address, method, path, headers, len(body))
         try:
-            sock.settimeout(self._timeout_s(options))
+            sock.settimeout(self._timeout_s(options, options.head_deadline))
             sock.sendall(head + body)
         except OSError as error:
             pool.release_socket(sock)
@@ -438,10 +460,14 @@
             # a request, so it cannot be used for another one.
             pool.release_socket(sock)
             raise
+        if options.on_head_late is not None:
+            sock.on_timeout = lambda: self._extended_timeout_s(options)
         try:
             response = _Response(sock, pool, method, options.deadline)
         except CONNECTION_ERRORS as error:
             return result.Err(endpoints.SendFailure(f"answer: {error}", True))
+        finally:
+            sock.on_timeout = None
         sock.settimeout(self.read_timeout_s)
         return result.Ok(HttpAnswer(response))
 
@@ -457,8 +483,18 @@
             return f"connect: {error}"
         return None
 
-    def _timeout_s(self, options: SendOptions) -> float:
-        deadlines = (options.deadline, options.head_deadline)
+    def _extended_timeout_s(self, options: SendOptions) -> float | None:
+        """Return how much longer to wait for an answer's head; None to give it up."""
+        deadline = options.deadline
+        if deadline is not None and time.monotonic() >= deadline:
+            return None
+        head_deadline = options.on_head_late()
+        if head_deadline is None:
+            return None
+        return self._timeout_s(options, head_deadline)
+
+    def _timeout_s(self, options: SendOptions, head_deadline: float | None) -> float:
+        deadlines = (options.deadline, head_deadline)
         now = time.monotonic()
         remaining_s = [end - now for end in deadlines if end is not None]
         return max(0.001, min([self.read_timeout_s, *remaining_s]))
@@ -518,6 +554,14 @@
     return result.Ok(b"".join(chunks))
 
 
+def _is_readable(sock: gevent.socket.socket) -> bool:
+    """Return whether data, or the end of the connection, can be received now."""
+    # select() fails on descriptors above 1023.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _is_reusable(sock: _Socket, now: float) -> bool:
     """Return whether an idle connection is within its idle timeout."""
     return now - sock.idle_since <= sock.idle_timeout_s
--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -276,6 +276,7 @@
         deadline: float,
         may_send: collections.abc.Callable[[], bool],
         after_event: str = "",
+        on_head_late: collections.abc.Callable[[], float | None] | None = None,
     ) -> result.Result[transport.HttpAnswer, endpoints.SendFailure]:
         """Send a request once and wait for the head of the answer.
 
@@ -287,6 +288,8 @@
             only if it returns true.
         :param after_event: id of the last event that the caller has received, to resume
             after.
+        :param on_head_late: called at that time if there is no head; returns the next
+            monotonic time at which to call it, or None to give the request up.
         """
         raise NotImplementedError
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -30,6 +30,7 @@
     request_progress,
     residency,
     retry_budget,
+    retry_grants,
     running_requests,
     send_slots,
     stream_origins,
@@ -43,10 +44,11 @@
 #: Pause after a refusal by a busy endpoint, seconds.
 BUSY_PAUSE_S = 0.03
 #: Share of the objective after which the attempt at a repeatable, non-streaming request
-#: is abandoned if it has no answer, and the request is sent to another endpoint.
-ABANDON_SHARE = 0.6
+#: is slow if it has no answer: another one is asked for then, and again each time as
+#: much time has passed.
+SLOW_SHARE = 0.6
 #: Lower bound of that time, seconds.
-MIN_ABANDON_S = 0.05
+MIN_SLOW_S = 0.05
 #: Weight in the failure rate of an error that the endpoint itself returned: some are
 #: caused by the request.
 ERROR_WEIGHT = 0.5
@@ -72,6 +74,7 @@
         self.rooms = node_kernel.get(endpoint_rooms.EndpointRooms)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
+        self.retry_grants = node_kernel.get(retry_grants.RetryGrants)
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.prefill_speed = node_kernel.get(prefill_speed.PrefillSpeed)
         self.residency = node_kernel.get(residency.Residency)
@@ -138,17 +141,26 @@
     ) -> calls.Reply | None:
         left_s = request.deadline - started_at - RESPONSE_MARGIN_S
         head_deadline = request.deadline
-        if self._may_abandon(request, progress):
-            abandon_after_s = max(
-                MIN_ABANDON_S, ABANDON_SHARE * request.route.objective_s
-            )
-            head_deadline = min(head_deadline, started_at + abandon_after_s)
+        on_head_late = None
+        if self.retry_grants.may_ask(request, progress):
+            slow_s = max(MIN_SLOW_S, SLOW_SHARE * request.route.objective_s)
+            head_deadline = min(head_deadline, started_at + slow_s)
+
+            def on_head_late() -> float | None:
+                now = time.monotonic()
+                is_granted = self.retry_grants.try_grant(
+                    request, progress, now - started_at
+                )
+                return None if is_granted else now + slow_s
+
         sent = self.protocol.send(
             endpoint,
             request,
             left_s,
             head_deadline,
             lambda: self.may_send(request, endpoint),
+            "",
+            on_head_late,
         )
         match sent:
             case result.Err(failure):
@@ -164,7 +176,7 @@
             self._handle_kind(request, endpoint, progress, kind)
             return None
         failed = kind is adapters.ResponseKind.FAILED
-        if failed and self._may_abandon(request, progress):
+        if failed and self._is_retry_granted(request, progress):
             answer.close()
             self.health.record_failure(
                 endpoint, f"status {answer.status}", ERROR_WEIGHT
@@ -252,18 +264,20 @@
         self.head_seconds.observe(labels, time.monotonic() - request.received_at)
         return calls.Reply(answer.status, answer.headers, body)
 
-    def _may_abandon(
+    def _is_retry_granted(
         self,
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
     ) -> bool:
-        """Return whether a slow or failed attempt may be abandoned for another one."""
-        return (
-            request.route.repeatable
-            and not request.route.streaming
-            and len(progress.tried) < request.route.max_endpoints
-            and len(self.registry.of_service(request.target.service)) > 1
-        )
+        """Return whether another attempt is granted after an answer that failed.
+
+        Without one, the answer is delivered.
+        """
+        if progress.grant is not None:
+            return True
+        return self.retry_grants.may_ask(
+            request, progress
+        ) and self.retry_grants.try_grant(request, progress, None)
 
     def _handle_send_failure(
         self,
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -27,6 +27,7 @@
     request_progress,
     residency,
     retry_budget,
+    retry_grants,
     running_requests,
     send_slots,
     stream_origins,
@@ -69,6 +70,7 @@
         self.endpoint_selection = node_kernel.get(endpoint_selection.EndpointSelection)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
+        self.retry_grants = node_kernel.get(retry_grants.RetryGrants)
         self.part_trials = node_kernel.get(part_trials.PartTrials)
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.residency = node_kernel.get(residency.Residency)
@@ -126,6 +128,16 @@
         self,
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
+    ) -> result.Result[calls.Reply, outcomes.Refusal]:
+        try:
+            return self._run_attempts(request, progress)
+        finally:
+            self.retry_grants.release(progress)
+
+    def _run_attempts(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
     ) -> result.Result[calls.Reply, outcomes.Refusal]:
         while True:
             if self.poison_requests.is_blocked(request):
@@ -137,9 +149,13 @@
                 return finished
             match self._find_endpoint(request, progress):
                 case result.Ok(slot):
-                    reply = self._send_in_slot(request, progress, slot)
+                    pass
                 case result.Err() as refused:
                     return refused
+            if not self._charge(request, progress):
+                self.rooms.begin(slot.endpoint)
+                return self._give_up(request, progress)
+            reply = self._send_in_slot(request, progress, slot)
             if reply is not None:
                 self._count(request, "answered")
                 return result.Ok(reply)
@@ -185,6 +201,10 @@
             return self._refuse(request, progress, 503, BUSY_RETRY_S)
         if request.deadline - time.monotonic() < MIN_TIME_LEFT_S:
             return self._give_up(request, progress)
+        # The peer chooses the endpoint, so a slot that was granted here is returned.
+        self.retry_grants.release(progress)
+        if not self._charge(request, progress):
+            return self._give_up(request, progress)
         wait_until = self._wait_until(request, progress)
         match self.forwarding.run(request, progress, wait_until):
             case result.Ok(reply):
@@ -202,6 +222,9 @@
         progress: request_progress.RequestProgress,
     ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
         """Find an endpoint and a send slot, waiting for the model if needed."""
+        grant, progress.grant = progress.grant, None
+        if grant is not None and grant.slot is not None:
+            return result.Ok(grant.slot)
         endpoint_wait_until = (
             time.monotonic() + ENDPOINT_WAIT_SHARE * request.route.objective_s
         )
@@ -383,11 +406,27 @@
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
     ) -> bool:
+        """Return whether a request may be sent again; it is charged once it is sent."""
         if progress.may_have_run and not request.route.repeatable:
             return False
         if time.monotonic() + MIN_TIME_LEFT_S > request.deadline:
             return False
-        return self.retry_budget.try_spend(request.target.service)
+        if progress.grant is not None:
+            return True
+        progress.owes_retry = self.retry_budget.may_spend(request.target.service)
+        return progress.owes_retry
+
+    def _charge(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> bool:
+        """Charge a retry that is about to be sent; returns whether one was left.
+
+        A retry may wait for its model first, and may be refused then.
+        """
+        owes_retry, progress.owes_retry = progress.owes_retry, False
+        return not owes_retry or self.retry_budget.try_spend(request.target.service)
 
     def _give_up(
         self,
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -27,6 +27,7 @@
     forwarding_peers,
     request_progress,
     retry_budget,
+    retry_grants,
     server_sent_events,
     stream_origins,
 )
@@ -47,9 +48,10 @@
 #: Reason of the refusal if no peer can run a request, and its Retry-After, seconds.
 NO_PEER_REASON = "this VM reaches no endpoint, and no peer offers to run its requests"
 NO_PEER_RETRY_S = 0.5
-#: Share of the time left after which a repeatable request without an answer is sent
-#: elsewhere.
-ABANDON_SHARE = 0.5
+#: Share of the time left after which a repeatable request without an answer may be sent
+#: elsewhere, and the interval at which that is checked again, seconds.
+SLOW_SHARE = 0.5
+SLOW_INTERVAL_S = 0.1
 #: Time before the caller's deadline that is reserved for returning the answer, seconds.
 RESPONSE_MARGIN_S = 0.02
 #: Time left until the deadline below which a stream is not resumed, seconds.
@@ -130,6 +132,7 @@
         super().__init__(node_kernel)
         self.peers = node_kernel.get(forwarding_peers.ForwardingPeers)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
+        self.retry_grants = node_kernel.get(retry_grants.RetryGrants)
         self.origins = node_kernel.get(stream_origins.StreamOrigins)
         self.connections = transport.Transport(
             READ_TIMEOUT_S,
@@ -269,8 +272,17 @@
         now = time.monotonic()
         left_s = request.deadline - now
         head_deadline = request.deadline
+        on_head_late = None
         if request.route.repeatable and not request.route.streaming:
-            head_deadline = now + ABANDON_SHARE * left_s
+            head_deadline = now + SLOW_SHARE * left_s
+
+            def on_head_late() -> float | None:
+                at = time.monotonic()
+                is_granted = self.retry_grants.try_grant_peer(
+                    request, progress, peer.vm, at - now
+                )
+                return None if is_granted else at + SLOW_INTERVAL_S
+
         message = self._encode(request, progress, now, wait_until)
         sent = self.connections.exchange(
             peer.address,
@@ -279,7 +291,9 @@
             (),
             message,
             transport.SendOptions(
-                deadline=request.deadline, head_deadline=head_deadline
+                deadline=request.deadline,
+                head_deadline=head_deadline,
+                on_head_late=on_head_late,
             ),
         )
         match sent:
--- a/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
@@ -1,6 +1,7 @@
 """The attempts at a request so far."""
 
 import math
+import typing
 
 import attrs
 
@@ -20,6 +21,9 @@
     :param forwarded: whether another VM forwarded it to this one, which then must not
         forward it again.
     :param wait_until: monotonic time until which the forwarding VM lets it wait.
+    :param grant: the next attempt, if it was granted while the last one ran; see
+        :class:`retry_grants.RetryGrant`.
+    :param owes_retry: whether the next attempt is a retry that is not charged yet.
     """
 
     tried: set[str] = attrs.field(factory=set)
@@ -31,3 +35,5 @@
     broken_peers: set[str] = attrs.field(factory=set)
     forwarded: bool = False
     wait_until: float = math.inf
+    grant: typing.Any = None
+    owes_retry: bool = False
--- a/packages/mothworks_gateway/src/mothworks_gateway/retry_budget.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/retry_budget.py
@@ -41,15 +41,22 @@
 
         :param service: the service that the request is sent to.
         """
-        retries = self.retries_by_service[service]
+        if not self.may_spend(service):
+            return False
+        self.retries_by_service[service].add()
+        return True
+
+    def may_spend(self, service: str) -> bool:
+        """Return whether a retry of the budget is left.
+
+        :param service: the service that the request is sent to.
+        """
+        retries = self.retries_by_service[service].count()
         requests = self.requests_by_service[service].count()
         bounds = self.kernel.settings.bounds
         slack_per_vm = bounds.retry_slack / self.fleet.peak
         allowed = ALLOWANCE_SHARE * (bounds.retry_share * requests + slack_per_vm)
-        if retries.count() + 1 > allowed:
-            return False
-        retries.add()
-        return True
+        return retries + 1 <= allowed
 
     def _new_window_by_service(
         self,
