A request that full endpoints would answer too late is refused at once, as not run

Also: a retry is charged when it is sent, not before it waits for its model, a room or a peer; and a deadline that passes while an answer's head is awaited counts as a time-out, not as a closed connection, which would count as a crash of the endpoint.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -156,9 +156,10 @@
             self.watchers.append(deadline_timer)
         try:
             super().__init__(sock, pool, method=method, block_size=RECEIVE_BYTES)
-        except OSError as error:
+        except CONNECTION_ERRORS as error:
             if self.timed_out:
-                # The shutdown by the timer cancels the read with another error.
+                # The shutdown by the timer cancels the read with another error, or
+                # looks like an end of file.
                 raise TimeoutError("timed out") from error
             raise
 
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -169,3 +169,39 @@
     pool.close_idle(transport.time.monotonic())
     assert list(pool._socket_queue.queue) == before
     assert len(before) == 3
+
+
+# Guards against requests that are given up before anything else is granted, and against
+# answers that are dropped though they arrived during the decision.
+@pytest.mark.parametrize("arrives", ["later", "during the call", "never"])
+def test_the_wait_for_a_head_can_be_extended(endpoints, arrives):
+    slow = endpoints[0]
+    slow.may_answer.clear()
+    client = transport.Transport()
+    started_at = time.monotonic()
+    calls = []
+
+    def on_head_late():
+        calls.append(time.monotonic())
+        if arrives == "during the call":
+            slow.may_answer.set()
+            gevent.sleep(0.05)
+            return None
+        if arrives == "later" and len(calls) == 3:
+            slow.may_answer.set()
+        return time.monotonic() + 0.05
+
+    options = transport.SendOptions(
+        deadline=started_at + 0.5,
+        head_deadline=started_at + 0.05,
+        on_head_late=on_head_late,
+    )
+    sent = client.exchange(slow.address, "GET", "/", (), b"", options)
+    assert sent.is_ok() == (arrives != "never")
+    assert len(calls) == {"later": 3, "during the call": 1}.get(arrives, len(calls))
+    if arrives == "never":
+        assert sent.err_value.reason == "answer: timed out"
+        assert 0.45 <= time.monotonic() - started_at <= 1.0
+        # It was asked in intervals, and not at the deadline.
+        assert len(calls) <= 10
+        slow.may_answer.set()
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -28,6 +28,7 @@
     residency,
     retry_budget,
     retry_grants,
+    room_estimates,
     running_requests,
     send_slots,
     stream_origins,
@@ -71,6 +72,7 @@
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
         self.retry_grants = node_kernel.get(retry_grants.RetryGrants)
+        self.estimates = node_kernel.get(room_estimates.RoomEstimates)
         self.part_trials = node_kernel.get(part_trials.PartTrials)
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.residency = node_kernel.get(residency.Residency)
@@ -238,6 +240,11 @@
             candidates = self.endpoint_selection.candidates(request)
             eligible = self._eligible(request, progress, candidates.ready)
             if eligible:
+                room_in_s = self._room_in_s(request, progress, eligible, now)
+                if room_in_s is not None:
+                    progress.reason = "no endpoint would answer in time"
+                    retry_after_s = max(BUSY_RETRY_S, room_in_s)
+                    return self._refuse(request, progress, 503, retry_after_s)
                 return self._acquire_slot(request, progress, eligible)
             if candidates.ready:
                 # Its model is held only by endpoints that it must not be sent to; the
@@ -258,6 +265,22 @@
             if refused is not None:
                 return refused
 
+    def _room_in_s(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        eligible: list[registry.Endpoint],
+        now: float,
+    ) -> float | None:
+        """Return when there is room for a request that can't be answered in time.
+
+        Returns None for others, and for those that may have run: a refusal would not
+        state that they have not.
+        """
+        if request.target.model or request.route.streaming or progress.may_have_run:
+            return None
+        return self.estimates.room_in_s(eligible, request.deadline - now)
+
     def _acquire_slot(
         self,
         request: caller_request.CallerRequest,
--- a/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
@@ -30,11 +30,10 @@
     endpoint_rooms,
     endpoint_selection,
     forwarding_peers,
-    health,
     registry,
     request_progress,
     retry_budget,
-    running_requests,
+    room_estimates,
     send_slots,
 )
 
@@ -66,8 +65,7 @@
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
         self.endpoint_selection = node_kernel.get(endpoint_selection.EndpointSelection)
-        self.health = node_kernel.get(health.Health)
-        self.running_requests = node_kernel.get(running_requests.RunningRequests)
+        self.estimates = node_kernel.get(room_estimates.RoomEstimates)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
         self.rooms = node_kernel.get(endpoint_rooms.EndpointRooms)
         self.slots = node_kernel.get(send_slots.SendSlots)
@@ -160,21 +158,6 @@
         if grant is not None:
             self._release(grant)
 
-    def expected_answer_s(self, endpoint: registry.Endpoint) -> float:
-        """Return the mean time of an endpoint's answers, seconds; 0 if unknown.
-
-        :param endpoint: the endpoint.
-        """
-        return self.health.record(endpoint).answer_s
-
-    def has_room(self, endpoint: registry.Endpoint) -> bool:
-        """Return whether an endpoint runs fewer requests than it has batch slots.
-
-        :param endpoint: the endpoint.
-        """
-        running = self.running_requests.of_endpoint(endpoint.id)
-        return running < max(1, endpoint.entry.batch_slots)
-
     def _find(
         self,
         request: caller_request.CallerRequest,
@@ -194,7 +177,7 @@
         now = time.monotonic()
         left_s = request.deadline - RESPONSE_MARGIN_S - now
         max_s = left_s if running_s is None else min(left_s, running_s)
-        in_time = [item for item in untried if self.expected_answer_s(item) <= max_s]
+        in_time = [item for item in untried if self.estimates.answer_s(item) <= max_s]
         if not in_time or left_s <= 0:
             return None, "no other endpoint would answer in time"
         if self.admit is not None:
@@ -203,7 +186,7 @@
                     return self._at(request, [admission.endpoint], admission)
                 case result.Err(_):
                     return None, "the queue has no room"
-        with_room = [item for item in in_time if self.has_room(item)]
+        with_room = [item for item in in_time if self.estimates.has_room(item)]
         if not with_room:
             return None, "no other endpoint has room"
         return self._at(request, with_room, None)
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -53,6 +53,8 @@
         self.tried_ids = {endpoint.id}
         self.outcome = "caller left"
         self.closed = False
+        #: Whether the retry that resumes it is charged.
+        self.is_charged = False
         #: Whether the endpoint at which it was to be resumed was unreachable.
         self.unreachable = False
         self.relayed_bytes = 0
@@ -166,7 +168,7 @@
         self.attempts.poison_requests.log_uncounted(self.request, self.endpoint, reason)
 
     def _may_resume(self) -> bool:
-        """Return whether the stream may be resumed, which spends a retry."""
+        """Return whether the stream may be resumed and a retry is left for that."""
         route = self.request.route
         may_resume = self.events is not None and route.resumable
         if not may_resume or len(self.tried_ids) >= route.max_endpoints:
@@ -176,10 +178,17 @@
         if self.attempts.poison_requests.is_blocked(self.request):
             return False
         left_s = self.request.deadline - time.monotonic()
-        return left_s >= MIN_RESUME_S and self.attempts.retry_budget.try_spend(
+        return left_s >= MIN_RESUME_S and self.attempts.retry_budget.may_spend(
             self.request.target.service
         )
 
+    def _charge(self) -> bool:
+        """Charge the retry that is about to be sent; returns whether one was left."""
+        service = self.request.target.service
+        if not self.is_charged:
+            self.is_charged = self.attempts.retry_budget.try_spend(service)
+        return self.is_charged
+
     def _resume(self) -> bool:
         """Resume the stream at another endpoint; returns whether that succeeded."""
         if self.attempts.paths.lost:
@@ -199,13 +208,17 @@
         match self.attempts.slots.acquire(self.request, endpoints, MAX_RESUME_WAIT_S):
             case result.Ok(slot) if self.attempts.slots.wait(slot):
                 left_s = self.request.deadline - time.monotonic()
-                return left_s >= MIN_RESUME_S and self._resume_at(slot.endpoint, left_s)
+                if left_s < MIN_RESUME_S or not self._charge():
+                    return False
+                return self._resume_at(slot.endpoint, left_s)
         return False
 
     def _resume_on_peer(self) -> forwarding.ForwardedStream | None:
         """Resume the stream on a peer if this VM reached no endpoint."""
         if not (self.attempts.paths.lost or self.unreachable):
             return None
+        if not self._charge():
+            return None
         progress = request_progress.RequestProgress(self.tried_ids, may_have_run=True)
         self.events.begin_answer()
         answer = self.attempts.forwarding.resume(
@@ -267,6 +280,7 @@
             self.answer = answer
             self.endpoint = endpoint
             self.is_answer_open = True
+            self.is_charged = False
             self.began_at = None
             self.runs_well = False
             self.attempts.running_requests.request_started(
