--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -28,6 +28,8 @@
     request_progress,
     residency,
     retry_budget,
+    retry_grants,
+    room_estimates,
     running_requests,
     send_slots,
     stream_origins,
@@ -70,6 +72,8 @@
         self.endpoint_selection = node_kernel.get(endpoint_selection.EndpointSelection)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
+        self.retry_grants = node_kernel.get(retry_grants.RetryGrants)
+        self.estimates = node_kernel.get(room_estimates.RoomEstimates)
         self.part_trials = node_kernel.get(part_trials.PartTrials)
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.residency = node_kernel.get(residency.Residency)
@@ -81,6 +85,7 @@
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
         self.queue = node_kernel.get(queue_client.QueueClient)
+        self.retry_grants.admit = self.queue.admit
         self.origins = node_kernel.get(stream_origins.StreamOrigins)
         self.requests_total = node_kernel.metrics.counter(
             "requests_total", "Requests by service and outcome."
@@ -128,6 +133,16 @@
         self,
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
+    ) -> result.Result[calls.Reply, outcomes.Refusal]:
+        try:
+            return self._run_attempts(request, progress)
+        finally:
+            self.retry_grants.release(progress)
+
+    def _run_attempts(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
     ) -> result.Result[calls.Reply, outcomes.Refusal]:
         while True:
             if self.poison_requests.is_blocked(request):
@@ -139,9 +154,14 @@
                 return finished
             match self._find_endpoint(request, progress):
                 case result.Ok(slot):
-                    reply = self._send_in_slot(request, progress, slot)
+                    pass
                 case result.Err() as refused:
                     return refused
+            if not self._charge(request, progress):
+                self.rooms.begin(slot.endpoint)
+                progress.withdraw()
+                return self._give_up(request, progress)
+            reply = self._send_in_slot(request, progress, slot)
             if reply is not None:
                 self._count(request, "answered")
                 return result.Ok(reply)
@@ -201,6 +221,10 @@
             return self._refuse(request, progress, 503, BUSY_RETRY_S)
         if request.deadline - time.monotonic() < MIN_TIME_LEFT_S:
             return self._give_up(request, progress)
+        # The peer chooses the endpoint, so a slot that was granted here is returned.
+        self.retry_grants.release(progress)
+        if not self._charge(request, progress):
+            return self._give_up(request, progress)
         wait_until = self._wait_until(request, progress)
         match self.forwarding.run(request, progress, wait_until):
             case result.Ok(reply):
@@ -218,6 +242,10 @@
         progress: request_progress.RequestProgress,
     ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
         """Find an endpoint and a send slot, waiting for the model if needed."""
+        grant, progress.grant = progress.grant, None
+        if grant is not None and grant.slot is not None:
+            progress.admission = grant.admission
+            return result.Ok(grant.slot)
         endpoint_wait_until = (
             time.monotonic() + ENDPOINT_WAIT_SHARE * request.route.objective_s
         )
@@ -268,12 +296,7 @@
             wait_until = self._queue_until(request, progress)
             match self.queue.admit(request, eligible, progress, wait_until):
                 case None:
-                    acquired = self._acquire_slot(request, progress, eligible)
-                    if acquired.is_ok():
-                        endpoint = acquired.ok_value.endpoint
-                        progress.admission = self.queue.track(request, endpoint)
-                        return acquired
-                    return self._refuse(request, progress, 503, acquired.err_value)
+                    return self._acquire_without_queue(request, progress, eligible)
                 case result.Err(refused) if refused.must_choose_anew:
                     return None
                 case result.Err(refused):
@@ -297,6 +320,41 @@
             if not eligible:
                 return self._refuse(request, progress, 503, acquired.err_value)
 
+    def _acquire_without_queue(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        eligible: list[registry.Endpoint],
+    ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
+        """Acquire a slot where no queue decides, or refuse the request at once."""
+        room_in_s = self._room_in_s(request, progress, eligible)
+        if room_in_s is not None:
+            progress.reason = "no endpoint would answer in time"
+            retry_after_s = max(BUSY_RETRY_S, room_in_s)
+            return self._refuse(request, progress, 503, retry_after_s)
+        acquired = self._acquire_slot(request, progress, eligible)
+        if acquired.is_err():
+            return self._refuse(request, progress, 503, acquired.err_value)
+        endpoint = acquired.ok_value.endpoint
+        progress.admission = self.queue.track(request, endpoint)
+        return acquired
+
+    def _room_in_s(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        eligible: list[registry.Endpoint],
+    ) -> float | None:
+        """Return when there is room for a request that can't be answered in time.
+
+        Returns None for others, and for those that may have run: a refusal would not
+        state that they have not.
+        """
+        if request.target.model or request.route.streaming or progress.may_have_run:
+            return None
+        left_s = request.deadline - time.monotonic()
+        return self.estimates.room_in_s(eligible, left_s)
+
     def _acquire_slot(
         self,
         request: caller_request.CallerRequest,
@@ -450,11 +508,27 @@
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
     ) -> bool:
+        """Return whether a request may be sent again; it is charged once it is sent."""
         if progress.may_have_run and not request.route.repeatable:
             return False
         if time.monotonic() + MIN_TIME_LEFT_S > request.deadline:
             return False
-        return self.retry_budget.try_spend(request.target.service)
+        if progress.grant is not None:
+            return True
+        progress.owes_retry = self.retry_budget.may_spend(request.target.service)
+        return progress.owes_retry
+
+    def _charge(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> bool:
+        """Charge a retry that is about to be sent; returns whether one was left.
+
+        A retry may wait for its model first, and may be refused then.
+        """
+        owes_retry, progress.owes_retry = progress.owes_retry, False
+        return not owes_retry or self.retry_budget.try_spend(request.target.service)
 
     def _give_up(
         self,
--- a/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
@@ -23,6 +23,9 @@
     :param wait_until: monotonic time until which the forwarding VM lets it wait.
     :param admission: its place at the endpoint of the attempt in progress, as a
         :class:`queue_client.Admission`; None without a queue.
+    :param grant: the next attempt, if it was granted while the last one ran; see
+        :class:`retry_grants.RetryGrant`.
+    :param owes_retry: whether the next attempt is a retry that is not charged yet.
     """
 
     tried: set[str] = attrs.field(factory=set)
@@ -35,6 +38,8 @@
     forwarded: bool = False
     wait_until: float = math.inf
     admission: typing.Any = None
+    grant: typing.Any = None
+    owes_retry: bool = False
 
     @property
     def is_granted(self) -> bool:
@@ -63,3 +68,9 @@
             admission.withdraw()
         else:
             admission.ended()
+
+    def withdraw(self) -> None:
+        """Release the place of an attempt that was not sent, if it has one."""
+        admission, self.admission = self.admission, None
+        if admission is not None:
+            admission.withdraw()
