--- a/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
@@ -73,8 +73,8 @@
         self.peers = node_kernel.get(forwarding_peers.ForwardingPeers)
         #: Admits a request to one of several endpoints: called with the request, the
         #: endpoints, its progress and the monotonic time until which it may wait.
-        #: Returns Ok with an admission that has `endpoint` and `withdraw()`, Err if none
-        #: has room, or None if the queue is not active.
+        #: Returns Ok with an admission that has `endpoint` and `withdraw()`, Err if
+        #: none has room, or None if the queue is not active.
         self.admit: collections.abc.Callable | None = None
         self.grants_total = node_kernel.metrics.counter(
             "retry_grants_total",
--- a/packages/mothworks_gateway/tests/retry_builders.py
+++ b/packages/mothworks_gateway/tests/retry_builders.py
@@ -64,10 +64,10 @@
 
     def __init__(self, endpoint):
         self.endpoint = endpoint
-        self.is_ended = False
+        self.is_withdrawn = False
 
-    def ended(self):
-        self.is_ended = True
+    def withdraw(self):
+        self.is_withdrawn = True
 
 
 def make_health(answer_s_by_id, answers=10):
--- a/packages/mothworks_gateway/tests/test_retry_grants.py
+++ b/packages/mothworks_gateway/tests/test_retry_grants.py
@@ -75,7 +75,7 @@
     assert grants.try_grant(retry_builders.request(), progress, RUNNING_S)
     assert progress.grant.admission is admission
     grants.release(progress)
-    assert admission.is_ended
+    assert admission.is_withdrawn
     grants.admit = lambda *_: result.Err("refused")
     assert try_grant(grants) is None
     # No owner replies, so the heartbeats decide.
