--- a/packages/mothworks_gateway/src/mothworks_gateway/shared_speeds.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/shared_speeds.py
@@ -41,7 +41,8 @@
 EXPIRY_S = 15.0
 #: Time between two checks for what has expired, seconds.
 EXPIRY_INTERVAL_S = 1.0
-#: Relative change of a speed above which it is logged.
+#: Relative change of a speed above which it is logged, if two publications in a row
+#: show it: with one, noise gave two lines a minute for each endpoint.
 LOGGED_CHANGE = 0.2
 #: Maximum number of endpoints in the metrics.
 MAX_REPORTED_ENDPOINTS = 50
@@ -105,6 +106,8 @@
         #: Run times, and when this VM received or published them, by service and model.
         self.run_time_by_model: dict[tuple[str, str], tuple[float, float]] = {}
         self.logged_by_id: dict[str, float] = {}
+        #: Endpoints whose last speed differed from the one that was logged.
+        self.deviating_ids: set[str] = set()
         #: What to publish in the next heartbeat.
         self.newest = NewestSpeeds()
         #: What this VM last published, to find what changed and what is due.
@@ -192,6 +195,7 @@
                 self._publish_run_time((service, model), round(seconds, 3), now)
 
     def _publish_speed(self, endpoint_id: str, known: _Known) -> None:
+        self._log_change(endpoint_id, known)
         before = self.published_by_id.get(endpoint_id, _Known(1.0, 0.0, -math.inf))
         if (
             known.at < before.at + REPUBLISH_S
@@ -205,8 +209,15 @@
         self.known_by_id[endpoint_id] = known
         row = (endpoint_id, known.speed, known.prefill_tokens_per_s)
         self.newest.speed_by_id[endpoint_id] = row
+
+    def _log_change(self, endpoint_id: str, known: _Known) -> None:
         logged = self.logged_by_id.get(endpoint_id, 1.0)
-        if _differs(known.speed, logged, LOGGED_CHANGE):
+        if not _differs(known.speed, logged, LOGGED_CHANGE):
+            self.deviating_ids.discard(endpoint_id)
+        elif endpoint_id not in self.deviating_ids:
+            self.deviating_ids.add(endpoint_id)
+        else:
+            self.deviating_ids.discard(endpoint_id)
             self.logged_by_id[endpoint_id] = known.speed
             logs.event(
                 log,
@@ -251,6 +262,7 @@
         _remove(self.run_time_by_model, lambda _, item: item[1] < oldest_at)
         _remove(self.published_run_by_model, lambda _, item: item[1] < oldest_at)
         _remove(self.logged_by_id, lambda key, _: key not in self.known_by_id)
+        self.deviating_ids &= self.known_by_id.keys()
         self._update_gauge()
 
     def _remove_gone(self) -> None:
--- a/packages/mothworks_gateway/tests/test_shared_speeds.py
+++ b/packages/mothworks_gateway/tests/test_shared_speeds.py
@@ -156,3 +156,16 @@
     with_rows = messages.pack(heartbeat.Heartbeat(1, 1, 0, **fields))
     assert messages.pack(message).endswith(bytes([0x90, 0x90]))
     assert len(with_rows) < len(messages.pack(message)) + 40
+
+
+# Guards against log lines for each fluctuation, and against a change without one.
+def test_a_lasting_change_is_logged_once(monkeypatch):
+    fleet = SpeedFleet(monkeypatch, 2)
+    part = fleet.speeds_by_vm[fleet.names[0]]
+    changes = []
+    monkeypatch.setattr(
+        shared_speeds.logs, "event", lambda *_, **fields: changes.append(fields)
+    )
+    for speed in (1.0, 0.6, 1.0, 0.6, 0.62, 0.6, 0.6):
+        part._publish_speed("i-0", shared_speeds._Known(speed, 0.0, fleet.clock.now))
+    assert [(item["before"], item["outcome"]) for item in changes] == [(1.0, 0.62)]
