--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_order.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_order.py
@@ -90,6 +90,14 @@
 Usage = collections.abc.Callable[[str], float]
 
 
+def due_at(entry: Entry) -> float:
+    """Return the time by which the requests of a rank and account are ordered.
+
+    :param entry: the request.
+    """
+    return entry.request.objective_at
+
+
 def order_key(entry: Entry, usage: Usage) -> OrderKey:
     """Return what a waiting request is ordered by.
 
@@ -101,7 +109,7 @@
         entry.state,
         request.urgency,
         usage(request.account),
-        request.objective_at,
+        due_at(entry),
         entry.sequence,
     )
 
@@ -260,7 +268,7 @@
         bucket = buckets.get(tuple(key))
         if bucket is None:
             bucket = buckets[tuple(key)] = Bucket(entry.state)
-        bucket.push(entry.request.objective_at, entry)
+        bucket.push(due_at(entry), entry)
         bucket.work_s += entry.work_s
         self.work_by_rank[rank] = self.work_by_rank.get(rank, 0.0) + entry.work_s
 
--- a/packages/mothworks_gateway/tests/queue_builders.py
+++ b/packages/mothworks_gateway/tests/queue_builders.py
@@ -228,7 +228,7 @@
                 case endpoint_queue.Granted():
                     self._after(2 * MESSAGE_S, self._arrive, sent, decision.endpoint_id)
                 case endpoint_queue.Refused():
-                    self._on_refused(sent, decision)
+                    self._on_refused(sent, decision.retry_after_s)
         next_at = self.queue.next_at()
         if next_at is not None and (self._wake_at is None or next_at < self._wake_at):
             self._wake_at = max(next_at, self.now)
@@ -238,7 +238,7 @@
         self._wake_at = None
         self._decide()
 
-    def _on_refused(self, sent, decision):
+    def _on_refused(self, sent, retry_after_s):
         outcome = self.outcome_by_name[sent.callers.name]
         outcome.refusals += 1
         outcome.held_s.append(self.now - sent.asked_at)
@@ -246,7 +246,7 @@
         if sent.is_again:
             outcome.given_up += 1
             return
-        at = self.now + decision.retry_after_s
+        at = self.now + retry_after_s
         again = _Sent(sent.callers, at, next(self._sequence), True)
         self._at(at, self._send, again)
 
@@ -258,6 +258,7 @@
         else:
             self.outcome_by_name[sent.callers.name].rejected += 1
             self.queue.was_full(("vm-1", sent.ticket), self.now)
+            self._on_refused(sent, 0.3)
 
     def _begin(self, sent, endpoint_id):
         self._running[endpoint_id] += 1
--- /dev/null
+++ b/packages/mothworks_gateway/tests/queue_strategies.py
@@ -0,0 +1,129 @@
+"""Compares ways to decide on the same loads, in virtual time; prints a table.
+
+python packages/mothworks_gateway/tests/queue_strategies.py
+"""
+
+import contextlib
+import statistics
+from unittest import mock
+
+import queue_builders
+from mothworks_gateway import (
+    endpoint_load,
+    endpoint_queue,
+    queue_estimates,
+    queue_order,
+)
+from queue_builders import Callers, patient
+
+SEEDS = (1, 2, 3)
+
+
+class SentAtOnce:
+    """No queue: each request is sent to the endpoint with the fewest requests."""
+
+    def __init__(self):
+        self.running_by_id = {}
+        self.id_by_key = {}
+        self.decided = []
+
+    def set_capacities(self, capacity_by_id, now):
+        self.running_by_id = dict.fromkeys(capacity_by_id, 0)
+
+    def add(self, request, now):
+        chosen_id = min(request.endpoint_ids, key=self.running_by_id.get)
+        self.running_by_id[chosen_id] += 1
+        self.id_by_key[request.key] = chosen_id
+        self.decided.append(endpoint_queue.Granted(request.key, chosen_id))
+
+    def ended(self, key, now):
+        self.running_by_id[self.id_by_key.pop(key)] -= 1
+
+    was_full = ended
+
+    def decide(self, now):
+        decided, self.decided = self.decided, []
+        return decided
+
+    def next_at(self):
+        return None
+
+
+def changed(module, name, value):
+    return lambda: mock.patch.object(module, name, value)
+
+
+#: Class of the queue, and what is changed in its modules.
+STRATEGIES = {
+    "chosen": (endpoint_queue.EndpointQueue, contextlib.nullcontext),
+    "sent at once": (SentAtOnce, contextlib.nullcontext),
+    "first come, first served within a rank": (
+        endpoint_queue.EndpointQueue,
+        changed(queue_order, "due_at", lambda entry: entry.request.arrived_at),
+    ),
+    "no places kept for urgent requests": (
+        endpoint_queue.EndpointQueue,
+        changed(endpoint_load, "PATIENT_SHARE", 1.0),
+    ),
+    "promoted requests without a bound": (
+        endpoint_queue.EndpointQueue,
+        changed(endpoint_queue, "PROMOTED_INTERVAL", 1),
+    ),
+    "late requests wait by the plain estimate": (
+        endpoint_queue.EndpointQueue,
+        changed(queue_estimates, "LATE_MARGIN", 1.0),
+    ),
+}
+
+#: Callers by load.
+LOADS = {
+    "urgent beside a patient burst": [
+        Callers("urgent", 60.0),
+        patient("patient", 300.0, 4.0, 10.0),
+    ],
+    "urgent beside patient at 4 times the capacity": [
+        Callers("urgent", 60.0),
+        patient("patient", 800.0, 2.0, 14.0),
+    ],
+    "an account at 7 times its usual": [
+        Callers("others", 90.0, account="a"),
+        Callers("large", 30.0, account="b"),
+        Callers("large", 180.0, 4.0, 12.0, account="b"),
+    ],
+    "two objectives in one rank, 1.05 times": [
+        Callers("0.4 s", 70.0),
+        Callers("2 s", 140.0, objective_s=2.0),
+    ],
+    "2.5 times the capacity": [Callers("all", 500.0)],
+}
+
+
+def measure(queue_class, all_callers):
+    """Return, by callers, the shares in time and answered, and the late refusals."""
+    shares = {}
+    for seed in SEEDS:
+        simulation = queue_builders.Simulation(seed=seed, queue_class=queue_class)
+        for name, outcome in simulation.run(*all_callers, seconds=120.0).items():
+            held = sum(held_s > 1.0 for held_s in outcome.held_s) / outcome.sent
+            row = outcome.in_time_share, outcome.answered_share, held
+            shares.setdefault(name, []).append(row)
+    return {
+        name: [statistics.fmean(column) for column in zip(*rows, strict=True)]
+        for name, rows in shares.items()
+    }
+
+
+def main():
+    print("| load | strategy | callers | in time | answered | refused after 1 s |")
+    print("|---|---|---|---|---|---|")
+    for load, all_callers in LOADS.items():
+        for strategy, (queue_class, change) in STRATEGIES.items():
+            with change():
+                measured = measure(queue_class, all_callers)
+            for name, row in sorted(measured.items()):
+                cells = " | ".join(f"{value:.3f}" for value in row)
+                print(f"| {load} | {strategy} | {name} | {cells} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
