--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_order.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_order.py
@@ -13,6 +13,9 @@
 
 from mothworks_gateway import queue_types
 
+#: While urgent requests wait that can meet their objective, one grant in this many goes
+#: to a promoted one, since endpoints may be lost while many patient requests wait.
+PROMOTED_INTERVAL = 4
 #: Requests of a heap that are tried at an endpoint that is too slow for the first ones.
 MAX_TRIED = 8
 #: Requests that left are removed from a heap once it has more than twice as many items
@@ -90,6 +93,14 @@
 Usage = collections.abc.Callable[[str], float]
 
 
+def due_at(entry: Entry) -> float:
+    """Return the time by which the requests of a rank and account are ordered.
+
+    :param entry: the request.
+    """
+    return entry.request.objective_at
+
+
 def order_key(entry: Entry, usage: Usage) -> OrderKey:
     """Return what a waiting request is ordered by.
 
@@ -101,7 +112,7 @@
         entry.state,
         request.urgency,
         usage(request.account),
-        request.objective_at,
+        due_at(entry),
         entry.sequence,
     )
 
@@ -242,7 +253,9 @@
         :param account: its account.
         """
         ahead_s = sum(
-            work_s for other, work_s in self.work_by_rank.items() if other < rank
+            work_s
+            for other, work_s in self.work_by_rank.items()
+            if other < rank and other[0] is not State.PROMOTED
         )
         kinds = [(rank, False)]
         if is_patient:
@@ -252,7 +265,14 @@
             if buckets is not None:
                 bucket = buckets.get((is_kind_patient, account))
                 ahead_s += bucket.work_s if bucket is not None else 0.0
-        return ahead_s
+        promoted_s = sum(
+            work_s
+            for (state, _), work_s in self.work_by_rank.items()
+            if state is State.PROMOTED
+        )
+        if rank[0] is State.ON_TIME and not is_patient:
+            promoted_s = min(promoted_s, ahead_s / (PROMOTED_INTERVAL - 1))
+        return ahead_s + promoted_s
 
     def _add_to_bucket(self, entry: Entry) -> None:
         rank, *key = bucket_key(entry)
@@ -260,7 +280,7 @@
         bucket = buckets.get(tuple(key))
         if bucket is None:
             bucket = buckets[tuple(key)] = Bucket(entry.state)
-        bucket.push(entry.request.objective_at, entry)
+        bucket.push(due_at(entry), entry)
         bucket.work_s += entry.work_s
         self.work_by_rank[rank] = self.work_by_rank.get(rank, 0.0) + entry.work_s
 
--- a/packages/mothworks_gateway/tests/queue_builders.py
+++ b/packages/mothworks_gateway/tests/queue_builders.py
@@ -101,6 +101,7 @@
     urgency: int = 0
     account: str = ""
     is_patient: bool = False
+    run_s: float = RUN_S
 
 
 def patient(name, per_s, begin_s=0.0, end_s=16.0, **fields):
@@ -194,6 +195,11 @@
             action(*arguments)
         return self.outcome_by_name
 
+    def lose(self, at, *endpoint_ids):
+        """Lose endpoints at a time."""
+        left = {i: capacity() for i in self.speed_by_id if i not in endpoint_ids}
+        self._at(at, lambda: self.queue.set_capacities(left, self.now))
+
     def _at(self, at, action, *arguments):
         heapq.heappush(self._events, (at, next(self._sequence), action, arguments))
 
@@ -228,7 +234,7 @@
                 case endpoint_queue.Granted():
                     self._after(2 * MESSAGE_S, self._arrive, sent, decision.endpoint_id)
                 case endpoint_queue.Refused():
-                    self._on_refused(sent, decision)
+                    self._on_refused(sent, decision.retry_after_s)
         next_at = self.queue.next_at()
         if next_at is not None and (self._wake_at is None or next_at < self._wake_at):
             self._wake_at = max(next_at, self.now)
@@ -238,7 +244,7 @@
         self._wake_at = None
         self._decide()
 
-    def _on_refused(self, sent, decision):
+    def _on_refused(self, sent, retry_after_s):
         outcome = self.outcome_by_name[sent.callers.name]
         outcome.refusals += 1
         outcome.held_s.append(self.now - sent.asked_at)
@@ -246,7 +252,7 @@
         if sent.is_again:
             outcome.given_up += 1
             return
-        at = self.now + decision.retry_after_s
+        at = self.now + retry_after_s
         again = _Sent(sent.callers, at, next(self._sequence), True)
         self._at(at, self._send, again)
 
@@ -258,11 +264,12 @@
         else:
             self.outcome_by_name[sent.callers.name].rejected += 1
             self.queue.was_full(("vm-1", sent.ticket), self.now)
+            self._on_refused(sent, 0.3)
 
     def _begin(self, sent, endpoint_id):
         self._running[endpoint_id] += 1
-        run_s = RUN_S / self.speed_by_id[endpoint_id] * self.rng.uniform(0.9, 1.1)
-        self._after(run_s, self._end, sent, endpoint_id)
+        run_s = sent.callers.run_s * self.rng.uniform(0.9, 1.1)
+        self._after(run_s / self.speed_by_id[endpoint_id], self._end, sent, endpoint_id)
 
     def _end(self, sent, endpoint_id):
         self._running[endpoint_id] -= 1
