--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
@@ -31,6 +31,7 @@
     registry,
     running_requests,
     shared_budgets,
+    shared_speeds,
 )
 
 log = logbook.Logger("queue_owner")
@@ -46,12 +47,16 @@
 TAKEOVER_S = 3.0
 #: Interval between checks of capacities and expiries while a queue is in use, seconds.
 CHECK_INTERVAL_S = 0.25
+#: Interval between publications of the endpoints' speeds, seconds.
+PUBLISH_INTERVAL_S = 1.0
 #: Shortest time until a scheduled decision, seconds.
 MIN_TIMER_S = 0.001
-#: Pause after a decision, relative to the time that it took, and the longest one,
-#: seconds. What arrives meanwhile is decided together: under load, a decision about
-#: twenty requests takes hardly longer than one about a single request.
-PAUSE_FACTOR = 3.0
+#: Share of the time that decisions may take, and the time that they may take ahead of
+#: that share, seconds. Beyond it, decisions pause, and what arrives meanwhile is
+#: decided together: otherwise a busy owner replies too late, and VMs do without it.
+DECISION_SHARE = 0.25
+MAX_AHEAD_S = 0.01
+#: Longest pause, seconds.
 MAX_PAUSE_S = 0.02
 #: Time until its first event, relative to the expected one, from which a run is
 #: reported to the speed estimator as overdue: below, it is within the usual spread.
@@ -91,12 +96,14 @@
 class _ServiceQueue:
     """The queue of one service, and what its owner knows besides.
 
+    :param speeds: the estimator of its endpoints' speeds.
     :param now: monotonic time.
     """
 
-    def __init__(self, now: float):
+    def __init__(self, speeds: endpoint_speeds.SpeedEstimator, now: float):
         self.queue = endpoint_queue.EndpointQueue()
-        self.speeds = endpoint_speeds.SpeedEstimator()
+        self.speeds = speeds
+        self.published_at = now
         #: Monotonic times since which this VM owns the queue, and of the last request.
         self.since = now
         self.used_at = now
@@ -107,6 +114,8 @@
         self.granted_by_id: collections.Counter[str] = collections.Counter()
         self.capacities_at = -CHECK_INTERVAL_S
         self.known_ids: set[str] = set()
+        #: Monotonic time by which the decisions so far have used their share.
+        self.used_until = 0.0
         #: Monotonic time before which no decision is made, and whether one is due then.
         self.paused_until = 0.0
         self.has_changed = False
@@ -118,6 +127,19 @@
         """Return the number of waiting requests."""
         return len(self.entry_by_key) - self.granted_by_id.total()
 
+    def pause(self, began_at: float, ended_at: float) -> None:
+        """Pause after a decision if decisions have used more than their share.
+
+        :param began_at: monotonic time at which the decision began.
+        :param ended_at: monotonic time at which it ended.
+        """
+        used_s = (ended_at - began_at) / DECISION_SHARE
+        self.used_until = max(self.used_until, began_at) + used_s
+        ahead_s = self.used_until - ended_at
+        self.used_until = min(self.used_until, ended_at + MAX_AHEAD_S + MAX_PAUSE_S)
+        if ahead_s > MAX_AHEAD_S:
+            self.paused_until = ended_at + min(MAX_PAUSE_S, ahead_s - MAX_AHEAD_S)
+
     def due_at(self) -> float:
         """Return the monotonic time at which a decision is due."""
         if self.has_changed:
@@ -264,6 +286,7 @@
         self.notices = node_kernel.get(endpoint_notices.EndpointNotices)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.budgets = node_kernel.get(shared_budgets.SharedBudgets)
+        self.shared_speeds = node_kernel.get(shared_speeds.SharedSpeeds)
         self.prefill_speed = node_kernel.get(prefill_speed.PrefillSpeed)
         self.queue_by_service: dict[str, _ServiceQueue] = {}
         #: Delivers replies to this VM's own requests.
@@ -399,7 +422,8 @@
     def _queue_of(self, service: str, now: float) -> _ServiceQueue:
         served = self.queue_by_service.get(service)
         if served is None:
-            served = self.queue_by_service[service] = _ServiceQueue(now)
+            speeds = self.shared_speeds.new_estimator(service, now)
+            served = self.queue_by_service[service] = _ServiceQueue(speeds, now)
             self._refresh(service, served, now)
         elif now - served.used_at > TAKEOVER_S:
             # Another VM may have owned the queue meanwhile.
@@ -491,9 +515,7 @@
         reply = None
         served.has_changed = False
         decisions = served.queue.decide(now)
-        ended_at = time.monotonic()
-        pause_s = min(MAX_PAUSE_S, PAUSE_FACTOR * (ended_at - now))
-        served.paused_until = ended_at + pause_s
+        served.pause(now, time.monotonic())
         for decision in decisions:
             decided = self._record(served, decision, now)
             if decided is None:
@@ -579,6 +601,9 @@
         served.expire(now)
         served.report_overdue(now)
         self._refresh(service, served, now)
+        if now >= served.published_at + PUBLISH_INTERVAL_S and self._is_owner(service):
+            served.published_at = now
+            self.shared_speeds.publish(service, served.speeds, now)
         self.waiting_gauge.set({"service": service}, served.waiting_count)
 
     def _on_registry_change(self) -> None:
--- a/packages/mothworks_gateway/tests/queue_builders.py
+++ b/packages/mothworks_gateway/tests/queue_builders.py
@@ -13,6 +13,7 @@
     discovery,
     endpoint_notices,
     endpoint_selection,
+    endpoint_speeds,
     owners,
     poison_requests,
     prefill_speed,
@@ -22,6 +23,7 @@
     residency,
     running_requests,
     shared_budgets,
+    shared_speeds,
 )
 
 SERVICE = "s"
@@ -120,6 +122,8 @@
         self.running.running_without = lambda vms: (
             {} if "vm-9" in vms else self.running.running
         )
+        #: Services whose speeds were published.
+        self.published_services = []
         #: Requests that were reported to the lease holder.
         self.reported_ids = []
         parts = {
@@ -133,6 +137,10 @@
             prefill_speed.PrefillSpeed: types.SimpleNamespace(
                 tokens_per_s=lambda service: 20_000.0
             ),
+            shared_speeds.SharedSpeeds: types.SimpleNamespace(
+                new_estimator=lambda service, now: endpoint_speeds.SpeedEstimator(),
+                publish=self._publish,
+            ),
             poison_requests.PoisonRequests: types.SimpleNamespace(
                 on_block=[], is_blocked=lambda request: False
             ),
@@ -160,6 +168,9 @@
         self.owner.stop()
         self.client.stop()
 
+    def _publish(self, service, estimator, now):
+        self.published_services.append(service)
+
     @contextlib.contextmanager
     def _count_as_waiting(self, request):
         self.reported_ids.append(request.id)
--- a/packages/mothworks_gateway/tests/test_queue_owner.py
+++ b/packages/mothworks_gateway/tests/test_queue_owner.py
@@ -213,6 +213,7 @@
     speeds = owner.served().speeds
     now = time.monotonic()
     assert speeds.speed("i-1", now) < 0.7 * speeds.speed("i-0", now)
+    assert owner.published_services == [SERVICE]
 
 
 def test_a_request_larger_than_the_memory_runs_alone(start_fleet):
