--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -15,6 +15,7 @@
 from mothworks_gateway import (
     attempts,
     caller_request,
+    declarations,
     endpoint_notices,
     endpoint_paths,
     endpoint_rooms,
@@ -48,6 +49,9 @@
 MIN_WAIT_OBJECTIVES = 1.5
 #: Share of a caller's timeout after which an answer that begins no longer reaches it.
 CALLER_TIMEOUT_SHARE = 0.9
+#: Upper bound of the wait in a queue, as a share of the available time. A request that
+#: is granted last must still begin before its caller disconnects.
+MAX_QUEUE_SHARE = 0.9
 #: Time before a draining VM stops at which all waits end, seconds.
 DRAIN_MARGIN_S = 2.5
 #: Longest wait for a service without endpoints to get one, as a share of the objective.
@@ -84,6 +88,7 @@
         self.poison_requests.on_block.append(self.residency.wake_all)
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
+        self.declarations = node_kernel.get(declarations.Declarations)
         self.queue = node_kernel.get(queue_client.QueueClient)
         self.retry_grants.admit = self.queue.admit
         self.origins = node_kernel.get(stream_origins.StreamOrigins)
@@ -423,10 +428,27 @@
                 return self._refuse(request, progress, 503, ready_in_s)
         if now >= wait_until:
             progress.reason = f"{progress.reason}; not held in time"
-            return self._refuse(request, progress, 503, NOT_LOADED_RETRY_S)
+            return self._refuse(request, progress, 503, self._load_retry_s(request))
         self.residency.wait(request, wait_until - now)
         return None
 
+    def _load_retry_s(self, request: caller_request.CallerRequest) -> float:
+        """Return the Retry-After for a request whose model nobody loads yet.
+
+        All endpoints are loading other models then. Callers come back once, so where
+        they are patient enough for a queue, they return when a load that begins now is
+        done. After a second, they would wait in vain again.
+        """
+        declaration = self.declarations.current
+        if not self.queue.is_active() or declaration is None:
+            return NOT_LOADED_RETRY_S
+        service = declaration.service_by_name.get(request.target.service)
+        if service is None or service.accelerator is None:
+            return NOT_LOADED_RETRY_S
+        model = service.accelerator.model_by_name.get(request.target.model)
+        load_s = model.store_load_s if model else 0.0
+        return max(NOT_LOADED_RETRY_S, load_s)
+
     def _refuse_in_backoff(
         self,
         request: caller_request.CallerRequest,
@@ -498,7 +520,7 @@
         """
         available_s = self._caller_reachable_until(request) - request.received_at
         return min(
-            request.received_at + MAX_WAIT_SHARE * available_s,
+            request.received_at + MAX_QUEUE_SHARE * available_s,
             progress.wait_until,
             self.kernel.drain_deadline - DRAIN_MARGIN_S,
         )
