--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_speeds.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_speeds.py
@@ -43,6 +43,9 @@
 IDLE_S = 2.0
 #: Quantile of the overdue runs' waits that counts if most runs are overdue.
 WAITING_QUANTILE = 0.75
+#: Values of samples below this or above its inverse are implausible; their quotients
+#: might have no logarithm.
+MIN_VALUE = 1e-9
 #: Lower bound of a sum of weights, above rounding errors.
 MIN_WEIGHT = 1e-9
 #: Weight of the estimate so far among the samples. Fewer samples than this change
@@ -193,7 +196,7 @@
 class SpeedEstimator:
     """Estimates the speeds of the endpoints of one service.
 
-    Samples that are not positive numbers are ignored.
+    Samples that are not plausible positive numbers are ignored.
     """
 
     def __init__(self):
@@ -323,10 +326,6 @@
         mean = self._prefill_tokens_per_s or default
         return mean * self.speed(endpoint_id, now)
 
-    def knows_prefill(self) -> bool:
-        """Return whether there are enough samples for a prefill speed."""
-        return self._prefill_tokens_per_s is not None
-
     def endpoint_ids(self) -> list[str]:
         """Return the endpoints with samples."""
         return list(self._endpoint_by_id)
@@ -447,7 +446,7 @@
 
 
 def _are_positive(*values: float) -> bool:
-    return all(0 < value < math.inf for value in values)
+    return all(MIN_VALUE < value < 1.0 / MIN_VALUE for value in values)
 
 
 def _within_bounds(speed: float) -> float:
--- a/packages/mothworks_gateway/tests/test_endpoint_speeds.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_speeds.py
@@ -108,7 +108,7 @@
 
 
 # Guards against an exception or a speed of NaN from a peer's row.
-@pytest.mark.parametrize("value", [0, -1.0, math.nan, math.inf])
+@pytest.mark.parametrize("value", [0, -1.0, 1e-320, math.nan, math.inf])
 def test_implausible_samples_are_ignored(value):
     estimator = estimator_of("a", "b")
     for tokens, seconds in ((value, 1.0), (100, value)):
