Start without a look-up of names; head and body of an answer in one send

gevent's WSGI server looks up the name of each address that it listens on; the name is not used. The functions that cattrs generates for the settings are stored by the build, too. The head of an answer and the start of its body take one system call, and whole events of a resumable stream are not searched for their end.

--- a/deploy/byte_code.py
+++ b/deploy/byte_code.py
@@ -112,10 +112,13 @@
         compiler.code_by_key.clear()
         import mothworks_gateway.node  # noqa: F401
         import mothworks_platform  # noqa: F401
+        from mothworks import documents
+        from mothworks_gateway import settings
     except ImportError as error:
         # A node starts without the stored methods, too.
         print(f"the generated methods are not stored: {error}", file=sys.stderr)
         return
+    documents.converter().get_structure_hook(settings.Settings)
     compiler.store()
 
 
--- a/deploy/generated_methods.py
+++ b/deploy/generated_methods.py
@@ -1,9 +1,10 @@
-"""Byte code of the methods that attrs generates for its classes.
+"""Byte code of the methods that attrs and cattrs generate for classes.
 
 attrs compiles the source of each class' methods when the class is defined, which is a
-fifth of the processor time of a node's start. ``deploy/byte_code.py`` stores the result
+fifth of the processor time of a node's start; cattrs compiles a function for each class
+of the settings. ``deploy/byte_code.py`` stores the result
 of each compilation under a hash of its source. A source that is not stored, as with
-another version of attrs, is compiled as usual.
+another version of the libraries, is compiled as usual.
 """
 
 import hashlib
@@ -70,12 +71,16 @@
 
 
 def install(folder: str) -> Compiler:
-    """Make attrs use the stored results.
+    """Make attrs and cattrs use the stored results.
 
     :param folder: the folder of byte code.
     """
     compiler = Compiler(os.path.join(folder, "generated_methods"))
     compiler.load()
-    # attrs calls the built-in function, which a global of its module replaces.
+    # They call the built-in function, which a global of their module replaces.
     attr._make.compile = compiler.compile
+    # It defines classes of its own, which need the line above.
+    import cattrs.gen
+
+    cattrs.gen.compile = compiler.compile
     return compiler
--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -29,6 +29,11 @@
 LINGER_BYTES = 64 << 10
 #: Retry-After of the refusal above the connection limit, seconds.
 CONNECTIONS_RETRY_AFTER_S = 1.0
+#: Key of the server's name in the WSGI environment. Without it the base class looks up
+#: the name of the address, in a thread and possibly over the network.
+SERVER_NAME = "SERVER_NAME"
+#: Longest start of a body that is copied to send it together with the head, bytes.
+MAX_JOINED_BYTES = 16 << 10
 #: Value of SO_LINGER with which closing a connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Defects that the standard library's parser records for malformed header lines.
@@ -136,14 +141,29 @@
         except TimeoutError:
             self.close_connection = True
 
+    def _write_with_headers(self, data: bytes) -> None:
+        # The base class sends the head and the start of the body separately, which
+        # takes another system call and usually wakes the caller twice.
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"%b: %b\r\n" % header for header in self.response_headers]
+        head = b"HTTP/1.1 %b\r\n%b\r\n" % (self.status, b"".join(lines))
+        if len(data) <= MAX_JOINED_BYTES:
+            self._sendall(head + self._frame(data))
+        else:
+            self._sendall(head)
+            self._write(data)
+
     def _write(self, data: bytes) -> None:
         # Called for each chunk of a body. The base class copies it into an array
         # and sends with a timer, which takes twice as long.
-        if not data:
-            return
-        if self.response_use_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._sendall(data)
+        if data:
+            self._sendall(self._frame(data))
+
+    def _frame(self, data: bytes) -> bytes:
+        if data and self.response_use_chunked:
+            return b"%x\r\n%b\r\n" % (len(data), data)
+        return data
 
     def _sendall(self, data: bytes) -> None:
         sent = self.socket.send(data)
@@ -187,7 +207,13 @@
         application: collections.abc.Callable,
         limits: settings.Limits,
     ):
-        super().__init__(address, application, log=None, error_log=None)
+        super().__init__(
+            address,
+            application,
+            log=None,
+            error_log=None,
+            environ={SERVER_NAME: address[0]},
+        )
         self.limits = limits
         self.connections: set[Connection] = set()
         self.lingering = 0
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -89,7 +89,11 @@
         self.listener.init_socket()
         self.status_listeners = [
             gevent.pywsgi.WSGIServer(
-                status_address, self._status, log=None, error_log=None
+                status_address,
+                self._status,
+                log=None,
+                error_log=None,
+                environ={connections.SERVER_NAME: status_address[0]},
             )
             for status_address in self._status_addresses(config)
         ]
--- a/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/server_sent_events.py
@@ -12,6 +12,8 @@
 MEDIA_TYPE = "text/event-stream"
 #: The empty line that ends an event, with the end of the line before it.
 END = re.compile(rb"\n\r?\n|\r\r")
+#: Before an empty line, other empty lines may belong to the same end.
+LINE_ENDS = (b"\n", b"\r", b"")
 #: Longest match of that, bytes.
 MAX_END_BYTES = 3
 #: Longest event of a resumable stream, bytes.
@@ -124,6 +126,18 @@
         :raises OutOfOrderError: if an event's id does not follow the one before it.
         :raises OversizedEventError: if an event is too long to be buffered.
         """
+        if not self.buffer and data[-2:] == b"\n\n" and data[-3:-2] not in LINE_ENDS:
+            # Endpoints usually send whole events.
+            complete, end = data, len(data)
+        else:
+            complete, end = self._split(data)
+        self._has_event = self._has_event or end > 0
+        for event_id in ID.findall(complete):
+            self._set_last_id(event_id.decode("latin-1"))
+        return complete
+
+    def _split(self, data: bytes) -> tuple[bytes, int]:
+        """Return the complete events once some bytes are appended, and their length."""
         # An end that is not found yet may begin in the last bytes of the buffer.
         start = max(0, len(self.buffer) - MAX_END_BYTES + 1)
         data = self.buffer + data
@@ -133,10 +147,7 @@
         complete, self.buffer = data[:end], data[end:]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise OversizedEventError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-        self._has_event = self._has_event or end > 0
-        for event_id in ID.findall(complete):
-            self._set_last_id(event_id.decode("latin-1"))
-        return complete
+        return complete, end
 
     @property
     def is_inside_event(self) -> bool:
