--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -192,10 +192,11 @@
             if origin is None:
                 return None
             request = request.pinned(origin.software_version, origin.service)
-        headers = tuple(
-            item for item in request.headers if item[0].lower() != LAST_EVENT_ID.lower()
-        )
+        headers = request.headers
         if last_event_id:
+            # Without one, a stream that was taken up goes on after its caller's event.
+            name = LAST_EVENT_ID.lower()
+            headers = tuple(item for item in headers if item[0].lower() != name)
             headers += ((LAST_EVENT_ID, last_event_id),)
         resumed = attrs.evolve(request, headers=headers)
         match self._send(resumed, progress, request.deadline):
