--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -109,8 +109,9 @@
             if load is None:
                 self._add_endpoint(endpoint_id, capacity)
             elif load.capacity != capacity:
-                are_some_lost |= load.accepts and not capacity.accepts
+                accepted = load.accepts
                 load.set_capacity(capacity)
+                are_some_lost |= accepted and not load.accepts
                 load.set_mean_run(self.estimates.run.value)
                 self._freed_ids.add(endpoint_id)
         if are_some_lost:
@@ -275,6 +276,8 @@
         :param now: the time; not before that of an earlier call.
         """
         self._decided_at = now
+        if self._decided:
+            self._decided = [i for i in self._decided if self._is_valid(i)]
         self._run_timers(now)
         if self._fresh:
             self._enter_fresh(now)
@@ -314,6 +317,16 @@
             heapq.heappop(self._timers)
         return self._timers[0][0] if self._timers else None
 
+    def _is_valid(self, decision: Granted | Refused) -> bool:
+        """Return whether a decision was not overtaken by a later report or request."""
+        match decision:
+            case Granted(key, endpoint_id):
+                grant = self.grant_by_key.get(key)
+                return grant is not None and grant.endpoint_id == endpoint_id
+            case Refused(key):
+                return key not in self.entry_by_key and key not in self.grant_by_key
+        return False
+
     # New requests.
 
     def _enter_fresh(self, now: float) -> None:
@@ -526,9 +539,11 @@
             is_late = now + first_s > request.objective_at
             if is_late and is_on_time:
                 continue
-            is_full = load.running * load.fullness_per_run > MAX_FULLNESS
+            fullness = load.running * load.fullness_per_run
+            is_full = fullness > MAX_FULLNESS
             is_remote = not is_full and endpoint_id not in request.local_ids
-            score = is_late, is_full, is_remote, first_s
+            load_s = queue_estimates.LOAD_S * fullness
+            score = is_late, is_full, is_remote, first_s + load_s
             if best is None or score < best:
                 best, best_id = score, endpoint_id
         return best_id
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
@@ -21,10 +21,10 @@
 #: time to its first event: with the mean itself, half of the requests that are granted
 #: last would miss their objective.
 FIRST_MARGIN = 1.1
-#: Term for the load of an endpoint: added to its expected time to a first event if all
-#: of its slots are in use, seconds. It decides between endpoints that are equal
-#: otherwise.
-LOAD_S = 0.005
+#: Term for the load of an endpoint: added to its expected time to a first event, when
+#: endpoints are compared, if all of its slots are in use, seconds. With 0.005, the
+#: busiest of 45 endpoints of three speeds got 2.57 times the mean, with 0.3 2.21 times.
+LOAD_S = 0.3
 #: Half-life of the usage of endpoints by class, seconds. It follows a burst within a
 #: few runs, and is long against the time between two runs.
 USAGE_HALF_LIFE_S = 1.0
@@ -330,12 +330,7 @@
     :param prompt_s: prefill time of its prompt there, seconds.
     """
     running = load.running
-    first_s = (
-        prompt_s
-        + load.unread_s
-        + entry.first_s / load.speed
-        + LOAD_S * running * load.fullness_per_run
-    )
+    first_s = prompt_s + load.unread_s + entry.first_s / load.speed
     if running >= load.slots:
         first_s += queued_s(entry, load, running)
     return first_s
@@ -358,7 +353,6 @@
         load.prompt_s(entry.request, endpoint_id)
         + entry.first_s / load.speed
         + queued_s(entry, load, load.limit(now) - 1)
-        + LOAD_S
     )
 
 
--- a/packages/mothworks_gateway/tests/test_endpoint_queue.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_queue.py
@@ -190,6 +190,20 @@
     assert queue.next_at() is None
 
 
+# Guards against a place that is granted again after it was released.
+def test_a_report_overtakes_a_repeated_grant():
+    queue = make_queue()
+    fill(queue, 1)
+    queue.add(request(100), 0.1)
+    queue.ended(("vm-1", 100), 0.1)
+    assert queue.decide(0.1) == []
+    queue.set_capacities({}, 0.2)
+    fill(queue, 1, now=0.2)
+    queue.set_capacities({"a": capacity()}, 0.3)
+    queue.add(request(100, now=0.3), 0.3)
+    assert granted(queue.decide(0.3)) == {100: "a"}
+
+
 def test_a_repeated_request_keeps_its_arrival():
     queue = make_queue()
     fill(queue, 6, send_s=30.0)
