--- a/packages/mothworks_gateway/tests/test_endpoint_queue.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_queue.py
@@ -316,3 +316,74 @@
     assert len(queue.entry_by_key) + len(queue.grant_by_key) <= 20
     sizes = queue_builders.container_sizes(queue)
     assert max(sizes.values()) <= 1_200, sizes
+
+
+# Guards against bounds that are exceeded, requests that wait beside free places, and
+# counts that drift, in any order of reports.
+@pytest.mark.parametrize("seed", range(6))
+def test_invariants_hold_in_any_order_of_reports(seed):
+    rng = random.Random(seed)
+    ids = ("a", "b", "c", "d")
+    queue = make_queue(**dict.fromkeys(ids, capacity(4, 10_000, 10_000.0)))
+    now = 0.0
+    open_keys = []
+    for ticket in range(3_000):
+        now += rng.expovariate(60.0)
+        vm = f"vm-{rng.randrange(3)}"
+        known = rng.choice(open_keys) if open_keys else (vm, 0)
+        match rng.randrange(12):
+            case 0:
+                queue.withdraw(known, now)
+            case 1:
+                queue.was_full(known, now)
+            case 2:
+                queue.adopt(known, rng.choice(ids), 500, rng.random() < 0.5, now)
+            case 3 if rng.random() < 0.05:
+                queue.drop_vm(vm, now)
+            case 3 if rng.random() < 0.1:
+                left = rng.sample(ids, 3)
+                queue.set_capacities(
+                    {i: capacity(4, 10_000, 10_000.0) for i in left}, now
+                )
+            case 3:
+                queue.set_outside({rng.choice(ids): rng.randrange(4)})
+            case 4 | 5 | 6:
+                queue.began(known, now)
+                queue.ended(known, now)
+            case _:
+                added = request(
+                    ticket,
+                    vm,
+                    now,
+                    objective_s=rng.choice((0.2, 2.0)),
+                    send_s=rng.choice((0.3, 3.0, 9.0)),
+                    endpoint_ids=tuple(rng.sample(ids, rng.randint(1, 4))),
+                    prompt_tokens=rng.choice((0, 300, 4_000)),
+                    memory_tokens=rng.choice((500, 2_000, 9_000)),
+                    urgency=rng.randrange(2),
+                    account=rng.choice("xyz"),
+                    is_patient=rng.random() < 0.3,
+                )
+                queue.add(added, now)
+        decisions = queue.decide(now)
+        assert all(i.key not in queue.entry_by_key for i in decisions)
+        assert queue.next_at() is None or queue.next_at() >= now
+        for endpoint_id, load in queue.load_by_id.items():
+            at = [
+                i for i in queue.grant_by_key.values() if i.endpoint_id == endpoint_id
+            ]
+            assert list(load.grant_by_key.values()) == at
+            assert load.running == len(at) + load.outside
+            assert load.memory_tokens == sum(i.memory_tokens for i in at)
+            assert load.unread_s == pytest.approx(sum(i.unread_s for i in at))
+        open_keys = [*queue.entry_by_key, *queue.grant_by_key]
+        if queue.entry_by_key:
+            free = [i for i, load in queue.load_by_id.items() if not load.running]
+            for entry in queue.entry_by_key.values():
+                assert not set(free) & set(entry.request.endpoint_ids)
+    for vm in ("vm-0", "vm-1", "vm-2"):
+        queue.drop_vm(vm, now)
+    sizes = queue_builders.container_sizes(queue)
+    assert queue.next_at() is None
+    assert not any(load.running - load.outside for load in queue.load_by_id.values())
+    assert not any(size for path, size in sizes.items() if "buckets_by_rank" in path)
