--- a/packages/mothworks_gateway/tests/measure_endpoint_queue.py
+++ b/packages/mothworks_gateway/tests/measure_endpoint_queue.py
@@ -14,7 +14,7 @@
 import result
 import tabulate
 
-import queue_builders
+import queue_fleet_builders
 from mothworks import messages
 from mothworks_gateway import queue_messages
 
@@ -33,7 +33,7 @@
 
 
 def _event(ticket, kind):
-    return (ticket, queue_builders.SERVICE, int(kind), "", 200, 0.05)
+    return (ticket, queue_fleet_builders.SERVICE, int(kind), "", 200, 0.05)
 
 
 class _Run:
@@ -43,7 +43,7 @@
     """
 
     def __init__(self, per_s):
-        self.fleet = queue_builders.Fleet(1, ENDPOINTS, SLOTS)
+        self.fleet = queue_fleet_builders.Fleet(1, ENDPOINTS, SLOTS)
         self.owner = self.fleet.vms[0].owner
         self.owner._push = lambda vm, reply: self._on_reply(vm, _coded(reply))
         self.per_s = per_s
@@ -70,7 +70,7 @@
     def _ask(self, vm):
         message = queue_messages.QueueRequest(
             next(self.tickets),
-            queue_builders.SERVICE,
+            queue_fleet_builders.SERVICE,
             tuple(self.fleet.endpoint_ids),
             0,
             0,
@@ -107,7 +107,7 @@
 
 def _measure_client():
     """Return microseconds per request at the VM, without those at the owner."""
-    fleet = queue_builders.Fleet(2, ENDPOINTS, SLOTS)
+    fleet = queue_fleet_builders.Fleet(2, ENDPOINTS, SLOTS)
     vm = fleet.vms[1]
     endpoints = list(vm.registry.by_id.values())
     packed = messages.pack(queue_messages.QueueReply(True, 1, endpoints[0].id))
@@ -119,7 +119,7 @@
     vm.peers.call = call
     vm.peers.send_nowait = lambda name, message: messages.pack(message)
     now = time.monotonic()
-    request = queue_builders.make_request("q-1", now)
+    request = queue_fleet_builders.make_request("q-1", now)
     began_at = time.process_time()
     for _ in range(REQUESTS):
         admitted = vm.client.admit(request, endpoints, None, now + 60.0).ok_value
