--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
@@ -210,8 +210,11 @@
         self.urgency = urgency
         self.wait_until = wait_until
         self.began_at = time.monotonic()
-        #: The VM that queued it; empty if none did.
+        #: The VM that queued it, and the one that is being asked; empty for none.
         self.owner = ""
+        self.asked = ""
+        #: VMs from which it was withdrawn.
+        self.withdrawn_from: set[str] = set()
         self.is_queued = False
         #: Whether the lease holder is told that it waits.
         self.is_reported = False
@@ -220,6 +223,16 @@
         #: Set when a reply was pushed, or it has to be asked for again.
         self.changed = gevent.event.Event()
 
+    def differs_from(self, ready_ids: set[str]) -> bool:
+        """Return whether the endpoints that can run it are others than its own.
+
+        :param ready_ids: the endpoints that can run its target.
+        """
+        own_ids = {item.id for item in self.endpoints}
+        if len(own_ids) == MAX_ENDPOINTS:
+            return not own_ids <= ready_ids
+        return own_ids != ready_ids
+
 
 class QueueClient(kernel.Part):
     """Admits this VM's requests, and reports what happens to them.
@@ -258,8 +271,6 @@
         ] = collections.defaultdict(list)
         #: Set while requests wait.
         self.has_waiting = gevent.event.Event()
-        #: The endpoints that could run waiting requests at the last repetition.
-        self.ready_ids_by_target: dict[caller_request.Target, frozenset[str]] = {}
         #: Set while there are events to send.
         self.has_rows = gevent.event.Event()
         metrics = node_kernel.metrics
@@ -485,6 +496,10 @@
     ) -> queue_messages.QueueReply | None:
         if owner == self.name:
             return self.owner.request(self.name, message)
+        if owner in waiting.withdrawn_from:
+            # Otherwise the withdrawal would arrive after the request.
+            self._flush(owner)
+        waiting.asked = owner
         is_live = time.monotonic() - self.replied_at_by_owner.get(owner, 0.0) < LIVE_S
         timeout_s = LIVE_TIMEOUT_S if is_live else shared_budgets.OWNER_TIMEOUT_S
         has_reply = False
@@ -496,6 +511,7 @@
                 self.replied_at_by_owner[owner] = time.monotonic()
             return reply
         finally:
+            waiting.asked = ""
             if not has_reply and self.peers.is_connected(owner):
                 # It may have granted a place, or queued the request, all the same.
                 self._withdraw(waiting, owner)
@@ -585,15 +601,15 @@
 
     def _withdraw(self, waiting: _Waiting, owner: str) -> None:
         """Withdraw a request from a VM that may have queued or granted it."""
-        self._report_withdrawn(owner, waiting.ticket, waiting.request.target.service)
-
-    def _report_withdrawn(self, owner: str, ticket: int, service: str) -> None:
+        waiting.withdrawn_from.add(owner)
         kind = int(queue_messages.EventKind.WITHDRAWN)
-        self.report(owner, (ticket, service, kind, "", 0, 0.0))
+        service = waiting.request.target.service
+        self.report(owner, (waiting.ticket, service, kind, "", 0, 0.0))
 
     def _on_pushed(self, vm: str, reply: queue_messages.QueueReply) -> None:
         waiting = self.waiting_by_ticket.get(reply.ticket)
-        if waiting is not None and waiting.owner == vm:
+        # A decision may arrive together with the reply that the request is queued.
+        if waiting is not None and vm in (waiting.owner, waiting.asked):
             waiting.pushed = reply
             waiting.changed.set()
 
@@ -619,14 +635,19 @@
 
     def _repeat_at(self, owner: str, tickets_by_service: dict[str, list[int]]) -> None:
         message = queue_messages.QueueRepeat(tickets_by_service)
+        reply = None
         if owner == self.name:
             reply = self.owner.repeat(self.name, message)
-        else:
+        elif self.peers.is_connected(owner):
             called = self.peers.call(owner, message, REPEAT_TIMEOUT_S)
             reply = called.ok_value if called.is_ok() else None
         lost = sum(tickets_by_service.values(), [])
         if isinstance(reply, queue_messages.QueueRepeatReply):
             lost = reply.unknown
+        if lost and reply is not None:
+            # The owner may also have forgotten what this VM runs.
+            for service in tickets_by_service:
+                self._send_holds(service, owner)
         for ticket in lost:
             waiting = self.waiting_by_ticket.get(ticket)
             if waiting is not None and waiting.owner == owner and not waiting.pushed:
@@ -635,30 +656,31 @@
                 waiting.changed.set()
 
     def _wake_changed(self) -> None:
-        """Wake the requests whose endpoints have changed since the last repetition."""
+        """Wake the requests whose endpoints have changed since they were chosen."""
         waiting_by_target: dict[caller_request.Target, list[_Waiting]] = {}
         for waiting in self.waiting_by_ticket.values():
             target = waiting.request.target
             waiting_by_target.setdefault(target, []).append(waiting)
-        ready_ids_by_target = {}
-        for target, all_waiting in waiting_by_target.items():
+        for all_waiting in waiting_by_target.values():
             ready = self.selection.candidates(all_waiting[0].request).ready
-            ready_ids = frozenset(item.id for item in ready)
-            ready_ids_by_target[target] = ready_ids
-            if self.ready_ids_by_target.get(target, ready_ids) != ready_ids:
-                for waiting in all_waiting:
+            ready_ids = {item.id for item in ready}
+            for waiting in all_waiting:
+                if waiting.differs_from(ready_ids):
                     waiting.changed.set()
-        self.ready_ids_by_target = ready_ids_by_target
 
     def _send_rows(self) -> None:
         while True:
             self.has_rows.wait()
             gevent.sleep(EVENT_BATCH_S)
             self.has_rows.clear()
-            rows_by_owner = dict(self.rows_by_owner)
-            self.rows_by_owner.clear()
-            for owner, rows in rows_by_owner.items():
-                self.peers.send_nowait(owner, queue_messages.RunEvents(tuple(rows)))
+            for owner in list(self.rows_by_owner):
+                self._flush(owner)
+
+    def _flush(self, owner: str) -> None:
+        """Send the events for an owner."""
+        rows = self.rows_by_owner.pop(owner, None)
+        if rows:
+            self.peers.send_nowait(owner, queue_messages.RunEvents(tuple(rows)))
 
     def _wake_all(self) -> None:
         """Wake all waiting requests: this VM stops, or one of them was blocked."""
--- a/packages/mothworks_gateway/tests/test_queue_client.py
+++ b/packages/mothworks_gateway/tests/test_queue_client.py
@@ -222,3 +222,36 @@
     by_name = {item.name: item for item in accounts}
     weights = client_accounts.Accounts(by_name).weight_by_name
     assert weights == {"a": 1.5, "b": 0.5}
+
+
+# Guards against a request that is withdrawn after the same VM has queued it again.
+def test_a_request_that_its_owner_forgot_is_queued_again(fleet):
+    owner, vm = fleet.vms[0], fleet.vms[2]
+    admissions = fill(vm)
+    waiting = gevent.spawn(admit, vm)
+    gevent.sleep(SETTLE_S)
+    owner.owner._drop_vm(vm.name)
+    gevent.sleep(2 * queue_client.REPEAT_INTERVAL_S)
+    assert held(owner) == PLACES
+    assert waiting_count(owner) == 1
+    admissions[0].ended()
+    assert waiting.get(timeout=1.0).is_ok()
+
+
+# Guards against a grant that is lost because it arrives with the reply to the call.
+def test_a_grant_that_arrives_during_the_call_is_used(fleet):
+    owner, vm = fleet.vms[0], fleet.vms[2]
+    admissions = fill(vm)
+    call = vm.peers.call
+
+    def answer_late(name, message, timeout_s):
+        reply = call(name, message, timeout_s)
+        admissions[0].ended()
+        gevent.sleep(SETTLE_S)
+        return reply
+
+    vm.peers.call = answer_late
+    asked_at = time.monotonic()
+    assert admit(vm).is_ok()
+    assert time.monotonic() - asked_at < queue_client.REPEAT_INTERVAL_S
+    assert held(owner) == PLACES
