--- a/packages/mothworks_gateway/tests/test_queue_client.py
+++ b/packages/mothworks_gateway/tests/test_queue_client.py
@@ -6,7 +6,7 @@
 import pytest
 
 import gateway_builders
-import queue_builders
+import queue_fleet_builders
 from mothworks_gateway import (
     client_accounts,
     queue_client,
@@ -24,7 +24,7 @@
     started = []
 
     def make(**fields):
-        started.append(queue_builders.Fleet(**{"endpoints": 1, **fields}))
+        started.append(queue_fleet_builders.Fleet(**{"endpoints": 1, **fields}))
         return started[-1]
 
     yield make
@@ -40,7 +40,7 @@
 def admit(vm, wait_s=5.0, progress=None, **fields):
     """Ask for a place at any endpoint that a VM knows."""
     now = time.monotonic()
-    request = queue_builders.make_request("q-1", now, **fields)
+    request = queue_fleet_builders.make_request("q-1", now, **fields)
     endpoints = list(vm.registry.by_id.values())
     return vm.client.admit(request, endpoints, progress, now + wait_s)
 
@@ -134,8 +134,8 @@
     ],
 )
 def test_the_queue_acts_only_where_it_should(start_fleet, mode, objectives, active):
-    routes = [queue_builders.make_route(objective_s) for objective_s in objectives]
-    declaration = queue_builders.make_declaration(routes=routes)
+    routes = [queue_fleet_builders.make_route(objective_s) for objective_s in objectives]
+    declaration = queue_fleet_builders.make_declaration(routes=routes)
     vm = start_fleet(declaration=declaration).vms[0]
     vm.client.mode = mode
     assert (admit(vm) is not None) == active
