--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -15,6 +15,7 @@
 from mothworks_gateway import (
     attempts,
     caller_request,
+    declarations,
     endpoint_notices,
     endpoint_paths,
     endpoint_rooms,
@@ -23,10 +24,13 @@
     part_trials,
     poison_requests,
     prefill_pacing,
+    queue_client,
     registry,
     request_progress,
     residency,
     retry_budget,
+    retry_grants,
+    room_estimates,
     running_requests,
     send_slots,
     stream_origins,
@@ -45,6 +49,9 @@
 MIN_WAIT_OBJECTIVES = 1.5
 #: Share of a caller's timeout after which an answer that begins no longer reaches it.
 CALLER_TIMEOUT_SHARE = 0.9
+#: Upper bound of the wait in a queue, as a share of the available time. A request that
+#: is granted last must still begin before its caller disconnects.
+MAX_QUEUE_SHARE = 0.9
 #: Time before a draining VM stops at which all waits end, seconds.
 DRAIN_MARGIN_S = 2.5
 #: Longest wait for a service without endpoints to get one, as a share of the objective.
@@ -69,6 +76,8 @@
         self.endpoint_selection = node_kernel.get(endpoint_selection.EndpointSelection)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
         self.retry_budget = node_kernel.get(retry_budget.RetryBudget)
+        self.retry_grants = node_kernel.get(retry_grants.RetryGrants)
+        self.estimates = node_kernel.get(room_estimates.RoomEstimates)
         self.part_trials = node_kernel.get(part_trials.PartTrials)
         self.poison_requests = node_kernel.get(poison_requests.PoisonRequests)
         self.residency = node_kernel.get(residency.Residency)
@@ -79,6 +88,9 @@
         self.poison_requests.on_block.append(self.residency.wake_all)
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.forwarding = node_kernel.get(forwarding.Forwarding)
+        self.declarations = node_kernel.get(declarations.Declarations)
+        self.queue = node_kernel.get(queue_client.QueueClient)
+        self.retry_grants.admit = self.queue.admit
         self.origins = node_kernel.get(stream_origins.StreamOrigins)
         self.requests_total = node_kernel.metrics.counter(
             "requests_total", "Requests by service and outcome."
@@ -126,6 +138,16 @@
         self,
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
+    ) -> result.Result[calls.Reply, outcomes.Refusal]:
+        try:
+            return self._run_attempts(request, progress)
+        finally:
+            self.retry_grants.release(progress)
+
+    def _run_attempts(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
     ) -> result.Result[calls.Reply, outcomes.Refusal]:
         while True:
             if self.poison_requests.is_blocked(request):
@@ -137,9 +159,14 @@
                 return finished
             match self._find_endpoint(request, progress):
                 case result.Ok(slot):
-                    reply = self._send_in_slot(request, progress, slot)
+                    pass
                 case result.Err() as refused:
                     return refused
+            if not self._charge(request, progress):
+                self.rooms.begin(slot.endpoint)
+                progress.withdraw()
+                return self._give_up(request, progress)
+            reply = self._send_in_slot(request, progress, slot)
             if reply is not None:
                 self._count(request, "answered")
                 return result.Ok(reply)
@@ -155,18 +182,32 @@
         slot: send_slots.SendSlot,
     ) -> calls.Reply | None:
         """Send a request once its slot and its turn have come; None if that failed."""
+        reply = None
+        try:
+            reply = self._send_admitted(request, progress, slot)
+            return reply
+        finally:
+            if reply is None:
+                progress.release()
+
+    def _send_admitted(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        slot: send_slots.SendSlot,
+    ) -> calls.Reply | None:
+        progress.withheld = True
         endpoint = slot.endpoint
         with self.running_requests.count_as_running(endpoint, request.target):
             self.rooms.begin(endpoint)
             may_send = self.slots.wait(slot)
-            if may_send:
+            if may_send and not progress.is_granted:
                 self.prefill_pacing.wait(request, endpoint)
         # During the wait, the endpoint may have left, unloaded the model, lowered its
         # limit or asked this VM to back off, copies of the request may have crashed
         # others, and this VM may have lost its paths.
         may_send = may_send and self.attempts.may_send(request, endpoint)
         if not may_send or self.paths.lost:
-            progress.withheld = True
             return None
         return self.attempts.send_once(request, endpoint, progress)
 
@@ -185,6 +226,10 @@
             return self._refuse(request, progress, 503, BUSY_RETRY_S)
         if request.deadline - time.monotonic() < MIN_TIME_LEFT_S:
             return self._give_up(request, progress)
+        # The peer chooses the endpoint, so a slot that was granted here is returned.
+        self.retry_grants.release(progress)
+        if not self._charge(request, progress):
+            return self._give_up(request, progress)
         wait_until = self._wait_until(request, progress)
         match self.forwarding.run(request, progress, wait_until):
             case result.Ok(reply):
@@ -202,6 +247,10 @@
         progress: request_progress.RequestProgress,
     ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
         """Find an endpoint and a send slot, waiting for the model if needed."""
+        grant, progress.grant = progress.grant, None
+        if grant is not None and grant.slot is not None:
+            progress.admission = grant.admission
+            return result.Ok(grant.slot)
         endpoint_wait_until = (
             time.monotonic() + ENDPOINT_WAIT_SHARE * request.route.objective_s
         )
@@ -213,9 +262,12 @@
             if self.poison_requests.is_blocked(request):
                 return self._refuse_blocked(request, progress)
             candidates = self.endpoint_selection.candidates(request)
-            eligible = self._eligible(request, progress, candidates.ready)
+            eligible = endpoint_selection.eligible(request, progress, candidates.ready)
             if eligible:
-                return self._acquire_slot(request, progress, eligible)
+                acquired = self._admit(request, progress, eligible)
+                if acquired is None:
+                    continue
+                return acquired
             if candidates.ready:
                 # Its model is held only by endpoints that it must not be sent to; the
                 # caller may retry.
@@ -235,19 +287,95 @@
             if refused is not None:
                 return refused
 
-    def _acquire_slot(
+    def _admit(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        eligible: list[registry.Endpoint],
+    ) -> result.Result[send_slots.SendSlot, outcomes.Refusal] | None:
+        """Acquire a place at one of several endpoints, and then a slot there.
+
+        :returns: the slot or a refusal; None if the endpoints have to be chosen anew.
+        """
+        while True:
+            wait_until = self._queue_until(request, progress)
+            match self.queue.admit(request, eligible, progress, wait_until):
+                case None:
+                    return self._acquire_without_queue(request, progress, eligible)
+                case result.Err(refused) if refused.must_choose_anew:
+                    return None
+                case result.Err(refused):
+                    progress.reason = f"no place in the queue: {refused.reason}"
+                    return self._refuse(request, progress, 503, refused.retry_after_s)
+                case result.Ok(admission):
+                    pass
+            is_acquired = False
+            try:
+                endpoint = admission.endpoint
+                acquired = self._acquire_slot(request, progress, [endpoint])
+                is_acquired = acquired.is_ok()
+            finally:
+                if not is_acquired:
+                    admission.withdraw()
+            if is_acquired:
+                progress.admission = admission
+                return acquired
+            # Another endpoint may have room under its own limits.
+            eligible = [item for item in eligible if item is not endpoint]
+            if not eligible:
+                return self._refuse(request, progress, 503, acquired.err_value)
+
+    def _acquire_without_queue(
         self,
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
         eligible: list[registry.Endpoint],
     ) -> result.Result[send_slots.SendSlot, outcomes.Refusal]:
-        """Acquire a slot at one of several endpoints, or refuse the request at once."""
+        """Acquire a slot where no queue decides, or refuse the request at once."""
+        room_in_s = self._room_in_s(request, progress, eligible)
+        if room_in_s is not None:
+            progress.reason = "no endpoint would answer in time"
+            retry_after_s = max(BUSY_RETRY_S, room_in_s)
+            return self._refuse(request, progress, 503, retry_after_s)
+        acquired = self._acquire_slot(request, progress, eligible)
+        if acquired.is_err():
+            return self._refuse(request, progress, 503, acquired.err_value)
+        endpoint = acquired.ok_value.endpoint
+        progress.admission = self.queue.track(request, endpoint)
+        return acquired
+
+    def _room_in_s(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        eligible: list[registry.Endpoint],
+    ) -> float | None:
+        """Return when there is room for a request that can't be answered in time.
+
+        Returns None for others, and for those that may have run: a refusal would not
+        state that they have not.
+        """
+        if request.target.model or request.route.streaming or progress.may_have_run:
+            return None
+        left_s = request.deadline - time.monotonic()
+        return self.estimates.room_in_s(eligible, left_s)
+
+    def _acquire_slot(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        eligible: list[registry.Endpoint],
+    ) -> result.Result[send_slots.SendSlot, float]:
+        """Acquire a slot at one of several endpoints.
+
+        :returns: the slot; or the seconds after which the caller should retry, with the
+            reason in `progress`.
+        """
         wait_until = self._wait_until(request, progress)
         with_room = self.rooms.acquire(request, eligible, wait_until - time.monotonic())
         if not with_room:
             progress.reason = "its endpoints are fragile and have no room"
-            retry_after_s = endpoint_rooms.NO_ROOM_RETRY_S
-            return self._refuse(request, progress, 503, retry_after_s)
+            return result.Err(endpoint_rooms.NO_ROOM_RETRY_S)
         max_wait_s = wait_until - time.monotonic()
         is_granted = False
         try:
@@ -264,7 +392,7 @@
                     f"requests per second (reported {at_limit.age_s:.1f} s ago): "
                     f"{at_limit.reason}"
                 )
-                return self._refuse(request, progress, 503, at_limit.retry_after_s)
+                return result.Err(at_limit.retry_after_s)
             case granted:
                 return granted
 
@@ -300,10 +428,27 @@
                 return self._refuse(request, progress, 503, ready_in_s)
         if now >= wait_until:
             progress.reason = f"{progress.reason}; not held in time"
-            return self._refuse(request, progress, 503, NOT_LOADED_RETRY_S)
+            return self._refuse(request, progress, 503, self._load_retry_s(request))
         self.residency.wait(request, wait_until - now)
         return None
 
+    def _load_retry_s(self, request: caller_request.CallerRequest) -> float:
+        """Return the Retry-After for a request whose model nobody loads yet.
+
+        All endpoints are loading other models then. Callers come back once, so where
+        they are patient enough for a queue, they return when a load that begins now is
+        done. After a second, they would wait in vain again.
+        """
+        declaration = self.declarations.current
+        if not self.queue.is_active() or declaration is None:
+            return NOT_LOADED_RETRY_S
+        service = declaration.service_by_name.get(request.target.service)
+        if service is None or service.accelerator is None:
+            return NOT_LOADED_RETRY_S
+        model = service.accelerator.model_by_name.get(request.target.model)
+        load_s = model.store_load_s if model else 0.0
+        return max(NOT_LOADED_RETRY_S, load_s)
+
     def _refuse_in_backoff(
         self,
         request: caller_request.CallerRequest,
@@ -338,21 +483,6 @@
             return None
         return self.residency.ready_in_s(target)
 
-    def _eligible(
-        self,
-        request: caller_request.CallerRequest,
-        progress: request_progress.RequestProgress,
-        ready: tuple[registry.Endpoint, ...],
-    ) -> list[registry.Endpoint]:
-        """Return the endpoints that a request may be sent to."""
-        if len(progress.tried) < request.route.max_endpoints:
-            untried = [item for item in ready if item.id not in progress.tried]
-            if untried:
-                return untried
-        if progress.may_have_run and not request.route.repeatable:
-            return []
-        return [item for item in ready if item.id in progress.tried]
-
     def _caller_reachable_until(self, request: caller_request.CallerRequest) -> float:
         """Return the monotonic time by which an answer has to begin."""
         timeout_s = request.route.caller_timeout_s * CALLER_TIMEOUT_SHARE
@@ -378,16 +508,49 @@
             self.kernel.drain_deadline - DRAIN_MARGIN_S,
         )
 
+    def _queue_until(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> float:
+        """Return the monotonic time until which a request may wait in a queue.
+
+        The queue refuses at once what it cannot serve, so that a request need not be
+        refused early for its caller to retry in time.
+        """
+        available_s = self._caller_reachable_until(request) - request.received_at
+        return min(
+            request.received_at + MAX_QUEUE_SHARE * available_s,
+            progress.wait_until,
+            self.kernel.drain_deadline - DRAIN_MARGIN_S,
+        )
+
     def _may_retry(
         self,
         request: caller_request.CallerRequest,
         progress: request_progress.RequestProgress,
     ) -> bool:
+        """Return whether a request may be sent again; it is charged once it is sent."""
         if progress.may_have_run and not request.route.repeatable:
             return False
         if time.monotonic() + MIN_TIME_LEFT_S > request.deadline:
             return False
-        return self.retry_budget.try_spend(request.target.service)
+        if progress.grant is not None:
+            return True
+        progress.owes_retry = self.retry_budget.may_spend(request.target.service)
+        return progress.owes_retry
+
+    def _charge(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+    ) -> bool:
+        """Charge a retry that is about to be sent; returns whether one was left.
+
+        A retry may wait for its model first, and may be refused then.
+        """
+        owes_retry, progress.owes_retry = progress.owes_retry, False
+        return not owes_retry or self.retry_budget.try_spend(request.target.service)
 
     def _give_up(
         self,
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -12,6 +12,7 @@
     caller_request,
     forwarding,
     poison_requests,
+    queue_client,
     registry,
     request_progress,
     server_sent_events,
@@ -21,6 +22,10 @@
 
 #: Time left until the deadline below which a stream is not resumed, seconds.
 MIN_RESUME_S = 0.1
+#: Rank of a resumed stream in the queue: its caller has waited already.
+RESUME_URGENCY = 0
+#: End of an event, for counting.
+EVENT_END = b"\n\n"
 #: Longest wait for a send slot at an endpoint with a rate limit, seconds: callers
 #: disconnect from a stream that stalls for longer than a few times this.
 MAX_RESUME_WAIT_S = 0.5
@@ -33,6 +38,7 @@
     :param request: the request.
     :param endpoint: the endpoint that runs it.
     :param answer: the endpoint's answer, its body not read.
+    :param admission: its place at the endpoint; None without a queue.
     """
 
     def __init__(
@@ -41,6 +47,7 @@
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
         answer: transport.HttpAnswer,
+        admission: queue_client.Admission | None = None,
     ):
         self.attempts = attempts
         self.request = request.pinned(
@@ -48,11 +55,16 @@
         )
         self.endpoint = endpoint
         self.answer = answer
+        self.admission = admission
+        #: Number of events of the present answer, for its endpoint's speed.
+        self.event_count = 0
         #: Whether the answer is open and its request counts as running.
         self.is_answer_open = True
         self.tried_ids = {endpoint.id}
         self.outcome = "caller left"
         self.closed = False
+        #: Whether the retry that resumes it is charged.
+        self.is_charged = False
         #: Whether the endpoint at which it was to be resumed was unreachable.
         self.unreachable = False
         self.relayed_bytes = 0
@@ -120,6 +132,7 @@
             last_chunk_at = now
             self._observe_progress(now)
             self.attempts.paths.record_reached(now)
+            self.event_count += data.count(EVENT_END)
             if self.events is not None:
                 data = self.events.feed(data)
             if data:
@@ -145,6 +158,8 @@
             self.attempts.running_requests.request_ended(
                 self.endpoint, self.request.target
             )
+            if self.admission is not None:
+                self.admission.ended(max(0, self.event_count - 1))
             max_gap_s = self.request.route.max_gap_s
             if max_gap_s and self.longest_gap_s > max_gap_s:
                 self.attempts.running_requests.record_late(self.request.target)
@@ -166,7 +181,7 @@
         self.attempts.poison_requests.log_uncounted(self.request, self.endpoint, reason)
 
     def _may_resume(self) -> bool:
-        """Return whether the stream may be resumed, which spends a retry."""
+        """Return whether the stream may be resumed and a retry is left for that."""
         route = self.request.route
         may_resume = self.events is not None and route.resumable
         if not may_resume or len(self.tried_ids) >= route.max_endpoints:
@@ -176,36 +191,78 @@
         if self.attempts.poison_requests.is_blocked(self.request):
             return False
         left_s = self.request.deadline - time.monotonic()
-        return left_s >= MIN_RESUME_S and self.attempts.retry_budget.try_spend(
+        return left_s >= MIN_RESUME_S and self.attempts.retry_budget.may_spend(
             self.request.target.service
         )
 
+    def _charge(self) -> bool:
+        """Charge the retry that is about to be sent; returns whether one was left."""
+        service = self.request.target.service
+        if not self.is_charged:
+            self.is_charged = self.attempts.retry_budget.try_spend(service)
+        return self.is_charged
+
     def _resume(self) -> bool:
         """Resume the stream at another endpoint; returns whether that succeeded."""
         if self.attempts.paths.lost:
             return False
         ready = self.attempts.endpoint_selection.candidates(self.request).ready
         untried = [item for item in ready if item.id not in self.tried_ids]
+        admission = None
+        match self.attempts.queue.admit(
+            self.request,
+            untried,
+            None,
+            time.monotonic() + MAX_RESUME_WAIT_S,
+            RESUME_URGENCY,
+        ):
+            case result.Ok(admission):
+                untried = [admission.endpoint]
+            case result.Err(_):
+                return False
+        resumed = False
+        try:
+            resumed = self._resume_in_room(untried, admission)
+            return resumed
+        finally:
+            if admission is not None and not resumed:
+                admission.withdraw()
+
+    def _resume_in_room(
+        self,
+        endpoints: list[registry.Endpoint],
+        admission: queue_client.Admission | None,
+    ) -> bool:
         rooms = self.attempts.rooms
-        with_room = rooms.acquire(self.request, untried, MAX_RESUME_WAIT_S)
+        with_room = rooms.acquire(self.request, endpoints, MAX_RESUME_WAIT_S)
         if not with_room:
             return False
+        sent_at = time.monotonic()
         try:
-            return self._resume_in_slot(with_room)
+            resumed = self._resume_in_slot(with_room)
         finally:
             rooms.begin(with_room[0])
+        if resumed:
+            self.admission = admission
+            if admission is not None:
+                admission.began(time.monotonic() - sent_at)
+        return resumed
 
     def _resume_in_slot(self, endpoints: list[registry.Endpoint]) -> bool:
         match self.attempts.slots.acquire(self.request, endpoints, MAX_RESUME_WAIT_S):
             case result.Ok(slot) if self.attempts.slots.wait(slot):
                 left_s = self.request.deadline - time.monotonic()
-                return left_s >= MIN_RESUME_S and self._resume_at(slot.endpoint, left_s)
+                if left_s < MIN_RESUME_S or not self._charge():
+                    return False
+                return self._resume_at(slot.endpoint, left_s)
         return False
 
     def _resume_on_peer(self) -> forwarding.ForwardedStream | None:
         """Resume the stream on a peer if this VM reached no endpoint."""
         if not (self.attempts.paths.lost or self.unreachable):
             return None
+        if not self._charge():
+            return None
         progress = request_progress.RequestProgress(self.tried_ids, may_have_run=True)
         self.events.begin_answer()
         answer = self.attempts.forwarding.resume(
@@ -267,8 +324,10 @@
             self.answer = answer
             self.endpoint = endpoint
             self.is_answer_open = True
+            self.is_charged = False
             self.began_at = None
             self.runs_well = False
+            self.event_count = 0
             self.attempts.running_requests.request_started(
                 endpoint, self.request.target
             )
