--- a/packages/mothworks_gateway/src/mothworks_gateway/registry.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/registry.py
@@ -10,6 +10,7 @@
 """
 
 import collections.abc
+import functools
 import time
 
 import attrs
@@ -64,7 +65,7 @@
     started_ms: int = 0
     software_version: str = ""
 
-    @property
+    @functools.cached_property
     def id(self) -> str:
         """Return the unique id of this incarnation."""
         return f"{self.name}@{self.started_ms}" if self.started_ms else self.name
@@ -161,7 +162,7 @@
         return [
             item
             for item in self.by_id.values()
-            if item.available and item.entry.service == service
+            if item.entry.service == service and item.available
         ]
 
     def known_documents(self) -> dict[str, bytes]:
