--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -342,4 +342,5 @@
                 self.health.record_failure(endpoint, "not an answer to the request")
             case adapters.ResponseKind.BUSY if self.notices.backoff(endpoint) is None:
                 self.rooms.record_refusal(endpoint)
+                self.retry_grants.estimates.record_refusal(endpoint)
                 gevent.sleep(BUSY_PAUSE_S)
--- a/packages/mothworks_gateway/src/mothworks_gateway/room_estimates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/room_estimates.py
@@ -5,12 +5,16 @@
 """
 
 import collections.abc
+import time
 
 from mothworks import kernel
 from mothworks_gateway import health, registry, running_requests
 
 #: Answers of an endpoint below which its mean answer time refuses no request.
 MIN_ANSWERS = 6
+#: Time for which an endpoint that refused a request for lack of room counts as full,
+#: seconds: some run fewer requests than the batch slots that they declare.
+FULL_S = 1.0
 
 
 class RoomEstimates(kernel.Part):
@@ -24,6 +28,20 @@
         self.health = node_kernel.get(health.Health)
         self.running_requests = node_kernel.get(running_requests.RunningRequests)
 
+        #: Monotonic time until which endpoints count as full after a refusal.
+        self.full_until_by_id: dict[str, float] = {}
+
+    def record_refusal(self, endpoint: registry.Endpoint) -> None:
+        """Record that an endpoint refused a request for lack of room.
+
+        :param endpoint: the endpoint.
+        """
+        now = time.monotonic()
+        for endpoint_id, until in list(self.full_until_by_id.items()):
+            if until <= now:
+                del self.full_until_by_id[endpoint_id]
+        self.full_until_by_id[endpoint.id] = now + FULL_S
+
     def answer_s(self, endpoint: registry.Endpoint) -> float:
         """Return the mean time of an endpoint's answers, seconds; 0 if unknown.
 
@@ -34,8 +52,12 @@
     def has_room(self, endpoint: registry.Endpoint) -> bool:
         """Return whether an endpoint runs fewer requests than it has batch slots.
 
+        One that refused a request lately has no room.
+
         :param endpoint: the endpoint.
         """
+        if time.monotonic() < self.full_until_by_id.get(endpoint.id, 0.0):
+            return False
         return self._excess(endpoint) <= 0
 
     def room_in_s(
--- a/packages/mothworks_gateway/tests/test_retry_grants.py
+++ b/packages/mothworks_gateway/tests/test_retry_grants.py
@@ -5,7 +5,7 @@
 
 import gateway_builders
 import retry_builders
-from mothworks_gateway import request_progress, retry_grants
+from mothworks_gateway import request_progress, retry_grants, room_estimates
 
 FIRST, SECOND = (gateway_builders.endpoint(name, batch_slots=4) for name in "ab")
 BOTH = (FIRST, SECOND)
@@ -140,3 +140,14 @@
     assert grants.estimates.room_in_s(BOTH, 0.1) is None
     grants.estimates.health = retry_builders.make_health({"a": 9.0, "b": 9.0}, 5)
     assert grants.estimates.room_in_s(BOTH, 0.1) is None
+
+
+# Guards against attempts that are given up for an endpoint that runs fewer requests
+# than the slots that it declares, and refuses the retry.
+def test_an_endpoint_that_refused_a_request_lately_has_no_room(monkeypatch):
+    grants = retry_builders.make_grants(BOTH)
+    grants.estimates.record_refusal(SECOND)
+    assert try_grant(grants) is None
+    monkeypatch.setattr(room_estimates, "FULL_S", 0.0)
+    grants.estimates.record_refusal(SECOND)
+    assert try_grant(grants) == SECOND.id
