--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_load.py
@@ -39,6 +39,7 @@
     :param queued_s: expected time until runs had ended that held its place, seconds.
     :param request: the request; None if a former owner granted it.
     :param cost: seconds that were charged to its account.
+    :param expected_end: time at which its run is expected to end; 0 if not known.
     """
 
     key: queue_types.Key
@@ -50,6 +51,7 @@
     queued_s: float = 0.0
     request: queue_types.WaitingRequest | None = None
     cost: float = 0.0
+    expected_end: float = 0.0
     has_begun: bool = False
 
     @property
@@ -143,6 +145,19 @@
         """
         return self.accepts and self.running < self.limit(now)
 
+    def place_free_s(self, now: float) -> float:
+        """Return the expected time until a slot is free for one more request, seconds.
+
+        Requests beyond the slots wait at the endpoint until earlier runs have ended.
+
+        :param now: the time.
+        """
+        excess = self.running - self.slots
+        if excess < 0 or not self.grant_by_key:
+            return 0.0
+        ends = sorted(grant.expected_end for grant in self.grant_by_key.values())
+        return max(0.0, ends[min(excess, len(ends) - 1)] - now)
+
     def has_room(self, memory_tokens: int, prompt_s: float) -> bool:
         """Return whether a request fits into the memory and would be read soon.
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -474,10 +474,34 @@
             return queue_order.Fit.BLOCKED
         if entry.state is queue_order.State.ON_TIME:
             first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
-            if now + first_s > request.objective_at:
+            if self._is_late_at(entry, load, first_s, now):
                 return queue_order.Fit.TOO_SLOW
         return queue_order.Fit.FITS
 
+    def _is_late_at(
+        self,
+        entry: queue_order.Entry,
+        load: endpoint_load.EndpointLoad,
+        first_s: float,
+        now: float,
+    ) -> bool:
+        """Return whether a request would begin late at an endpoint with a place.
+
+        Runs that began together end together, and a request beyond the slots may wait
+        for a whole run instead of a part of it. This is checked where the request has a
+        faster endpoint, since runs are long at a slow one.
+        """
+        left_s = entry.request.objective_at - now
+        if first_s > left_s or load.running < load.slots:
+            return first_s > left_s
+        queued_s = queue_estimates.queued_s(entry, load, load.running)
+        if first_s - queued_s + load.place_free_s(now) <= left_s:
+            return False
+        return any(
+            self.load_by_id[i].speed > load.speed
+            for i in self._accepting_ids(entry.request)
+        )
+
     def _must_wait(
         self, entry: queue_order.Entry, load: endpoint_load.EndpointLoad
     ) -> bool:
@@ -536,7 +560,7 @@
             ):
                 continue
             first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
-            is_late = now + first_s > request.objective_at
+            is_late = self._is_late_at(entry, load, first_s, now)
             if is_late and is_on_time:
                 continue
             fullness = load.running * load.fullness_per_run
@@ -564,6 +588,7 @@
             queued_s,
             request,
             entry.run_s / load.speed,
+            now + queued_s + entry.run_s / load.speed,
         )
         self._hold(grant)
         if prompt_s:
