--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -44,6 +44,9 @@
 MIN_WAIT_SHARE = 0.5
 MAX_WAIT_SHARE = 0.7
 MIN_WAIT_OBJECTIVES = 1.5
+#: Longest wait in a queue as a share of the available time. The rest is left for the
+#: run.
+MAX_QUEUE_SHARE = 0.8
 #: Share of a caller's timeout after which an answer that begins no longer reaches it.
 CALLER_TIMEOUT_SHARE = 0.9
 #: Time before a draining VM stops at which all waits end, seconds.
@@ -440,7 +443,7 @@
         """
         available_s = self._caller_reachable_until(request) - request.received_at
         return min(
-            request.received_at + MAX_WAIT_SHARE * available_s,
+            request.received_at + MAX_QUEUE_SHARE * available_s,
             progress.wait_until,
             self.kernel.drain_deadline - DRAIN_MARGIN_S,
         )
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
@@ -46,11 +46,13 @@
 #: former one. If all waiting requests were sent at once, endpoints would reject most.
 NO_OWNER_GRACE_S = 1.0
 #: Time for which an owner that replied counts as live, and timeout of a call to a live
-#: one, seconds. A timeout sends all of this VM's requests past the queue for a second,
-#: which fills the endpoints; with the usual 40 ms, a busy owner timed out 140 times in
-#: 16 s before 360 requests a second.
-LIVE_S = 1.0
+#: one, seconds. After a timeout of the usual 40 ms, all requests of a VM would be sent
+#: past the queue for a second, which fills the endpoints; a busy owner timed out 140
+#: times in 16 s before 360 requests a second.
+LIVE_S = 0.5
 LIVE_TIMEOUT_S = 0.2
+#: Repetitions without a reply in a row after which the owner counts as gone.
+MAX_MISSED_REPEATS = 2
 #: Shortest time between reports to a VM that is not known as the owner, seconds.
 INTRODUCE_INTERVAL_S = 0.1
 #: Interval at which granted requests are reported to the owner, seconds.
@@ -264,6 +266,8 @@
         self.owner_by_service: dict[str, str] = {}
         #: Monotonic time of the last reply of each owner.
         self.replied_at_by_owner: dict[str, float] = {}
+        #: Repetitions without a reply in a row, by owner.
+        self.missed_repeats: collections.Counter[str] = collections.Counter()
         #: Monotonic time of the last report to a possible new owner, by service and VM.
         self.introduced_at: dict[tuple[str, str], float] = {}
         self.rows_by_owner: collections.defaultdict[
@@ -501,11 +505,14 @@
             self._flush(owner)
         waiting.asked = owner
         is_live = time.monotonic() - self.replied_at_by_owner.get(owner, 0.0) < LIVE_S
-        timeout_s = LIVE_TIMEOUT_S if is_live else shared_budgets.OWNER_TIMEOUT_S
         has_reply = False
         try:
-            thing = f"the queue of {message.service}"
-            reply = self.budgets.call_owner(owner, message, thing, timeout_s)
+            if is_live and self.peers.is_connected(owner):
+                called = self.peers.call(owner, message, LIVE_TIMEOUT_S)
+                reply = called.ok_value if called.is_ok() else None
+            else:
+                thing = f"the queue of {message.service}"
+                reply = self.budgets.call_owner(owner, message, thing)
             has_reply = reply is not None
             if has_reply:
                 self.replied_at_by_owner[owner] = time.monotonic()
@@ -641,9 +648,15 @@
         elif self.peers.is_connected(owner):
             called = self.peers.call(owner, message, REPEAT_TIMEOUT_S)
             reply = called.ok_value if called.is_ok() else None
-        lost = sum(tickets_by_service.values(), [])
-        if isinstance(reply, queue_messages.QueueRepeatReply):
+        if reply is None:
+            self.missed_repeats[owner] += 1
+            is_gone = self.missed_repeats[owner] >= MAX_MISSED_REPEATS
+            if self.peers.is_connected(owner) and not is_gone:
+                return
+            lost = sum(tickets_by_service.values(), [])
+        else:
             lost = reply.unknown
+        del self.missed_repeats[owner]
         if lost and reply is not None:
             # The owner may also have forgotten what this VM runs.
             for service in tickets_by_service:
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
@@ -264,6 +264,7 @@
             for key, entry in list(self.entry_by_key.items()):
                 if entry.endpoint_id == endpoint_id:
                     self.remove(key)
+            del self.granted_by_id[endpoint_id]
         self.known_ids = set(capacity_by_id)
         self.capacities_at = now
         self.queue.set_capacities(capacity_by_id, now)
--- a/packages/mothworks_gateway/src/mothworks_gateway/shared_budgets.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/shared_budgets.py
@@ -83,21 +83,14 @@
         ranked = self.owners.ranked(key)
         return [vm for vm in ranked if not self.owners.is_unresponsive(vm)][:MAX_OWNERS]
 
-    def call_owner(
-        self,
-        owner: str,
-        message: typing.Any,
-        thing: str,
-        timeout_s: float = OWNER_TIMEOUT_S,
-    ) -> typing.Any:
+    def call_owner(self, owner: str, message: typing.Any, thing: str) -> typing.Any:
         """Call an owner and return its reply; None where it does not answer.
 
         :param owner: the VM.
         :param message: the request.
         :param thing: what the request is about, for the log.
-        :param timeout_s: timeout for the reply, seconds.
         """
-        return self.owners.call(owner, message, timeout_s, thing)
+        return self.owners.call(owner, message, OWNER_TIMEOUT_S, thing)
 
     def may_grant(self) -> bool:
         """Return whether this VM may act as an owner and grant now."""
--- a/packages/mothworks_gateway/tests/queue_fleet_builders.py
+++ b/packages/mothworks_gateway/tests/queue_fleet_builders.py
@@ -57,8 +57,8 @@
     def responsive_owners(self, key):
         return [vm for vm in self.names if vm not in self.unresponsive][:2]
 
-    def call_owner(self, owner, message, thing, timeout_s=0.04):
-        called = self.peers.call(owner, message, timeout_s)
+    def call_owner(self, owner, message, thing):
+        called = self.peers.call(owner, message, 0.04)
         return called.ok_value if called.is_ok() else None
 
 
--- a/packages/mothworks_gateway/tests/test_queue_client.py
+++ b/packages/mothworks_gateway/tests/test_queue_client.py
@@ -134,7 +134,9 @@
     ],
 )
 def test_the_queue_acts_only_where_it_should(start_fleet, mode, objectives, active):
-    routes = [queue_fleet_builders.make_route(objective_s) for objective_s in objectives]
+    routes = [
+        queue_fleet_builders.make_route(objective_s) for objective_s in objectives
+    ]
     declaration = queue_fleet_builders.make_declaration(routes=routes)
     vm = start_fleet(declaration=declaration).vms[0]
     vm.client.mode = mode
