--- a/packages/mothworks_gateway/tests/queue_fleet_builders.py
+++ b/packages/mothworks_gateway/tests/queue_fleet_builders.py
@@ -43,6 +43,8 @@
         self.part = 1.0
         self.grants = True
         self.unresponsive = set()
+        #: Owners that were called such that a timeout counts as silence.
+        self.called = []
         self.owners = types.SimpleNamespace(ranked=lambda key: self.names)
 
     def may_grant(self):
@@ -58,6 +60,7 @@
         return [vm for vm in self.names if vm not in self.unresponsive][:2]
 
     def call_owner(self, owner, message, thing):
+        self.called.append(owner)
         called = self.peers.call(owner, message, 0.04)
         return called.ok_value if called.is_ok() else None
 
--- a/packages/mothworks_gateway/tests/test_queue_client.py
+++ b/packages/mothworks_gateway/tests/test_queue_client.py
@@ -4,9 +4,11 @@
 
 import gevent
 import pytest
+import result
 
 import gateway_builders
 import queue_fleet_builders
+from mothworks import peers
 from mothworks_gateway import (
     client_accounts,
     queue_client,
@@ -124,6 +126,20 @@
     assert admit(fleet.vms[2]) is None
 
 
+# Guards against a late reply of a busy owner that sends all requests of a VM past the
+# queue for a second.
+def test_a_late_reply_of_a_live_owner_does_not_count_as_silence(fleet):
+    vm = fleet.vms[2]
+    assert admit(vm).is_ok()
+    call = vm.peers.call
+    failure = peers.PeerFailure("vm-0", "no reply in time", True, timed_out=True)
+    vm.peers.call = lambda *_: result.Err(failure)
+    assert admit(vm) is None
+    vm.peers.call = call
+    assert admit(vm).is_ok()
+    assert vm.budgets.called.count("vm-0") == 1
+
+
 @pytest.mark.parametrize(
     ("mode", "objectives", "active"),
     [
