--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
@@ -344,7 +344,8 @@
             return self._queued(served, key, now)
         served.entry_by_key[key] = _Entry(message, now)
         served.queue.add(self._waiting_request(key, message, now), now)
-        if now < served.paused_until:
+        if now < served.paused_until and served.waiting_count > 1:
+            # A decision about a single request is cheap.
             self._decide_later(served)
             return queue_messages.QueueReply(True, message.ticket)
         reply = self._decide(message.service, served, now, key)
@@ -370,7 +371,7 @@
                 served.apply(vm, row, now)
                 changed[row[1]] = served
         for service, served in changed.items():
-            if now < served.paused_until:
+            if now < served.paused_until and served.waiting_count:
                 self._decide_later(served)
             else:
                 self._decide(service, served, now)
