--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -47,9 +47,6 @@
 MIN_WAIT_SHARE = 0.5
 MAX_WAIT_SHARE = 0.7
 MIN_WAIT_OBJECTIVES = 1.5
-#: Longest wait in a queue as a share of the available time. The rest is left for the
-#: run.
-MAX_QUEUE_SHARE = 0.8
 #: Share of a caller's timeout after which an answer that begins no longer reaches it.
 CALLER_TIMEOUT_SHARE = 0.9
 #: Upper bound of the wait in a queue, as a share of the available time. A request that
