--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -86,6 +86,8 @@
             tuple[float, int, queue_order.Entry | endpoint_load.Grant | str]
         ] = []
         self._sequence = itertools.count()
+        #: Endpoints with a timer for the rise of their lowered limit.
+        self._rising_ids: set[str] = set()
         self._reserved = 0
         self._since_soonest = 0
         self._since_promoted = 0
@@ -242,7 +244,11 @@
             return
         load = self.load_by_id[grant.endpoint_id]
         load.lower(now)
-        self._set_timer(load.next_rise_at(now), grant.endpoint_id)
+        # The timer sets itself again until the limit has risen; one for each refusal
+        # would add up without bound at an endpoint that refuses again and again.
+        if grant.endpoint_id not in self._rising_ids:
+            self._rising_ids.add(grant.endpoint_id)
+            self._set_timer(load.next_rise_at(now), grant.endpoint_id)
         self._release(key)
         if grant.request is not None:
             request = grant.request
@@ -634,7 +640,9 @@
                 case endpoint_id:
                     self._freed_ids.add(endpoint_id)
                     rise_at = self.load_by_id[endpoint_id].next_rise_at(now)
-                    if rise_at is not None:
+                    if rise_at is None:
+                        self._rising_ids.discard(endpoint_id)
+                    else:
                         # Rounding must not give a time that has come already.
                         rise_at = max(rise_at, now + MIN_TIMER_S)
                         self._set_timer(rise_at, endpoint_id)
@@ -782,6 +790,7 @@
         del self._order_by_id[endpoint_id]
         del self._view_by_id[endpoint_id]
         self._freed_ids.discard(endpoint_id)
+        self._rising_ids.discard(endpoint_id)
 
 
 def _bounded(request: WaitingRequest, now: float) -> WaitingRequest:
--- a/packages/mothworks_gateway/tests/test_endpoint_queue.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_queue.py
@@ -184,6 +184,20 @@
     assert len(granted(queue.decide(2.0))) == 1
 
 
+# Guards against timers that add up, and slow down all decisions, at an endpoint that
+# can run less than it declares.
+def test_the_timers_of_an_endpoint_that_keeps_refusing_are_bounded():
+    queue = make_queue(a=capacity(6))
+    now = 0.0
+    for ticket in range(500):
+        now += 0.1
+        queue.add(request(ticket, now=now), now)
+        for started in granted(queue.decide(now)):
+            queue.was_full(("vm-1", started), now)
+    # One for the limit, and one for each request.
+    assert len(queue._timers) <= 1 + len(queue.entry_by_key)
+
+
 # Guards against places that are counted twice, or are lost, when messages are repeated.
 def test_repeated_reports_are_idempotent():
     queue = make_queue(a=capacity(4, 1_000), b=capacity(4))
