Byte code: files copied in part are ignored, and attrs' own classes are stored

A file of byte code or of generated methods that was cut off ended the start with EOFError, and the next build, too. The build also dropped the methods of attrs' and cattrs' own classes: 18 of 205 sources, 7 ms of processor time, were compiled at each start.

--- a/deploy/byte_code.py
+++ b/deploy/byte_code.py
@@ -41,7 +41,11 @@
             return super().get_code(fullname)
         if data[:HEADER_BYTES] != header(self.get_data(self.path)):
             return super().get_code(fullname)
-        return marshal.loads(data[HEADER_BYTES:])
+        try:
+            return marshal.loads(data[HEADER_BYTES:])
+        except (EOFError, TypeError, ValueError):
+            # The file was copied in part only.
+            return super().get_code(fullname)
 
 
 def header(source: bytes) -> bytes:
@@ -98,6 +102,9 @@
 
 def _store_generated_methods() -> None:
     """Store the byte code of the methods that attrs generates for a node's classes."""
+    # Only the build needs this module.
+    import pathlib
+
     install()
     # The dependencies of the build; where they are on Python's path already, the
     # entries before them are used.
@@ -108,8 +115,10 @@
         deferred_packages.install()
         import generated_methods
 
+        # Results of an earlier build are dropped before attrs' and cattrs' own classes
+        # are compiled, which are to be stored, too.
+        pathlib.Path(FOLDER, generated_methods.FILE).unlink(missing_ok=True)
         compiler = generated_methods.install(FOLDER)
-        compiler.code_by_key.clear()
         import mothworks_gateway.node  # noqa: F401
         import mothworks_platform  # noqa: F401
         from mothworks import documents
--- a/deploy/generated_methods.py
+++ b/deploy/generated_methods.py
@@ -17,6 +17,8 @@
 
 import attr._make
 
+#: The file of stored results in the folder of byte code.
+FILE = "generated_methods"
 #: The number in a class' generated ``__hash__`` by which attrs tells classes apart. It
 #: is another one in each process.
 CLASS_NUMBER = re.compile(r"^ +-?\d+,$", re.MULTILINE)
@@ -42,8 +44,13 @@
         except OSError:
             return
         version = self.version.encode() + b"\n"
-        if stored.startswith(version):
+        if not stored.startswith(version):
+            return
+        try:
             self.code_by_key = marshal.loads(stored[len(version) :])
+        except (EOFError, TypeError, ValueError):
+            # The file was copied in part only.
+            return
 
     def store(self) -> None:
         """Store all results."""
@@ -75,7 +82,7 @@
 
     :param folder: the folder of byte code.
     """
-    compiler = Compiler(os.path.join(folder, "generated_methods"))
+    compiler = Compiler(os.path.join(folder, FILE))
     compiler.load()
     # They call the built-in function, which a global of their module replaces.
     attr._make.compile = compiler.compile
