--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -169,7 +169,12 @@
         entry = self.entry_by_key.get(key)
         if entry is not None:
             self._forget_waiting(entry)
-        self._release(key)
+        grant = self._release(key)
+        if grant is not None and grant.request is not None:
+            # It held its place for less time than was charged, or was not even sent.
+            excess = now - grant.granted_at - grant.cost
+            request = grant.request
+            self.shares.add(request.account, request.weight, min(0.0, excess), now)
 
     def adopt(
         self, key: Key, endpoint_id: str, memory_tokens: int, began: bool, now: float
--- a/packages/mothworks_gateway/tests/test_endpoint_queue.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_queue.py
@@ -184,6 +184,16 @@
     assert len(granted(queue.decide(2.0))) == 1
 
 
+# Guards against an account that waits for others because its callers left, or because
+# its requests could not be sent.
+def test_a_request_that_was_not_sent_costs_its_account_nothing():
+    queue = make_queue(a=capacity(4))
+    queue.add(request(1, account="a"), 0.0)
+    assert granted(queue.decide(0.0)) == {1: "a"}
+    queue.withdraw(("vm-1", 1), 0.0)
+    assert queue.shares.usage("a", 0.0) == pytest.approx(0.0)
+
+
 # Guards against timers that add up, and slow down all decisions, at an endpoint that
 # can run less than it declares.
 def test_the_timers_of_an_endpoint_that_keeps_refusing_are_bounded():
