--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_queue.py
@@ -86,6 +86,8 @@
             tuple[float, int, queue_order.Entry | endpoint_load.Grant | str]
         ] = []
         self._sequence = itertools.count()
+        #: Endpoints with a timer for the rise of their lowered limit.
+        self._rising_ids: set[str] = set()
         self._reserved = 0
         self._since_soonest = 0
         self._since_promoted = 0
@@ -167,7 +169,12 @@
         entry = self.entry_by_key.get(key)
         if entry is not None:
             self._forget_waiting(entry)
-        self._release(key)
+        grant = self._release(key)
+        if grant is not None and grant.request is not None:
+            # It held its place for less time than was charged, or was not even sent.
+            excess = now - grant.granted_at - grant.cost
+            request = grant.request
+            self.shares.add(request.account, request.weight, min(0.0, excess), now)
 
     def adopt(
         self, key: Key, endpoint_id: str, memory_tokens: int, began: bool, now: float
@@ -242,7 +249,11 @@
             return
         load = self.load_by_id[grant.endpoint_id]
         load.lower(now)
-        self._set_timer(load.next_rise_at(now), grant.endpoint_id)
+        # The timer sets itself again until the limit has risen; one for each refusal
+        # would add up without bound at an endpoint that refuses again and again.
+        if grant.endpoint_id not in self._rising_ids:
+            self._rising_ids.add(grant.endpoint_id)
+            self._set_timer(load.next_rise_at(now), grant.endpoint_id)
         self._release(key)
         if grant.request is not None:
             request = grant.request
@@ -474,10 +485,34 @@
             return queue_order.Fit.BLOCKED
         if entry.state is queue_order.State.ON_TIME:
             first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
-            if now + first_s > request.objective_at:
+            if self._is_late_at(entry, load, first_s, now):
                 return queue_order.Fit.TOO_SLOW
         return queue_order.Fit.FITS
 
+    def _is_late_at(
+        self,
+        entry: queue_order.Entry,
+        load: endpoint_load.EndpointLoad,
+        first_s: float,
+        now: float,
+    ) -> bool:
+        """Return whether a request would begin late at an endpoint with a place.
+
+        Runs that began together end together, and a request beyond the slots may wait
+        for a whole run instead of a part of it. This is checked where the request has a
+        faster endpoint, since runs are long at a slow one.
+        """
+        left_s = entry.request.objective_at - now
+        if first_s > left_s or load.running < load.slots:
+            return first_s > left_s
+        queued_s = queue_estimates.queued_s(entry, load, load.running)
+        if first_s - queued_s + load.place_free_s(now) <= left_s:
+            return False
+        return any(
+            self.load_by_id[i].speed > load.speed
+            for i in self._accepting_ids(entry.request)
+        )
+
     def _must_wait(
         self, entry: queue_order.Entry, load: endpoint_load.EndpointLoad
     ) -> bool:
@@ -536,7 +571,7 @@
             ):
                 continue
             first_s = queue_estimates.loaded_first_s(entry, load, prompt_s)
-            is_late = now + first_s > request.objective_at
+            is_late = self._is_late_at(entry, load, first_s, now)
             if is_late and is_on_time:
                 continue
             fullness = load.running * load.fullness_per_run
@@ -564,6 +599,7 @@
             queued_s,
             request,
             entry.run_s / load.speed,
+            now + queued_s + entry.run_s / load.speed,
         )
         self._hold(grant)
         if prompt_s:
@@ -609,7 +645,9 @@
                 case endpoint_id:
                     self._freed_ids.add(endpoint_id)
                     rise_at = self.load_by_id[endpoint_id].next_rise_at(now)
-                    if rise_at is not None:
+                    if rise_at is None:
+                        self._rising_ids.discard(endpoint_id)
+                    else:
                         # Rounding must not give a time that has come already.
                         rise_at = max(rise_at, now + MIN_TIMER_S)
                         self._set_timer(rise_at, endpoint_id)
@@ -757,6 +795,7 @@
         del self._order_by_id[endpoint_id]
         del self._view_by_id[endpoint_id]
         self._freed_ids.discard(endpoint_id)
+        self._rising_ids.discard(endpoint_id)
 
 
 def _bounded(request: WaitingRequest, now: float) -> WaitingRequest:
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
@@ -46,11 +46,13 @@
 #: former one. If all waiting requests were sent at once, endpoints would reject most.
 NO_OWNER_GRACE_S = 1.0
 #: Time for which an owner that replied counts as live, and timeout of a call to a live
-#: one, seconds. A timeout sends all of this VM's requests past the queue for a second,
-#: which fills the endpoints; with the usual 40 ms, a busy owner timed out 140 times in
-#: 16 s before 360 requests a second.
-LIVE_S = 1.0
+#: one, seconds. After a timeout of the usual 40 ms, all requests of a VM would be sent
+#: past the queue for a second, which fills the endpoints; a busy owner timed out 140
+#: times in 16 s before 360 requests a second.
+LIVE_S = 0.5
 LIVE_TIMEOUT_S = 0.2
+#: Repetitions without a reply in a row after which the owner counts as gone.
+MAX_MISSED_REPEATS = 2
 #: Shortest time between reports to a VM that is not known as the owner, seconds.
 INTRODUCE_INTERVAL_S = 0.1
 #: Interval at which granted requests are reported to the owner, seconds.
@@ -65,6 +67,9 @@
 #: Pause before a request chooses its endpoint anew, seconds: the owner may know of a
 #: change a little earlier than this VM, or later.
 CHOOSE_PAUSE_S = 0.03
+#: Retry-After of a request that no owner decided about in time, seconds: a new owner
+#: takes over in that time.
+NOT_DECIDED_RETRY_S = 0.5
 #: Bits of the random first ticket: tickets of a VM's former process differ.
 TICKET_BITS = 48
 
@@ -210,6 +215,10 @@
         self.urgency = urgency
         self.wait_until = wait_until
         self.began_at = time.monotonic()
+        self.arrived_at = request.received_at
+        self.objective_at = request.received_at + request.route.objective_s
+        #: Monotonic time at which an owner last confirmed that it waits; None before.
+        self.confirmed_at: float | None = None
         #: The VM that queued it, and the one that is being asked; empty for none.
         self.owner = ""
         self.asked = ""
@@ -264,6 +273,8 @@
         self.owner_by_service: dict[str, str] = {}
         #: Monotonic time of the last reply of each owner.
         self.replied_at_by_owner: dict[str, float] = {}
+        #: Repetitions without a reply in a row, by owner.
+        self.missed_repeats: collections.Counter[str] = collections.Counter()
         #: Monotonic time of the last report to a possible new owner, by service and VM.
         self.introduced_at: dict[tuple[str, str], float] = {}
         self.rows_by_owner: collections.defaultdict[
@@ -304,6 +315,7 @@
         progress: request_progress.RequestProgress | None,
         wait_until: float,
         urgency: int | None = None,
+        objective_at: float | None = None,
     ) -> result.Result[Admission, QueueRefusal] | None:
         """Wait for a place at one of several endpoints.
 
@@ -313,6 +325,8 @@
             waits; None to keep to the given ones.
         :param wait_until: monotonic time until which it may wait.
         :param urgency: its rank, if it differs from the request's.
+        :param objective_at: monotonic time at which its first event is due, if that
+            differs from the request's objective.
         :returns: None if the queue is not active or no owner replies.
         """
         if not (endpoints and self.is_active()):
@@ -320,6 +334,9 @@
         rank = request.urgency if urgency is None else urgency
         ticket = next(self.tickets)
         waiting = _Waiting(ticket, request, endpoints, rank, wait_until)
+        if objective_at is not None:
+            waiting.objective_at = objective_at
+            waiting.arrived_at = waiting.began_at
         self.waiting_by_ticket[ticket] = waiting
         if not self.has_waiting.is_set():
             self.has_waiting.set()
@@ -330,7 +347,7 @@
             is_decided = admitted is not None and admitted.is_ok()
             return admitted
         finally:
-            del self.waiting_by_ticket[ticket]
+            del self.waiting_by_ticket[waiting.ticket]
             if not is_decided and waiting.owner:
                 self._withdraw(waiting, waiting.owner)
 
@@ -371,18 +388,20 @@
         stack: contextlib.ExitStack,
     ) -> result.Result[Admission, QueueRefusal] | None:
         """Ask for a place until there is a decision."""
-        replied_at = None
         while True:
             reply = self._ask(waiting)
             now = time.monotonic()
             if reply is not None:
                 if _is_decision(reply):
                     return self._decide(waiting, reply)
-                replied_at = now
+                waiting.confirmed_at = now
                 if not waiting.is_queued:
                     waiting.is_queued = True
                     self._log(waiting, "queued", reply)
-            elif replied_at is None or now - replied_at > NO_OWNER_GRACE_S:
+            elif (
+                waiting.confirmed_at is None
+                or now - waiting.confirmed_at > NO_OWNER_GRACE_S
+            ):
                 return None
             pushed = self._wait_for_push(waiting, stack)
             if pushed is not None:
@@ -392,8 +411,11 @@
             if not self._update_endpoints(waiting, progress):
                 return _choose_anew("no endpoint can run it any more")
             if time.monotonic() >= waiting.wait_until + REPEAT_INTERVAL_S:
-                # Its owner should have refused it.
-                return None
+                # Its owner should have refused it. Sent now, it would run past its
+                # deadline, and its outcome would be unknown.
+                return result.Err(
+                    QueueRefusal(NOT_DECIDED_RETRY_S, "not decided in time")
+                )
 
     def _wait_for_push(
         self, waiting: _Waiting, stack: contextlib.ExitStack
@@ -478,9 +500,9 @@
 
     def _ask(self, waiting: _Waiting) -> queue_messages.QueueReply | None:
         """Ask the owner for a place; None if no owner replies."""
-        message = self._message(waiting)
-        key = queue_messages.owner_key(message.service)
+        key = queue_messages.owner_key(waiting.request.target.service)
         for owner in self.budgets.responsive_owners(key):
+            message = self._message(waiting)
             self._introduce(message.service, owner)
             reply = self._ask_owner(owner, message, waiting)
             if isinstance(reply, queue_messages.QueueReply) and reply.is_owner:
@@ -501,11 +523,14 @@
             self._flush(owner)
         waiting.asked = owner
         is_live = time.monotonic() - self.replied_at_by_owner.get(owner, 0.0) < LIVE_S
-        timeout_s = LIVE_TIMEOUT_S if is_live else shared_budgets.OWNER_TIMEOUT_S
         has_reply = False
         try:
-            thing = f"the queue of {message.service}"
-            reply = self.budgets.call_owner(owner, message, thing, timeout_s)
+            if is_live and self.peers.is_connected(owner):
+                called = self.peers.call(owner, message, LIVE_TIMEOUT_S)
+                reply = called.ok_value if called.is_ok() else None
+            else:
+                thing = f"the queue of {message.service}"
+                reply = self.budgets.call_owner(owner, message, thing)
             has_reply = reply is not None
             if has_reply:
                 self.replied_at_by_owner[owner] = time.monotonic()
@@ -515,8 +540,11 @@
             if not has_reply and self.peers.is_connected(owner):
                 # It may have granted a place, or queued the request, all the same.
                 self._withdraw(waiting, owner)
-                if waiting.owner == owner:
-                    waiting.owner = ""
+                if waiting.owner not in ("", owner):
+                    # It waits there under the ticket that is given up.
+                    self._withdraw(waiting, waiting.owner)
+                waiting.owner = ""
+                self._renew_ticket(waiting)
 
     def _message(self, waiting: _Waiting) -> queue_messages.QueueRequest:
         request = waiting.request
@@ -537,8 +565,8 @@
             urgency=waiting.urgency,
             account=name,
             weight=weight,
-            waited_s=now - request.received_at,
-            objective_in_s=request.received_at + route.objective_s - now,
+            waited_s=now - waiting.arrived_at,
+            objective_in_s=waiting.objective_at - now,
             send_in_s=max(MIN_SEND_IN_S, waiting.wait_until - now),
             is_patient=declaration.is_patient(target.service, route.objective_s),
             model=target.model,
@@ -606,6 +634,17 @@
         service = waiting.request.target.service
         self.report(owner, (waiting.ticket, service, kind, "", 0, 0.0))
 
+    def _renew_ticket(self, waiting: _Waiting) -> None:
+        """Give a withdrawn request another ticket.
+
+        A late grant of the withdrawn one would otherwise be used, though its owner
+        counts the place as free.
+        """
+        del self.waiting_by_ticket[waiting.ticket]
+        waiting.ticket = next(self.tickets)
+        waiting.pushed = None
+        self.waiting_by_ticket[waiting.ticket] = waiting
+
     def _on_pushed(self, vm: str, reply: queue_messages.QueueReply) -> None:
         waiting = self.waiting_by_ticket.get(reply.ticket)
         # A decision may arrive together with the reply that the request is queued.
@@ -641,9 +680,16 @@
         elif self.peers.is_connected(owner):
             called = self.peers.call(owner, message, REPEAT_TIMEOUT_S)
             reply = called.ok_value if called.is_ok() else None
-        lost = sum(tickets_by_service.values(), [])
-        if isinstance(reply, queue_messages.QueueRepeatReply):
+        if reply is None:
+            self.missed_repeats[owner] += 1
+            is_gone = self.missed_repeats[owner] >= MAX_MISSED_REPEATS
+            if self.peers.is_connected(owner) and not is_gone:
+                return
+            lost = sum(tickets_by_service.values(), [])
+        else:
             lost = reply.unknown
+            self._confirm(tickets_by_service, lost)
+        del self.missed_repeats[owner]
         if lost and reply is not None:
             # The owner may also have forgotten what this VM runs.
             for service in tickets_by_service:
@@ -653,8 +699,20 @@
             if waiting is not None and waiting.owner == owner and not waiting.pushed:
                 self._withdraw(waiting, owner)
                 waiting.owner = ""
+                self._renew_ticket(waiting)
                 waiting.changed.set()
 
+    def _confirm(
+        self, tickets_by_service: dict[str, list[int]], lost: tuple[int, ...]
+    ) -> None:
+        """Record which requests an owner still knows."""
+        now = time.monotonic()
+        unknown = set(lost)
+        for ticket in itertools.chain(*tickets_by_service.values()):
+            waiting = self.waiting_by_ticket.get(ticket)
+            if waiting is not None and ticket not in unknown:
+                waiting.confirmed_at = now
+
     def _wake_changed(self) -> None:
         """Wake the requests whose endpoints have changed since they were chosen."""
         waiting_by_target: dict[caller_request.Target, list[_Waiting]] = {}
--- a/packages/mothworks_gateway/tests/queue_fleet_builders.py
+++ b/packages/mothworks_gateway/tests/queue_fleet_builders.py
@@ -43,6 +43,8 @@
         self.part = 1.0
         self.grants = True
         self.unresponsive = set()
+        #: Owners that were called such that a timeout counts as silence.
+        self.called = []
         self.owners = types.SimpleNamespace(ranked=lambda key: self.names)
 
     def may_grant(self):
@@ -57,8 +59,9 @@
     def responsive_owners(self, key):
         return [vm for vm in self.names if vm not in self.unresponsive][:2]
 
-    def call_owner(self, owner, message, thing, timeout_s=0.04):
-        called = self.peers.call(owner, message, timeout_s)
+    def call_owner(self, owner, message, thing):
+        self.called.append(owner)
+        called = self.peers.call(owner, message, 0.04)
         return called.ok_value if called.is_ok() else None
 
 
--- a/packages/mothworks_gateway/tests/test_endpoint_queue.py
+++ b/packages/mothworks_gateway/tests/test_endpoint_queue.py
@@ -110,6 +110,27 @@
     assert granted_at < 20.0
 
 
+# Guards against places that stay free beside a patient request until it is refused, and
+# against patient requests that are refused beside urgent ones.
+def test_a_patient_request_is_promoted():
+    queue = make_queue()
+    patient = {"is_patient": True, "urgency": 1, "objective_s": 6.0, "send_s": 20.0}
+    fill(queue, 4, **patient)
+    assert queue.decide(15.9) == []
+    assert granted(queue.decide(16.1)) == {103: "a"}
+
+    queue = make_queue()
+    fill(queue, 5)
+    queue.add(request(1, **patient), 0.0)
+    assert queue.decide(0.0) == []
+    queue.decide(16.1)
+    for ticket in range(10, 20):
+        queue.add(request(ticket, now=16.2), 16.2)
+        assert queue.decide(16.2) == []
+    decisions = [end(queue, 100 + number, 16.2) for number in range(4)]
+    assert 1 in granted(sum(decisions, []))
+
+
 # Guards against an account's burst that delays another's requests of equal urgency.
 def test_the_account_that_received_least_goes_first():
     queue = make_queue()
@@ -163,6 +184,30 @@
     assert len(granted(queue.decide(2.0))) == 1
 
 
+# Guards against an account that waits for others because its callers left, or because
+# its requests could not be sent.
+def test_a_request_that_was_not_sent_costs_its_account_nothing():
+    queue = make_queue(a=capacity(4))
+    queue.add(request(1, account="a"), 0.0)
+    assert granted(queue.decide(0.0)) == {1: "a"}
+    queue.withdraw(("vm-1", 1), 0.0)
+    assert queue.shares.usage("a", 0.0) == pytest.approx(0.0)
+
+
+# Guards against timers that add up, and slow down all decisions, at an endpoint that
+# can run less than it declares.
+def test_the_timers_of_an_endpoint_that_keeps_refusing_are_bounded():
+    queue = make_queue(a=capacity(6))
+    now = 0.0
+    for ticket in range(500):
+        now += 0.1
+        queue.add(request(ticket, now=now), now)
+        for started in granted(queue.decide(now)):
+            queue.was_full(("vm-1", started), now)
+    # One for the limit, and one for each request.
+    assert len(queue._timers) <= 1 + len(queue.entry_by_key)
+
+
 # Guards against places that are counted twice, or are lost, when messages are repeated.
 def test_repeated_reports_are_idempotent():
     queue = make_queue(a=capacity(4, 1_000), b=capacity(4))
