--- a/deploy/generated_methods.py
+++ b/deploy/generated_methods.py
@@ -19,7 +19,7 @@
 
 #: The file of stored results in the folder of byte code.
 FILE = "generated_methods"
-#: The number in a class' generated ``__hash__`` by which attrs tells classes apart. It
+#: The number in a class' generated ``__hash__`` that distinguishes classes. It
 #: is another one in each process.
 CLASS_NUMBER = re.compile(r"^ +-?\d+,$", re.MULTILINE)
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_client.py
@@ -225,7 +225,7 @@
         #: VMs from which it was withdrawn.
         self.withdrawn_from: set[str] = set()
         self.is_queued = False
-        #: Whether the lease holder is told that it waits.
+        #: Whether it is reported to the lease holder.
         self.is_reported = False
         #: A reply that was pushed.
         self.pushed: queue_messages.QueueReply | None = None
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_estimates.py
@@ -139,7 +139,8 @@
 class EndpointUsage:
     """What an endpoint's places were lately used for, and until when they are booked.
 
-    :param booked_until: time until which callers were told to come back.
+    :param booked_until: time until which capacity is booked for callers that were
+        refused with a Retry-After.
     """
 
     def __init__(self):
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_messages.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_messages.py
@@ -30,7 +30,7 @@
 #: A ticket, its service, the :class:`EventKind`, the endpoint's id, tokens and seconds.
 #: Began: prompt tokens, and seconds from sending until the first event.
 #: Ended: events and seconds of a stream, or 0 and the seconds of a plain answer;
-#: seconds are 0 if they tell nothing about the endpoint.
+#: seconds are 0 if they are no sample of the endpoint.
 #: Holds: memory tokens, and seconds since the first event, negative before it.
 EventRow = tuple[int, str, int, str, int, float]
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/queue_owner.py
@@ -161,7 +161,8 @@
 
     def apply(self, vm: str, row: queue_messages.EventRow, now: float) -> None:
         """Apply one event of a VM."""
-        ticket, _, kind, endpoint_id, tokens, seconds = row
+        # Later versions may add columns.
+        ticket, _, kind, endpoint_id, tokens, seconds = row[:6]
         key = (vm, ticket)
         match kind:
             case queue_messages.EventKind.BEGAN:
@@ -171,7 +172,7 @@
                 if seconds > 0:
                     self.queue.ended(key, now)
                 else:
-                    # An attempt that failed tells nothing about the length of runs.
+                    # A failed attempt is no sample of the length of runs.
                     self.queue.withdraw(key, now)
                 if entry is not None and entry.endpoint_id:
                     self._sample_end(entry, tokens, seconds, now)
--- a/packages/mothworks_gateway/tests/queue_builders.py
+++ b/packages/mothworks_gateway/tests/queue_builders.py
@@ -248,7 +248,7 @@
         outcome = self.outcome_by_name[sent.callers.name]
         outcome.refusals += 1
         outcome.held_s.append(self.now - sent.asked_at)
-        # The objective of a caller that was told to come back begins again.
+        # The objective of a caller that was refused with a Retry-After begins again.
         if sent.is_again:
             outcome.given_up += 1
             return
