Logs and metrics of connections that a VM ends before a whole reply, and of its drain

Observability for LOST, no change of behaviour: `connection cut` has the request, what the connection was doing, whether bytes were unread and how much was sent; `drain` has how late the event loop was and what is open.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -7,16 +7,22 @@
 whose reply is incomplete.
 """
 
+import collections
 import collections.abc
 import email.errors
+import enum
+import select
 import socket
 import struct
 import typing
 
 import gevent
 import gevent.pywsgi
+import logbook
 
-from mothworks import caller_watch, calls, outcomes, settings
+from mothworks import caller_watch, calls, logs, outcomes, settings
+
+log = logbook.Logger("connections")
 
 #: Maximum number of header lines, including the empty line at the end. The
 #: standard library has the same limit, but logs a traceback when it is exceeded.
@@ -57,6 +63,17 @@
     """A request's head exceeds a limit."""
 
 
+class Stage(enum.Enum):
+    """What a connection is doing."""
+
+    #: It waits for the first byte of a request.
+    IDLE = "idle"
+    #: It reads the head of a request.
+    HEAD = "head"
+    #: It reads the body of a request, serves it and sends the reply.
+    CALL = "call"
+
+
 class Connection(gevent.pywsgi.WSGIHandler):
     """One caller's connection; serves its requests one after the other."""
 
@@ -65,8 +82,9 @@
     def __init__(self, sock, address, server, rfile=None):
         super().__init__(sock, address, server, rfile)
         self.refusal: outcomes.Refusal | None = None
-        #: Whether the connection is open and waits for a request.
-        self.idle = False
+        self.stage = Stage.IDLE
+        #: Id of the request in progress, for logs; empty before its head is read.
+        self.request_id = ""
         # With Nagle's algorithm the kernel delays the second of two small
         # writes until the first is acknowledged, by up to 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -88,12 +106,13 @@
 
     def read_requestline(self) -> str:
         """Wait for the next request, for at most the idle timeout."""
-        self.idle = True
+        self.stage = Stage.IDLE
+        self.request_id = ""
         try:
             with gevent.Timeout(self.server.limits.idle_s, TimeoutError("idle")):
                 return super().read_requestline()
         finally:
-            self.idle = False
+            self.stage = Stage.HEAD
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read a request's head within the limits on bytes and time."""
@@ -114,6 +133,7 @@
     def get_environ(self) -> dict[str, typing.Any]:
         """Return the WSGI environment, which includes this connection."""
         environ = super().get_environ()
+        self.stage = Stage.CALL
         environ[calls.CONNECTION] = self
         # For an upgrade request the base class sets the bare connection here, and
         # the application would read the next request as part of the body.
@@ -121,6 +141,31 @@
         self.wsgi_input = _UnreadBody(self.wsgi_input, self)
         return environ
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the caller's close, wait to be read."""
+        # select() fails on descriptors above 1023.
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def log_cut(self, reason: str) -> None:
+        """Log that this VM ends the connection before a whole reply was sent.
+
+        :param reason: why it ends.
+        """
+        logs.event(
+            log,
+            "connection cut",
+            request=self.request_id,
+            stage=self.stage.value,
+            unread=self.has_unread_bytes,
+            sent_bytes=getattr(self, "response_length", 0),
+            reason=reason,
+            outcome="no whole reply",
+        )
+        self.server.cut_by_stage[self.stage] += 1
+
     def log_request(self) -> None:
         """Do nothing: the base class would format a line that is not logged."""
 
@@ -217,6 +262,8 @@
         self.limits = limits
         self.connections: set[Connection] = set()
         self.lingering = 0
+        #: Number of connections that were ended before a whole reply was sent.
+        self.cut_by_stage: collections.Counter[Stage] = collections.Counter()
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve one connection, or refuse it above the connection limit."""
@@ -238,13 +285,22 @@
         request was not read.
         """
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.stage is Stage.IDLE:
+                if connection.has_unread_bytes:
+                    connection.log_cut("closed as idle")
                 try:
                     connection.socket.shutdown(socket.SHUT_RDWR)
                 except OSError:
                     # The caller closed it at the same moment.
                     pass
 
+    def stop(self, timeout: float | None = None) -> None:
+        """Stop accepting; the connections that are still open end with the process."""
+        for connection in list(self.connections):
+            if connection.stage is not Stage.IDLE or connection.has_unread_bytes:
+                connection.log_cut("the process ends")
+        super().stop(timeout)
+
     def _refuse(self, sock: socket.socket) -> None:
         if self.lingering >= MAX_LINGERING:
             return
--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -76,8 +76,9 @@
         super().stop()
 
     def on_call(self, call: calls.Call) -> None:
-        """Add the call's request ID to the log lines of its task."""
+        """Add the call's request ID to the log lines of its task and connection."""
         logs.set_request_id(call.id)
+        call.environ[calls.CONNECTION].request_id = call.id
 
     def headers(self, call: calls.Call, reply: calls.Reply) -> list[tuple[str, str]]:
         """Return a reply's headers, with the call's request ID set by this node."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -5,6 +5,7 @@
 on a port of their own.
 """
 
+import collections
 import time
 import typing
 
@@ -100,6 +101,11 @@
         #: Whether new requests are refused, since this VM is stopping.
         self.is_stopping = False
         self.declarations.on_change.append(self._apply_limits)
+        self.cut_total = node_kernel.metrics.counter(
+            "connections_cut_total",
+            "Callers' connections that this VM ended before a whole reply, by stage.",
+        )
+        node_kernel.metrics.on_render.append(self._update_metrics)
 
     def start(self) -> None:
         """Start to accept connections."""
@@ -115,7 +121,11 @@
         connections are closed: a later request on one of them might not finish in the
         remaining time, and would be cut off.
         """
-        gevent.sleep(max(0.0, min(ACCEPT_AFTER_STOP_S, deadline - time.monotonic())))
+        stopped_at = time.monotonic()
+        accept_s = max(0.0, min(ACCEPT_AFTER_STOP_S, deadline - stopped_at))
+        gevent.sleep(accept_s)
+        late_s = time.monotonic() - stopped_at - accept_s
+        self._log_drain("refuses requests", stopped_at, late_s)
         self.listener.stop_accepting()
         self.listener.close()
         self.is_stopping = True
@@ -123,6 +133,22 @@
             self.listener.close_idle()
             gevent.sleep(0.05)
         self.listener.close_idle()
+        self._log_drain("drained", stopped_at, time.monotonic() - deadline)
+
+    def _log_drain(self, outcome: str, stopped_at: float, late_s: float) -> None:
+        """Log a step of the drain, and which connections are open."""
+        open_by_stage = collections.Counter(
+            connection.stage.value for connection in self.listener.connections
+        )
+        logs.event(
+            log,
+            "drain",
+            stopped_ms=round((time.monotonic() - stopped_at) * 1000),
+            late_ms=max(0, round(late_s * 1000)),
+            calls=self.open_calls,
+            connections=dict(open_by_stage),
+            outcome=outcome,
+        )
 
     def stop(self) -> None:
         """Close the listeners and all open connections."""
@@ -131,6 +157,14 @@
             listener.stop(timeout=0)
         super().stop()
 
+    def _update_metrics(self) -> None:
+        for stage, count in self.listener.cut_by_stage.items():
+            self.cut_total.set({"stage": stage.value}, count)
+
+    def on_call(self, call: calls.Call) -> None:
+        """Record the id of the connection's request, for its log lines."""
+        call.environ[calls.CONNECTION].request_id = self.callers.request_id(call)
+
     @property
     def ready(self) -> bool:
         """Return whether the load balancer may send connections."""
