A stopping VM waits for connections that hold a request, not for calls of the application

Cause: the drain counted calls inside the application. What was received and not yet a call, or answered and not yet sent, was closed as idle or with the process. A busy event loop makes it frequent: the timer that ends the wait runs before the bytes that came earlier are read.

Change: a listener drains itself. It accepts what waits in the kernel, closes only connections on which nothing of a request has arrived, and returns when none is open; the front, the forwarding server and the server of the product's own interface use it in place of three loops of their own.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -14,10 +14,12 @@
 import select
 import socket
 import struct
+import time
 import typing
 
 import gevent
 import gevent.pywsgi
+import gevent.socket
 import logbook
 
 from mothworks import caller_watch, calls, logs, outcomes, settings
@@ -33,6 +35,8 @@
 MAX_LINGERING = 256
 #: Bytes per read from a lingering connection.
 LINGER_BYTES = 64 << 10
+#: Interval at which a drain looks for connections that became idle, seconds.
+DRAIN_POLL_S = 0.02
 #: Retry-After of the refusal above the connection limit, seconds.
 CONNECTIONS_RETRY_AFTER_S = 1.0
 #: Key of the server's name in the WSGI environment. Without it the base class looks up
@@ -72,6 +76,8 @@
     HEAD = "head"
     #: It reads the body of a request, serves it and sends the reply.
     CALL = "call"
+    #: The whole reply was sent.
+    SENT = "sent"
 
 
 class Connection(gevent.pywsgi.WSGIHandler):
@@ -83,6 +89,8 @@
         super().__init__(sock, address, server, rfile)
         self.refusal: outcomes.Refusal | None = None
         self.stage = Stage.IDLE
+        #: Whether it was closed while it was idle.
+        self.is_closed = False
         #: Id of the request in progress, for logs; empty before its head is read.
         self.request_id = ""
         # With Nagle's algorithm the kernel delays the second of two small
@@ -95,7 +103,8 @@
         """Serve one request; the base class documents the return value."""
         self.refusal = None
         outcome = super().handle_one_request()
-        if not isinstance(outcome, tuple):
+        is_refused = outcome is None and self.refusal is not None
+        if not (is_refused or isinstance(outcome, tuple)):
             return outcome
         refusal = self.refusal or outcomes.invalid(
             "the request line is too long", "head_too_long", 414
@@ -105,20 +114,47 @@
         )
 
     def read_requestline(self) -> str:
-        """Wait for the next request, for at most the idle timeout."""
+        """Wait for the next request, and read its first line.
+
+        :raises TimeoutError: if the connection was idle for too long.
+        """
         self.stage = Stage.IDLE
         self.request_id = ""
+        self._wait_for_request()
+        if self.is_closed:
+            return ""
+        self.stage = Stage.HEAD
         try:
-            with gevent.Timeout(self.server.limits.idle_s, TimeoutError("idle")):
+            with gevent.Timeout(self._head_timeout_s, TimeoutError("head")):
                 return super().read_requestline()
+        except TimeoutError as error:
+            self._handle_client_error(error)
+            raise
+
+    def _wait_for_request(self) -> None:
+        """Wait for the first byte of a request, for at most the idle timeout."""
+        write_timeout_s = self.socket.gettimeout()
+        self.socket.settimeout(0)
+        try:
+            is_buffered = bool(self.rfile.peek(1))
         finally:
-            self.stage = Stage.HEAD
+            self.socket.settimeout(write_timeout_s)
+        if is_buffered:
+            return
+        gevent.socket.wait_read(
+            self.socket.fileno(),
+            timeout=self.server.limits.idle_s,
+            timeout_exc=TimeoutError("idle"),
+        )
+
+    @property
+    def _head_timeout_s(self) -> float:
+        limits = self.server.limits
+        return min(limits.head_s, limits.upload_s)
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read a request's head within the limits on bytes and time."""
-        limits = self.server.limits
-        timeout_s = min(limits.head_s, limits.upload_s)
-        with gevent.Timeout(timeout_s, TimeoutError("head")):
+        with gevent.Timeout(self._head_timeout_s, TimeoutError("head")):
             return super().read_request(raw_requestline)
 
     def MessageClass(self, *args):  # noqa: N802
@@ -176,6 +212,7 @@
         """
         try:
             super().process_result()
+            self.stage = Stage.SENT
         except BrokenAnswer:
             self.close_connection = True
             is_framed = self.response_use_chunked or self.provided_content_length
@@ -277,27 +314,50 @@
         finally:
             self.connections.discard(connection)
 
+    def drain(self, deadline: float) -> None:
+        """Close the port, serve what has arrived, and close all connections.
+
+        :param deadline: monotonic time by which to return, seconds.
+        """
+        self._accept_pending()
+        self.close()
+        # Lets the accepted connections start.
+        gevent.sleep(0)
+        while self.connections and time.monotonic() < deadline:
+            self.close_idle()
+            gevent.sleep(DRAIN_POLL_S)
+
     def close_idle(self) -> None:
-        """Close the connections that wait for a request.
+        """Close the connections on which nothing of a request has arrived.
 
         A caller that sends its next request at the same moment sees a closed
         connection without a reply, and may retry on another VM because the
         request was not read.
         """
         for connection in list(self.connections):
-            if connection.stage is Stage.IDLE:
-                if connection.has_unread_bytes:
-                    connection.log_cut("closed as idle")
+            if connection.stage is Stage.IDLE and not connection.has_unread_bytes:
+                connection.is_closed = True
                 try:
                     connection.socket.shutdown(socket.SHUT_RDWR)
                 except OSError:
                     # The caller closed it at the same moment.
                     pass
 
+    def _accept_pending(self) -> None:
+        """Accept the connections that wait in the kernel."""
+        self.stop_accepting()
+        try:
+            while accepted := self.do_read():
+                self.do_handle(*accepted)
+        except OSError as error:
+            logs.event(log, "accept", reason=str(error), outcome="failed")
+
     def stop(self, timeout: float | None = None) -> None:
         """Stop accepting; the connections that are still open end with the process."""
         for connection in list(self.connections):
-            if connection.stage is not Stage.IDLE or connection.has_unread_bytes:
+            is_served = connection.stage is Stage.SENT
+            is_idle = connection.stage is Stage.IDLE and not connection.has_unread_bytes
+            if not (is_served or is_idle):
                 connection.log_cut("the process ends")
         super().stop(timeout)
 
--- a/packages/mothworks/src/mothworks/server.py
+++ b/packages/mothworks/src/mothworks/server.py
@@ -19,10 +19,6 @@
 
 log = logbook.Logger("server")
 
-#: Time without an open call after which a draining VM may stop, seconds. It
-#: leaves time for a call that is being read from a kept-alive connection.
-QUIET_PERIOD_S = 0.3
-
 
 @plugins.register(plugins.PART, "server")
 class Server(serving.Serving):
@@ -62,13 +58,7 @@
         """
         unready_s = self.kernel.settings.limits.unready_s
         gevent.sleep(max(0.0, min(unready_s, deadline - time.monotonic())))
-        self.listener.stop_accepting()
-        self.listener.close()
-        quiet_since = time.monotonic()
-        while time.monotonic() < min(deadline, quiet_since + QUIET_PERIOD_S):
-            gevent.sleep(0.02)
-            if self.open_calls:
-                quiet_since = time.monotonic()
+        self.listener.drain(deadline)
 
     def stop(self) -> None:
         """Close the listener and the connections that are still open."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding_server.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding_server.py
@@ -8,7 +8,6 @@
 import time
 
 import attrs
-import gevent
 import result
 
 from mothworks import calls, connections, kernel, outcomes, serving, settings
@@ -59,8 +58,7 @@
 
     def drain(self, deadline: float) -> None:
         """Finish the requests in flight; new ones are refused meanwhile."""
-        while self.open_calls and time.monotonic() < deadline:
-            gevent.sleep(0.05)
+        self.listener.drain(deadline)
 
     def stop(self) -> None:
         """Close the listener and all connections."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -117,22 +117,17 @@
         """Finish every request in flight; see :meth:`kernel.Part.drain`.
 
         The load balancer sends connections until it notices that the VM is not ready.
-        They are served, and each answer signals the caller to reconnect. Then idle
-        connections are closed: a later request on one of them might not finish in the
-        remaining time, and would be cut off.
+        They are served, and each answer signals the caller to reconnect. Then requests
+        are refused and idle connections are closed: a later request might not finish in
+        the remaining time, and would be cut off.
         """
         stopped_at = time.monotonic()
         accept_s = max(0.0, min(ACCEPT_AFTER_STOP_S, deadline - stopped_at))
         gevent.sleep(accept_s)
         late_s = time.monotonic() - stopped_at - accept_s
         self._log_drain("refuses requests", stopped_at, late_s)
-        self.listener.stop_accepting()
-        self.listener.close()
         self.is_stopping = True
-        while self.open_calls and time.monotonic() < deadline:
-            self.listener.close_idle()
-            gevent.sleep(0.05)
-        self.listener.close_idle()
+        self.listener.drain(deadline)
         self._log_drain("drained", stopped_at, time.monotonic() - deadline)
 
     def _log_drain(self, outcome: str, stopped_at: float, late_s: float) -> None:
