A request whose body arrives after its VM began to refuse requests is refused as not run

Cause: whether the VM refuses requests was asked once, when the head was read; the body came later.

Change: it is asked again when the body is read, before anything is charged or passed on.

--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -233,6 +233,8 @@
                 self._discard_body(call)
                 return refused
         match call.body():
+            case result.Ok(_) if self.is_stopping:
+                return result.Err(_stopping())
             case result.Ok(body):
                 pass
             case refused:
@@ -248,9 +250,7 @@
     ) -> result.Result[declaration_types.Route, outcomes.Refusal]:
         """Return the route that matches a call."""
         if self.is_stopping:
-            return result.Err(
-                outcomes.overloaded("this VM is stopping", STOPPING_RETRY_S, "stopping")
-            )
+            return result.Err(_stopping())
         declaration = self.declarations.current
         if declaration is None:
             message = "no declaration is known yet"
@@ -303,3 +303,7 @@
             outcome=refusal.status,
         )
         return self.refuse(refusal)
+
+
+def _stopping() -> outcomes.Refusal:
+    return outcomes.overloaded("this VM is stopping", STOPPING_RETRY_S, "stopping")
