A stream that ends before its first bytes were sent is answered instead of closed

Cause: the head of an answer is sent with its first bytes. When the body broke before them, the connection was closed as if a part of the answer had been sent.

Change: as long as nothing is sent, the answer becomes a 502 that says that the request may have run.

--- a/packages/mothworks/src/mothworks/serving.py
+++ b/packages/mothworks/src/mothworks/serving.py
@@ -1,6 +1,7 @@
 """Base class of the parts that serve calls over WSGI."""
 
 import collections.abc
+import sys
 import typing
 
 import logbook
@@ -82,13 +83,16 @@
             call = calls.Call(environ, self.limits, self.uploads)
             self.on_call(call)
             reply = self._reply_or_internal_error(call)
-            self.on_reply(call, reply)
-            headers = self.headers(call, reply)
-            if self.kernel.draining:
-                # Makes the caller send its next call to another VM.
-                headers.append(("Connection", "close"))
-            start_response(calls.status_line(reply.status), headers)
-            yield from reply.body
+            self._begin(call, reply, start_response)
+            try:
+                yield from reply.body
+            except connections.BrokenAnswer as error:
+                if call.environ[calls.CONNECTION].headers_sent:
+                    raise
+                # Nothing of the answer was sent, so the caller can be told.
+                reply = self.refuse(outcomes.unknown(str(error)))
+                self._begin(call, reply, start_response, sys.exc_info())
+                yield from reply.body
         except OSError as error:
             raise connections.BrokenAnswer from error
         finally:
@@ -100,6 +104,27 @@
                 call.stop_watch()
             self.open_calls -= 1
 
+    def _begin(
+        self,
+        call: calls.Call,
+        reply: calls.Reply,
+        start_response: calls.StartResponse,
+        error: tuple | None = None,
+    ) -> None:
+        """Set the status and the headers of a reply.
+
+        :param call: the call.
+        :param reply: its reply.
+        :param start_response: WSGI's function.
+        :param error: the exception that ended another reply before its first byte.
+        """
+        self.on_reply(call, reply)
+        headers = self.headers(call, reply)
+        if self.kernel.draining:
+            # Makes the caller send its next call to another VM.
+            headers.append(("Connection", "close"))
+        start_response(calls.status_line(reply.status), headers, error)
+
     def _reply_or_internal_error(self, call: calls.Call) -> calls.Reply:
         """Return the reply to a call; status 500 if an exception is raised.
 
