When the time to stop is over, calls in progress end with a final answer

What callers saw: a request that its endpoint had not answered when the VM's grace ended, or whose body was still arriving, got a closed connection.

Cause: calls that were open at the deadline of the drain ended with the process.

Change: the drain throws into their tasks. A request that was not passed on is refused as not run (503), one that was gets a 502 that says that it may have run, and a begun answer is broken off as any other broken answer is: without its end, with a reset where only the close would end it, and logged.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -35,6 +35,8 @@
 MAX_LINGERING = 256
 #: Bytes per read from a lingering connection.
 LINGER_BYTES = 64 << 10
+#: Time after the deadline of a drain for final replies to be sent, seconds.
+FINAL_REPLIES_S = 0.2
 #: Interval at which a drain looks for connections that became idle, seconds.
 DRAIN_POLL_S = 0.02
 #: Retry-After of the refusal above the connection limit, seconds.
@@ -63,10 +65,21 @@
     """
 
 
+class DrainTimeout(gevent.GreenletExit):
+    """The time to shut down is over; thrown into the tasks of calls in progress.
+
+    Calls whose reply has not begun get a final one. Others end early.
+    """
+
+
 class HeadTooLong(ValueError):
     """A request's head exceeds a limit."""
 
 
+#: What ends a reply early in the course of things.
+EARLY_ENDS = (BrokenAnswer, caller_watch.CallerDisconnected, TimeoutError)
+
+
 class Stage(enum.Enum):
     """What a connection is doing."""
 
@@ -88,6 +101,7 @@
     def __init__(self, sock, address, server, rfile=None):
         super().__init__(sock, address, server, rfile)
         self.refusal: outcomes.Refusal | None = None
+        self.task = gevent.getcurrent()
         self.stage = Stage.IDLE
         #: Whether it was closed while it was idle.
         self.is_closed = False
@@ -213,15 +227,24 @@
         try:
             super().process_result()
             self.stage = Stage.SENT
-        except BrokenAnswer:
+        except BaseException as error:
             self.close_connection = True
             is_framed = self.response_use_chunked or self.provided_content_length
             if self.headers_sent and not is_framed:
                 reset_on_close(self.socket)
-        except caller_watch.CallerDisconnected:
-            self.close_connection = True
-        except TimeoutError:
-            self.close_connection = True
+            if isinstance(error, DrainTimeout):
+                self.log_cut("the time to shut down is over")
+            elif not isinstance(error, EARLY_ENDS):
+                raise
+
+    def interrupt(self) -> None:
+        """Throw :class:`DrainTimeout` into the call in progress, if there is one."""
+        gevent.get_hub().loop.run_callback(self._throw_drain_timeout)
+
+    def _throw_drain_timeout(self) -> None:
+        # Runs in the event loop while the task waits. Until then the call may end.
+        if self.stage is Stage.CALL and not self.task.dead:
+            self.task.throw(DrainTimeout)
 
     def _write_with_headers(self, data: bytes) -> None:
         # The base class sends the head and the start of the body separately, which
@@ -317,13 +340,22 @@
     def drain(self, deadline: float) -> None:
         """Close the port, serve what has arrived, and close all connections.
 
-        :param deadline: monotonic time by which to return, seconds.
+        :param deadline: monotonic time at which calls in progress are ended, seconds.
         """
         self._accept_pending()
         self.close()
         # Lets the accepted connections start.
         gevent.sleep(0)
-        while self.connections and time.monotonic() < deadline:
+        self._close_until(deadline)
+        if not self.connections:
+            return
+        for connection in list(self.connections):
+            connection.interrupt()
+        self._close_until(time.monotonic() + FINAL_REPLIES_S)
+
+    def _close_until(self, end: float) -> None:
+        """Close connections as they become idle, until a time or until none is open."""
+        while self.connections and time.monotonic() < end:
             self.close_idle()
             gevent.sleep(DRAIN_POLL_S)
 
--- a/packages/mothworks/src/mothworks/serving.py
+++ b/packages/mothworks/src/mothworks/serving.py
@@ -10,6 +10,8 @@
 
 log = logbook.Logger("serving")
 
+#: What ends a body early and is answered if nothing of it was sent.
+EARLY_ENDS = (connections.BrokenAnswer, connections.DrainTimeout)
 #: Statuses whose replies have no body.
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -86,11 +88,11 @@
             self._begin(call, reply, start_response)
             try:
                 yield from reply.body
-            except connections.BrokenAnswer as error:
+            except EARLY_ENDS as error:
                 if call.environ[calls.CONNECTION].headers_sent:
                     raise
                 # Nothing of the answer was sent, so the caller can be told.
-                reply = self.refuse(outcomes.unknown(str(error)))
+                reply = self.refuse(outcomes.unknown(str(error) or "it ended early"))
                 self._begin(call, reply, start_response, sys.exc_info())
                 yield from reply.body
         except OSError as error:
@@ -133,6 +135,8 @@
         """
         try:
             return self.reply(call)
+        except connections.DrainTimeout:
+            return self.refuse(outcomes.unknown("this VM is stopping"))
         except Exception:
             log.exception("failed to answer {} {}", call.method, call.raw_path[:80])
             return self.refuse(
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -11,7 +11,7 @@
 import logbook
 import result
 
-from mothworks import calls, endpoints, kernel, logs, transport
+from mothworks import calls, connections, endpoints, kernel, logs, transport
 from mothworks_gateway import (
     adapters,
     caller_request,
@@ -111,6 +111,10 @@
             reply = self._send(request, endpoint, progress, started_at)
             has_reply = reply is not None
             return reply
+        except connections.DrainTimeout:
+            progress.may_have_run = True
+            progress.reason = "this VM is stopping"
+            raise
         finally:
             if not has_reply:
                 self.running_requests.request_ended(endpoint, request.target)
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -11,7 +11,7 @@
 import logbook
 import result
 
-from mothworks import calls, kernel, logs, outcomes
+from mothworks import calls, connections, kernel, logs, outcomes
 from mothworks_gateway import (
     attempts,
     caller_request,
@@ -141,6 +141,9 @@
     ) -> result.Result[calls.Reply, outcomes.Refusal]:
         try:
             return self._run_attempts(request, progress)
+        except connections.DrainTimeout:
+            progress.reason = "this VM is stopping"
+            return self._give_up(request, progress)
         finally:
             self.retry_grants.release(progress)
 
@@ -231,7 +234,12 @@
         if not self._charge(request, progress):
             return self._give_up(request, progress)
         wait_until = self._wait_until(request, progress)
-        match self.forwarding.run(request, progress, wait_until):
+        try:
+            outcome = self.forwarding.run(request, progress, wait_until)
+        except connections.DrainTimeout:
+            progress.may_have_run = True
+            raise
+        match outcome:
             case result.Ok(reply):
                 self._count(request, "forwarded")
                 return result.Ok(reply)
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -210,7 +210,11 @@
 
     def reply(self, call: calls.Call) -> calls.Reply:
         """Run the request of one call, and return the reply."""
-        match self._parse(call):
+        try:
+            parsed = self._parse(call)
+        except connections.DrainTimeout:
+            parsed = result.Err(_stopping())
+        match parsed:
             case result.Ok(request):
                 return self._run(call, request)
             case result.Err(refusal):
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -102,6 +102,9 @@
                 self.outcome = "forwarded"
                 yield from forwarded
                 return
+        except connections.DrainTimeout:
+            self.outcome = "cut: this VM is stopping"
+            raise
         finally:
             self.close()
 
