A failed task shuts its VM down after the calls in progress, not at once

Cause: kernel.crash stopped the process without the drain that a signal starts. A part whose own drain failed ended the drain of all others as well.

Change: a failure starts the same drain, in which the front refuses new requests at once (as not run) and no order is sent by this VM's lease any more; each step of a shutdown is guarded. The exit code stays 1.

--- a/packages/mothworks/src/mothworks/kernel.py
+++ b/packages/mothworks/src/mothworks/kernel.py
@@ -5,10 +5,12 @@
 :meth:`Kernel.get`, so dependencies are built first and stopped last.
 """
 
+import collections.abc
 import math
 import time
 import typing
 
+import gevent
 import gevent.event
 import logbook
 
@@ -93,18 +95,30 @@
         deadline = time.monotonic() + self.settings.limits.drain_s
         self.drain_deadline = deadline
         for callback in self.on_draining:
-            callback()
+            self._try_step(callback)
         parts = list(reversed(self.part_by_class.values()))
         for part in parts:
-            part.drain(deadline)
+            self._try_step(part.drain, deadline)
         for part in parts:
-            part.stop()
+            self._try_step(part.stop)
         self.stopped.set()
 
+    def _try_step(
+        self, step: collections.abc.Callable[..., None], *args: typing.Any
+    ) -> None:
+        """Run a step of the shutdown; one that fails does not end the others."""
+        try:
+            step(*args)
+        except Exception as error:
+            log.exception("a step of the shutdown failed: {}", step)
+            self.failure = self.failure or error
+
     def crash(self, error: BaseException) -> None:
-        """Stop immediately, without a drain, because an invariant is broken.
+        """Shut down because an invariant is broken.
+
+        The calls in progress run in tasks of their own and are finished first.
 
         :param error: the exception.
         """
-        self.failure = error
-        self.stopped.set()
+        self.failure = self.failure or error
+        gevent.spawn(self.shut_down)
--- a/packages/mothworks/src/mothworks/tasks.py
+++ b/packages/mothworks/src/mothworks/tasks.py
@@ -1,7 +1,7 @@
 """Groups of greenlets that are stopped together.
 
 An unhandled exception in a task means that an invariant is broken. It is
-logged and stops the whole process, so that a VM never continues in an
+logged and shuts the whole process down, so that a VM never continues in an
 undefined state; its peers then take over.
 """
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -122,6 +122,8 @@
         the remaining time, and would be cut off.
         """
         stopped_at = time.monotonic()
+        # A VM that shuts down because of a failure takes no new work.
+        self.is_stopping = self.kernel.failure is not None
         accept_s = max(0.0, min(ACCEPT_AFTER_STOP_S, deadline - stopped_at))
         gevent.sleep(accept_s)
         late_s = time.monotonic() - stopped_at - accept_s
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -171,7 +171,8 @@
     def held(self) -> bool:
         """Return whether this VM holds the lease and may send orders now."""
         return (
-            self.record is not None
+            self.kernel.failure is None
+            and self.record is not None
             and self.record.holder == self.name
             and self.orders_from <= boot_clock.now() < self.valid_until
             and boot_clock.now() - self.checked_at < MAX_CHECK_GAP_S
