A VM with a short time to stop leaves time for the last requests that it accepts

Cause: the time for which new connections are accepted, the margin before the kill and the one in which waits end were fixed seconds, for a time to stop of 8 s.

Change: each takes at most a share of the time there is. With 8 s nothing changes.

--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -52,8 +52,10 @@
 #: Upper bound of the wait in a queue, as a share of the available time. A request that
 #: is granted last must still begin before its caller disconnects.
 MAX_QUEUE_SHARE = 0.9
-#: Time before a draining VM stops at which all waits end, seconds.
+#: Time before a draining VM stops at which all waits end, seconds, and the most of the
+#: time for its drain that this may take.
 DRAIN_MARGIN_S = 2.5
+MAX_DRAIN_MARGIN_SHARE = 0.36
 #: Longest wait for a service without endpoints to get one, as a share of the objective.
 ENDPOINT_WAIT_SHARE = 0.12
 #: Retry-After if the service has no endpoint, seconds.
@@ -495,7 +497,7 @@
         """Return the monotonic time by which an answer has to begin."""
         timeout_s = request.route.caller_timeout_s * CALLER_TIMEOUT_SHARE
         latest = min(request.deadline, request.received_at + timeout_s)
-        return min(latest, self.kernel.drain_deadline - DRAIN_MARGIN_S)
+        return min(latest, self._drain_wait_until())
 
     def _wait_until(
         self,
@@ -513,9 +515,15 @@
         return min(
             request.received_at + wait_s,
             progress.wait_until,
-            self.kernel.drain_deadline - DRAIN_MARGIN_S,
+            self._drain_wait_until(),
         )
 
+    def _drain_wait_until(self) -> float:
+        """Return the monotonic time at which all waits end as this VM stops."""
+        drain_s = self.kernel.settings.limits.drain_s
+        margin_s = min(DRAIN_MARGIN_S, MAX_DRAIN_MARGIN_SHARE * drain_s)
+        return self.kernel.drain_deadline - margin_s
+
     def _queue_until(
         self,
         request: caller_request.CallerRequest,
@@ -530,7 +538,7 @@
         return min(
             request.received_at + MAX_QUEUE_SHARE * available_s,
             progress.wait_until,
-            self.kernel.drain_deadline - DRAIN_MARGIN_S,
+            self._drain_wait_until(),
         )
 
     def _may_retry(
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -44,8 +44,13 @@
 #: Time after the stop signal during which new connections are still accepted, seconds:
 #: the load balancer needs two checks, one per second, to notice it.
 ACCEPT_AFTER_STOP_S = 2.6
-#: Time before the kill deadline at which the process exits by itself, seconds.
+#: The most of the time for a drain that this may take; requests that are accepted last
+#: must have time to finish.
+MAX_ACCEPT_SHARE = 0.4
+#: Time before the kill deadline at which the process exits by itself, seconds, and the
+#: most of the time to stop that it may take.
 EXIT_MARGIN_S = 0.9
+MAX_EXIT_SHARE = 0.12
 #: Retry-After while this VM stops, seconds: the retry reaches another VM.
 STOPPING_RETRY_S = 0.02
 #: Factor on the declared idle timeout of connections: a caller that reuses a connection
@@ -124,7 +129,8 @@
         stopped_at = time.monotonic()
         # A VM that shuts down because of a failure takes no new work.
         self.is_stopping = self.kernel.failure is not None
-        accept_s = max(0.0, min(ACCEPT_AFTER_STOP_S, deadline - stopped_at))
+        left_s = max(0.0, deadline - stopped_at)
+        accept_s = min(ACCEPT_AFTER_STOP_S, MAX_ACCEPT_SHARE * left_s)
         gevent.sleep(accept_s)
         late_s = time.monotonic() - stopped_at - accept_s
         self._log_drain("refuses requests", stopped_at, late_s)
@@ -311,5 +317,13 @@
         return self.refuse(refusal)
 
 
+def drain_s(stop_s: float) -> float:
+    """Return the time for a graceful shutdown, seconds.
+
+    :param stop_s: time from the stop signal until the process is killed, seconds.
+    """
+    return stop_s - min(EXIT_MARGIN_S, MAX_EXIT_SHARE * stop_s)
+
+
 def _stopping() -> outcomes.Refusal:
     return outcomes.overloaded("this VM is stopping", STOPPING_RETRY_S, "stopping")
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -80,7 +80,7 @@
     def __init__(self, checked: settings.Settings, path: pathlib.Path | None = None):
         self.path = path
         importlib.import_module(checked.adapter)
-        drain_s = max(0.5, checked.bounds.stop_s - front.EXIT_MARGIN_S)
+        drain_s = front.drain_s(checked.bounds.stop_s)
         limits = attrs.evolve(checked.limits, drain_s=drain_s)
         self.kernel = kernel.Kernel(attrs.evolve(checked, limits=limits))
         for part in PARTS:
