The lease leaves a VM that can open no connection to endpoints, also where no request shows it

Cause: only requests showed that paths are lost. A holder whose requests all went over open connections, or that had none, did not learn that its orders reach nobody; a cut VM without requests acquired the lease.

Change: a holder that has opened no connection for 0.6 s opens one, and another one 0.1 s later unless the first did; a VM probes endpoints before it acquires the lease; holding on is judged by whether connections open, not by whether old ones answer; and the release comes when its time is over, not at the next poll.

--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_paths.py
@@ -10,6 +10,7 @@
 connections to check its paths.
 """
 
+import collections.abc
 import random
 import time
 
@@ -29,9 +30,14 @@
 #: Number of unreachable endpoints, without one that was reached since, from which on
 #: the paths count as lost.
 MIN_UNREACHABLE = 2
-#: Time without a byte from any endpoint, while requests run on several, after which the
-#: paths are checked, seconds.
+#: Time without a byte from any endpoint, while requests run on several, or without a
+#: new connection, where this VM needs any, after which paths are checked, seconds.
 MAX_SILENCE_S = 0.6
+#: Time that a probe may take before another endpoint is probed, too, where no request
+#: runs that shows whether endpoints respond, seconds.
+SECOND_PROBE_DELAY_S = 0.1
+#: Longest time that probes are waited for, seconds.
+VERIFY_TIMEOUT_S = 1.0
 #: Number of further endpoints that are probed when the paths count as lost.
 MAX_PROBED_AT_LOSS = 3
 #: Interval between checks, seconds.
@@ -63,6 +69,11 @@
         self.lost_since: float | None = None
         #: Callbacks without arguments to call after the paths were lost or regained.
         self.on_change: list = []
+        #: Callbacks without arguments to call once no connection can be opened.
+        self.on_cannot_open: list = []
+        #: Callbacks that return whether this VM needs to open connections though none
+        #: of its requests does.
+        self.needed_by: list[collections.abc.Callable[[], bool]] = []
         metrics = node_kernel.metrics
         self.lost_gauge = metrics.gauge(
             "endpoint_paths_lost", "1 while this VM reaches no endpoint."
@@ -92,6 +103,19 @@
         is_current = self.connections.opened_at <= self.unopened_since
         return is_current and len(self.unopened_ids) >= self._needed()
 
+    @property
+    def cannot_open_s(self) -> float:
+        """Return for how long no connection could be opened, seconds; 0 if one can."""
+        since = [self.unopened_since] if self.cannot_open else []
+        if self.lost_since is not None:
+            since.append(self.lost_since)
+        return time.monotonic() - min(since) if since else 0.0
+
+    def verify(self) -> None:
+        """Probe endpoints unless one was connected to lately; waits for the outcome."""
+        if self._may_be_cut() and not self.lost:
+            gevent.joinall(self._probe_some(MIN_UNREACHABLE), timeout=VERIFY_TIMEOUT_S)
+
     def record_reached(self, now: float) -> None:
         """Record that an endpoint responded.
 
@@ -125,7 +149,11 @@
             self.unopened_ids.clear()
         if not self.unopened_ids:
             self.unopened_since = started_at
+        could_open = not self.cannot_open
         self.unopened_ids.add(endpoint.id)
+        if could_open and self.cannot_open:
+            for notify in self.on_cannot_open:
+                notify()
 
     def _needed(self) -> int:
         """Return how many unreachable endpoints show that the cause is not theirs."""
@@ -170,14 +198,21 @@
                 self._probe_some(1)
             elif self._is_silent():
                 self._probe_some(MIN_UNREACHABLE)
+            elif self._may_be_cut() and any(needs() for needs in self.needed_by):
+                self._probe_without_requests()
+
+    def _probe_some(self, count: int) -> list[gevent.Greenlet]:
+        """Probe random endpoints, at first those that were not unreachable yet.
 
-    def _probe_some(self, count: int) -> None:
-        """Probe random endpoints, at first those that were not unreachable yet."""
+        :returns: the tasks that probe them.
+        """
         available = [item for item in self.registry.by_id.values() if item.available]
         untried = [item for item in available if item.id not in self.unreachable_ids]
         probed = untried or available
-        for endpoint in random.sample(probed, min(count, len(probed))):
+        return [
             self.tasks.spawn(self._probe, endpoint)
+            for endpoint in random.sample(probed, min(count, len(probed)))
+        ]
 
     def _is_silent(self) -> bool:
         """Return whether several endpoints run requests and none responds."""
@@ -185,6 +220,21 @@
         is_waiting = len(used) >= self._needed()
         return is_waiting and time.monotonic() - self.reached_at > MAX_SILENCE_S
 
+    def _may_be_cut(self) -> bool:
+        """Return whether no connection has shown lately that endpoints accept any.
+
+        Requests on open connections do not show it.
+        """
+        return time.monotonic() - self.connections.opened_at > MAX_SILENCE_S
+
+    def _probe_without_requests(self) -> None:
+        """Probe one endpoint, and another one unless the first responds at once."""
+        started_at = time.monotonic()
+        self._probe_some(1)
+        gevent.sleep(SECOND_PROBE_DELAY_S)
+        if self.connections.opened_at < started_at:
+            self._probe_some(1)
+
     def _probe(self, endpoint: registry.Endpoint) -> None:
         """Open a connection to an endpoint, which later requests use."""
         started_at = time.monotonic()
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding_peers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding_peers.py
@@ -72,7 +72,8 @@
         #: Set once a round of queries has ended, until peers are no longer needed.
         self._queried = gevent.event.Event()
         self._wake = gevent.event.Event()
-        self.paths.on_change.append(self._on_paths_change)
+        self.paths.on_change.append(self._wake_if_needed)
+        self.paths.on_cannot_open.append(self._wake_if_needed)
         self.peers.handle(forwarding_messages.ForwardingQuery, self._serve_query)
 
     def start(self) -> None:
@@ -109,10 +110,11 @@
         return peer.running + self.forwarded_by_vm[peer.vm] + margin
 
     def _is_needed(self) -> bool:
-        return self.paths.lost or time.monotonic() - self._needed_at < NEEDED_S
+        is_cut = self.paths.lost or self.paths.cannot_open
+        return is_cut or time.monotonic() - self._needed_at < NEEDED_S
 
-    def _on_paths_change(self) -> None:
-        if self.paths.lost:
+    def _wake_if_needed(self) -> None:
+        if self._is_needed():
             self._wake.set()
 
     def _query_while_needed(self) -> None:
--- a/packages/mothworks_gateway/src/mothworks_gateway/lease.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/lease.py
@@ -120,6 +120,8 @@
         self.discovery.on_restored.append(self._on_restored)
         self.paths = node_kernel.get(endpoint_paths.EndpointPaths)
         self.paths.on_change.append(lambda: self._wake.set())
+        self.paths.on_cannot_open.append(lambda: self._wake.set())
+        self.paths.needed_by.append(lambda: self.record is not None)
         self.forwarding_peers = node_kernel.get(forwarding_peers.ForwardingPeers)
         node_kernel.on_draining.append(lambda: self.tasks.spawn(self._release_on_drain))
         self.started_at = time.monotonic()
@@ -228,31 +230,32 @@
     def _run(self) -> None:
         gevent.sleep(STARTUP_DELAY_S * random.uniform(0.8, 1.2))
         while not self.kernel.draining:
-            if self._is_unable():
-                self._release_for_others()
-            elif self.record is None:
-                self._try_acquire()
+            is_unable = self._is_unable()
+            if self.record is None:
+                if not is_unable:
+                    self._try_acquire()
+            elif is_unable and self.paths.cannot_open_s >= MIN_LOSS_S:
+                self.release("no path to endpoints")
             else:
                 self._renew()
-            # A lease that was just acquired is renewed on the same schedule: another VM
-            # takes over once it stays unchanged for little more than one interval.
-            keeps_lease = self.record is not None and not self.paths.lost
-            self._wake.wait(
-                self.renew_interval_s
-                if keeps_lease
-                else POLL_INTERVAL_S * random.uniform(0.8, 1.2)
-            )
+            self._wake.wait(self._next_step_in_s())
             self._wake.clear()
 
+    def _next_step_in_s(self) -> float:
+        """Return the time until this VM renews, releases or tries to acquire it."""
+        if self.record is None:
+            return POLL_INTERVAL_S * random.uniform(0.8, 1.2)
+        cannot_open_s = self.paths.cannot_open_s
+        if cannot_open_s:
+            until_release_s = MIN_LOSS_S - cannot_open_s
+            return until_release_s if until_release_s > 0 else POLL_INTERVAL_S
+        # A lease that was just acquired is renewed on the same schedule: another VM
+        # takes over once it stays unchanged for little more than one interval.
+        return self.renew_interval_s
+
     def _is_unable(self) -> bool:
         """Return whether other VMs reach endpoints and this one does not."""
-        is_lasting = self.paths.lost_s > MIN_LOSS_S
-        return is_lasting and bool(self.forwarding_peers.offers())
-
-    def _release_for_others(self) -> None:
-        """Release the lease, so that a VM that can send orders acquires it."""
-        if self.record is not None:
-            self.release("no path to endpoints")
+        return self.paths.cannot_open_s > 0 and bool(self.forwarding_peers.offers())
 
     def _check_suspension(self) -> None:
         """Stop trusting the lease after a suspension, until it is renewed."""
@@ -373,6 +376,10 @@
         is_next = self._rank() == 0 or self._higher_ranks_timed_out()
         if not (is_next or self._reclaims):
             return
+        self.paths.verify()
+        if 0 < self.paths.cannot_open_s < MIN_LOSS_S:
+            # Whether other VMs reach endpoints is known soon.
+            return
         stored = self._read()
         if stored is None:
             return
