A round of late replies does not end the valid offers of forwarding peers

Cause: each query that was not answered within 0.25 s dropped the peer's last offer, though it is valid for 0.8 s. One late round, as of a busy event loop, left a VM without any peer.

Change: only a peer's own refusal ends its offer early; silence ends it when its validity is over.

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding_peers.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding_peers.py
@@ -157,8 +157,11 @@
                     offer.heeds_versions,
                     time.monotonic(),
                 )
-            case _:
+            case result.Ok(_):
                 self.peer_by_vm.pop(member.name, None)
+            case _:
+                # A late reply says nothing; the last offer ends with its validity.
+                pass
 
     def _serve_query(self, _: str, __, reply: peers.Reply) -> None:
         accepts = not (self.paths.lost or self.kernel.draining)
