--- a/packages/mothworks_gateway/tests/test_known_red.py
+++ b/packages/mothworks_gateway/tests/test_known_red.py
@@ -27,6 +27,18 @@
         conftest.read_list(line)
 
 
+# Guards against a failure that cannot be traced because its logs are gone, and against
+# reports that grow with them.
+def test_the_ends_of_the_logs_of_a_failed_test_are_kept(conftest, tmp_path):
+    (tmp_path / "1").mkdir()
+    for number in range(conftest.MAX_LOGS + 1):
+        text = f"first\n{'x' * conftest.MAX_LOG_BYTES}last"
+        (tmp_path / "1" / f"vm-{number:02}.log").write_text(text)
+    ends = conftest.log_ends(tmp_path)
+    assert len(ends) == conftest.MAX_LOGS
+    assert all(text.endswith("last") and "first" not in text for _, text in ends)
+
+
 def test_listed_tests_exist(conftest):
     for entry in conftest.read_list(conftest.LIST_PATH.read_text()):
         path, _, name = entry.test.partition("::")
