--- a/packages/mothworks/src/mothworks/serving.py
+++ b/packages/mothworks/src/mothworks/serving.py
@@ -10,8 +10,6 @@
 
 log = logbook.Logger("serving")
 
-#: What ends a body early and is answered if nothing of it was sent.
-EARLY_ENDS = (connections.BrokenAnswer, connections.DrainTimeout)
 #: Statuses whose replies have no body.
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -88,7 +86,7 @@
             self._begin(call, reply, start_response)
             try:
                 yield from reply.body
-            except EARLY_ENDS as error:
+            except (connections.BrokenAnswer, connections.DrainTimeout) as error:
                 if call.environ[calls.CONNECTION].headers_sent:
                     raise
                 # Nothing of the answer was sent, so the caller can be told.
