--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -566,7 +566,8 @@
         A retry may wait for its model first, and may be refused then.
         """
         owes_retry, progress.owes_retry = progress.owes_retry, False
-        return not owes_retry or self.retry_budget.try_spend(request.target.service)
+        service = request.target.service
+        return not owes_retry or self.retry_budget.try_spend(service, request.id)
 
     def _give_up(
         self,
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -483,7 +483,7 @@
         if len(self.progress.tried) >= self.request.route.max_endpoints:
             return False
         service = self.request.target.service
-        if not self.forwarding.retry_budget.try_spend(service):
+        if not self.forwarding.retry_budget.try_spend(service, self.request.id):
             return False
         self.events.begin_answer()
         resumed = self.forwarding.resume(
--- a/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
@@ -112,7 +112,8 @@
         grant, reason = None, "no retry left"
         if self.retry_budget.may_spend(request.target.service):
             grant, reason = self._find(request, progress, running_s)
-        if grant and not self.retry_budget.try_spend(request.target.service):
+        service = request.target.service
+        if grant and not self.retry_budget.try_spend(service, request.id):
             self._release(grant)
             grant, reason = None, "no retry left"
         self._record(request, running_s, grant, reason)
@@ -141,7 +142,7 @@
         if vm not in offering:
             reason = "no other peer or no retry left"
             service = request.target.service
-            if others and self.retry_budget.try_spend(service):
+            if others and self.retry_budget.try_spend(service, request.id):
                 grant = RetryGrant()
         self._record(request, running_s, grant, reason)
         progress.grant = grant
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -202,7 +202,9 @@
         """Charge the retry that is about to be sent; returns whether one was left."""
         service = self.request.target.service
         if not self.is_charged:
-            self.is_charged = self.attempts.retry_budget.try_spend(service)
+            self.is_charged = self.attempts.retry_budget.try_spend(
+                service, self.request.id
+            )
         return self.is_charged
 
     def _resume(self) -> bool:
--- a/packages/mothworks_gateway/tests/retry_builders.py
+++ b/packages/mothworks_gateway/tests/retry_builders.py
@@ -30,7 +30,7 @@
     def may_spend(self, _):
         return self.left > 0
 
-    def try_spend(self, _):
+    def try_spend(self, _, __):
         self.left -= 1
         return self.left >= 0
 
--- a/packages/mothworks_gateway/tests/test_retry_budget.py
+++ b/packages/mothworks_gateway/tests/test_retry_budget.py
@@ -17,7 +17,7 @@
 
 def spend_all(vm_budget, service="s"):
     count = 0
-    while vm_budget.try_spend(service):
+    while vm_budget.try_spend(service, "r-1"):
         count += 1
     return count
 
