--- a/packages/mothworks_gateway/tests/fleet_builders.py
+++ b/packages/mothworks_gateway/tests/fleet_builders.py
@@ -1,5 +1,6 @@
 """Builders of fleets whose VMs exchange messages in memory, without network."""
 
+import collections
 import types
 
 import result
@@ -82,6 +83,41 @@
     return messages.unpack(messages.msgpack.unpackb(frame))[0]
 
 
+class SplitNetwork(Network):
+    """A network of groups of VMs; VMs of different groups cannot reach each other.
+
+    :param group_by_vm: the group of each VM, 0 by default.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.group_by_vm = collections.Counter()
+
+    def cuts(self, one, other):
+        return self.group_by_vm[one] != self.group_by_vm[other]
+
+    def deliver(self, sender, receiver, frame):
+        if not self.cuts(sender, receiver):
+            super().deliver(sender, receiver, frame)
+
+
+class SplitPeers(Peers):
+    """Fake connections over a :class:`SplitNetwork`; calls fail across a cut."""
+
+    def open(self, _):
+        pass
+
+    def call(self, vm, message, timeout_s):
+        replies = []
+        is_down = bool({vm, self.name} & self.network.down)
+        if not is_down and not self.network.cuts(self.name, vm):
+            frame = messages.pack(message)
+            self.network.peers_by_vm[vm].receive(self.name, frame, replies.append)
+        if not replies:
+            return result.Err(peers.PeerFailure(vm, "no reply in time", True))
+        return result.Ok(replies[0])
+
+
 def vm_names(count):
     """Return the names of the first VMs of a fleet.
 
--- a/packages/mothworks_gateway/tests/limit_simulation.py
+++ b/packages/mothworks_gateway/tests/limit_simulation.py
@@ -11,7 +11,6 @@
 
 import fleet_builders
 import gateway_builders
-import test_credit
 import virtual_time
 from mothworks import peers
 from mothworks_gateway import (
@@ -96,7 +95,9 @@
             feeding.FeedFollowers: None,
         }
         kernel = fleet_builders.make_kernel(name, fleet.names, fleet.network, parts)
-        kernel.parts[peers.Peers] = test_credit.Peers(name, fleet.network, fleet.names)
+        kernel.parts[peers.Peers] = fleet_builders.SplitPeers(
+            name, fleet.network, fleet.names
+        )
         kernel.parts[heartbeat.Heartbeats] = self.heartbeats = heartbeat.Heartbeats(
             kernel
         )
@@ -139,7 +140,7 @@
         self.clock = virtual_time.Clock(monkeypatch, *modules)
         self.rng = random.Random(seed)
         random.seed(seed)
-        self.network = test_credit.Network()
+        self.network = fleet_builders.SplitNetwork()
         self.registry_view = registry.Registry()
         # The revision in all heartbeats, so that no VM requests missing updates.
         self.registry_view.cursor = 1
--- a/packages/mothworks_gateway/tests/test_credit.py
+++ b/packages/mothworks_gateway/tests/test_credit.py
@@ -12,12 +12,11 @@
 import types
 
 import pytest
-import result
 
 import fleet_builders
 import gateway_builders
 import virtual_time
-from mothworks import messages, peers
+from mothworks import peers
 from mothworks_gateway import (
     aggregation,
     client_accounts,
@@ -53,42 +52,6 @@
     return client_accounts.ClientAccount(name, frozenset(), None, cap(per_s))
 
 
-class Peers(fleet_builders.Peers):
-    """Fake connections that also carry calls, which succeed at once or fail."""
-
-    def open(self, _):
-        pass
-
-    def call(self, vm, message, timeout_s):
-        replies = []
-        if not {vm, self.name} & self.network.down and not self.network.cuts(
-            self.name, vm
-        ):
-            received, _ = messages.unpack(
-                messages.msgpack.unpackb(messages.pack(message))
-            )
-            handler = self.network.peers_by_vm[vm].handler_by_class[type(received)]
-            handler(self.name, received, replies.append)
-        if not replies:
-            return result.Err(peers.PeerFailure(vm, "no reply in time", True))
-        return result.Ok(replies[0])
-
-
-class Network(fleet_builders.Network):
-    """A network of groups of VMs; VMs of different groups cannot reach each other."""
-
-    def __init__(self):
-        super().__init__()
-        self.group_by_vm = collections.Counter()
-
-    def cuts(self, one, other):
-        return self.group_by_vm[one] != self.group_by_vm[other]
-
-    def deliver(self, sender, receiver, frame):
-        if not self.cuts(sender, receiver):
-            super().deliver(sender, receiver, frame)
-
-
 class Freshness:
     """Fake freshness whose declaration ages while the VM is cut off."""
 
@@ -121,7 +84,9 @@
         }
         kernel = fleet_builders.make_kernel(name, fleet.names, fleet.network, parts)
         kernel.settings = gateway_builders.make_settings(name=name, bounds=BOUNDS)
-        kernel.parts[peers.Peers] = Peers(name, fleet.network, fleet.names)
+        kernel.parts[peers.Peers] = fleet_builders.SplitPeers(
+            name, fleet.network, fleet.names
+        )
         kernel.parts[heartbeat.Heartbeats] = self.heartbeats = heartbeat.Heartbeats(
             kernel
         )
@@ -163,7 +128,7 @@
         self.random = random.Random(seed)
         # The reserve depends on a random draw.
         random.seed(seed)
-        self.network = Network()
+        self.network = fleet_builders.SplitNetwork()
         self.cut_at_by_vm = {}
         self.accounts = client_accounts.Accounts(
             {name: account(name, per_s) for name, per_s in caps.items()}
