Retries of the fixed number are granted by all VMs together, and outlive processes

Cause: each process counted its part of the fixed number in its own memory, so a VM that started again had the whole part, which its predecessor had just spent. The class: what is spent outlives the process that spent it.

An owner per service grants the fixed number. Every VM publishes its whole record of grants in its heartbeats, by the process that granted them, so a VM that starts knows them as soon as it is told once, and a lost heartbeat loses nothing. A VM grants nothing until its record covers a window. What a VM grants shrinks with the candidates that it does not hear, so both sides of a cut together stay within the number; a VM that starts behind one takes the fleet's size from a peer or from the platform's list.

--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -167,9 +167,7 @@
                     pass
                 case result.Err() as refused:
                     return refused
-            if not self._charge(request, progress):
-                self.rooms.begin(slot.endpoint)
-                progress.withdraw()
+            if not self._charge_in_slot(request, progress, slot):
                 return self._give_up(request, progress)
             reply = self._send_in_slot(request, progress, slot)
             if reply is not None:
@@ -180,6 +178,23 @@
             if not (progress.withheld or is_free or self._may_retry(request, progress)):
                 return self._give_up(request, progress)
 
+    def _charge_in_slot(
+        self,
+        request: caller_request.CallerRequest,
+        progress: request_progress.RequestProgress,
+        slot: send_slots.SendSlot,
+    ) -> bool:
+        """Charge a retry whose slot was granted, or release the slot."""
+        is_charged = False
+        try:
+            is_charged = self._charge(request, progress)
+            return is_charged
+        finally:
+            # The caller may leave while the budget's owner is asked.
+            if not is_charged:
+                self.rooms.begin(slot.endpoint)
+                progress.withdraw()
+
     def _send_in_slot(
         self,
         request: caller_request.CallerRequest,
--- a/packages/mothworks_gateway/src/mothworks_gateway/fleet_size.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/fleet_size.py
@@ -45,6 +45,14 @@
             self._peak, self._peak_at = self.live, now
         return self._peak
 
+    def learn_peak(self, peak: int) -> None:
+        """Take over the peak that another VM has seen, if it is higher.
+
+        :param peak: its peak.
+        """
+        if peak > self.peak:
+            self._peak, self._peak_at = peak, boot_clock.now()
+
     def _update(self) -> None:
         """Update the counts after membership changed."""
         # The property first settles the peak with the count from before this change.
--- a/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
@@ -15,7 +15,7 @@
 import result
 
 from mothworks import kernel, membership, messages, peers
-from mothworks_gateway import declarations, discovery, feeding
+from mothworks_gateway import declarations, discovery, feeding, retry_record
 
 log = logbook.Logger("heartbeat")
 
@@ -46,6 +46,9 @@
 #: A service, a model, and the mean time for which a run occupies a batch slot, seconds.
 #: An empty model stands for the service's mean.
 RunTimeRow = tuple[str, str, float]
+#: The seconds for which a VM's record of granted retries is complete, the peak of live
+#: VMs or 0 if it is not known, and the record's rows; see :mod:`shared_retries`.
+RetryRecord = tuple[float, int, tuple[retry_record.RecordRow, ...]]
 
 
 @messages.message(110)
@@ -74,6 +77,8 @@
         :mod:`poison_replication`.
     :param speeds: endpoints' speeds that changed or are due; see :mod:`shared_speeds`.
     :param run_times: the same for the run times of models.
+    :param retry_record: the retries that VMs granted recently; None from a VM of a
+        version that grants none for others.
     """
 
     declaration_version: int
@@ -91,6 +96,7 @@
     blocked_digest: int = 0
     speeds: tuple[SpeedRow, ...] = ()
     run_times: tuple[RunTimeRow, ...] = ()
+    retry_record: RetryRecord | None = None
 
 
 @messages.message(111)
--- a/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/retry_grants.py
@@ -112,9 +112,7 @@
         grant, reason = None, "no retry left"
         if self.retry_budget.may_spend(request.target.service):
             grant, reason = self._find(request, progress, running_s)
-        service = request.target.service
-        if grant and not self.retry_budget.try_spend(service, request.id):
-            self._release(grant)
+        if grant and not self._charge(request, grant):
             grant, reason = None, "no retry left"
         self._record(request, running_s, grant, reason)
         progress.grant = grant
@@ -215,6 +213,18 @@
                 admission.withdraw()
         return grant, "" if grant else "no permit or send slot"
 
+    def _charge(self, request: caller_request.CallerRequest, grant: RetryGrant) -> bool:
+        """Charge the retry of a grant, or release the grant."""
+        is_charged = False
+        try:
+            service = request.target.service
+            is_charged = self.retry_budget.try_spend(service, request.id)
+            return is_charged
+        finally:
+            # The caller may leave while the budget's owner is asked.
+            if not is_charged:
+                self._release(grant)
+
     def _release(self, grant: RetryGrant) -> None:
         if grant.slot is not None:
             self.rooms.begin(grant.slot.endpoint)
--- a/packages/mothworks_gateway/tests/retry_fleet_builders.py
+++ b/packages/mothworks_gateway/tests/retry_fleet_builders.py
@@ -10,16 +10,22 @@
 import virtual_time
 from mothworks import membership, peers
 from mothworks_gateway import (
+    aggregation,
     declarations,
     discovery,
     feeding,
     fleet_size,
+    health,
     heartbeat,
+    lease,
     owners,
     registry,
     retry_budget,
+    running_requests,
     settings,
     shared_budgets,
+    shared_health,
+    shared_retries,
     sliding_windows,
 )
 
@@ -58,6 +64,7 @@
             declarations.Declarations: types.SimpleNamespace(version=1),
             discovery.Discovery: types.SimpleNamespace(registry=view, changed_at=1),
             feeding.FeedFollowers: None,
+            lease.Lease: types.SimpleNamespace(holder=lambda: ""),
         }
         self.kernel = gateway_builders.Kernel(parts)
         self.kernel.settings = gateway_builders.make_settings(name=name, bounds=BOUNDS)
@@ -66,15 +73,24 @@
             owners.Owners,
             fleet_size.FleetSize,
             shared_budgets.SharedBudgets,
-            *fleet.further_parts,
+            running_requests.RunningRequests,
+            health.Health,
+            shared_health.SharedHealth,
+            shared_retries.SharedRetries,
             retry_budget.RetryBudget,
         ):
             parts[part_class] = part_class(self.kernel)
+        fleet_builders.add_endpoint_limits(self.kernel)
+        aggregation.Aggregation(self.kernel)
         self.heartbeats = parts[heartbeat.Heartbeats]
         self.budget = parts[retry_budget.RetryBudget]
         self.near = near
         self.heartbeat_at = fleet.clock.now + fleet.random.uniform(0, 0.25)
 
+    def make_old(self):
+        """Publish no records any more, as versions without them."""
+        self.heartbeats.field_providers.clear()
+
     def set_members(self, vms):
         """Replace the members of its region except itself."""
         self.near[:] = [fleet_builders.make_member(vm) for vm in vms]
@@ -91,10 +107,16 @@
     :param has_run: whether the VMs have run for more than a window before.
     """
 
-    #: Parts of a VM beside those that every budget needs.
-    further_parts = ()
     #: Modules that read the time.
-    modules = (heartbeat, owners, shared_budgets, sliding_windows)
+    modules = (
+        aggregation,
+        health,
+        heartbeat,
+        owners,
+        running_requests,
+        shared_budgets,
+        sliding_windows,
+    )
 
     def __init__(self, monkeypatch, count, seed=1, has_run=True):
         self.clock = virtual_time.Clock(monkeypatch, *self.modules)
@@ -134,6 +156,20 @@
         self.vm_by_name[name] = Vm(name, self, ())
         self.at(DISCOVERY_S, self.update_members)
 
+    def freeze(self, name):
+        """Suspend a VM's process, which the others notice later."""
+        self.kill(name)
+
+    def thaw(self, name):
+        """Let a VM's process run on, with the state that it had."""
+        self.network.down.discard(name)
+        self.at(DISCOVERY_S, self.update_members)
+
+    def owners(self, service):
+        """Return the VMs that may grant retries of a service, its owner first."""
+        view = self.vm_by_name[self.names[0]].kernel.get(owners.Owners)
+        return view.ranked(f"retries {service}")
+
     def replace(self, name, new_name):
         """Start a new VM in place of one that is gone for good."""
         self.network.down.add(name)
@@ -219,3 +255,30 @@
             - bisect.bisect_left(self.requests, at - before_s)
             for before_s in (0.0, window_s / 2, window_s)
         )
+
+
+def add_faults(fleet, seconds):
+    """Schedule faults of all kinds that overlap, by the fleet's seed.
+
+    :param fleet: the fleet.
+    :param seconds: the time within which they begin.
+    """
+    at = 0.0
+    while (at := at + fleet.random.uniform(0.2, 2.0)) < seconds:
+        share = fleet.random.uniform(0.1, 0.6)
+        names = fleet.random.sample(fleet.names, max(1, int(share * len(fleet.names))))
+        away_s = fleet.random.uniform(0.5, 4.0)
+        match fleet.random.choice(["stop", "kill", "freeze", "cut", "replace"]):
+            case "cut":
+                fleet.at(at, fleet.cut, names, fleet.random.choice([1, 2]))
+                fleet.at(at + away_s, fleet.heal)
+            case "replace":
+                fleet.at(at, fleet.replace, names[0], f"new-{at:.3f}")
+            case "freeze":
+                for name in names:
+                    fleet.at(at, fleet.freeze, name)
+                    fleet.at(at + away_s, fleet.thaw, name)
+            case ends:
+                for name in names:
+                    fleet.at(at, getattr(fleet, ends), name)
+                    fleet.at(at + away_s, fleet.start, name)
--- a/packages/mothworks_gateway/tests/test_shared_retry_budget.py
+++ b/packages/mothworks_gateway/tests/test_shared_retry_budget.py
@@ -75,3 +75,86 @@
     fleet.at(18.0, fleet.heal)
     fleet.run(32.0, PER_S)
     assert fleet.worst_excess() <= 0
+
+
+# Guards against an owner that dies, or stands still, with grants that nobody knows of.
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("has_end", [False, True])
+def test_owners_that_fall_silent_spend_no_retry_twice(monkeypatch, has_end, seed):
+    fleet = retry_fleet_builders.Fleet(monkeypatch, 9, seed)
+    owners_by_rank = fleet.owners("s")
+    for number, name in enumerate(owners_by_rank[:3]):
+        fleet.at(0.4 + 4 * number, fleet.freeze, name)
+        fleet.at(3.4 + 4 * number, fleet.start if has_end else fleet.thaw, name)
+    fleet.run(24.0, PER_S)
+    assert fleet.worst_excess() <= 0
+
+
+# Guards against two sides that both grant what is left, before they notice their cut.
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("before_s", [0.0, 2.0, 4.0])
+def test_a_burst_at_the_moment_of_a_cut_is_not_granted_twice(
+    monkeypatch, before_s, seed
+):
+    fleet = retry_fleet_builders.Fleet(monkeypatch, 9, seed)
+    fleet.run(before_s, 6.0, fleet.names[:1])
+    fleet.cut(fleet.names[:4])
+    fleet.run(10.0, PER_S)
+    assert fleet.worst_excess() <= 0
+
+
+# Guards against faults that overlap: stops, kills, replacements, freezes and cuts.
+@pytest.mark.parametrize(
+    ("count", "seed"), [*((9, seed) for seed in range(8)), (40, 1), (40, 2)]
+)
+def test_faults_in_series_spend_no_retry_twice(monkeypatch, count, seed):
+    fleet = retry_fleet_builders.Fleet(monkeypatch, count, seed)
+    retry_fleet_builders.add_faults(fleet, 20.0)
+    fleet.run(30.0, PER_S)
+    assert fleet.worst_excess() <= 0
+
+
+# Guards against a fixed number that is kept from callers where no VM starts.
+@pytest.mark.parametrize("count", [1, 9, 40])
+def test_the_fixed_number_is_used_where_no_vm_starts(monkeypatch, count):
+    fleet = retry_fleet_builders.Fleet(monkeypatch, count)
+    fleet.run(9.0, PER_S / 9 * count)
+    used = len(fleet.retries)
+    bounds = retry_fleet_builders.BOUNDS
+    allowed = bounds.retry_share * len(fleet.requests) + bounds.retry_slack
+    assert 0.7 * allowed <= used <= allowed
+
+
+# Guards against a VM with few callers that may not use what the others leave.
+@pytest.mark.parametrize("count", [9, 100])
+def test_one_vm_may_use_what_the_others_leave(monkeypatch, count):
+    fleet = retry_fleet_builders.Fleet(monkeypatch, count)
+    fleet.run(9.0, 4.0, fleet.names[:1])
+    assert len(fleet.retries) >= 0.7 * retry_fleet_builders.BOUNDS.retry_slack
+
+
+# Guards against callers of a VM that starts who get no retry though some are left.
+@pytest.mark.parametrize("ends", ["stop", "kill"])
+def test_a_vm_that_starts_has_retries_at_once(monkeypatch, ends):
+    fleet = retry_fleet_builders.Fleet(monkeypatch, 9)
+    name = fleet.names[0]
+    getattr(fleet, ends)(name)
+    fleet.run(1.0, 0.0)
+    fleet.start(name)
+    fleet.run(1.0, 0.0)
+    fleet.run(1.0, 5.0, [name])
+    assert fleet.retries_by_vm[name] >= 4
+
+
+# Guards against VMs of the version before, which spend their own parts, during an
+# upgrade of all VMs.
+def test_vms_of_an_older_version_keep_their_parts(monkeypatch):
+    fleet = retry_fleet_builders.Fleet(monkeypatch, 9)
+    old_vms = fleet.names[:6]
+    for name in old_vms:
+        fleet.vm_by_name[name].make_old()
+    fleet.run(10.5, 0.0)
+    fleet.run(9.0, PER_S, fleet.names[6:])
+    bounds = retry_fleet_builders.BOUNDS
+    allowed = bounds.retry_share * len(fleet.requests)
+    assert len(fleet.retries) <= allowed + bounds.retry_slack * 3 / 9
