Charge each arrival of a request beyond its first, also over peers and resumptions

Two ways sent a request once more without a charge: a hop to another peer after the endpoint of the one before had refused the request, and a resumption on a peer after an endpoint had been reached and had not resumed it.

A peer's refusal now says by its list of tried endpoints whether one was reached. The hop after that is a retry like any other, and a peer is not offered a request again that it has refused.

--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -329,6 +329,7 @@
             answer.close()
             return self._record_broken(vm, progress, decoded.err_value)
         head = decoded.ok_value
+        has_arrived = not progress.tried.issuperset(head.tried)
         progress.tried.update(head.tried)
         progress.may_have_run = progress.may_have_run or head.may_have_run
         if not head.refused:
@@ -338,9 +339,12 @@
             )
         answer.close()
         progress.reason = f"{vm}: {head.reason}"[:120]
-        if head.unable and not head.may_have_run:
+        is_final = not head.unable or head.may_have_run
+        if not is_final and not has_arrived:
             return _Unsent(progress.reason)
-        return result.Err(Refused(head.status, head.retry_after, True))
+        # Where an endpoint refused it, the next hop is a retry and has to be charged.
+        progress.broken_peers.add(vm)
+        return result.Err(Refused(head.status, head.retry_after, is_final))
 
     def _record_broken(
         self, vm: str, progress: request_progress.RequestProgress, reason: str
--- a/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
@@ -17,7 +17,8 @@
     :param withheld: whether this VM withheld the last attempt, so that no endpoint got
         it.
     :param unreachable: whether no connection to the last endpoint could be opened.
-    :param broken_peers: VMs that it was forwarded to and whose answers broke off.
+    :param broken_peers: VMs that it was forwarded to and whose answers broke off, or
+        whose endpoints refused it.
     :param forwarded: whether another VM forwarded it to this one, which then must not
         forward it again.
     :param wait_until: monotonic time until which the forwarding VM lets it wait.
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -63,7 +63,7 @@
         self.tried_ids = {endpoint.id}
         self.outcome = "caller left"
         self.closed = False
-        #: Whether the retry that resumes it is charged.
+        #: Whether a retry is charged that no endpoint has got yet.
         self.is_charged = False
         #: Whether the endpoint at which it was to be resumed was unreachable.
         self.unreachable = False
@@ -303,8 +303,10 @@
         )
         resumed = False
         self.tried_ids.add(endpoint.id)
+        self.is_charged = self.unreachable = False
         match sent:
             case result.Err(failure) if not failure.may_have_arrived:
+                self.is_charged = True
                 self.tried_ids.discard(endpoint.id)
                 self.unreachable = not failure.withheld
                 if self.unreachable:
@@ -333,7 +335,6 @@
             self.answer = answer
             self.endpoint = endpoint
             self.is_answer_open = True
-            self.is_charged = False
             self.began_at = None
             self.runs_well = False
             self.event_count = 0
