Owners and those that ask them tell each other their records of granted retries

A request to an owner now has the record of the VM that asks, and the reply that of the owner, so whoever was granted retries tells the next owner of them.

The tests of endless bytes are a draft that is not collected as green yet.

--- /dev/null
+++ b/packages/mothworks/tests/endless_bytes.py
@@ -0,0 +1,152 @@
+"""Builders of tests of bytes without end: a server in a process of its own.
+
+Run as a program, it accepts connections on a free port, prints the port, and answers
+each with what its case repeats, as fast as it can, until the other side closes.
+"""
+
+import contextlib
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import attrs
+import gevent
+import gevent.server
+
+#: By case, the bytes that come once, and those that are repeated without end.
+PARTS_BY_CASE = {
+    "first line": (b"HTTP/1.1 200 ", b"O" * 8192),
+    "empty lines": (b"", b"\r\n" * 4096),
+    "header fields": (b"HTTP/1.1 200 OK\r\n", b"".join(
+        b"X-Field-%d: value\r\n" % number for number in range(400)
+    )),
+    "header value": (b"HTTP/1.1 200 OK\r\nX-Field: ", b"v" * 8192),
+    "header name": (b"HTTP/1.1 200 OK\r\nX-", b"n" * 8192),
+    "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 256),
+    "early hints": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" * 128),
+    "chunk extension": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+        b"e" * 8192,
+    ),
+    "chunk extensions": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1;x=%s\r\nb\r\n" % (b"e" * 8000),
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Trailer: value\r\n" * 400,
+    ),
+    "trailer value": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: ",
+        b"v" * 8192,
+    ),
+    "no HTTP": (b"", b"\x00\xff" * 4096),
+    "bytes after the answer": (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"x" * 8192,
+    ),
+    "body in chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"2000\r\n%s\r\n" % (b"b" * 8192),
+    ),
+    "body without framing": (b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 8192),
+}  # fmt: skip
+#: Interval at which the event loop and the memory are observed, seconds.
+OBSERVE_S = 0.01
+
+
+@attrs.define
+class Observed:
+    """What was observed while bytes arrived.
+
+    :param lag_s: the longest time for which the event loop stood still, seconds.
+    :param growth_bytes: the most memory that the process took beyond the first.
+    """
+
+    lag_s: float = 0.0
+    growth_bytes: int = 0
+
+
+def _resident_bytes():
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+@contextlib.contextmanager
+def observe():
+    """Observe the event loop's lag and the process's memory."""
+    observed = Observed()
+    first_bytes = _resident_bytes()
+
+    def watch():
+        last_at = time.monotonic()
+        while True:
+            gevent.sleep(OBSERVE_S)
+            now = time.monotonic()
+            observed.lag_s = max(observed.lag_s, now - last_at - OBSERVE_S)
+            growth_bytes = _resident_bytes() - first_bytes
+            observed.growth_bytes = max(observed.growth_bytes, growth_bytes)
+            last_at = now
+
+    watcher = gevent.spawn(watch)
+    gevent.sleep(0)
+    try:
+        yield observed
+        gevent.sleep(2 * OBSERVE_S)
+    finally:
+        watcher.kill()
+
+
+@contextlib.contextmanager
+def server(case):
+    """Run the server of a case; yields its address."""
+    command = [sys.executable, __file__, case]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        try:
+            yield "127.0.0.1", int(process.stdout.readline())
+        finally:
+            process.kill()
+
+
+@contextlib.contextmanager
+def whole(data):
+    """Answer one request with some chunks and the last chunk; yields the address."""
+
+    def serve(sock, _):
+        sock.recv(65536)
+        sock.sendall(data + b"0\r\n\r\n")
+        sock.close()
+
+    started = gevent.server.StreamServer(("127.0.0.1", 0), serve)
+    started.start()
+    try:
+        yield "127.0.0.1", started.server_port
+    finally:
+        started.stop()
+
+
+def _serve(sock, once, repeated):
+    with contextlib.suppress(OSError), sock:
+        sock.recv(65536)
+        sock.sendall(once)
+        while True:
+            sock.sendall(repeated)
+
+
+def _main(case: str):
+    once, repeated = PARTS_BY_CASE[case]
+    listener = socket.create_server(("127.0.0.1", 0))
+    print(listener.getsockname()[1], flush=True)
+    while True:
+        sock, _ = listener.accept()
+        threading.Thread(
+            target=_serve, args=(sock, once, repeated * 8), daemon=True
+        ).start()
+
+
+if __name__ == "__main__":
+    _main(*sys.argv[1:])
--- a/packages/mothworks_gateway/src/mothworks_gateway/retry_record.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/retry_record.py
@@ -76,15 +76,17 @@
             # Each transmission makes a slot look later than it was.
             slot.began_at = min(slot.began_at, began_at)
 
-    def rows(self, now: float) -> tuple[RecordRow, ...]:
+    def rows(self, now: float, service: str | None = None) -> tuple[RecordRow, ...]:
         """Return the record as rows of a message.
 
         :param now: the time, seconds.
+        :param service: the service whose retries are returned; None for all.
         """
         self._expire(now)
         return tuple(
             (*key, now - slot.began_at, slot.count)
             for key, slot in self.slot_by_key.items()
+            if service is None or key[1] == service
         )
 
     def count(self, service: str, now: float) -> int:
--- a/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
@@ -43,10 +43,15 @@
 class RetryRequest:
     """Requests a retry of the fixed number from an owner.
 
+    The owner before may have ended before it published what it granted, which those
+    that it granted it to know.
+
     :param service: the service that is sent a request again.
+    :param rows: the record of the VM that asks, for this service.
     """
 
     service: str
+    rows: tuple[retry_record.RecordRow, ...] = ()
 
 
 @messages.message(158)
@@ -57,11 +62,13 @@
     :param may_grant: whether the replying VM may act as an owner now.
     :param wait_s: 0 where the retry is granted; else the seconds until one is free.
     :param left: the retries that it may still grant.
+    :param rows: its record for the service, this grant included.
     """
 
     may_grant: bool
     wait_s: float = 0.0
     left: int = 0
+    rows: tuple[retry_record.RecordRow, ...] = ()
 
 
 @attrs.frozen
@@ -149,12 +156,15 @@
         if owner == self.name:
             return self._grant(service, self.name)
         thing = f"the retries of {service}"
-        match self.budgets.call_owner(owner, RetryRequest(service), thing):
+        rows = self.record.rows(boot_clock.now(), service)
+        match self.budgets.call_owner(owner, RetryRequest(service, rows), thing):
             case RetryReply() as reply:
+                self.record.merge(reply.rows, boot_clock.now())
                 return reply
         return None
 
     def _serve(self, vm: str, request: RetryRequest, answer: peers.Reply) -> None:
+        self.record.merge(request.rows, boot_clock.now())
         answer(self._grant(request.service, vm))
 
     def _grant(self, service: str, vm: str) -> RetryReply:
@@ -169,7 +179,7 @@
         if not self._count_paced(service, vm):
             return RetryReply(True, heartbeat.INTERVAL_S, left)
         self.record.add(self.granter, service, now)
-        return RetryReply(True, left=left - 1)
+        return RetryReply(True, 0.0, left - 1, self.record.rows(now, service))
 
     def _count_paced(self, service: str, vm: str) -> bool:
         """Count a retry for a VM; returns false if it has to wait for others to know.
