Bytes without end cost their connection, not the VM

An endpoint that sent header fields, interim answers, trailers or one header's value without end took gigabytes of a VM's memory or blocked its event loop past every deadline; so did callers' chunk extensions and trailers, and bytes without end at the port for peers. The library reads heads in a loop without a bound, and a receive from a socket that always has data does not yield, so no timer fires.

An answer may have 64 KiB beside its body, and 16 bytes more for each byte of it. A request's body in chunks is read in pieces with the same allowance. Readers of callers and peers let other tasks run, a connection that lingers after a refusal reads 16 MiB at most, and a message of a peer that is no array ends its connection.

--- a/packages/mothworks/src/mothworks/calls.py
+++ b/packages/mothworks/src/mothworks/calls.py
@@ -170,7 +170,8 @@
     def _read(self, max_bytes: int) -> result.Result[bytes, outcomes.Refusal]:
         try:
             with gevent.Timeout(self.limits.upload_s):
-                body = self.environ["wsgi.input"].read(max_bytes + 1)
+                source = self.environ["wsgi.input"]
+                body = self.environ[CONNECTION].read_body(source, max_bytes + 1)
         except (gevent.Timeout, TimeoutError):
             message = f"the body did not arrive within {self.limits.upload_s:g} s"
             return result.Err(outcomes.invalid(message, "upload_timeout", 408))
--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -11,6 +11,8 @@
 import collections.abc
 import email.errors
 import enum
+import io
+import math
 import select
 import socket
 import struct
@@ -22,7 +24,7 @@
 import gevent.socket
 import logbook
 
-from mothworks import caller_watch, calls, logs, outcomes, settings
+from mothworks import caller_watch, calls, logs, outcomes, settings, transport
 
 log = logbook.Logger("connections")
 
@@ -33,8 +35,13 @@
 LINGER_S = 3.0
 #: Maximum number of refused connections that linger at a time.
 MAX_LINGERING = 256
-#: Bytes per read from a lingering connection.
+#: Bytes per read from a lingering connection, and most bytes that are read from it.
 LINGER_BYTES = 64 << 10
+MAX_LINGER_BYTES = 16 << 20
+#: Bytes of a body in chunks that are read at a time.
+PIECE_BYTES = 16 << 10
+#: Bytes after which a connection that always has more to read lets other tasks run.
+TURN_BYTES = 16 << 10
 #: Time after the deadline of a drain for final replies to be sent, seconds.
 FINAL_REPLIES_S = 0.2
 #: Interval at which a drain looks for connections that became idle, seconds.
@@ -99,7 +106,9 @@
     server: "Listener"
 
     def __init__(self, sock, address, server, rfile=None):
-        super().__init__(sock, address, server, rfile)
+        self.reader = _Reader(sock)
+        # Connections of other origins have their own readers.
+        super().__init__(sock, address, server, rfile or self.reader.buffered())
         self.refusal: outcomes.Refusal | None = None
         self.task = gevent.getcurrent()
         self.stage = Stage.IDLE
@@ -191,6 +200,32 @@
         self.wsgi_input = _UnreadBody(self.wsgi_input, self)
         return environ
 
+    def read_body(self, source: gevent.pywsgi.Input, max_bytes: int) -> bytes:
+        """Read the body of the request in progress.
+
+        A body in chunks is read in pieces, each of which may have a limited number of
+        bytes beside it: extensions of chunks and trailers may come without end.
+
+        :param source: reads the body.
+        :param max_bytes: the most bytes that are returned.
+        :raises OSError: if the body is malformed, or too many bytes are no body.
+        """
+        if not source.chunked_input:
+            return source.read(max_bytes)
+        pieces = []
+        left = max_bytes
+        while left:
+            length = min(left, PIECE_BYTES)
+            allowed = (1 + transport.FRAMING_PER_BODY_BYTE) * length
+            self.reader.remaining_bytes = transport.MAX_FRAMING_BYTES + allowed
+            piece = source.read(length)
+            pieces.append(piece)
+            left -= len(piece)
+            if len(piece) < length:
+                break
+        self.reader.remaining_bytes = math.inf
+        return b"".join(pieces)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Return whether bytes, or the caller's close, wait to be read."""
@@ -427,8 +462,42 @@
     """
     with gevent.Timeout(LINGER_S, False):
         sock.shutdown(socket.SHUT_WR)
-        while sock.recv(LINGER_BYTES):
-            pass
+        remaining_bytes = MAX_LINGER_BYTES
+        while remaining_bytes > 0 and (data := sock.recv(LINGER_BYTES)):
+            remaining_bytes -= len(data)
+            # A receive from a socket that always has data does not yield.
+            gevent.sleep(0)
+
+
+class _Reader(socket.SocketIO):
+    """Reads a caller's connection, in turn with other tasks.
+
+    :param sock: the connection.
+    """
+
+    def __init__(self, sock: gevent.socket.socket):
+        super().__init__(sock, "r")
+        #: Bytes that may still arrive.
+        self.remaining_bytes = math.inf
+        self.bytes_in_turn = 0
+
+    def buffered(self) -> io.BufferedReader:
+        """Return a buffered file that holds the connection open, as makefile does."""
+        self._sock._io_refs += 1
+        return io.BufferedReader(self)
+
+    def readinto(self, buffer) -> int | None:
+        """Read as the base class does; raises OSError beyond the limit."""
+        count = super().readinto(buffer)
+        self.remaining_bytes -= count or 0
+        if self.remaining_bytes < 0:
+            raise OSError("too many bytes")
+        self.bytes_in_turn += count or 0
+        if self.bytes_in_turn >= TURN_BYTES:
+            # A receive from a socket that always has data does not yield.
+            self.bytes_in_turn = 0
+            gevent.sleep(0)
+        return count
 
 
 class _BoundedLineReader:
@@ -477,7 +546,12 @@
 
     def _discard(self) -> None:
         body = self.body
-        if body.chunked_input:
+        reader = self.connection.reader
+        is_over_limit = reader.remaining_bytes < 0
+        reader.remaining_bytes = math.inf
+        if is_over_limit:
+            unread = True
+        elif body.chunked_input:
             unread = body.chunk_length != 0 or body._chunked_input_error
         else:
             unread = body.position < (body.content_length or 0)
--- a/packages/mothworks/src/mothworks/links.py
+++ b/packages/mothworks/src/mothworks/links.py
@@ -132,6 +132,9 @@
             if not data:
                 return
             self.received_bytes += len(data)
+            if len(data) == RECEIVE_BYTES:
+                # A receive from a socket that always has data does not yield.
+                gevent.sleep(0)
             try:
                 yield from self._unpack(unpacker, data)
             except (msgpack.UnpackException, ValueError, zlib.error) as error:
@@ -154,6 +157,8 @@
             end = start + BUFFER_BYTES
             unpacker.feed(data[start:end])
             for array in unpacker:
+                if not isinstance(array, list):
+                    raise ValueError("a message is no array")
                 yield array
                 if is_plain and self._decompressor is not None:
                     # The rest of these bytes is already compressed.
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -54,6 +54,12 @@
 #: Longest body that :func:`read_body` accepts, bytes.
 MAX_BODY_BYTES = 8 << 20
 
+#: Most bytes of an answer beyond those of its body, bytes: its head, interim answers,
+#: chunk sizes and extensions, trailers. Each byte of the body allows some more, since
+#: a chunk may be as small as one byte.
+MAX_FRAMING_BYTES = 64 << 10
+FRAMING_PER_BODY_BYTE = 16
+
 #: Lowest status of a final answer; lower ones are interim.
 LOWEST_FINAL_STATUS = 200
 
@@ -141,6 +147,8 @@
         self, sock: "_Socket", pool: "_Pool", method: str, deadline: float | None
     ):
         self.body_chunks: list[bytes] = []
+        #: Bytes received that are no body, less those that the body allows.
+        self.framing_bytes = 0
         self.socket = sock
         self.timed_out = False
         self.pool_allows_unframed = pool.allow_unframed
@@ -230,9 +238,26 @@
         self.timed_out = True
         self.socket.shutdown(gevent.socket.SHUT_RD)
 
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        :param data: the bytes.
+        :raises HTTPParseError: if the answer is malformed, or has too many bytes that
+            are no body. Otherwise an endpoint could send header fields or interim
+            answers without end, and the loop that reads them would not end either.
+        """
+        self.framing_bytes += len(data)
+        super().feed(data)
+        if self.framing_bytes > MAX_FRAMING_BYTES:
+            raise geventhttpclient.response.HTTPParseError(
+                f"more than {MAX_FRAMING_BYTES} bytes beside the body"
+            )
+
     def _on_body(self, buf: bytes) -> None:
         # Called by the parser; the base class would copy each chunk twice more.
         self.body_chunks.append(bytes(buf))
+        allowed = (1 + FRAMING_PER_BODY_BYTE) * len(buf)
+        self.framing_bytes = max(0, self.framing_bytes - allowed)
 
 
 class _Socket(gevent.socket.socket):
--- a/packages/mothworks/tests/endless_bytes.py
+++ b/packages/mothworks/tests/endless_bytes.py
@@ -55,6 +55,36 @@
     ),
     "body without framing": (b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 8192),
 }  # fmt: skip
+#: The same for what callers send.
+CALLER_PARTS_BY_CASE = {
+    "first line": (b"GET /", b"x" * 8192),
+    "empty lines": (b"", b"\r\n" * 4096),
+    "header fields": (b"GET / HTTP/1.1\r\n", b"X-Field: value\r\n" * 400),
+    "header value": (b"GET / HTTP/1.1\r\nX-Field: ", b"v" * 8192),
+    "chunk extension": (
+        b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+        b"e" * 8192,
+    ),
+    "chunk extensions": (
+        b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1;x=%s\r\nb\r\n" % (b"e" * 8000),
+    ),
+    "trailers": (
+        b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Trailer: value\r\n" * 400,
+    ),
+    "body in chunks": (
+        b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"2000\r\n%s\r\n" % (b"b" * 8192),
+    ),
+    "no HTTP": (b"", b"\x00\xff" * 4096),
+}  # fmt: skip
+#: What a peer sends instead of messages.
+PEER_PARTS_BY_CASE = {
+    "zeros": (b"", b"\x00" * 8192),
+    "one long message": (b"\xc6\xff\xff\xff\xff", b"x" * 8192),
+    "empty messages": (b"", b"\x90" * 8192),
+}
 #: Interval at which the event loop and the memory are observed, seconds.
 OBSERVE_S = 0.01
 
@@ -112,6 +142,20 @@
             process.kill()
 
 
+@contextlib.contextmanager
+def sender(kind, case, port):
+    """Send the bytes of a case to a port, in a process of its own.
+
+    Yields the process, which ends when its connection is closed.
+    """
+    command = [sys.executable, __file__, case, kind, str(port)]
+    with subprocess.Popen(command) as process:
+        try:
+            yield process
+        finally:
+            process.kill()
+
+
 @contextlib.contextmanager
 def whole(data):
     """Answer one request with some chunks and the last chunk; yields the address."""
@@ -129,23 +173,29 @@
         started.stop()
 
 
-def _serve(sock, once, repeated):
+def _send(sock, once, repeated):
     with contextlib.suppress(OSError), sock:
-        sock.recv(65536)
         sock.sendall(once)
         while True:
-            sock.sendall(repeated)
+            sock.sendall(repeated * 8)
+
+
+def _serve(sock, once, repeated):
+    sock.recv(65536)
+    _send(sock, once, repeated)
 
 
-def _main(case: str):
-    once, repeated = PARTS_BY_CASE[case]
+def _main(case, kind="", port=""):
+    if kind:
+        parts = CALLER_PARTS_BY_CASE if kind == "caller" else PEER_PARTS_BY_CASE
+        _send(socket.create_connection(("127.0.0.1", int(port))), *parts[case])
+        return
     listener = socket.create_server(("127.0.0.1", 0))
     print(listener.getsockname()[1], flush=True)
     while True:
         sock, _ = listener.accept()
-        threading.Thread(
-            target=_serve, args=(sock, once, repeated * 8), daemon=True
-        ).start()
+        arguments = (sock, *PARTS_BY_CASE[case])
+        threading.Thread(target=_serve, args=arguments, daemon=True).start()
 
 
 if __name__ == "__main__":
--- a/packages/mothworks/tests/test_endless_bytes.py
+++ b/packages/mothworks/tests/test_endless_bytes.py
@@ -2,10 +2,14 @@
 
 import time
 
+import gevent
+import gevent.server
 import pytest
+import result
 
 import endless_bytes
-from mothworks import transport
+import listeners
+from mothworks import calls, connections, links, settings, transport, uploads
 
 #: Time that the answer has, seconds: its head, and all of it.
 HEAD_S, ANSWER_S = 3.0, 4.0
@@ -46,3 +50,59 @@
     chunks = [b"1\r\nb\r\n"] * 100_000
     with endless_bytes.whole(head % (b"v" * 16_000) + b"".join(chunks)) as address:
         assert read(address) is None
+
+
+def read_body(environ, start_response):
+    """Answer a request once its whole body is read, with how that ended."""
+    limits = settings.Limits(body_bytes=1 << 20)
+    call = calls.Call(environ, limits, uploads.Uploads(1 << 24))
+    match call.body():
+        case result.Ok(body):
+            status = f"200 {len(body)}"
+        case result.Err(refusal):
+            status = f"{refusal.status} refused"
+    start_response(status, [("Content-Type", "text/plain")])
+    return [b"ok"]
+
+
+# Guards against a caller that takes all memory of a VM, or all its time.
+@pytest.mark.parametrize("case", endless_bytes.CALLER_PARTS_BY_CASE)
+def test_a_request_without_end_costs_its_connection_only(case):
+    listener = listeners.start(read_body)
+    try:
+        with (
+            endless_bytes.observe() as observed,
+            endless_bytes.sender("caller", case, listener.server_port) as process,
+            gevent.Timeout(HEAD_S + connections.LINGER_S),
+        ):
+            while process.poll() is None:
+                gevent.sleep(0.02)
+    finally:
+        listener.stop()
+    assert observed.growth_bytes <= MAX_GROWTH_BYTES
+    assert observed.lag_s <= MAX_LAG_S
+
+
+# Guards against a peer, or what connects to its port, that does the same.
+@pytest.mark.parametrize("case", endless_bytes.PEER_PARTS_BY_CASE)
+def test_messages_without_end_cost_their_connection_only(case):
+    def read(sock, _):
+        for array in links.Link(sock, None).read_all():
+            # The first one has to be a greeting.
+            if not array:
+                return
+
+    started = gevent.server.StreamServer(("127.0.0.1", 0), read)
+    started.start()
+    try:
+        with (
+            endless_bytes.observe() as observed,
+            endless_bytes.sender("peer", case, started.server_port) as process,
+            gevent.Timeout(HEAD_S),
+        ):
+            while process.poll() is None:
+                gevent.sleep(0.02)
+    finally:
+        started.stop()
+    assert observed.growth_bytes <= MAX_GROWTH_BYTES
+    assert observed.lag_s <= MAX_LAG_S
