The next holder of the lease counts the loads that the one before began

Holders publish the loads that they began in their heartbeats, in the same kind of record as granted retries, and every VM keeps and repeats them.

--- a/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/heartbeat.py
@@ -15,7 +15,7 @@
 import result
 
 from mothworks import kernel, membership, messages, peers
-from mothworks_gateway import declarations, discovery, feeding, retry_record
+from mothworks_gateway import declarations, discovery, feeding, spending_record
 
 log = logbook.Logger("heartbeat")
 
@@ -48,7 +48,7 @@
 RunTimeRow = tuple[str, str, float]
 #: The seconds for which a VM's record of granted retries is complete, the peak of live
 #: VMs or 0 if it is not known, and the record's rows; see :mod:`shared_retries`.
-RetryRecord = tuple[float, int, tuple[retry_record.RecordRow, ...]]
+RetryRecord = tuple[float, int, tuple[spending_record.SpendingRow, ...]]
 
 
 @messages.message(110)
@@ -79,6 +79,7 @@
     :param run_times: the same for the run times of models.
     :param retry_record: the retries that VMs granted recently; None from a VM of a
         version that grants none for others.
+    :param store_loads: the loads from the weight store that VMs began recently.
     """
 
     declaration_version: int
@@ -97,6 +98,7 @@
     speeds: tuple[SpeedRow, ...] = ()
     run_times: tuple[RunTimeRow, ...] = ()
     retry_record: RetryRecord | None = None
+    store_loads: tuple[spending_record.SpendingRow, ...] = ()
 
 
 @messages.message(111)
--- a/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
@@ -14,6 +14,7 @@
 restarted unnoticed.
 """
 
+import secrets
 import time
 
 import gevent
@@ -23,14 +24,17 @@
 from mothworks import kernel, logs
 from mothworks_gateway import (
     adapters,
+    boot_clock,
     discovery,
     endpoint_notices,
     endpoint_state,
     endpoints_client,
+    heartbeat,
     late_orders,
     lease,
     residency,
     sliding_windows,
+    spending_record,
     unload_time,
 )
 
@@ -45,6 +49,10 @@
 CONFLICT_RETRY_FACTOR = 1.7
 #: Time between two checks whether the weight store allows a load, seconds.
 STORE_RETRY_S = 0.1
+#: The weight store in records of what VMs spent, and the length of a record's slot,
+#: seconds.
+STORE = "store"
+LOAD_SLOT_S = 0.1
 #: Time of conflicts after which the endpoint's inventory is requested, seconds.
 CONFLICT_INVENTORY_S = 1.0
 #: Time between inventory requests to an endpoint that is executing an order, seconds.
@@ -77,6 +85,15 @@
         self.residency = node_kernel.get(residency.Residency)
         self.unload_time = unload_time.UnloadTime()
         self.store_loads = sliding_windows.WindowedCount(self.bounds.load_window_s)
+        #: Loads from the weight store of all holders, each process by its own name: the
+        #: next holder has to count those of the one before.
+        self.load_record = spending_record.SpendingRecord(
+            self.bounds.load_window_s, LOAD_SLOT_S
+        )
+        self.spender = f"{self.name} {secrets.token_hex(4)}"
+        heartbeats = node_kernel.get(heartbeat.Heartbeats)
+        heartbeats.field_providers.append(self._heartbeat_fields)
+        heartbeats.on_received.append(self._on_heartbeat)
         #: Number of orders in flight that may use the weight store.
         self.store_loads_in_flight = 0
         self.published = 0
@@ -100,7 +117,9 @@
             return True
         per_s = state.accelerator.store_loads_per_s * self.bounds.load_factor
         max_loads = max(1, int(per_s * self.bounds.load_window_s * share))
-        return self.store_loads.count() + self.store_loads_in_flight < max_loads
+        of_others = self.load_record.count(STORE, boot_clock.now(), self.spender)
+        begun = self.store_loads.count() + self.store_loads_in_flight + of_others
+        return begun < max_loads
 
     def refresh(self, state: endpoint_state.EndpointState) -> None:
         """Request an endpoint's inventory and apply it to its state.
@@ -322,6 +341,14 @@
         maybe_started = (adapters.OrderOutcome.ACCEPTED, adapters.OrderOutcome.UNKNOWN)
         if outcome in maybe_started and self._may_use_store(state, order):
             self.store_loads.add()
+            self.load_record.add(self.spender, STORE, boot_clock.now())
+
+    def _heartbeat_fields(self) -> dict:
+        return {"store_loads": self.load_record.rows(boot_clock.now())}
+
+    def _on_heartbeat(self, vm: str, received: heartbeat.Heartbeat) -> None:
+        if vm != self.name and not received.relayed:
+            self.load_record.merge(received.store_loads, boot_clock.now())
 
     def _wait_until_executed(
         self, state: endpoint_state.EndpointState, order: adapters.Order
--- a/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
@@ -3,7 +3,7 @@
 The retry budget (:mod:`retry_budget`) allows a fixed number of retries per service and
 window beyond a share of the requests. One VM per service, its owner (:mod:`owners`),
 grants them. What was granted outlives the process that granted it: each VM publishes
-its record of all grants (:mod:`retry_record`) in its heartbeats.
+its record of all grants (:mod:`spending_record`) in its heartbeats.
 
 A VM grants nothing until its record covers a whole window: by its own age, or because a
 VM that knew told it. Where VMs do not hear each other, each side grants the part of the
@@ -21,14 +21,16 @@
     boot_clock,
     fleet_size,
     heartbeat,
-    retry_record,
     shared_budgets,
     sliding_windows,
+    spending_record,
 )
 
 #: Share of the fixed number that is granted. The rest covers what two owners grant at
 #: the same time, before they have heard of each other's grants.
 ALLOWANCE_SHARE = 0.8
+#: Length of a slot of the record, seconds.
+SLOT_S = 0.5
 #: Time by which a VM's record may be behind, seconds.
 MAX_LAG_S = shared_budgets.HEARTBEAT_TIMEOUT_S
 #: Time for which no owner is asked again where none may grant, seconds.
@@ -51,7 +53,7 @@
     """
 
     service: str
-    rows: tuple[retry_record.RecordRow, ...] = ()
+    rows: tuple[spending_record.SpendingRow, ...] = ()
 
 
 @messages.message(158)
@@ -68,7 +70,7 @@
     may_grant: bool
     wait_s: float = 0.0
     left: int = 0
-    rows: tuple[retry_record.RecordRow, ...] = ()
+    rows: tuple[spending_record.SpendingRow, ...] = ()
 
 
 @attrs.frozen
@@ -96,8 +98,8 @@
         self.membership = node_kernel.get(membership.Membership)
         self.budgets = node_kernel.get(shared_budgets.SharedBudgets)
         self.fleet = node_kernel.get(fleet_size.FleetSize)
-        self.record = retry_record.RetryRecord(
-            node_kernel.settings.bounds.retry_window_s
+        self.record = spending_record.SpendingRecord(
+            node_kernel.settings.bounds.retry_window_s, SLOT_S
         )
         #: Time since which the record is complete, on the clock of `boot_clock`.
         self.complete_since = boot_clock.now()
--- a/packages/mothworks_gateway/tests/modelled_endpoint.py
+++ b/packages/mothworks_gateway/tests/modelled_endpoint.py
@@ -17,6 +17,7 @@
     discovery,
     endpoint_notices,
     endpoints_client,
+    heartbeat,
     late_orders,
     lease,
     order_sender,
@@ -185,6 +186,7 @@
         endpoints_client.EndpointsClient: types.SimpleNamespace(protocol=endpoint),
         lease.Lease: held_lease or Lease(),
         peers.Peers: vms,
+        heartbeat.Heartbeats: gateway_builders.Heartbeats(),
         residency.Residency: Residency(),
         endpoint_notices.EndpointNotices: types.SimpleNamespace(
             record_leaving=lambda endpoint, **_: view.record_leaving(endpoint.id)
--- a/packages/mothworks_gateway/tests/test_order_sender.py
+++ b/packages/mothworks_gateway/tests/test_order_sender.py
@@ -10,6 +10,7 @@
 from mothworks_gateway import (
     adapters,
     endpoint_state,
+    heartbeat,
     registry,
     settings,
     sliding_windows,
@@ -121,6 +122,44 @@
         assert last - first >= window_s
 
 
+# Guards against a new holder that begins as many loads as the one before has begun.
+@pytest.mark.parametrize("has_restarted", [False, True])
+def test_the_next_holder_counts_the_loads_of_the_one_before(stub_lease, has_restarted):
+    endpoints = Endpoints(modelled_endpoint.accelerator(**SIZES))
+    senders = [
+        modelled_endpoint.make_order_sender(
+            endpoints, registry.Registry(), modelled_endpoint.Peers(), stub_lease
+        )
+        for _ in range(2)
+    ]
+    # A process that starts again has its VM's name.
+    senders[1].name = senders[0].name if has_restarted else "vm-2"
+    max_loads = 3
+    states = []
+    for sender in senders:
+        sender.bounds = settings.Bounds(load_window_s=6.0, load_factor=0.1)
+    for number in range(max_loads):
+        item = gateway_builders.endpoint(f"i-{number}", models=())
+        state = endpoint_state.EndpointState(item, endpoints.declared_as)
+        assert senders[0].may_load(state, "small")
+        states.append(state)
+    loads = [
+        gevent.spawn(senders[0].order, state, True, "small", "") for state in states
+    ]
+    with gevent.Timeout(5):
+        while len(endpoints.accepted_at) < max_loads:
+            gevent.sleep(0.01)
+    gevent.sleep(0.01)
+    gevent.killall(loads)
+    fields = senders[0]._heartbeat_fields()
+    told = heartbeat.Heartbeat(1, 1, 0, **fields)
+    teller = "vm-3" if has_restarted else senders[0].name
+    senders[1]._on_heartbeat(teller, told)
+    item = gateway_builders.endpoint("i-9", models=())
+    state = endpoint_state.EndpointState(item, endpoints.declared_as)
+    assert not senders[1].may_load(state, "small")
+
+
 # Guards against a node that stops because a queued model is not declared any more.
 def test_a_model_that_is_not_declared_any_more_is_not_loaded(orders, endpoint):
     assert not orders.order(state_of(endpoint), True, "dropped", "")
--- a/packages/mothworks_gateway/tests/test_shared_speeds.py
+++ b/packages/mothworks_gateway/tests/test_shared_speeds.py
@@ -155,7 +155,7 @@
     message = heartbeat.Heartbeat(1, 1, 0)
     fields = {"speeds": (("i-0", 0.7, 9_000),), "run_times": (("s", "m", 1.7),)}
     with_rows = messages.pack(heartbeat.Heartbeat(1, 1, 0, **fields))
-    assert messages.pack(message).endswith(bytes([0x90, 0x90, 0xC0]))
+    assert messages.pack(message).endswith(bytes([0x90, 0x90, 0xC0, 0x90]))
     assert len(with_rows) < len(messages.pack(message)) + 40
 
 
--- a/packages/mothworks_gateway/tests/test_retry_record.py
+++ b/packages/mothworks_gateway/tests/test_spending_record.py
@@ -1,17 +1,17 @@
-"""The record of granted retries: what is merged, counted and expired."""
+"""The record of what VMs spent: what is merged, counted and expired."""
 
-from mothworks_gateway import retry_record
+from mothworks_gateway import spending_record
 
 
 def make_record(*granted):
     """Return a record of grants, each a granter and a time."""
-    record = retry_record.RetryRecord(10.0)
+    record = spending_record.SpendingRecord(10.0, 0.5)
     for granter, at in granted:
         record.add(granter, "s", at)
     return record
 
 
-def test_retries_expire_a_window_after_the_end_of_their_slot():
+def test_units_expire_a_window_after_the_end_of_their_slot():
     record = make_record(("a", 100.4))
     assert record.count("s", 110.4) == 1
     assert record.count("s", 110.6) == 0
@@ -34,7 +34,7 @@
 
 
 # Guards against retries that never expire since VMs tell them to each other again.
-def test_retries_that_are_told_again_and_again_expire():
+def test_units_that_are_told_again_and_again_expire():
     records = [make_record(("a", 100.0)), make_record()]
     now = 100.0
     for number in range(60):
