--- a/packages/mothworks_gateway/tests/retry_fleet_builders.py
+++ b/packages/mothworks_gateway/tests/retry_fleet_builders.py
@@ -1,12 +1,12 @@
 """Builders of fleets whose VMs share a retry budget, in virtual time."""
 
-import bisect
 import collections
 import random
 import types
 
 import fleet_builders
 import gateway_builders
+import retry_checks
 import virtual_time
 from mothworks import membership, peers
 from mothworks_gateway import (
@@ -231,30 +231,8 @@
             self.retries_by_vm[name] += 1
 
     def worst_excess(self):
-        """Return the most retries in a window beyond what the deployment allows.
-
-        The requests are those in the same window, in the one before it or in the one
-        half a window before it, whichever has most.
-        """
-        window_s = BOUNDS.retry_window_s
-        return max(
-            (
-                bisect.bisect_right(self.retries, at + window_s)
-                - index
-                - BOUNDS.retry_share * self._requests_near(at)
-                - BOUNDS.retry_slack
-                for index, at in enumerate(self.retries)
-            ),
-            default=-BOUNDS.retry_slack,
-        )
-
-    def _requests_near(self, at):
-        window_s = BOUNDS.retry_window_s
-        return max(
-            bisect.bisect_right(self.requests, at + window_s - before_s)
-            - bisect.bisect_left(self.requests, at - before_s)
-            for before_s in (0.0, window_s / 2, window_s)
-        )
+        """Return the most retries in a window beyond what the deployment allows."""
+        return retry_checks.worst_excess(self.requests, self.retries, BOUNDS)
 
 
 def add_faults(fleet, seconds):
