Endless input: tasks that wait for input or time run, too; compressed peers in parts

A sleep of 0 s lets ready tasks run, but gevent's loop looks for input and timers only once in about fifty such turns: a peer's compressed messages held the loop up for 0.5 s of processor time at a time. Readers sleep for a moment instead. What a peer compressed is expanded in parts of 64 KiB; a read of that size may expand to 64 MB.

--- a/packages/mothworks/src/mothworks/connections.py
+++ b/packages/mothworks/src/mothworks/connections.py
@@ -24,7 +24,7 @@
 import gevent.socket
 import logbook
 
-from mothworks import caller_watch, calls, logs, outcomes, settings, transport
+from mothworks import caller_watch, calls, logs, outcomes, settings, tasks, transport
 
 log = logbook.Logger("connections")
 
@@ -41,7 +41,7 @@
 #: Bytes of a body in chunks that are read at a time.
 PIECE_BYTES = 16 << 10
 #: Bytes after which a connection that always has more to read lets other tasks run.
-TURN_BYTES = 16 << 10
+TURN_BYTES = 32 << 10
 #: Time after the deadline of a drain for final replies to be sent, seconds.
 FINAL_REPLIES_S = 0.2
 #: Interval at which a drain looks for connections that became idle, seconds.
@@ -107,7 +107,6 @@
 
     def __init__(self, sock, address, server, rfile=None):
         self.reader = _Reader(sock)
-        # Connections of other origins have their own readers.
         super().__init__(sock, address, server, rfile or self.reader.buffered())
         self.refusal: outcomes.Refusal | None = None
         self.task = gevent.getcurrent()
@@ -465,8 +464,7 @@
         remaining_bytes = MAX_LINGER_BYTES
         while remaining_bytes > 0 and (data := sock.recv(LINGER_BYTES)):
             remaining_bytes -= len(data)
-            # A receive from a socket that always has data does not yield.
-            gevent.sleep(0)
+            tasks.let_others_run()
 
 
 class _Reader(socket.SocketIO):
@@ -494,9 +492,8 @@
             raise OSError("too many bytes")
         self.bytes_in_turn += count or 0
         if self.bytes_in_turn >= TURN_BYTES:
-            # A receive from a socket that always has data does not yield.
             self.bytes_in_turn = 0
-            gevent.sleep(0)
+            tasks.let_others_run()
         return count
 
 
--- a/packages/mothworks/src/mothworks/links.py
+++ b/packages/mothworks/src/mothworks/links.py
@@ -13,7 +13,7 @@
 import logbook
 import msgpack
 
-from mothworks import messages
+from mothworks import messages, tasks
 
 log = logbook.Logger("peers")
 
@@ -133,8 +133,7 @@
                 return
             self.received_bytes += len(data)
             if len(data) == RECEIVE_BYTES:
-                # A receive from a socket that always has data does not yield.
-                gevent.sleep(0)
+                tasks.let_others_run()
             try:
                 yield from self._unpack(unpacker, data)
             except (msgpack.UnpackException, ValueError, zlib.error) as error:
@@ -149,9 +148,21 @@
         self, unpacker: msgpack.Unpacker, data: bytes
     ) -> collections.abc.Iterator[list]:
         """Yield the arrays that are completed by newly received bytes."""
+        if self._decompressor is None:
+            yield from self._unpack_plain(unpacker, data)
+            return
+        # A few bytes may expand to a thousand times as many.
+        while data:
+            part = self._decompressor.decompress(data, RECEIVE_BYTES)
+            data = self._decompressor.unconsumed_tail
+            yield from self._unpack_plain(unpacker, part)
+            if data:
+                tasks.let_others_run()
+
+    def _unpack_plain(
+        self, unpacker: msgpack.Unpacker, data: bytes
+    ) -> collections.abc.Iterator[list]:
         is_plain = self._decompressor is None
-        if not is_plain:
-            data = self._decompressor.decompress(data)
         # The unpacker permanently keeps twice the size of the largest chunk fed to it.
         for start in range(0, len(data), BUFFER_BYTES):
             end = start + BUFFER_BYTES
--- a/packages/mothworks/src/mothworks/tasks.py
+++ b/packages/mothworks/src/mothworks/tasks.py
@@ -22,6 +22,19 @@
 #: Fraction by which intervals vary at random, so that VMs do not act in lockstep.
 JITTER = 0.1
 
+#: Time for which :func:`let_others_run` sleeps at least, seconds.
+TURN_S = 0.0001
+
+
+def let_others_run() -> None:
+    """Let all other tasks run, also those that wait for input or for a time.
+
+    A receive from a socket that always has data does not yield. A sleep of 0 s runs
+    tasks that are ready, but the event loop looks for input and timers only once in
+    many such turns.
+    """
+    gevent.sleep(TURN_S)
+
 
 @attrs.frozen
 class _Sleeper:
--- a/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
@@ -249,10 +249,9 @@
 
     def _forget_idle(self, now: float) -> None:
         """Drop the counts of VMs that ask for nothing or are gone."""
-        for key in [
-            key for key, item in self.granted_by_key.items() if not item.count()
-        ]:
-            del self.granted_by_key[key]
+        for key, granted in list(self.granted_by_key.items()):
+            if not granted.count():
+                del self.granted_by_key[key]
         self.heard_at_by_vm = {
             vm: at for vm, at in self.heard_at_by_vm.items() if now - at <= MAX_LAG_S
         }
