--- a/packages/mothworks/src/mothworks/links.py
+++ b/packages/mothworks/src/mothworks/links.py
@@ -168,8 +168,6 @@
             end = start + BUFFER_BYTES
             unpacker.feed(data[start:end])
             for array in unpacker:
-                if not isinstance(array, list):
-                    raise ValueError("a message is no array")
                 yield array
                 if is_plain and self._decompressor is not None:
                     # The rest of these bytes is already compressed.
