--- a/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/shared_retries.py
@@ -6,9 +6,9 @@
 its record of all grants (:mod:`spending_record`) in its heartbeats.
 
 A VM grants nothing until its record covers a whole window: by its own age, or because a
-VM that knew told it. Where VMs do not hear each other, each side grants the part of the
-fixed number that corresponds to the VMs that it hears, so that all sides together stay
-within it.
+VM that knew sent its record. Where VMs do not receive each other, each side grants the
+part of the fixed number that corresponds to the VMs it receives, so that all sides stay
+within it together.
 """
 
 import collections
@@ -27,7 +27,7 @@
 )
 
 #: Share of the fixed number that is granted. The rest covers what two owners grant at
-#: the same time, before they have heard of each other's grants.
+#: the same time, before each has received the grants of the other.
 ALLOWANCE_SHARE = 0.8
 #: Length of a slot of the record, seconds.
 SLOT_S = 0.5
@@ -105,10 +105,10 @@
         self.complete_since = boot_clock.now()
         #: Time at which this VM last published its record, on the same clock.
         self.published_at = self.complete_since
-        #: Whether a VM that knew the fleet's size told it to this one.
+        #: Whether a VM that knew the size of the fleet sent it to this one.
         self.knows_fleet = False
         #: Time of each VM's last record, on the same clock.
-        self.heard_at_by_vm: dict[str, float] = {}
+        self.received_at_by_vm: dict[str, float] = {}
         #: Time until which no owner grants a retry for a service, on the same clock.
         self.refused_until_by_service: dict[str, float] = {}
         #: Retries that this VM granted, by service and the VM that asked for them.
@@ -186,7 +186,7 @@
     def _count_paced(self, service: str, vm: str) -> bool:
         """Count a retry for a VM; returns false if it has to wait for others to know.
 
-        Two owners that do not hear each other yet may both grant what is left. So a VM
+        Two owners that do not receive each other may both grant what is left. So a VM
         gets an equal part of the fixed number at once, but what goes beyond such parts
         is granted no faster than the rest of the fixed number covers.
         """
@@ -212,22 +212,22 @@
         return ALLOWANCE_SHARE * self.kernel.settings.bounds.retry_slack
 
     def _reach(self, now: float) -> float:
-        """Return the share of the fleet's VMs that this one hears.
+        """Return the share of the VMs of the fleet that this one receives.
 
-        Each VM hears all candidates for ownership, so they stand for all VMs.
+        Each VM receives all candidates for ownership, so they stand for all VMs.
         """
         candidates = self.budgets.owners.candidates()
         oldest_at = now - MAX_LAG_S
-        heard_vms = [
+        received_vms = [
             vm
             for vm in candidates
-            if vm == self.name or self.heard_at_by_vm.get(vm, 0.0) >= oldest_at
+            if vm == self.name or self.received_at_by_vm.get(vm, 0.0) >= oldest_at
         ]
-        heard_share = len(heard_vms) / len(candidates)
-        return heard_share * self.fleet.live / self._fleet_size()
+        received_share = len(received_vms) / len(candidates)
+        return received_share * self.fleet.live / self._fleet_size()
 
     def _fleet_size(self) -> int:
-        """Return how many VMs the fleet has, those that can't be heard included.
+        """Return how many VMs the fleet has, those that are cut off included.
 
         A VM that starts behind a network cut has only the platform's list to tell it.
         """
@@ -252,8 +252,8 @@
         for key, granted in list(self.granted_by_key.items()):
             if not granted.count():
                 del self.granted_by_key[key]
-        self.heard_at_by_vm = {
-            vm: at for vm, at in self.heard_at_by_vm.items() if now - at <= MAX_LAG_S
+        self.received_at_by_vm = {
+            vm: at for vm, at in self.received_at_by_vm.items() if now - at <= MAX_LAG_S
         }
 
     def _on_heartbeat(self, vm: str, received: heartbeat.Heartbeat) -> None:
@@ -261,7 +261,7 @@
             return
         now = boot_clock.now()
         complete_s, peak, rows = received.retry_record
-        self.heard_at_by_vm[vm] = now
+        self.received_at_by_vm[vm] = now
         self.record.merge(rows, now)
         self.complete_since = min(self.complete_since, now - complete_s)
         if peak:
--- a/packages/mothworks_gateway/src/mothworks_gateway/spending_record.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/spending_record.py
@@ -1,7 +1,7 @@
 """Spending record: what VMs spent of shared allowances recently, by who spent it.
 
 VMs publish their whole records, not what was added to them. So a VM that starts, or has
-been cut off, knows what was spent without it as soon as it is told once, and what a VM
+been cut off, knows what was spent without it after one message, and what a VM
 spent is known after its process has ended.
 """
 
@@ -96,11 +96,7 @@
         :param besides: a spender whose units do not count.
         """
         self._expire(now)
-        return sum(
-            slot.count
-            for key, slot in self.slot_by_key.items()
-            if key[1] == resource and key[0] != besides
-        )
+        return sum(slot.count for slot in self._slots(resource, besides))
 
     def free_in_s(self, resource: str, excess: float, now: float) -> float:
         """Return the seconds until enough units of a resource have expired.
@@ -115,8 +111,12 @@
                 return max(0.0, slot.began_at + self.slot_s + self.window_s - now)
         return self.window_s
 
-    def _slots(self, resource: str) -> list[SlotCount]:
-        return [slot for key, slot in self.slot_by_key.items() if key[1] == resource]
+    def _slots(self, resource: str, besides: str = "") -> list[SlotCount]:
+        return [
+            slot
+            for key, slot in self.slot_by_key.items()
+            if key[1] == resource and key[0] != besides
+        ]
 
     def _expire(self, now: float) -> None:
         earliest = now - self.window_s - self.slot_s
--- a/packages/mothworks_gateway/tests/test_order_sender.py
+++ b/packages/mothworks_gateway/tests/test_order_sender.py
@@ -152,9 +152,9 @@
     gevent.sleep(0.01)
     gevent.killall(loads)
     fields = senders[0]._heartbeat_fields()
-    told = heartbeat.Heartbeat(1, 1, 0, **fields)
-    teller = "vm-3" if has_restarted else senders[0].name
-    senders[1]._on_heartbeat(teller, told)
+    published = heartbeat.Heartbeat(1, 1, 0, **fields)
+    publisher = "vm-3" if has_restarted else senders[0].name
+    senders[1]._on_heartbeat(publisher, published)
     item = gateway_builders.endpoint("i-9", models=())
     state = endpoint_state.EndpointState(item, endpoints.declared_as)
     assert not senders[1].may_load(state, "small")
--- a/packages/mothworks_gateway/tests/test_spending_record.py
+++ b/packages/mothworks_gateway/tests/test_spending_record.py
@@ -17,12 +17,12 @@
     assert record.count("s", 110.6) == 0
 
 
-# Guards against retries that count twice since two VMs tell of them.
+# Guards against retries that count twice since two VMs publish them.
 def test_merging_a_record_again_changes_nothing():
-    told = make_record(("a", 100.0), ("a", 100.1), ("b", 103.0))
+    published = make_record(("a", 100.0), ("a", 100.1), ("b", 103.0))
     record = make_record()
     for now in (104.0, 104.3):
-        record.merge(told.rows(now), now)
+        record.merge(published.rows(now), now)
     assert record.count("s", 104.3) == 3
 
 
@@ -33,15 +33,15 @@
     assert record.count("s", 101.0) == 2
 
 
-# Guards against retries that never expire since VMs tell them to each other again.
-def test_units_that_are_told_again_and_again_expire():
+# Guards against retries that never expire since VMs publish them to each other again.
+def test_units_that_are_published_again_and_again_expire():
     records = [make_record(("a", 100.0)), make_record()]
     now = 100.0
     for number in range(60):
         now += 0.25
-        teller, listener = records[number % 2], records[1 - number % 2]
+        sender, listener = records[number % 2], records[1 - number % 2]
         # A transmission takes 10 ms.
-        listener.merge(teller.rows(now - 0.01), now)
+        listener.merge(sender.rows(now - 0.01), now)
     assert [record.count("s", now) for record in records] == [0, 0]
 
 
