Tests of the fixed number allow no share of requests, as the ones they replaced

The two fleet tests that replaced tests of one VM's part also allowed the share per request, of which a fifth is not used: a margin that the old tests did not have.

--- a/packages/mothworks_gateway/tests/retry_fleet_builders.py
+++ b/packages/mothworks_gateway/tests/retry_fleet_builders.py
@@ -42,7 +42,7 @@
 
 
 class Vm:
-    """One life of a VM: its parts, and when it is heard next.
+    """One life of a VM: its parts, and when it sends its next heartbeat.
 
     :param name: its name.
     :param fleet: the fleet.
--- a/packages/mothworks_gateway/tests/test_retry_budget.py
+++ b/packages/mothworks_gateway/tests/test_retry_budget.py
@@ -1,5 +1,6 @@
 """Retry budget: what a VM's own requests allow, and what all VMs hold together."""
 
+import attrs
 import pytest
 
 import gateway_builders
@@ -31,6 +32,12 @@
     )
 
 
+def allow_no_share(monkeypatch):
+    """Let a fleet's deployment allow the fixed number only."""
+    bounds = attrs.evolve(retry_fleet_builders.BOUNDS, retry_share=0.0)
+    monkeypatch.setattr(retry_fleet_builders, "BOUNDS", bounds)
+
+
 def spend_all(vm_budget, service="s"):
     count = 0
     while vm_budget.try_spend(service, "r-1"):
@@ -79,6 +86,7 @@
 def test_sides_of_a_partition_together_stay_below_the_fixed_number(
     monkeypatch, small_side
 ):
+    allow_no_share(monkeypatch)
     fleet = retry_fleet_builders.Fleet(monkeypatch, 8)
     fleet.cut(fleet.names[:small_side])
     fleet.run(20.0, 8.0)
@@ -88,6 +96,7 @@
 @pytest.mark.parametrize("vms", [2, 5, 10])
 def test_vms_together_stay_below_the_fixed_number(monkeypatch, vms):
     # Endpoints fail, and all VMs retry at once.
+    allow_no_share(monkeypatch)
     fleet = retry_fleet_builders.Fleet(monkeypatch, vms)
     fleet.run(9.0, 10.0 * vms)
     assert fleet.worst_excess() <= 0
