--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,15 +4,14 @@
 import pathlib
 import random
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib"))
 
 import harness  # noqa: E402
 
-import attrs  # noqa: E402  isort: skip
-import gevent  # noqa: E402
+import gevent  # noqa: E402  isort: skip
+import gevent.event  # noqa: E402
 import gevent.server  # noqa: E402
 import deployments  # noqa: E402
 import fakes  # noqa: E402
@@ -175,11 +174,12 @@
         answers = sum(server.answers for server in servers)
         extras = sum(server.extras for server in servers)
         rejected = sum(server.rejected for server in servers)
+        same = sum(server.same for server in servers)
         statuses = dict(collections.Counter(status_by_id.values()))
         record.note(
             f"{len(status_by_id)} requests, answers {statuses}; servers: {answers} "
-            f"answers, {rejected} rejected, {extras} came again, {sum(x.same for x in servers)} of them before the answer to a "
-            f"further send of the same request"
+            f"answers, {rejected} rejected, {extras} came again, {same} of them before "
+            f"the answer to a further send of the same request"
         )
         record.note(
             f"REFUSED: {len(refused)} ran and were answered as not run: {refused[:10]}"
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -153,7 +153,9 @@
                 if before[2] != after[2] and overlap_s > MAX_OVERLAP_S:
                     twice[request_id] = round(overlap_s, 2)
         extras = sum(server.extras for server in servers)
-        record.note(f"{len(runs)} requests, {extras} answers came again, {dict(statuses)}")
+        record.note(
+            f"{len(runs)} requests, {extras} answers came again, {dict(statuses)}"
+        )
         record.note(
             f"{len(twice)} requests went on at another server while the one before "
             f"worked on them for over {MAX_OVERLAP_S} s more: {list(twice.items())[:6]}"
