--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib"))
@@ -27,8 +28,9 @@
 def case(record):
     store = fakes.Store()
     store.put("config", "main", deployments.config())
-    servers = [fakes.Server(store, "plain") for _ in range(2)]
-    world = harness.World(3, store)
+    born = int(time.time() * 1000)
+    servers = [fakes.Server(store, "plain", born=born) for _ in range(2)]
+    world = harness.World(3, store, harness.BARAZDA_BOUNDS)
     counts = {"sent": 0, "served": 0}
     try:
         if not world.start():
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,8 +20,9 @@
 def case(record):
     store = fakes.Store()
     store.put("config", "main", deployments.config())
-    servers = [fakes.Server(store, "plain") for _ in range(3)]
-    world = harness.World(3, store)
+    born = int(time.time() * 1000)
+    servers = [fakes.Server(store, "plain", born=born) for _ in range(3)]
+    world = harness.World(3, store, harness.BARAZDA_BOUNDS)
     counts = {"sent": 0, "served": 0}
     drain_s = world.bounds["drainMs"] / 1000
     try:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -97,7 +97,7 @@
             route.update(maxAttempts=2, timeoutMs=6000, goalMs=1200)
     store.put("config", "main", document)
     servers = [Server(store, rng, record) for _ in range(SERVERS)]
-    world = harness.World(NODES, store)
+    world = harness.World(NODES, store, harness.KUOPIO_BOUNDS)
     statuses = collections.Counter()
     stopped = []
 
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -36,7 +36,8 @@
 #: Exit codes: the rule held, it was broken, the case could not run.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
-#: Fields of the users' settings, as DEPLOY.md shows them for a small deployment.
+#: Fields of the users' settings, as DEPLOY.md shows them for a small deployment
+#: (sites/scrh-irsconf.toml).
 BOUNDS = {
     "seedLagS": 3,
     "addrReuseS": 2,
@@ -61,6 +62,28 @@
     "ceilingWindowS": 5,
     "ceilingFactor": 1.1,
 }
+#: Those that differ on further/kuopio-hire.toml and on demands/barazda-edge-grown.toml.
+KUOPIO_BOUNDS = {"budgetSlack": 58, "requireFence": False}
+BARAZDA_BOUNDS = {
+    "stableMs": 4000,
+    "ackMs": 6000,
+    "catchUpS": 6,
+    "drainMs": 3000,
+    "configApplyMs": 3000,
+    "maxSkewMs": 6000,
+    "budgetSlack": 190,
+    "recoverS": 15,
+    "passMs": 200,
+}
+#: The settings' limits of a machine.
+LIMITS = {
+    "cpuShare": 0.537,
+    "cores": 2,
+    "memoryMb": 300,
+    "maxFds": 4200,
+    "linkMbps": 1000.0,
+    "diskMb": 0,
+}
 
 
 def has_trouble():
@@ -175,14 +198,7 @@
                 "ready": f"{self.address}:{ports['ready']}",
                 "control": f"{self.address}:{ports['control']}",
             },
-            "limits": {
-                "cpuShare": 0.537,
-                "cores": 2,
-                "memoryMb": 300,
-                "maxFds": 4200,
-                "linkMbps": 1000.0,
-                "diskMb": 0,
-            },
+            "limits": self.world.limits,
             "bounds": self.world.bounds,
             "platform": {
                 "address": self.world.store_address(self.number),
@@ -235,13 +251,15 @@
     :param store: the stand-in of the store.
     :param bounds: bounds that replace the usual ones.
     :param store_address: returns the store's address for a node's number.
+    :param limits: limits of each machine that replace the usual ones.
     """
 
-    def __init__(self, count, store, bounds=(), store_address=None):
+    def __init__(self, count, store, bounds=(), store_address=None, limits=()):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = store
         self.store_address = store_address or (lambda _: store.address)
         self.bounds = {**BOUNDS, **dict(bounds)}
+        self.limits = {**LIMITS, **dict(limits)}
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         role = deploy["roles"]["mothworks"]
         self.command = role["run"].split(" ")
