Review: each case reads TROUBLE itself

Cause: only the shared module read the variable, so nothing in the folder of a case did. Change: each case.py reads TROUBLE; the shared function is removed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """The copy of a rejection that arrives late is taken as the answer to the next send."""
 
 import collections
+import os
 import pathlib
 import random
 import sys
@@ -16,6 +17,8 @@
 import deployments  # noqa: E402
 import fakes  # noqa: E402
 
+#: Whether the disruption is played; without it the case must hold.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 #: The dose of the site file: garble, how = "extra late", share = 0.6, x = 0.03,
 #: for_s = 5.0. It comes several times, at other servers each time.
 SHARE = 0.6
@@ -151,7 +154,7 @@
             gevent.spawn(client, world.nodes[number % len(world.nodes)])
         gevent.sleep(3)
         for number in range(TIMES):
-            if harness.has_trouble():
+            if TROUBLE:
                 count = int(SHARE * SERVERS)
                 first = number * count % SERVERS
                 for server in servers[first : first + count]:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,6 @@
 """An entry of another writer, with a field of another type, ends all nodes."""
 
+import os
 import pathlib
 import sys
 import time
@@ -13,6 +14,8 @@
 import deployments  # noqa: E402
 import fakes  # noqa: E402
 
+#: Whether the disruption is played; without it the case must hold.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 #: Fault: processes end by themselves so often on so many machines.
 MAX_ENDS = 3
 MIN_MACHINES = 2
@@ -61,7 +64,7 @@
         gevent.sleep(4)
         record.note(f"before: {counts}")
         counts.update(sent=0, served=0)
-        if harness.has_trouble():
+        if TROUBLE:
             # A list in lists where the list of models is due.
             entry = {"service": "plain", "models": nested(300)}
             store.put("servers", "written-by-another", entry)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
 """An entry of another writer, with text that can't be read, hides all later entries."""
 
+import os
 import pathlib
 import sys
 import time
@@ -13,6 +14,8 @@
 import deployments  # noqa: E402
 import fakes  # noqa: E402
 
+#: Whether the disruption is played; without it the case must hold.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 #: The time for which the leaving server goes on after its report, seconds.
 SERVES_ON_S = 10.0
 
@@ -52,7 +55,7 @@
 
         gevent.spawn(clients)
         gevent.sleep(2)
-        if harness.has_trouble():
+        if TROUBLE:
             # A text that was cut in the middle of a character. The store's list and
             # its events bring it as JSON, with an escape for the half that is left.
             entry = {"service": "plain", "note": "out of order \ud83d"}
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import os
 import pathlib
 import random
 import sys
@@ -16,6 +17,8 @@
 import deployments  # noqa: E402
 import fakes  # noqa: E402
 
+#: Whether the disruption is played; without it the case must hold.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 #: The dose of the site file: garble, how = "extra late", share = 0.6, x = 0.03,
 #: for_s = 5.0. It comes several times, at other servers each time.
 SHARE = 0.6
@@ -132,7 +135,7 @@
         gevent.spawn(clients)
         gevent.sleep(3)
         for _ in range(TIMES):
-            if harness.has_trouble():
+            if TROUBLE:
                 for server in rng.sample(servers, int(SHARE * SERVERS)):
                     server.is_faulty = True
             gevent.sleep(FOR_S)
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -86,11 +86,6 @@
 }
 
 
-def has_trouble():
-    """Return whether the disruption is to be played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def render(template, fields):
     """Fill in a template as DEPLOY.md describes it; the part that the project uses."""
 
