A deeply nested entry of another writer no longer ends the nodes

KindFeed encodes the content of each object again with orjson.dumps, which accepts 254 levels, where orjson.loads accepts 1,024. The exception left the follower's task. An object that can't be encoded now has an empty document, which all decoders reject, so that it is left out like any other unreadable entry. The list of VMs decoded documents without a guard, too.

--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -46,7 +46,8 @@
     """All objects of one kind at one cursor.
 
     :param cursor: the platform's cursor; see :mod:`cursors`.
-    :param document_by_name: each object in the platform's format.
+    :param document_by_name: each object in the platform's format; empty if its content
+        can't be read.
     """
 
     cursor: int
@@ -58,7 +59,8 @@
     """An object that was written or removed.
 
     :param name: its name.
-    :param document: the object in the platform's format; None if removed.
+    :param document: the object in the platform's format; None if removed, empty if its
+        content can't be read.
     """
 
     name: str
