--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import itertools
 import select
 import time
 
@@ -81,6 +82,9 @@
 )
 
 
+_connection_numbers = itertools.count(1)
+
+
 class HttpAnswer(endpoints.Answer):
     """An HTTP answer whose body is streamed as it arrives.
 
@@ -95,6 +99,8 @@
         ]
         super().__init__(response.status_code, headers)
         self.response = response
+        #: Number of its connection, for logs.
+        self.connection = response.socket.number
 
     def header(self, name: str) -> str:
         """Return a header's value, or an empty string if it is absent.
@@ -263,6 +269,8 @@
 class _Socket(gevent.socket.socket):
     """A connection to an endpoint."""
 
+    #: Its number among all connections of this process.
+    number = 0
     #: Monotonic time at which it was returned to the pool, seconds.
     idle_since = 0.0
     #: Time after which it is closed if idle, seconds.
@@ -361,6 +369,7 @@
         host, port = self._connection_host, self._connection_port
         family = gevent.socket.AF_INET6 if ":" in host else gevent.socket.AF_INET
         sock = _Socket(family, gevent.socket.SOCK_STREAM)
+        sock.number = next(_connection_numbers)
         try:
             sock.settimeout(self.connection_timeout)
             self.transport.connect(sock, (host, port))
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -102,6 +102,7 @@
         """
         progress.tried.add(endpoint.id)
         progress.sends += 1
+        progress.connection = 0
         progress.withheld = False
         progress.unreachable = False
         started_at = time.monotonic()
@@ -130,6 +131,7 @@
                 model=request.target.model,
                 adapter=request.target.adapter,
                 attempt=progress.sends,
+                connection=progress.connection,
                 running=self.running_requests.of_endpoint(endpoint.id),
                 crashes=self.poison_requests.crash_count(request),
                 parts=",".join(part.id for part in request.shared_parts),
@@ -174,6 +176,7 @@
                     request, endpoint, progress, failure, started_at
                 )
             case result.Ok(answer):
+                progress.connection = answer.connection
                 self.paths.record_reached(time.monotonic())
         kind = self.protocol.classify_response(request, answer)
         self.observe_notices(request, endpoint, answer, kind, started_at)
--- a/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
@@ -13,6 +13,8 @@
     :param tried: ids of the endpoints that it was sent to.
     :param may_have_run: whether one of them may have run it.
     :param sends: number of attempts by this VM.
+    :param connection: number of the connection that brought the last answer; 0 if the
+        last attempt got none.
     :param reason: why the last attempt failed.
     :param withheld: whether this VM withheld the last attempt, so that no endpoint got
         it.
@@ -32,6 +34,7 @@
     tried: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     sends: int = 0
+    connection: int = 0
     reason: str = "no endpoint"
     withheld: bool = False
     unreachable: bool = False
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -302,6 +302,7 @@
             last_id,
         )
         resumed = False
+        connection = 0
         self.tried_ids.add(endpoint.id)
         self.is_charged = self.unreachable = False
         match sent:
@@ -314,6 +315,7 @@
                         endpoint, sent_at, failure.reason
                     )
             case result.Ok(answer):
+                connection = answer.connection
                 kind = protocol.classify_response(self.request, answer)
                 self.attempts.observe_notices(
                     self.request, endpoint, answer, kind, sent_at
@@ -327,6 +329,7 @@
             request=self.request.id,
             endpoint=endpoint.id,
             software=endpoint.entry.software_version,
+            connection=connection,
             after_event=last_id,
             left_ms=round(left_s * 1000),
             outcome="goes on" if resumed else "broken off",
