A connection is used again only after its own request was answered

An endpoint cancels a request when its connection closes.

The library releases a connection as soon as a message on it is complete, while the head is read: a copy of another request's answer, and an interim answer, are complete, too. Now nothing is returned while a head is read, close() closes the connection unless the body was read to its end, and release() says that the answer is the request's own.

--- a/packages/mothworks/src/mothworks/application.py
+++ b/packages/mothworks/src/mothworks/application.py
@@ -43,11 +43,9 @@
 
 
 def _parse_report(answer: transport.HttpAnswer) -> result.Result[endpoints.Report, str]:
-    try:
-        for _ in answer.chunks():
-            pass
-    except transport.CONNECTION_ERRORS as error:
-        return result.Err(str(error))
+    read = transport.read_body(answer)
+    if read.is_err():
+        return read
     if answer.status == 503:
         return result.Ok(endpoints.Report(draining=True))
     if answer.status != 200:
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -88,6 +88,10 @@
 class HttpAnswer(endpoints.Answer):
     """An HTTP answer whose body is streamed as it arrives.
 
+    Its connection is used again only if the body is read to its end, or if it is
+    released: whoever closes it because it is not the expected answer cancels a request
+    that may still run there.
+
     :param response: the library's response, its head already read.
     """
 
@@ -132,11 +136,22 @@
             except geventhttpclient.response.HTTPParseError as error:
                 raise ConnectionResetError(f"the answer is not HTTP: {error}")
             if not data:
+                self.response.is_read = True
                 return
             yield data
 
     def close(self) -> None:
-        """Return the connection to the pool, or close it to cancel the answer."""
+        """Release the connection if the body was read, or close it to cancel."""
+        if self.response.is_read:
+            self.response.release()
+        else:
+            self.response.cancel()
+
+    def release(self) -> None:
+        """Return the connection to the pool if the answer has arrived whole.
+
+        Otherwise close it. Only for answers to the request that was sent.
+        """
         self.response.release()
 
 
@@ -157,6 +172,10 @@
         self.framing_bytes = 0
         self.socket = sock
         self.timed_out = False
+        #: Whether the head was read, without an error.
+        self.has_head = False
+        #: Whether the body was read to its end.
+        self.is_read = False
         self.pool_allows_unframed = pool.allow_unframed
         self.hub = gevent.get_hub()
         self.readable = self.hub.loop.io(sock.fileno(), 1)
@@ -171,11 +190,16 @@
         try:
             super().__init__(sock, pool, method=method, block_size=RECEIVE_BYTES)
         except CONNECTION_ERRORS as error:
+            self.cancel()
             if self.timed_out:
                 # The shutdown by the timer cancels the read with another error, or
                 # looks like an end of file.
                 raise TimeoutError("timed out") from error
             raise
+        except BaseException:
+            self.cancel()
+            raise
+        self.has_head = True
 
     @property
     def unframed(self) -> bool:
@@ -208,14 +232,29 @@
         return body
 
     def release(self) -> None:
-        """Return the connection to the pool, or close it to cancel the answer."""
+        """Return the connection to the pool if the answer is complete, or close it."""
+        if not self.has_head:
+            # The base class calls this for a short answer that is complete, before its
+            # head was checked, and after an error, perhaps behind an interim answer.
+            return
+        self._stop_watchers()
+        if self._sock is not None:
+            self._sock.idle_timeout_s = _keep_alive_timeout_s(self.get("keep-alive"))
+        super().release()
+
+    def cancel(self) -> None:
+        """Close the connection, upon which the endpoint cancels the request."""
+        self._stop_watchers()
+        pool, sock = self._pool, self._sock
+        self._pool = self._sock = None
+        if sock is not None:
+            pool.release_socket(sock)
+
+    def _stop_watchers(self) -> None:
         for watcher in self.watchers:
             watcher.stop()
             watcher.close()
         self.watchers = []
-        if self._sock is not None:
-            self._sock.idle_timeout_s = _keep_alive_timeout_s(self.get("keep-alive"))
-        super().release()
 
     def _handle_eof(self) -> None:
         """Complete an unframed answer at end of file; raise for any other."""
--- a/packages/mothworks/src/mothworks/vllm.py
+++ b/packages/mothworks/src/mothworks/vllm.py
@@ -95,7 +95,7 @@
 def _check_refusal(answer: transport.HttpAnswer):
     if answer.status < MIN_ERROR_STATUS and answer.status not in REFUSED_STATUSES:
         return result.Ok(answer)
-    answer.close()
+    answer.release()
     refused = answer.status in REFUSED_STATUSES
     verb = "refused" if refused else "failed"
     reason = f"the endpoint {verb} with status {answer.status}"
@@ -132,10 +132,11 @@
 
 
 def _parse_report(answer: transport.HttpAnswer) -> result.Result[endpoints.Report, str]:
-    try:
-        body = b"".join(answer.chunks())
-    except transport.CONNECTION_ERRORS as error:
-        return result.Err(str(error))
+    match transport.read_body(answer):
+        case result.Ok(body):
+            pass
+        case error:
+            return error
     if answer.status != 200:
         return result.Err(f"status {answer.status}")
     try:
@@ -163,10 +164,11 @@
 def _parse_order_outcome(
     answer: transport.HttpAnswer,
 ) -> result.Result[None, endpoints.OrderFailure]:
-    try:
-        body = b"".join(answer.chunks())
-    except transport.CONNECTION_ERRORS as error:
-        return result.Err(endpoints.OrderUnknown(str(error)))
+    match transport.read_body(answer):
+        case result.Ok(body):
+            pass
+        case result.Err(reason):
+            return result.Err(endpoints.OrderUnknown(reason))
     if answer.status != 200:
         return result.Err(endpoints.OrderUnknown(f"status {answer.status}"))
     try:
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -205,3 +205,83 @@
         # It was asked in intervals, and not at the deadline.
         assert len(calls) <= 10
         slow.may_answer.set()
+
+
+class Script:
+    """A server that sends given bytes after each request, and records the requests.
+
+    :param sends: the bytes to send after each request, by its number on a connection.
+    """
+
+    def __init__(self, *sends):
+        self.sends = sends
+        self.connections = 0
+        self.closed = gevent.event.Event()
+        self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def _serve(self, sock, _):
+        self.connections += 1
+        with sock:
+            for data in self.sends:
+                if not sock.recv(4096):
+                    break
+                sock.sendall(data)
+            else:
+                sock.recv(4096)
+        self.closed.set()
+
+
+@pytest.fixture
+def script():
+    scripts = []
+
+    def start(*sends):
+        scripts.append(Script(*sends))
+        return scripts[-1]
+
+    yield start
+    for item in scripts:
+        item.server.stop(timeout=0.1)
+
+
+# Guards against connections that are used again while a request still runs there,
+# because a complete answer to another request was read first.
+def test_closing_an_answer_that_was_not_read_closes_its_connection(script):
+    server = script(ANSWER, ANSWER)
+    client = transport.Transport()
+    client.exchange(server.address, "GET", "/", (), b"").unwrap().close()
+    assert server.closed.wait(5)
+    exchange(client, server)
+    assert server.connections == 2
+
+
+def test_releasing_an_answer_that_was_not_read_keeps_its_connection(script):
+    server = script(ANSWER, ANSWER)
+    client = transport.Transport()
+    client.exchange(server.address, "GET", "/", (), b"").unwrap().release()
+    exchange(client, server)
+    assert server.connections == 1
+
+
+# Guards against the same after an interim answer, which is complete by itself.
+@pytest.mark.parametrize("ends_by", ["deadline", "late head", "kill"])
+def test_a_request_that_is_given_up_after_an_interim_answer_is_cancelled(
+    script, ends_by
+):
+    server = script(b"HTTP/1.1 100 Continue\r\n\r\n", ANSWER)
+    client = transport.Transport()
+    end = time.monotonic() + 0.1
+    options = {
+        "deadline": transport.SendOptions(deadline=end),
+        "late head": transport.SendOptions(head_deadline=end),
+        "kill": transport.SendOptions(),
+    }[ends_by]
+    sending = gevent.spawn(
+        client.exchange, server.address, "GET", "/", (), b"", options
+    )
+    gevent.sleep(0.2)
+    sending.kill()
+    assert server.closed.wait(5)
+    assert not client.pool_by_idle
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -305,7 +305,7 @@
             case result.Ok(answer):
                 pass
         if answer.status != 200:
-            answer.close()
+            answer.release()
             if answer.header(RAN) == "no":
                 return _Unsent(f"{peer.vm}: status {answer.status}")
             return self._record_broken(peer.vm, progress, f"status {answer.status}")
@@ -337,7 +337,7 @@
             return result.Ok(
                 ForwardedAnswer(vm, answer, head, body, lambda: self._forget(vm))
             )
-        answer.close()
+        answer.release()
         progress.reason = f"{vm}: {head.reason}"[:120]
         is_final = not head.unable or head.may_have_run
         if not is_final and not has_arrived:
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -321,8 +321,10 @@
                     self.request, endpoint, answer, kind, sent_at
                 )
                 resumed = kind is adapters.ResponseKind.ANSWER
-                if not resumed:
+                if kind is adapters.ResponseKind.UNRECOGNIZED:
                     answer.close()
+                elif not resumed:
+                    answer.release()
         logs.event(
             log,
             "resumed" if resumed else "not resumed",
