A late copy of an answer is not taken for the answer to the next send

Callers repeat what was answered 503.

A rejected request was sent again to the same endpoint on the same connection, where the endpoint sent the rejection once more before it ran the request. The copy has the id of the request, so nothing told it from the answer to the second send.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -34,6 +34,8 @@
 IDLE_MARGIN_S = 0.5
 #: Maximum number of idle connections to all endpoints together.
 MAX_IDLE = 1024
+#: Number of exchanges for which a connection does not carry the same request again.
+RECENT_EXCHANGES = 16
 #: Seconds between checks for connections that exceed their idle timeout.
 IDLE_CHECK_INTERVAL_S = 1.0
 #: TCP keepalive: idle time before the first probe and time between probes,
@@ -316,6 +318,8 @@
     idle_timeout_s = IDLE_TIMEOUT_S
     #: Whether it is closed after one request instead of being pooled.
     single_use = False
+    #: Ids of the last requests that it carried, the newest last.
+    recent_ids: collections.deque[str]
     #: Called when a receive times out; returns the next timeout in seconds, or None to
     #: let it time out.
     on_timeout: collections.abc.Callable[[], float | None] | None = None
@@ -351,6 +355,26 @@
         #: Idle connections of all pools, the most recently used last.
         self.pool_by_idle = transport.pool_by_idle
 
+    def get_socket(self, request_id: str = "") -> _Socket:
+        """Take the idle connection that was used last, or open one.
+
+        :param request_id: a request that the connection must not have carried lately;
+            empty if any will do.
+        """
+        self._semaphore.acquire()
+        try:
+            for sock in reversed(list(self._socket_queue.queue)):
+                if request_id and request_id in sock.recent_ids:
+                    continue
+                self._socket_queue.queue.remove(sock)
+                if self._is_socket_alive(sock):
+                    return sock
+                sock.close()
+            return self._create_socket()
+        except BaseException:
+            self._semaphore.release()
+            raise
+
     def open_idle(self) -> None:
         """Open a connection for later requests."""
         sock = self.open_for_one_request()
@@ -376,6 +400,10 @@
             # until the next return blocks for ever.
             self.release_socket(sock)
             return
+        if self._socket_queue.full():
+            # Connections that a request must not use are idle beside a new one.
+            self.release_socket(sock)
+            return
         sock.idle_since = time.monotonic()
         super().return_socket(sock)
         self.pool_by_idle[sock] = self
@@ -409,6 +437,7 @@
         family = gevent.socket.AF_INET6 if ":" in host else gevent.socket.AF_INET
         sock = _Socket(family, gevent.socket.SOCK_STREAM)
         sock.number = next(_connection_numbers)
+        sock.recent_ids = collections.deque(maxlen=RECENT_EXCHANGES)
         try:
             sock.settimeout(self.connection_timeout)
             self.transport.connect(sock, (host, port))
@@ -437,6 +466,10 @@
     :param new_connection: whether to open a new connection. The endpoint may close a
         pooled one just as the request is sent; it is then unknown whether the
         request ran.
+    :param id: what identifies the request in its answer; empty if nothing does, and a
+        late copy of an earlier answer can do no harm. A connection does not carry the
+        same id twice in a row of exchanges, since such a copy of the first answer could
+        not be told from the answer to the second.
     :param host: the Host header; empty for the address.
     :param deadline: monotonic time by which the whole answer must have arrived.
     :param head_deadline: monotonic time by which its head must have arrived.
@@ -448,6 +481,7 @@
     """
 
     new_connection: bool = False
+    id: str = ""
     host: str = ""
     deadline: float | None = None
     head_deadline: float | None = None
@@ -513,7 +547,7 @@
             sock = (
                 pool.open_for_one_request()
                 if options.new_connection
-                else pool.get_socket()
+                else pool.get_socket(options.id)
             )
         except CONNECTION_ERRORS as error:
             return result.Err(endpoints.SendFailure(f"connect: {error}", False))
@@ -523,6 +557,7 @@
                 endpoints.SendFailure("no longer valid", False, withheld=True)
             )
         head = _encode_head(options.host or address, method, path, headers, len(body))
+        sock.recent_ids.append(options.id)
         try:
             sock.settimeout(self._timeout_s(options, options.head_deadline))
             sock.sendall(head + body)
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -285,3 +285,37 @@
     sending.kill()
     assert server.closed.wait(5)
     assert not client.pool_by_idle
+
+
+# Guards against a late copy of the answer to the first send of a request, which has the
+# same id as the answer to the second.
+def test_a_request_is_not_sent_twice_on_one_connection(script):
+    server = script(*[ANSWER] * 30)
+    client = transport.Transport()
+
+    def send(request_id):
+        options = transport.SendOptions(id=request_id)
+        answer = client.exchange(server.address, "GET", "/", (), b"", options).unwrap()
+        transport.read_body(answer)
+        return answer.connection
+
+    first = send("q-1")
+    second = send("q-1")
+    assert second != first
+    assert send("q-2") in (first, second)
+    assert send("q-1") not in (first, second)
+    # One that carried many other requests since then may be used again.
+    others = {send(f"p-{number}") for number in range(transport.RECENT_EXCHANGES)}
+    assert send("q-1") in others
+
+
+# Guards against a connection that can't be returned because all idle ones are excluded.
+def test_connections_that_a_request_must_not_use_do_not_fill_the_pool(script):
+    server = script(*[ANSWER] * 4)
+    client = transport.Transport(size=2)
+    with gevent.Timeout(5):
+        for _ in range(4):
+            options = transport.SendOptions(id="q-1")
+            answer = client.exchange(server.address, "GET", "/", (), b"", options)
+            assert transport.read_body(answer.unwrap()).unwrap() == b"ok"
+    assert len(client.pool_by_idle) == 2
