--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -54,8 +54,9 @@
 #: Methods whose requests carry no Content-Length where the body is empty.
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
-#: Longest body that :func:`read_body` accepts, bytes.
+#: Longest body that :func:`read_body` accepts, bytes, and its reason for a longer one.
 MAX_BODY_BYTES = 8 << 20
+TOO_LONG = "the body is too long"
 
 #: Most bytes of an answer beyond those of its body, bytes: its head, interim answers,
 #: chunk sizes and extensions, trailers. Each byte of the body allows some more, since
@@ -655,7 +656,7 @@
             chunks.append(chunk)
             length += len(chunk)
             if length > MAX_BODY_BYTES:
-                return result.Err(f"longer than {MAX_BODY_BYTES} bytes")
+                return result.Err(TOO_LONG)
     except CONNECTION_ERRORS as error:
         return result.Err(f"answer: {error}")
     finally:
