--- a/packages/mothworks/src/mothworks/partial_json.py
+++ b/packages/mothworks/src/mothworks/partial_json.py
@@ -12,7 +12,7 @@
 import orjson
 
 _STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
-#: Levels of arrays and objects that one match skips.
+#: Levels of arrays and objects that one match skips; deeper ones cost more time.
 _SKIPPED_LEVELS = 4
 
 
@@ -58,7 +58,7 @@
     :param text: the text.
     :param levels: number of levels of arrays and objects whose items are decoded one by
         one; an unreadable value below them makes the whole item unreadable.
-    :raises ValueError: if the text as a whole is not JSON.
+    :raises ValueError: if the brackets of an array or object do not match.
     """
     try:
         return orjson.loads(text)
--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -34,7 +34,7 @@
 IDLE_MARGIN_S = 0.5
 #: Maximum number of idle connections to all endpoints together.
 MAX_IDLE = 1024
-#: Number of exchanges for which a connection does not carry the same request again.
+#: Number of exchanges within which a connection does not carry a request again.
 RECENT_EXCHANGES = 16
 #: Seconds between checks for connections that exceed their idle timeout.
 IDLE_CHECK_INTERVAL_S = 1.0
@@ -91,9 +91,9 @@
 class HttpAnswer(endpoints.Answer):
     """An HTTP answer whose body is streamed as it arrives.
 
-    Its connection is used again only if the body is read to its end, or if it is
-    released: whoever closes it because it is not the expected answer cancels a request
-    that may still run there.
+    Its connection is used again only if the body is read to its end, or if the answer
+    is released. Closing it cancels the request, which may still run there if this is
+    not its answer.
 
     :param response: the library's response, its head already read.
     """
@@ -467,10 +467,10 @@
     :param new_connection: whether to open a new connection. The endpoint may close a
         pooled one just as the request is sent; it is then unknown whether the
         request ran.
-    :param id: what identifies the request in its answer; empty if nothing does, and a
-        late copy of an earlier answer can do no harm. A connection does not carry the
-        same id twice in a row of exchanges, since such a copy of the first answer could
-        not be told from the answer to the second.
+    :param id: what identifies the request in its answer. A connection does not carry
+        the same id again within :data:`RECENT_EXCHANGES`: the endpoint may send an
+        answer twice, and a late copy of the first answer could not be told from the
+        answer to the second request. Empty for no such check.
     :param host: the Host header; empty for the address.
     :param deadline: monotonic time by which the whole answer must have arrived.
     :param head_deadline: monotonic time by which its head must have arrived.
--- a/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/adapters.py
@@ -183,6 +183,19 @@
     UNRECOGNIZED = "foreign"
 
 
+def discard(answer: transport.HttpAnswer, kind: ResponseKind) -> None:
+    """Close an answer that is not delivered.
+
+    :param answer: the answer, its body not read.
+    :param kind: its classification. After an unrecognized answer, the request may still
+        run on the connection, which is not used again then.
+    """
+    if kind is ResponseKind.UNRECOGNIZED:
+        answer.close()
+    else:
+        answer.release()
+
+
 @attrs.frozen
 class Holding:
     """A model that an endpoint holds.
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -180,18 +180,13 @@
                 self.paths.record_reached(time.monotonic())
         kind = self.protocol.classify_response(request, answer)
         self.observe_notices(request, endpoint, answer, kind, started_at)
-        if kind is adapters.ResponseKind.UNRECOGNIZED:
-            # The request may still run on its connection.
-            answer.close()
-            self._handle_kind(request, endpoint, progress, kind)
-            return None
         if kind not in (adapters.ResponseKind.ANSWER, adapters.ResponseKind.FAILED):
-            answer.release()
+            adapters.discard(answer, kind)
             self._handle_kind(request, endpoint, progress, kind)
             return None
         failed = kind is adapters.ResponseKind.FAILED
         if failed and self._is_retry_granted(request, progress):
-            answer.release()
+            adapters.discard(answer, kind)
             self.health.record_failure(
                 endpoint, f"status {answer.status}", ERROR_WEIGHT
             )
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -321,10 +321,8 @@
                     self.request, endpoint, answer, kind, sent_at
                 )
                 resumed = kind is adapters.ResponseKind.ANSWER
-                if kind is adapters.ResponseKind.UNRECOGNIZED:
-                    answer.close()
-                elif not resumed:
-                    answer.release()
+                if not resumed:
+                    adapters.discard(answer, kind)
         logs.event(
             log,
             "resumed" if resumed else "not resumed",
