--- a/packages/mothworks_gateway/tests/test_registry.py
+++ b/packages/mothworks_gateway/tests/test_registry.py
@@ -6,6 +6,7 @@
 import pytest
 
 import gateway_builders
+import registry_builders
 from mothworks import logs
 from mothworks_gateway import registry
 
@@ -128,3 +129,29 @@
         endpoints.record_leaving(f"i-{number}")
     assert len(endpoints.leaving_ids) == registry.MAX_REMEMBERED
     assert "i-0" not in endpoints.leaving_ids
+
+
+# Guards against an endpoint that is used for good after its removal: the snapshot of a
+# peer has entries that the platform no longer has, and that the peer keeps for a while.
+@pytest.mark.parametrize("knows_removal", [True, False])
+def test_a_lapsed_entry_of_a_peer_does_not_bring_an_endpoint_back(
+    monkeypatch, knows_removal
+):
+    first, second = (
+        registry_builders.make_discovery(),
+        registry_builders.make_discovery(),
+    )
+    for part in (first, second):
+        part._apply_changes(registry_builders.changes(1, ("i-1", b"1")), 0.0)
+    suspect_until = time.monotonic() + 0.1
+    removal = registry_builders.changes(2, ("i-1", None))
+    first._apply_changes(removal, suspect_until)
+    if knows_removal:
+        second._apply_changes(removal, suspect_until)
+    first._apply_changes(registry_builders.changes(3, ("i-2", b"3")), 0.0)
+    second.apply_peer_snapshot(first.registry.cursor, first.documents())
+    now = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now + 10.0)
+    for part in (first, second):
+        part.registry.expire()
+        assert list(registry_builders.state(part)) == ["i-2"]
