--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -469,8 +469,8 @@
         request ran.
     :param id: what identifies the request in its answer. A connection does not carry
         the same id again within :data:`RECENT_EXCHANGES`: the endpoint may send an
-        answer twice, and a late copy of the first answer could not be told from the
-        answer to the second request. Empty for no such check.
+        answer twice, and a late copy of the first answer could not be distinguished
+        from the answer to the second request. Empty for no such check.
     :param host: the Host header; empty for the address.
     :param deadline: monotonic time by which the whole answer must have arrived.
     :param head_deadline: monotonic time by which its head must have arrived.
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -208,7 +208,7 @@
 
 
 class Script:
-    """A server that sends given bytes after each request, and records the requests.
+    """A server that sends given bytes after each request, and counts connections.
 
     :param sends: the bytes to send after each request, by its number on a connection.
     """
