--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -363,18 +363,15 @@
             empty if any will do.
         """
         self._semaphore.acquire()
-        try:
-            for sock in reversed(list(self._socket_queue.queue)):
-                if request_id and request_id in sock.recent_ids:
-                    continue
-                self._socket_queue.queue.remove(sock)
-                if self._is_socket_alive(sock):
-                    return sock
-                sock.close()
-            return self._create_socket()
-        except BaseException:
-            self._semaphore.release()
-            raise
+        idle = self._socket_queue.queue
+        for index in reversed(range(len(idle))):
+            if request_id and request_id in idle[index].recent_ids:
+                continue
+            sock = idle.pop(index)
+            if self._is_socket_alive(sock):
+                return sock
+            sock.close()
+        return self._open()
 
     def open_idle(self) -> None:
         """Open a connection for later requests."""
@@ -385,24 +382,25 @@
     def open_for_one_request(self) -> _Socket:
         """Open a connection that is closed after one request."""
         self._semaphore.acquire()
+        sock = self._open()
+        sock.single_use = True
+        return sock
+
+    def _open(self) -> _Socket:
+        """Open a connection for a place that was acquired, or release the place."""
         try:
-            sock = self._create_socket()
+            return self._create_socket()
         except BaseException:
             self._semaphore.release()
             raise
-        sock.single_use = True
-        return sock
 
     def return_socket(self, sock: _Socket) -> None:
         """Return a connection to the pool once its answer is read completely."""
-        if sock.single_use:
+        if sock.single_use or self._socket_queue.full():
             # Requests that must not run twice never take a connection from the
             # pool. If their connections were returned to it, they would fill it
-            # until the next return blocks for ever.
-            self.release_socket(sock)
-            return
-        if self._socket_queue.full():
-            # Connections that a request must not use are idle beside a new one.
+            # until the next return blocks for ever. It may also be full of connections
+            # that a request must not use.
             self.release_socket(sock)
             return
         sock.idle_since = time.monotonic()
