A declaration that drops a model no longer ends the lease holder

Cause: after a wait, a table was read that another declaration may have replaced during the wait. The same table was read after the answer in a second place, which raised nothing: a load whose model had been dropped was not counted at the weight store.

Change: what a load takes (its duration, and whether it uses the weight store) is determined when it is ordered, and nothing is looked up after the answer. Whether a load fits is checked after the request for the inventory, which takes time, too. No further model is unloaded for one that was dropped meanwhile.

--- a/packages/mothworks_gateway/src/mothworks_gateway/endpoint_state.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/endpoint_state.py
@@ -73,6 +73,20 @@
     forced: bool = False
 
 
+@attrs.frozen
+class ExpectedLoad:
+    """What the load of a model is expected to take.
+
+    It is determined when the load is ordered: a later declaration may lack the model.
+
+    :param seconds: its duration.
+    :param uses_store: whether it uses the weight store.
+    """
+
+    seconds: float
+    uses_store: bool
+
+
 @attrs.define(eq=False)
 class EndpointState:
     """What the lease holder knows and plans for a model endpoint.
@@ -235,7 +249,7 @@
             self.adapters_by_model.setdefault(model, set()).add(adapter)
 
     def apply_outcome(
-        self, order: adapters.Order, outcome: adapters.OrderOutcome
+        self, order: adapters.Order, outcome: adapters.OrderOutcome, load_s: float = 0.0
     ) -> None:
         """Apply the effect of an order.
 
@@ -245,11 +259,13 @@
 
         :param order: the order.
         :param outcome: the endpoint's response.
+        :param load_s: expected duration of the load of a model, seconds.
         """
         match outcome:
             case adapters.OrderOutcome.ACCEPTED if order.load and not order.adapter:
                 self._count_accepted()
                 self.loading = order.model
+                self.ready_at = time.monotonic() + load_s
             case adapters.OrderOutcome.ACCEPTED:
                 self._count_accepted()
                 self.finish(order)
@@ -310,13 +326,16 @@
             return model.disk_load_s
         return model.store_load_s
 
-    def loads_from_store(self, name: str) -> bool:
-        """Return whether a load of a model here uses the weight store.
+    def expected_load(self, name: str) -> ExpectedLoad | None:
+        """Return what a load of a model takes here; None if it is not declared.
 
-        :param name: the model; it may not be declared any more.
+        :param name: the model.
         """
         model = self.accelerator.model_by_name.get(name)
-        return model is not None and self.load_s(model) >= model.store_load_s
+        if model is None:
+            return None
+        load_s = self.load_s(model)
+        return ExpectedLoad(load_s, load_s >= model.store_load_s)
 
     def ready_s_by_model(self) -> dict[str, float]:
         """Return the seconds until ready of each model that is loading or queued."""
--- a/packages/mothworks_gateway/src/mothworks_gateway/job_execution.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/job_execution.py
@@ -200,6 +200,9 @@
         for name in job.evictions:
             if state.free_mb() >= model.memory_mb:
                 break
+            if job.model not in state.accelerator.model_by_name:
+                # A declaration dropped it while another model was evicted.
+                return False
             if not self._may_unload(state, job, name):
                 return False
             if not self._unload(state, name):
--- a/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
@@ -62,6 +62,8 @@
 #: unless it is unavailable.
 LOAD_OVERDUE_S = 0.15
 OVERDUE_INVENTORY_INTERVAL_S = 0.25
+#: What an order takes that loads no model.
+NO_LOAD = endpoint_state.ExpectedLoad(0.0, uses_store=False)
 #: Maximum time for one job, seconds. A job that takes longer is dropped, and the
 #: scheduler decides anew.
 JOB_TIMEOUT_S = 20.0
@@ -113,7 +115,8 @@
         :param model: the model to load.
         :param share: the share of the rate that such loads may use.
         """
-        if not state.loads_from_store(model):
+        expected = state.expected_load(model)
+        if expected is None or not expected.uses_store:
             return True
         per_s = state.accelerator.store_loads_per_s * self.bounds.load_factor
         max_loads = max(1, int(per_s * self.bounds.load_window_s * share))
@@ -269,7 +272,10 @@
             # Published before the order is sent, so that no VM sends a request that the
             # endpoint would reject.
             self.publish(state, without=order)
-        outcome = self._send(state, order)
+        expected = NO_LOAD
+        if order.load and not order.adapter:
+            expected = state.expected_load(order.model) or NO_LOAD
+        outcome = self._send(state, order, expected)
         kind = "load" if order.load else "unload"
         self.orders_total.inc({"order": kind, "outcome": outcome.value})
         logs.event(
@@ -283,8 +289,8 @@
             fence=order.fence,
             outcome=outcome.value,
         )
-        self._count_store_load(state, order, outcome)
-        state.apply_outcome(order, outcome)
+        self._count_store_load(expected, outcome)
+        state.apply_outcome(order, outcome, expected.seconds)
         match outcome:
             case adapters.OrderOutcome.FENCED:
                 self.lease.fence_rejected(order.fence)
@@ -293,36 +299,34 @@
         return outcome
 
     def _send(
-        self, state: endpoint_state.EndpointState, order: adapters.Order
+        self,
+        state: endpoint_state.EndpointState,
+        order: adapters.Order,
+        expected: endpoint_state.ExpectedLoad,
     ) -> adapters.OrderOutcome:
         """Send an order once; a load counts towards the store's rate meanwhile."""
-        uses_store = self._may_use_store(state, order)
-        self.store_loads_in_flight += uses_store
+        self.store_loads_in_flight += expected.uses_store
         try:
             return self.protocol.order(state.endpoint, order, self.lease.held)
         finally:
-            self.store_loads_in_flight -= uses_store
-
-    def _may_use_store(
-        self, state: endpoint_state.EndpointState, order: adapters.Order
-    ) -> bool:
-        loads_model = order.load and not order.adapter
-        return loads_model and state.loads_from_store(order.model)
+            self.store_loads_in_flight -= expected.uses_store
 
     def _is_safe(
         self, state: endpoint_state.EndpointState, order: adapters.Order
     ) -> bool:
         """Return whether an order fits, and any late orders after it."""
-        if order.load and not state.fits(order.model, order.adapter, state.in_memory()):
-            return False
         late = self.late_orders.pending(state.endpoint)
-        if not late:
-            return True
-        if self._inventory(state) is None:
+        if late and self._inventory(state) is None:
             # It may have restarted, and late orders may have brought it to the number
             # that this order names, with other models.
             state.accepted_orders = None
             return False
+        # Checked after the request for the inventory: a declaration that came into
+        # force meanwhile may lack the model.
+        if order.load and not state.fits(order.model, order.adapter, state.in_memory()):
+            return False
+        if not late:
+            return True
         holdings = state.after(order)
         if not late_orders.all_fit(late, state, holdings, order.expected_orders + 1):
             return False
@@ -332,14 +336,11 @@
         return late_orders.all_fit(in_flight, state, {}, 0)
 
     def _count_store_load(
-        self,
-        state: endpoint_state.EndpointState,
-        order: adapters.Order,
-        outcome: adapters.OrderOutcome,
+        self, expected: endpoint_state.ExpectedLoad, outcome: adapters.OrderOutcome
     ) -> None:
         """Count a load that uses, or may use, the weight store."""
         maybe_started = (adapters.OrderOutcome.ACCEPTED, adapters.OrderOutcome.UNKNOWN)
-        if outcome in maybe_started and self._may_use_store(state, order):
+        if outcome in maybe_started and expected.uses_store:
             self.store_loads.add()
             self.load_record.add(self.spender, STORE, boot_clock.now())
 
@@ -363,8 +364,6 @@
         if not state.loading:
             # The endpoint held the model already.
             return
-        model = state.accelerator.model_by_name[order.model]
-        state.ready_at = time.monotonic() + state.load_s(model)
         self.publish(state)
         overdue_at = state.ready_at + LOAD_OVERDUE_S
         while state.loading and self.lease.held() and state.endpoint.available:
--- a/packages/mothworks_gateway/tests/test_job_execution.py
+++ b/packages/mothworks_gateway/tests/test_job_execution.py
@@ -2,6 +2,7 @@
 
 import types
 
+import attrs
 import gevent
 import pytest
 
@@ -171,3 +172,27 @@
         while fleet.tasks:
             gevent.sleep(0.001)
     assert fleet.order_sender.inventory_requests == ["i-7"]
+
+
+# Guards against models that are unloaded for one that a declaration dropped meanwhile.
+def test_nothing_more_is_unloaded_for_a_dropped_model(fleet):
+    state = fleet.states[0]
+    accelerator = scheduling_builders.accelerator_for(("m", "k", "n"), 8)
+    large = attrs.evolve(accelerator.model_by_name["n"], memory_mb=80_000.0)
+    with_large = accelerator.model_by_name | {"n": large}
+    state.accelerator = attrs.evolve(accelerator, model_by_name=with_large)
+    state.adapters_by_model = {"m": set(), "k": set()}
+    state.accepted_orders = 0
+    fleet.order_sender.publish = lambda _: None
+
+    def unload(state, loads, model, adapter):
+        fleet.order_sender.sent_orders.append((loads, model))
+        del state.adapters_by_model[model]
+        del state.accelerator.model_by_name["n"]
+        return True
+
+    fleet.order_sender.order = unload
+    state.add(endpoint_state.Job("n", "", ("m", "k")))
+    fleet.settle()
+    assert fleet.order_sender.sent_orders == [(False, "m")]
+    assert not state.jobs
