An endpoint's answer with an invalid status is no answer

Callers of requests that must not be repeated, and of streams, got an endpoint's answer with status 600, 700 or 999 as it was. With 000 to 099 the request waited until its deadline, and was answered 504 where no retry was granted.

Cause: the library takes each status below 200 for an interim answer, and the adapter each from 500 on for a failure that is delivered. RFC 9110 knows 100 to 599.

Change: the transport rejects other statuses, and 101 (which nothing here asks for), once the head is complete, like any bytes that are no answer.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -64,8 +64,13 @@
 MAX_FRAMING_BYTES = 64 << 10
 FRAMING_PER_BODY_BYTE = 16
 
-#: Lowest status of a final answer; lower ones are interim.
+#: Valid statuses, and the lowest one of a final answer; lower ones are interim (RFC
+#: 9110, section 15).
+VALID_STATUSES = range(100, 600)
 LOWEST_FINAL_STATUS = 200
+#: Status of an answer after which the connection no longer carries HTTP. It is only
+#: valid where a request asks for it, which none does here.
+SWITCHING_PROTOCOLS = 101
 
 #: Exceptions raised by a failed connection or a malformed answer.
 CONNECTION_ERRORS = (OSError, geventhttpclient.response.HTTPParseError)
@@ -268,6 +273,14 @@
         # The peer closed in good order; a reset makes recv() raise instead.
         self.message_complete = True
 
+    def _on_headers_complete(self) -> int | bool | None:
+        # The library takes each status below 200 for an interim answer, and waits for
+        # the final one, and passes statuses of 600 and more on.
+        status = self.get_code()
+        if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS:
+            raise geventhttpclient.response.HTTPParseError(f"invalid status {status}")
+        return super()._on_headers_complete()
+
     def _on_message_begin(self) -> None:
         # Otherwise the parser appends the body of a second answer to the first.
         if self.message_complete and self.get_code() >= LOWEST_FINAL_STATUS:
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -319,3 +319,38 @@
             answer = client.exchange(server.address, "GET", "/", (), b"", options)
             assert transport.read_body(answer.unwrap()).unwrap() == b"ok"
     assert len(client.pool_by_idle) == 2
+
+
+# Guards against a status that is none: it was delivered to callers, or taken for an
+# interim answer, after which the request waited until its deadline.
+@pytest.mark.parametrize(
+    "status",
+    ["000", "001", "042", "099", "101", "600", "700", "999", "20", "2000", "-200", ""],
+)
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+def test_an_invalid_status_is_no_answer(script, status, interim):
+    line = b"HTTP/1.1 %s Odd\r\n" % status.encode()
+    server = script(interim + line + b"Content-Length: 2\r\n\r\nok", ANSWER)
+    client = transport.Transport()
+    options = transport.SendOptions(deadline=time.monotonic() + 5)
+    with gevent.Timeout(2):
+        sent = client.exchange(server.address, "GET", "/", (), b"", options)
+        assert sent.err_value.may_have_arrived
+        server.closed.wait()
+    assert not client.pool_by_idle
+
+
+# Guards against valid statuses that count as invalid.
+@pytest.mark.parametrize("status", [200, 204, 299, 302, 421, 499, 500, 599])
+@pytest.mark.parametrize(
+    "interim", [b"", b"100 Continue", b"102 A", b"103 B", b"199 C"]
+)
+def test_a_valid_status_is_an_answer(script, status, interim):
+    first = b"HTTP/1.1 %s\r\n\r\n" % interim if interim else b""
+    body = b"" if status == 204 else b"ok"
+    length = b"" if status == 204 else b"Content-Length: 2\r\n"
+    server = script(first + b"HTTP/1.1 %d Odd\r\n%s\r\n%s" % (status, length, body))
+    client = transport.Transport()
+    answer = client.exchange(server.address, "GET", "/", (), b"").unwrap()
+    assert answer.status == status
+    assert transport.read_body(answer).unwrap() == body
