All answers that a VM reads whole share one memory limit

A faulty endpoint that answers each request with a body without end made a VM grow from 43 to 285 MB with 60 callers; VMs of the deployments have 160 to 552 MB. 30 of the callers waited until their deadline.

Cause: each answer is limited to 8 MiB, but nothing limited all of them together, and an endpoint gets many requests before its failures count against it.

Change: the bodies that a transport reads whole share 32 MiB; what would exceed it ends the longest of them, which then counts as a broken answer, not as a crash of its endpoint.

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import itertools
 import select
 import time
@@ -18,7 +19,7 @@
 import geventhttpclient.response
 import result
 
-from mothworks import endpoints
+from mothworks import downloads, endpoints
 
 #: Maximum number of connections to one endpoint.
 POOL_SIZE = 512
@@ -57,6 +58,10 @@
 #: Longest body that :func:`read_body` accepts, bytes, and its reason for a longer one.
 MAX_BODY_BYTES = 8 << 20
 TOO_LONG = "the body is too long"
+#: Memory limit for all bodies that are read whole, bytes, and the reason for one that
+#: is ended because of it.
+MAX_BODIES_BYTES = 32 << 20
+TOO_MUCH = "the bodies of all answers are too long"
 
 #: Most bytes of an answer beyond those of its body, bytes: its head, interim answers,
 #: chunk sizes and extensions, trailers. Each byte of the body allows some more, since
@@ -148,6 +153,10 @@
                 return
             yield data
 
+    def end(self) -> None:
+        """End the answer while another task reads it: there is no memory for it."""
+        self.response.end(TOO_MUCH)
+
     def close(self) -> None:
         """Release the connection if the body was read, or close it to cancel."""
         if self.response.is_read:
@@ -179,7 +188,10 @@
         #: Bytes received that are no body, less those that the body allows.
         self.framing_bytes = 0
         self.socket = sock
+        self.downloads = pool.transport.downloads
         self.timed_out = False
+        #: Why it was ended while it was read; empty if it was not.
+        self.ended_reason = ""
         #: Whether the head was read, without an error.
         self.has_head = False
         #: Whether the body was read to its end.
@@ -226,6 +238,8 @@
                 raise ConnectionResetError("the answer was already closed")
             self.read_timer.again(self._time_out)
             self.hub.wait(self.readable)
+            if self.ended_reason:
+                raise ConnectionResetError(self.ended_reason)
             data = sock.recv(RECEIVE_BYTES)
             if not data:
                 self._handle_eof()
@@ -258,6 +272,14 @@
         if sock is not None:
             pool.release_socket(sock)
 
+    def end(self, reason: str) -> None:
+        """Let the task that reads the body fail.
+
+        :param reason: why.
+        """
+        self.ended_reason = reason
+        self._wake_reader()
+
     def _stop_watchers(self) -> None:
         for watcher in self.watchers:
             watcher.stop()
@@ -295,9 +317,14 @@
         self.message_complete = True
 
     def _time_out(self) -> None:
-        # Wakes the waiting task, which then reads an end of file.
         self.timed_out = True
-        self.socket.shutdown(gevent.socket.SHUT_RD)
+        self._wake_reader()
+
+    def _wake_reader(self) -> None:
+        """Wake the waiting task, which then reads an end of file."""
+        with contextlib.suppress(OSError):
+            # A connection that was reset can't be shut down, but is readable.
+            self.socket.shutdown(gevent.socket.SHUT_RD)
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -510,6 +537,7 @@
     :param allow_unframed: whether an answer without a length is complete once
         the endpoint closes the connection in good order.
     :param max_idle: maximum number of idle connections over all addresses.
+    :param max_bodies_bytes: memory limit for all bodies that are read whole, bytes.
     """
 
     def __init__(
@@ -519,12 +547,14 @@
         connect_s: float = CONNECT_TIMEOUT_S,
         allow_unframed: bool = False,
         max_idle: int = MAX_IDLE,
+        max_bodies_bytes: int = MAX_BODIES_BYTES,
     ):
         self.read_timeout_s = read_timeout_s
         self.size = size
         self.connect_s = connect_s
         self.allow_unframed = allow_unframed
         self.max_idle = max_idle
+        self.downloads = downloads.Downloads(max_bodies_bytes)
         self.pool_by_address: dict[tuple[str, int], _Pool] = {}
         #: Idle connections of all pools, the most recently used last.
         self.pool_by_idle: dict[_Socket, _Pool] = {}
@@ -662,15 +692,18 @@
     """
     chunks = []
     length = 0
+    reading = answer.response.downloads
     try:
         for chunk in answer.chunks():
             chunks.append(chunk)
             length += len(chunk)
             if length > MAX_BODY_BYTES:
                 return result.Err(TOO_LONG)
+            reading.add(answer, len(chunk), answer.end)
     except CONNECTION_ERRORS as error:
         return result.Err(f"answer: {error}")
     finally:
+        reading.remove(answer)
         answer.close()
     return result.Ok(b"".join(chunks))
 
--- a/packages/mothworks/tests/test_endless_bytes.py
+++ b/packages/mothworks/tests/test_endless_bytes.py
@@ -21,11 +21,33 @@
 MAX_GROWTH_BYTES = 24 << 20
 
 
-def read(address):
+@pytest.fixture
+def served():
+    """Return a function that starts a server of a part of an announced body."""
+    servers = []
+
+    def start(body, length):
+        def serve(sock, _):
+            sock.recv(65536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length)
+            sock.sendall(body)
+            # Until the other side closes.
+            sock.recv(1)
+
+        servers.append(gevent.server.StreamServer(("127.0.0.1", 0), serve))
+        servers[-1].start()
+        return "127.0.0.1", servers[-1].server_port
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+def read(address, client=None):
     """Send a request and read the whole answer; returns why that failed, or None."""
     now = time.monotonic()
     options = transport.SendOptions(deadline=now + ANSWER_S, head_deadline=now + HEAD_S)
-    client = transport.Transport(allow_unframed=True)
+    client = client or transport.Transport(allow_unframed=True)
     answer = client.exchange(address, "GET", "/x", (), b"", options)
     if answer.is_err():
         return answer.err_value.reason
@@ -45,6 +67,46 @@
     assert ended_s < HEAD_S
 
 
+# Guards against an endpoint whose answers, each within its limit, take all memory of a
+# VM together.
+@pytest.mark.parametrize("case", ["body in chunks", "body without framing"])
+def test_many_answers_without_end_share_a_memory_limit(case):
+    client = transport.Transport(allow_unframed=True)
+    with endless_bytes.server(case) as address, endless_bytes.observe() as observed:
+        reads = [gevent.spawn(read, address, client) for _ in range(32)]
+        gevent.joinall(reads, raise_error=True)
+    assert None not in [task.value for task in reads]
+    assert observed.growth_bytes <= transport.MAX_BODIES_BYTES + MAX_GROWTH_BYTES
+    assert not client.downloads.total_bytes
+
+
+# Guards against sound answers that are ended in place of longer ones.
+def test_an_answer_without_end_does_not_cost_shorter_ones():
+    client = transport.Transport(allow_unframed=True, max_bodies_bytes=1 << 20)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with (
+        endless_bytes.server("body in chunks") as endless,
+        endless_bytes.whole(head + b"2000\r\n%s\r\n" % (b"b" * 8192)) as sound,
+    ):
+        reads = [gevent.spawn(read, endless, client) for _ in range(8)]
+        gevent.sleep(0.01)
+        while any(not task.ready() for task in reads):
+            assert read(sound, client) is None
+        gevent.joinall(reads, raise_error=True)
+    assert {task.value for task in reads} == {f"answer: {transport.TOO_MUCH}"}
+
+
+# Guards against a long answer that stalls and keeps its memory from all others.
+def test_a_stalled_answer_is_ended_where_it_is_the_longest(served):
+    client = transport.Transport(max_bodies_bytes=1 << 20)
+    stalled = gevent.spawn(read, served(b"s" * (900 << 10), 2 << 20), client)
+    while client.downloads.total_bytes < 900 << 10:
+        gevent.sleep(0.01)
+    whole = read(served(b"w" * (500 << 10), 500 << 10), client)
+    assert whole is None
+    assert stalled.get(timeout=1) == f"answer: {transport.TOO_MUCH}"
+
+
 # Guards against bounds that end answers with small chunks or many headers.
 def test_answers_with_small_chunks_and_long_heads_are_whole():
     head = b"HTTP/1.1 200 OK\r\nX-Long: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -50,6 +50,8 @@
 SLOW_SHARE = 0.6
 #: Lower bound of that time, seconds.
 MIN_SLOW_S = 0.05
+#: Parts of the reasons of broken answers whose endpoint has not crashed.
+NO_CRASH_REASONS = ("timed out", "late", transport.TOO_LONG, transport.TOO_MUCH)
 #: Weight in the failure rate of an error that the endpoint itself returned: some are
 #: caused by the request.
 ERROR_WEIGHT = 0.5
@@ -330,7 +332,8 @@
             self.poison_requests.log_uncounted(request, endpoint, "paths are lost")
             return
         self.health.record_failure(endpoint, reason)
-        if "timed out" not in reason and "late" not in reason:
+        has_crashed = not any(part in reason for part in NO_CRASH_REASONS)
+        if has_crashed:
             self.poison_requests.record_crash(request, endpoint)
 
     def _on_paths_change(self) -> None:
