--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -583,6 +583,8 @@
         :param options: options of this exchange.
         :returns: the answer, its body not yet read, or why there is none.
         """
+        # Before a connection is taken, which would not be returned if this failed.
+        head = _encode_head(options.host or address, method, path, headers, len(body))
         self._close_idle()
         pool = self._pool_for(address)
         try:
@@ -598,7 +600,6 @@
             return result.Err(
                 endpoints.SendFailure("no longer valid", False, withheld=True)
             )
-        head = _encode_head(options.host or address, method, path, headers, len(body))
         sock.recent_ids.append(options.id)
         try:
             sock.settimeout(self._timeout_s(options, options.head_deadline))
