Estimates that decay bear any time without use

A deployment that is quiet at night is down in the morning.

Change: the number of half-lives is bounded. Two more places of the kind, found by the new property: a part of prompts whose trials crashed endpoints more than 1,020 times, and the planner's averages where no time has passed between two updates.

--- a/packages/mothworks/src/mothworks/demand.py
+++ b/packages/mothworks/src/mothworks/demand.py
@@ -76,8 +76,11 @@
     def update(self, seconds: float) -> None:
         """Update the averages with the new arrivals.
 
-        :param seconds: time since the last update.
+        :param seconds: time since the last update; the arrivals wait for the next one
+            if it is 0.
         """
+        if seconds <= 0:
+            return
         rate = self.new_arrivals / seconds
         self.new_arrivals = 0
         self.fast += (rate - self.fast) * (
--- a/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/crash_histories.py
@@ -20,6 +20,9 @@
 #: the retention, so that no block ends by time while requests come.
 TRIAL_DELAY_S = 15.0
 MAX_TRIAL_DELAY_S = 60.0
+#: Failed trials after which the delay is the longest for certain; more would exceed the
+#: largest float.
+MAX_DOUBLINGS = 64
 #: Endpoints that crash within this time, seconds, crash at the same moment.
 SAME_MOMENT_S = 0.2
 
@@ -67,7 +70,7 @@
     @property
     def next_trial_at(self) -> float:
         """Return the monotonic time from which a trial may be sent, seconds."""
-        delay_s = TRIAL_DELAY_S * 2**self.failed_trials
+        delay_s = TRIAL_DELAY_S * 2.0 ** min(MAX_DOUBLINGS, self.failed_trials)
         return self.last_crash_at + min(MAX_TRIAL_DELAY_S, delay_s)
 
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/demand.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/demand.py
@@ -27,6 +27,9 @@
 #: Weight at which a :class:`_DecayingRate` resets it to 1: ten half-lives, so that
 #: names that callers sent once are forgotten within a minute.
 MAX_WEIGHT = 1024.0
+#: Half-lives after which nothing is left of any rate. The largest float is less than 2
+#: to the power of 1024.
+MAX_HALF_LIVES = 1000.0
 #: Natural logarithm of 2: converts a half-life to the rate of an exponential decay.
 LN_2 = 0.693
 
@@ -94,7 +97,8 @@
         ]
 
     def _weight(self) -> float:
-        weight = 2.0 ** ((time.monotonic() - self.weight_set_at) / self.half_life_s)
+        half_lives = (time.monotonic() - self.weight_set_at) / self.half_life_s
+        weight = 2.0 ** min(MAX_HALF_LIVES, half_lives)
         if weight < MAX_WEIGHT:
             return weight
         self._reset_weight(weight)
