A changed time to stop takes effect at SIGHUP

Cause: parts kept values of settings that are read again. The node computed its time to drain at the start; the order sender kept all bounds, and buckets of usage caps their overdraft.

Change: one list names the fields that take effect at SIGHUP. All others keep their value until the next start, and the log line of the reload names those that differ. What can change is read when it is used. Windows, lease_ms, fenced and logs need a restart: parts used old and new values side by side, or nothing read them.

--- a/packages/mothworks/src/mothworks/kernel.py
+++ b/packages/mothworks/src/mothworks/kernel.py
@@ -85,14 +85,14 @@
     def shut_down(self) -> None:
         """Shut down gracefully: drain every part, then stop every part.
 
-        The setting ``drain_s`` bounds the whole drain. Parts that receive
+        The settings bound the time for the whole drain. Parts that receive
         callers' requests are built last and drain first.
         """
         if self.draining:
             return
         self.draining = True
         log.info("draining")
-        deadline = time.monotonic() + self.settings.limits.drain_s
+        deadline = time.monotonic() + self.settings.drain_s
         self.drain_deadline = deadline
         for callback in self.on_draining:
             self._try_step(callback)
--- a/packages/mothworks/src/mothworks/settings.py
+++ b/packages/mothworks/src/mothworks/settings.py
@@ -185,6 +185,11 @@
     limits: Limits = Limits()
     logs: Logs = Logs()
 
+    @property
+    def drain_s(self) -> float:
+        """Return the longest time for a graceful shutdown, seconds."""
+        return self.limits.drain_s
+
 
 def load(path: pathlib.Path) -> result.Result[Settings, documents.DocumentError]:
     """Read and validate a settings file.
--- a/packages/mothworks_fakes/src/mothworks_fakes/reference.py
+++ b/packages/mothworks_fakes/src/mothworks_fakes/reference.py
@@ -4,6 +4,7 @@
 that the pages match the classes.
 """
 
+import collections.abc
 import enum
 import inspect
 import pathlib
@@ -59,15 +60,21 @@
         ),
         "gateway-settings.md": _class_page(
             "Settings of a VM before endpoints that register themselves",
-            "A JSON file with comments, read at the start; seeds, bounds and logs "
-            "are read again at SIGHUP. A wrong or missing field ends the start with "
-            "one line that names it. `deploy/settings.template.json` renders it.",
+            "A JSON file with comments, read at the start and at SIGHUP, which puts "
+            f"these fields into force: {_names(gateway_settings.RELOADED)}. A change "
+            "of another field takes effect at the next start; `reload` in the log "
+            "names it. A wrong or missing field ends the start with one line that "
+            "names it. `deploy/settings.template.json` renders it.",
             gateway_settings.Settings,
         ),
         "rows.md": _rows_page(),
     }
 
 
+def _names(fields: collections.abc.Iterable[str]) -> str:
+    return ", ".join(f"`{field}`" for field in sorted(fields))
+
+
 def _class_page(title: str, intro: str, root: type) -> str:
     sections = [f"# {title}\n", GENERATED_NOTE, intro + "\n"]
     sections += [
--- a/packages/mothworks_gateway/src/mothworks_gateway/credit.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/credit.py
@@ -270,9 +270,9 @@
             return None
         cap = declared.cap.scaled(self.budgets.share())
         bucket = self.bucket_by_account.get(account)
-        if bucket is not None and bucket.cap == cap:
-            return bucket
         overdraft = OVERDRAFT_SHARE * self._tolerated_excess(cap)
+        if bucket is not None and (bucket.cap, bucket.overdraft) == (cap, overdraft):
+            return bucket
         if bucket is None:
             bucket = token_bucket.TokenBucket(cap, self.budgets.synced_since, overdraft)
             self.bucket_by_account[account] = bucket
--- a/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/dispatch.py
@@ -535,7 +535,7 @@
 
     def _drain_wait_until(self) -> float:
         """Return the monotonic time at which all waits end as this VM stops."""
-        drain_s = self.kernel.settings.limits.drain_s
+        drain_s = self.kernel.settings.drain_s
         margin_s = min(DRAIN_MARGIN_S, MAX_DRAIN_MARGIN_SHARE * drain_s)
         return self.kernel.drain_deadline - margin_s
 
--- a/packages/mothworks_gateway/src/mothworks_gateway/front.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/front.py
@@ -47,10 +47,6 @@
 #: The most of the time for a drain that this may take; requests that are accepted last
 #: must have time to finish.
 MAX_ACCEPT_SHARE = 0.4
-#: Time before the kill deadline at which the process exits by itself, seconds, and the
-#: most of the time to stop that it may take.
-EXIT_MARGIN_S = 0.9
-MAX_EXIT_SHARE = 0.12
 #: Retry-After while this VM stops, seconds: the retry reaches another VM.
 STOPPING_RETRY_S = 0.02
 #: Factor on the declared idle timeout of connections: a caller that reuses a connection
@@ -317,13 +313,5 @@
         return self.refuse(refusal)
 
 
-def drain_s(stop_s: float) -> float:
-    """Return the time for a graceful shutdown, seconds.
-
-    :param stop_s: time from the stop signal until the process is killed, seconds.
-    """
-    return stop_s - min(EXIT_MARGIN_S, MAX_EXIT_SHARE * stop_s)
-
-
 def _stopping() -> outcomes.Refusal:
     return outcomes.overloaded("this VM is stopping", STOPPING_RETRY_S, "stopping")
--- a/packages/mothworks_gateway/src/mothworks_gateway/node.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/node.py
@@ -6,7 +6,6 @@
 import sys
 import time
 
-import attrs
 import gevent
 import gevent.signal
 import logbook
@@ -80,9 +79,7 @@
     def __init__(self, checked: settings.Settings, path: pathlib.Path | None = None):
         self.path = path
         importlib.import_module(checked.adapter)
-        drain_s = front.drain_s(checked.bounds.stop_s)
-        limits = attrs.evolve(checked.limits, drain_s=drain_s)
-        self.kernel = kernel.Kernel(attrs.evolve(checked, limits=limits))
+        self.kernel = kernel.Kernel(checked)
         for part in PARTS:
             self.kernel.get(part)
         source = self.kernel.get(vm_list.VmList).source
@@ -127,7 +124,7 @@
         return 0 if failure is None else 1
 
     def reload(self) -> None:
-        """Reload the settings; only seeds, bounds and logs take effect."""
+        """Reload the settings; some fields take effect, see `settings.RELOADED`."""
         match settings.load(self.path):
             case result.Ok(read):
                 pass
@@ -135,12 +132,17 @@
                 reason = str(problem)[:200]
                 logs.event(log, "reload", reason=reason, outcome="not taken")
                 return
-        current = self.kernel.settings
-        self.kernel.settings = attrs.evolve(
-            current, seeds=read.seeds, bounds=read.bounds, logs=read.logs
-        )
+        reloaded = settings.reload(self.kernel.settings, read)
+        self.kernel.settings = reloaded.settings
         self.kernel.get(vm_list.VmList).source.reload(self.kernel.settings)
-        logs.event(log, "reload", reason="hangup", outcome="taken")
+        logs.event(
+            log,
+            "reload",
+            reason="hangup",
+            changed=list(reloaded.changed),
+            needs_restart=list(reloaded.needs_restart),
+            outcome="taken",
+        )
 
 
 def main(settings_file: str) -> int:
--- a/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/order_sender.py
@@ -33,6 +33,7 @@
     late_orders,
     lease,
     residency,
+    settings,
     sliding_windows,
     spending_record,
     unload_time,
@@ -77,7 +78,6 @@
 
     def __init__(self, node_kernel: kernel.Kernel):
         super().__init__(node_kernel)
-        self.bounds = node_kernel.settings.bounds
         self.name = node_kernel.settings.name
         self.registry = node_kernel.get(discovery.Discovery).registry
         self.protocol = node_kernel.get(endpoints_client.EndpointsClient).protocol
@@ -86,12 +86,11 @@
         self.late_orders = node_kernel.get(late_orders.LateOrders)
         self.residency = node_kernel.get(residency.Residency)
         self.unload_time = unload_time.UnloadTime()
-        self.store_loads = sliding_windows.WindowedCount(self.bounds.load_window_s)
+        window_s = self.bounds.load_window_s
+        self.store_loads = sliding_windows.WindowedCount(window_s)
         #: Loads from the weight store of all holders, each process by its own name: the
         #: next holder has to count those of the one before.
-        self.load_record = spending_record.SpendingRecord(
-            self.bounds.load_window_s, LOAD_SLOT_S
-        )
+        self.load_record = spending_record.SpendingRecord(window_s, LOAD_SLOT_S)
         self.spender = f"{self.name} {secrets.token_hex(4)}"
         heartbeats = node_kernel.get(heartbeat.Heartbeats)
         heartbeats.field_providers.append(self._heartbeat_fields)
@@ -103,6 +102,11 @@
             "orders_total", "Orders to endpoints, by kind and outcome."
         )
 
+    @property
+    def bounds(self) -> settings.Bounds:
+        """Return the deployment's bounds in force."""
+        return self.kernel.settings.bounds
+
     def may_load(
         self,
         state: endpoint_state.EndpointState,
--- a/packages/mothworks_gateway/src/mothworks_gateway/settings.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/settings.py
@@ -1,14 +1,35 @@
 """Settings of one VM, read from JSON with comments."""
 
+import collections.abc
 import ipaddress
 import math
 import pathlib
+import typing
 
 import attrs
 import result
 
 from mothworks import documents, settings as node_settings
 
+#: Fields that take effect at SIGHUP. The others take effect at the next start: parts
+#: size their windows, pools and listeners by them, or all VMs have to agree on them.
+RELOADED = frozenset(
+    (
+        "seeds",
+        "bounds.retry_share",
+        "bounds.retry_slack",
+        "bounds.leave_ms",
+        "bounds.load_factor",
+        "bounds.stop_s",
+        "bounds.revoke_ms",
+        "bounds.cap_over",
+        "bounds.cap_slack",
+    )
+)
+#: Time before the process is killed at which it exits by itself, seconds, and the most
+#: of the time to stop that it may take.
+EXIT_MARGIN_S = 0.9
+MAX_EXIT_SHARE = 0.12
 #: File descriptors reserved for files, listeners and connections to peers.
 SPARE_DESCRIPTORS = 300
 
@@ -183,12 +204,68 @@
             return self.forwarding_port
         return self.peer_port + 1 if self.peer_port else 0
 
+    @property
+    def drain_s(self) -> float:
+        """Return the longest time for a graceful shutdown, seconds."""
+        stop_s = self.bounds.stop_s
+        return stop_s - min(EXIT_MARGIN_S, MAX_EXIT_SHARE * stop_s)
+
     @property
     def vm_list(self) -> VmListSource:
         """Return the source of the list of VMs, which is the platform adapter."""
         return VmListSource(self.adapter, self)
 
 
+@attrs.frozen
+class Reload:
+    """What a settings file changes while the process runs.
+
+    :param settings: the settings that are in force from now on.
+    :param changed: names of the fields that take effect.
+    :param needs_restart: names of the fields that differ and take effect at the next
+        start.
+    """
+
+    settings: Settings
+    changed: tuple[str, ...]
+    needs_restart: tuple[str, ...]
+
+
+def reload(current: Settings, read: Settings) -> Reload:
+    """Return what a settings file that was read again changes.
+
+    :param current: the settings in force.
+    :param read: the settings as read.
+    """
+    names = list(_differing_fields(current, read))
+    changed = [name for name in names if name in RELOADED]
+    bounds = {
+        field: getattr(read.bounds, field)
+        for parent, _, field in (name.rpartition(".") for name in changed)
+        if parent == "bounds"
+    }
+    seeds = read.seeds if "seeds" in changed else current.seeds
+    return Reload(
+        attrs.evolve(
+            current, seeds=seeds, bounds=attrs.evolve(current.bounds, **bounds)
+        ),
+        tuple(changed),
+        tuple(name for name in names if name not in RELOADED),
+    )
+
+
+def _differing_fields(
+    current: typing.Any, read: typing.Any, prefix: str = ""
+) -> collections.abc.Iterator[str]:
+    """Yield the names of the fields that differ, with those of the classes around."""
+    for field in attrs.fields(type(current)):
+        before, after = getattr(current, field.name), getattr(read, field.name)
+        if attrs.has(type(before)) and type(before) is type(after):
+            yield from _differing_fields(before, after, f"{prefix}{field.name}.")
+        elif before != after:
+            yield prefix + field.name
+
+
 def load(path: pathlib.Path) -> result.Result[Settings, documents.DocumentError]:
     """Read and validate a settings file.
 
--- a/packages/mothworks_gateway/tests/modelled_endpoint.py
+++ b/packages/mothworks_gateway/tests/modelled_endpoint.py
@@ -179,7 +179,7 @@
             handler("vm", message, None)
 
 
-def make_order_sender(endpoint, view, vms, held_lease=None):
+def make_order_sender(endpoint, view, vms, held_lease=None, **bounds):
     """Return the order sender of a lease holder, connected to an endpoint."""
     parts = {
         discovery.Discovery: types.SimpleNamespace(registry=view),
@@ -192,6 +192,6 @@
             record_leaving=lambda endpoint, **_: view.record_leaving(endpoint.id)
         ),
     }
-    kernel = gateway_builders.Kernel(parts)
+    kernel = gateway_builders.Kernel(parts, **bounds)
     parts[late_orders.LateOrders] = late_orders.LateOrders(kernel)
     return order_sender.OrderSender(kernel)
--- a/packages/mothworks_gateway/tests/test_dropped_models.py
+++ b/packages/mothworks_gateway/tests/test_dropped_models.py
@@ -8,7 +8,7 @@
 
 import gateway_builders
 import modelled_endpoint
-from mothworks_gateway import adapters, endpoint_state, registry, settings
+from mothworks_gateway import adapters, endpoint_state, registry
 
 SIZES = {"small": 16.1, "slight": 16.1, "large": 60.0, "wanted": 34.3}
 ACCEPTED = adapters.OrderOutcome.ACCEPTED
@@ -90,10 +90,14 @@
 # Guards against more loads than the weight store allows: one whose model was dropped
 # while it was ordered was not counted.
 @pytest.mark.parametrize("outcome", [ACCEPTED, UNKNOWN])
-def test_a_load_of_a_dropped_model_counts_at_the_weight_store(
-    orders, endpoint, outcome
-):
-    orders.bounds = settings.Bounds(load_window_s=6.0, load_factor=0.1)
+def test_a_load_of_a_dropped_model_counts_at_the_weight_store(endpoint, outcome):
+    orders = modelled_endpoint.make_order_sender(
+        endpoint,
+        registry.Registry(),
+        modelled_endpoint.Peers(),
+        load_window_s=6.0,
+        load_factor=0.1,
+    )
     state = endpoint.state_of("small")
     orders.refresh(state)
     while orders.may_load(state, "large"):
--- a/packages/mothworks_gateway/tests/test_order_sender.py
+++ b/packages/mothworks_gateway/tests/test_order_sender.py
@@ -12,8 +12,6 @@
     endpoint_state,
     heartbeat,
     registry,
-    settings,
-    sliding_windows,
 )
 
 SIZES = {"small": 16.1, "slight": 16.1, "spare": 16.1, "busy": 34.3, "wanted": 34.3}
@@ -102,12 +100,15 @@
 # one pass, before any of them was counted.
 def test_loads_that_were_decided_at_once_start_at_the_store_s_rate(stub_lease):
     endpoints = Endpoints(modelled_endpoint.accelerator(**SIZES))
+    window_s, max_loads = 0.6, 3
     sender = modelled_endpoint.make_order_sender(
-        endpoints, registry.Registry(), modelled_endpoint.Peers(), stub_lease
+        endpoints,
+        registry.Registry(),
+        modelled_endpoint.Peers(),
+        stub_lease,
+        load_window_s=window_s,
+        load_factor=1.0,
     )
-    window_s, max_loads = 0.6, 3
-    sender.bounds = settings.Bounds(load_window_s=window_s, load_factor=1.0)
-    sender.store_loads = sliding_windows.WindowedCount(window_s)
     registered = [gateway_builders.endpoint(f"i-{n}", models=()) for n in range(8)]
     states = [
         endpoint_state.EndpointState(item, endpoints.declared_as) for item in registered
@@ -128,7 +129,12 @@
     endpoints = Endpoints(modelled_endpoint.accelerator(**SIZES))
     senders = [
         modelled_endpoint.make_order_sender(
-            endpoints, registry.Registry(), modelled_endpoint.Peers(), stub_lease
+            endpoints,
+            registry.Registry(),
+            modelled_endpoint.Peers(),
+            stub_lease,
+            load_window_s=6.0,
+            load_factor=0.1,
         )
         for _ in range(2)
     ]
@@ -136,8 +142,6 @@
     senders[1].name = senders[0].name if has_restarted else "vm-2"
     max_loads = 3
     states = []
-    for sender in senders:
-        sender.bounds = settings.Bounds(load_window_s=6.0, load_factor=0.1)
     for number in range(max_loads):
         item = gateway_builders.endpoint(f"i-{number}", models=())
         state = endpoint_state.EndpointState(item, endpoints.declared_as)
