A stream runs on no more endpoints than its route allows

Cause: a request had several counts of its attempts. The relay of a stream began a new one with the endpoint that answered. A VM that ran a stream for another one resumed it by itself, which the other one did not learn. An endpoint that could not be reached was taken out of the count, also where it had run the request before.

Change: the relay counts in the request's own progress. At the maximum, a stream is resumed at an endpoint that counts already, if it has not broken off there. A VM that runs a stream for another one leaves its resumption to that one. What counted before is not taken out.

--- a/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/attempts.py
@@ -102,7 +102,7 @@
         :param progress: the request's progress, which is updated.
         :returns: the answer; None if the attempt failed, with the reason in `progress`.
         """
-        progress.tried.add(endpoint.id)
+        progress.count_endpoint(endpoint.id)
         progress.sends += 1
         progress.connection = 0
         progress.withheld = False
@@ -252,9 +252,7 @@
                 self.running_requests.record_late(request.target)
             if request.route.resumable and answer.status < 300:
                 self.origins.record(request.stream_id, endpoint.entry)
-            body = stream_relay.StreamRelay(
-                self, request, endpoint, answer, progress.admission
-            )
+            body = stream_relay.StreamRelay(self, request, endpoint, answer, progress)
             return self._reply(request, answer, body)
         whole_body = transport.read_body(answer)
         if whole_body.is_err():
@@ -306,7 +304,7 @@
         progress.reason = failure.reason[:80]
         if not failure.may_have_arrived:
             # Nothing was sent, so the endpoint does not count as tried.
-            progress.tried.discard(endpoint.id)
+            progress.uncount_endpoint()
             if failure.withheld:
                 progress.withheld = True
                 return
--- a/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/forwarding.py
@@ -479,7 +479,6 @@
     def _resume(self, reason: str) -> bool:
         """Resume the stream on another peer; returns whether that succeeded."""
         self.answer.close()
-        self.progress.broken_peers.add(self.answer.vm)
         if self.events is None or not self.request.route.resumable:
             return False
         if self.relayed_bytes and not self.events.last_id:
@@ -489,6 +488,7 @@
         service = self.request.target.service
         if not self.forwarding.retry_budget.try_spend(service, self.request.id):
             return False
+        self._avoid_last_peer()
         self.events.begin_answer()
         resumed = self.forwarding.resume(
             self.request, self.progress, self.events.last_id
@@ -507,6 +507,17 @@
         self.answer = resumed
         return True
 
+    def _avoid_last_peer(self) -> None:
+        """Resume on another peer than the last one, if there is one.
+
+        A peer whose endpoint broke the stream off does not resume it by itself.
+        """
+        broken_peers = self.progress.broken_peers
+        needs_version = self.request.target.software_version is not None
+        broken_peers.add(self.answer.vm)
+        if self.forwarding.peers.choose(broken_peers, needs_version) is None:
+            broken_peers.discard(self.answer.vm)
+
 
 def _split_head(chunks: collections.abc.Iterator[bytes]) -> tuple[bytes, bytes]:
     """Read a head from the start of a body.
--- a/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/request_progress.py
@@ -44,6 +44,19 @@
     admission: typing.Any = None
     grant: typing.Any = None
     owes_retry: bool = False
+    _newly_tried: str = attrs.field(default="", init=False)
+
+    def count_endpoint(self, endpoint_id: str) -> None:
+        """Count an endpoint that the request is about to be sent to.
+
+        :param endpoint_id: the endpoint.
+        """
+        self._newly_tried = "" if endpoint_id in self.tried else endpoint_id
+        self.tried.add(endpoint_id)
+
+    def uncount_endpoint(self) -> None:
+        """Uncount the last endpoint, which got nothing, unless it counted before."""
+        self.tried.discard(self._newly_tried)
 
     @property
     def is_granted(self) -> bool:
--- a/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
+++ b/packages/mothworks_gateway/src/mothworks_gateway/stream_relay.py
@@ -10,6 +10,7 @@
 from mothworks_gateway import (
     adapters,
     caller_request,
+    endpoint_selection,
     forwarding,
     poison_requests,
     queue_client,
@@ -38,7 +39,8 @@
     :param request: the request.
     :param endpoint: the endpoint that runs it.
     :param answer: the endpoint's answer, its body not read.
-    :param admission: its place at the endpoint; None without a queue.
+    :param progress: the attempts at the request so far. Those that resume its stream
+        count towards the same maximum.
     """
 
     def __init__(
@@ -47,7 +49,7 @@
         request: caller_request.CallerRequest,
         endpoint: registry.Endpoint,
         answer: transport.HttpAnswer,
-        admission: queue_client.Admission | None = None,
+        progress: request_progress.RequestProgress,
     ):
         self.attempts = attempts
         self.request = request.pinned(
@@ -55,12 +57,15 @@
         )
         self.endpoint = endpoint
         self.answer = answer
-        self.admission = admission
+        self.progress = progress
+        #: Its place at the endpoint; None without a queue.
+        self.admission: queue_client.Admission | None = progress.admission
         #: Number of events of the present answer, for its endpoint's speed.
         self.event_count = 0
         #: Whether the answer is open and its request counts as running.
         self.is_answer_open = True
-        self.tried_ids = {endpoint.id}
+        #: Endpoints whose answers broke off; the stream is not resumed there.
+        self.broken_ids: set[str] = set()
         self.outcome = "caller left"
         self.closed = False
         #: Whether a retry is charged that no endpoint has got yet.
@@ -169,6 +174,7 @@
 
     def _record_break(self, reason: str) -> None:
         self.outcome = f"broke: {reason}"[:100]
+        self.broken_ids.add(self.endpoint.id)
         is_late = time.monotonic() >= self.request.deadline - MIN_RESUME_S
         if is_late or self.attempts.paths.lost:
             self._log_uncounted("it was late" if is_late else "paths are lost")
@@ -185,9 +191,10 @@
 
     def _may_resume(self) -> bool:
         """Return whether the stream may be resumed and a retry is left for that."""
-        route = self.request.route
-        may_resume = self.events is not None and route.resumable
-        if not may_resume or len(self.tried_ids) >= route.max_endpoints:
+        if self.events is None or not self.request.route.resumable:
+            return False
+        if self.progress.forwarded:
+            # The VM that forwarded it resumes it: it counts the endpoints of all VMs.
             return False
         if self.relayed_bytes and not self.events.last_id:
             return False
@@ -212,12 +219,15 @@
         if self.attempts.paths.lost:
             return False
         ready = self.attempts.endpoint_selection.candidates(self.request).ready
-        untried = [item for item in ready if item.id not in self.tried_ids]
+        others = tuple(item for item in ready if item.id not in self.broken_ids)
+        endpoints = endpoint_selection.eligible(self.request, self.progress, others)
+        if not endpoints:
+            return False
         admission = None
         now = time.monotonic()
         match self.attempts.queue.admit(
             self.request,
-            untried,
+            endpoints,
             None,
             now + MAX_RESUME_WAIT_S,
             RESUME_URGENCY,
@@ -226,12 +236,12 @@
             now + MAX_RESUME_WAIT_S + self.request.route.objective_s,
         ):
             case result.Ok(admission):
-                untried = [admission.endpoint]
+                endpoints = [admission.endpoint]
             case result.Err(_):
                 return False
         resumed = False
         try:
-            resumed = self._resume_in_room(untried, admission)
+            resumed = self._resume_in_room(endpoints, admission)
             return resumed
         finally:
             if admission is not None and not resumed:
@@ -272,17 +282,17 @@
             return None
         if not self._charge():
             return None
-        progress = request_progress.RequestProgress(self.tried_ids, may_have_run=True)
+        self.progress.may_have_run = True
         self.events.begin_answer()
         answer = self.attempts.forwarding.resume(
-            self.request, progress, self.events.last_id
+            self.request, self.progress, self.events.last_id
         )
         if answer is None:
             return None
         return forwarding.ForwardedStream(
             self.attempts.forwarding,
             self.request,
-            progress,
+            self.progress,
             answer,
             self.events,
         )
@@ -293,6 +303,7 @@
         last_id = self.events.last_id
         deadline = self.request.deadline
         sent_at = time.monotonic()
+        self.progress.count_endpoint(endpoint.id)
         sent = protocol.send(
             endpoint,
             self.request,
@@ -303,12 +314,11 @@
         )
         resumed = False
         connection = 0
-        self.tried_ids.add(endpoint.id)
         self.is_charged = self.unreachable = False
         match sent:
             case result.Err(failure) if not failure.may_have_arrived:
                 self.is_charged = True
-                self.tried_ids.discard(endpoint.id)
+                self.progress.uncount_endpoint()
                 self.unreachable = not failure.withheld
                 if self.unreachable:
                     self.attempts.paths.record_unreachable(
