Build folders of another machine are replaced

target/deps and .venv that are carried over from a machine of another kind, or another Python, were taken as they were if they were newer than the requirements, and their compiled modules could not be loaded.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/mothworks packages/mothctl packages/mothworks_fakes \
 	packages/mothworks_gateway platform
-STAMP := $(VENV)/.installed
+# Names the kind of machine and the version of Python, for which the environment is made.
+KIND := $(shell $(PYTHON) -c "import platform as p; print(p.machine(), p.python_version(), sep='-')")
+STAMP := $(VENV)/.installed-$(KIND)
 
 empty :=
 space := $(empty) $(empty)
@@ -13,7 +15,7 @@
 .PHONY: test lint format demo clean
 
 $(STAMP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	test -e $@ || $(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/python -m pip install --quiet -c constraints.txt -r requirements-dev.txt
 	touch $(STAMP)
 
