What is given up is taken back from the kernel

Cause: a connection whose request got no answer was closed in good order, so that the kernel still delivered what a path held up, also after the process had ended.

Change: connections are opened with SO_LINGER of 0 s: any close resets them, also that by the end of the process or its kill. Only where the last answer is whole they are closed in good order.

Evidence: three of the new cases of test_transport fail before (a request that is given up, an answer that is not whole, a killed process).

--- a/packages/mothworks/src/mothworks/transport.py
+++ b/packages/mothworks/src/mothworks/transport.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import select
+import struct
 import time
 
 import attrs
@@ -49,6 +50,10 @@
 #: probes while data is unacknowledged, and with this timeout set it also decides when
 #: probes give up, so it must not be shorter than they take.
 ACK_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S)
+#: Values of SO_LINGER. With the first one, a close resets the connection: the peer gets
+#: nothing of what the kernel has not delivered yet, also after the process was killed.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 #: Maximum number of bytes per read from a socket.
 RECEIVE_BYTES = 16 << 10
 
@@ -261,11 +266,12 @@
             return
         self._stop_watchers()
         if self._sock is not None:
+            self._sock.is_answered = self.message_complete
             self._sock.idle_timeout_s = _keep_alive_timeout_s(self.get("keep-alive"))
         super().release()
 
     def cancel(self) -> None:
-        """Close the connection, upon which the endpoint cancels the request."""
+        """Reset the connection, upon which the endpoint cancels the request."""
         self._stop_watchers()
         pool, sock = self._pool, self._sock
         self._pool = self._sock = None
@@ -359,12 +365,29 @@
     idle_timeout_s = IDLE_TIMEOUT_S
     #: Whether it is closed after one request instead of being pooled.
     single_use = False
+    #: Whether all its requests have whole answers. Otherwise it is reset when it is
+    #: closed: a request that is given up must not arrive later.
+    is_answered = True
     #: Ids of the last requests that it carried, the newest last.
     recent_ids: collections.deque[str]
     #: Called when a receive times out; returns the next timeout in seconds, or None to
     #: let it time out.
     on_timeout: collections.abc.Callable[[], float | None] | None = None
 
+    def close(self) -> None:
+        """Close the connection in good order if its last answer is whole."""
+        if self.is_answered:
+            with contextlib.suppress(OSError):
+                self._set_linger(CLOSE_IN_ORDER)
+        super().close()
+
+    def reset_at_close(self) -> None:
+        """Let any close reset the connection, also that by the end of the process."""
+        self._set_linger(RESET_AT_CLOSE)
+
+    def _set_linger(self, value: bytes) -> None:
+        self.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, value)
+
     def recv(self, *args) -> bytes:
         """Receive as the base class does, with a timeout that may be extended."""
         while True:
@@ -601,6 +624,7 @@
                 endpoints.SendFailure("no longer valid", False, withheld=True)
             )
         sock.recent_ids.append(options.id)
+        sock.is_answered = False
         try:
             sock.settimeout(self._timeout_s(options, options.head_deadline))
             sock.sendall(head + body)
@@ -723,6 +747,7 @@
 
 
 def _set_options(sock: _Socket) -> None:
+    sock.reset_at_close()
     sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
     sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1)
     for option, value in (
--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -1,6 +1,9 @@
 """Tests of the pooled connections to endpoints."""
 
+import contextlib
 import socket
+import subprocess
+import sys
 import time
 
 import gevent
@@ -223,7 +226,8 @@
 
     def _serve(self, sock, _):
         self.connections += 1
-        with sock:
+        # The client resets a connection whose answer it does not read.
+        with sock, contextlib.suppress(ConnectionResetError):
             for data in self.sends:
                 if not sock.recv(4096):
                     break
@@ -354,3 +358,113 @@
     answer = client.exchange(server.address, "GET", "/", (), b"").unwrap()
     assert answer.status == status
     assert transport.read_body(answer).unwrap() == body
+
+
+def how_it_ends(sock):
+    """Read until a connection ends; returns ``reset`` or ``closed``."""
+    try:
+        while sock.recv(4096):
+            pass
+    except ConnectionResetError:
+        return "reset"
+    return "closed"
+
+
+class Listener:
+    """A server that reads nothing until it is told, and tells how connections end."""
+
+    def __init__(self, answer=b""):
+        self.answer = answer
+        self.may_read = gevent.event.Event()
+        self.ended = gevent.event.AsyncResult()
+        self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def _serve(self, sock, _):
+        with sock:
+            if self.answer:
+                sock.recv(4096)
+                sock.sendall(self.answer)
+            self.may_read.wait()
+            self.ended.set(how_it_ends(sock))
+
+
+@pytest.fixture
+def listener():
+    listeners = []
+
+    def start(answer=b""):
+        listeners.append(Listener(answer))
+        return listeners[-1]
+
+    yield start
+    for item in listeners:
+        item.server.stop(timeout=0.1)
+
+
+def give_up(client, address):
+    deadline = time.monotonic() + 0.05
+    options = transport.SendOptions(deadline=deadline, head_deadline=deadline)
+    return client.exchange(address, "GET", "/", (), b"", options)
+
+
+# Guards against a request, or an order, that was given up and arrives later, when the
+# path that held it up has healed.
+def test_a_connection_whose_request_was_given_up_is_reset(listener):
+    server = listener()
+    assert give_up(transport.Transport(), server.address).is_err()
+    server.may_read.set()
+    assert server.ended.get(timeout=5) == "reset"
+
+
+def test_a_connection_is_reset_where_its_answer_is_not_whole(listener):
+    server = listener(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+    client = transport.Transport()
+    answer = client.exchange(server.address, "GET", "/", (), b"").unwrap()
+    answer.close()
+    server.may_read.set()
+    assert server.ended.get(timeout=5) == "reset"
+
+
+# Guards against endpoints that see resets where nothing was given up.
+@pytest.mark.parametrize("closes", ["idle", "single use", "asked to"])
+def test_a_connection_with_a_whole_answer_is_closed_in_order(listener, closes):
+    close = b"Connection: close\r\n" if closes == "asked to" else b""
+    server = listener(b"HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok" % close)
+    client = transport.Transport()
+    options = transport.SendOptions(new_connection=closes == "single use")
+    answer = client.exchange(server.address, "GET", "/", (), b"", options).unwrap()
+    assert transport.read_body(answer).unwrap() == b"ok"
+    if closes == "idle":
+        (sock,) = client.pool_by_idle
+        client.pool_by_idle[sock].discard(sock)
+    server.may_read.set()
+    assert server.ended.get(timeout=5) == "closed"
+
+
+#: Sends a request and is killed while it waits for the answer.
+KILLED = """
+import sys, gevent.monkey
+gevent.monkey.patch_all()
+from mothworks import transport
+address = (sys.argv[1], int(sys.argv[2]))
+print("sends", flush=True)
+transport.Transport().exchange(address, "GET", "/", (), b"")
+"""
+
+
+# Guards against orders of a killed holder that its kernel still delivers, beside those
+# of the next one.
+def test_what_a_killed_process_has_sent_is_reset(listener):
+    server = listener()
+    command = [sys.executable, "-c", KILLED, *map(str, server.address)]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        assert process.stdout.readline() == b"sends\n"
+        gevent.sleep(0.3)
+    finally:
+        process.kill()
+        process.wait()
+    server.may_read.set()
+    assert server.ended.get(timeout=5) == "reset"
