--- a/packages/mothworks_gateway/tests/test_late_orders.py
+++ b/packages/mothworks_gateway/tests/test_late_orders.py
@@ -177,18 +177,15 @@
     return machine.endpoint
 
 
+# Guards against endpoints that late orders overfill after they restarted under their
+# name.
 def test_no_walk_overfills_an_endpoint():
-    # Endpoints crash and restart under their name while orders are executed late. When
-    # no memory was reserved for these, one walk of 400 ended in a crash.
     assert not any(walk(seed).crashes for seed in range(6_000))
 
 
+# Guards against two late orders in a row that fit one by one, but not together.
 @pytest.mark.parametrize("seed", [111697, 125476, 125586, 138057, 152915])
 def test_consecutive_late_orders_fit(seed):
-    # Two orders without a response name consecutive counts and were sent in
-    # incarnations between which the endpoint was empty. Executed one after the other in
-    # a third incarnation, they overfilled it, though each fit beside what was ordered
-    # there.
     assert not walk(seed).crashes
 
 
@@ -198,11 +195,9 @@
 )
 
 
+# Guards against a late order of a previous incarnation that overfills an endpoint
+# filled again.
 def test_a_late_order_of_a_previous_incarnation_fits():
-    # An order to load 50 GB gets no response. Its endpoint crashes and restarts under
-    # its name, empty and with its count at zero. The lease holder fills it again, and
-    # two orders later the count matches the old order. It was executed beside two
-    # models, and the endpoint crashed once more.
     endpoint, view, orders = started()
     state = state_of(endpoint, view)
 
@@ -232,11 +227,8 @@
     assert not endpoint.crashes
 
 
+# Guards against orders by a state from before a restart that nobody noticed.
 def test_an_endpoint_that_restarted_unnoticed_gets_no_orders_from_stale_state():
-    # An order to load 50 GB gets no response, a smaller one is accepted. The endpoint
-    # crashes while it is unreachable, and restarts. The late order is executed first,
-    # and its count is again the one in the holder's state, which shows 16 GB in use. By
-    # that state another 50 GB fit, and the endpoint crashed again.
     endpoint, view, orders = started()
     state = state_of(endpoint, view)
     orders.refresh(state)
--- a/packages/mothworks_gateway/tests/test_order_sender.py
+++ b/packages/mothworks_gateway/tests/test_order_sender.py
@@ -40,14 +40,11 @@
     return endpoint_state.EndpointState(registered, endpoint.declared_as)
 
 
+# Guards against a load whose memory counts as free because the lease lapsed before
+# its end.
 def test_a_load_that_outlasts_the_lease_still_counts_as_memory(
     orders, endpoint, stub_lease
 ):
-    # The platform's store stops responding while a load of 34 GB runs, and the lease
-    # lapses before the load is done. Eight seconds later the same VM holds the lease
-    # again and evicts a small model for another large one. The memory of the load whose
-    # end it had not observed counted as free, so it ordered the next load after the
-    # first of three unloads, and the endpoint crashed with all its streams.
     state = state_of(endpoint, "small", "slight", "spare")
     loading = gevent.spawn(orders.order, state, True, "busy", "")
     gevent.sleep(0.01)
@@ -63,9 +60,9 @@
     assert not endpoint.crashes
 
 
+# Guards against an endpoint that is taken for another incarnation because its entry
+# has no start time.
 def test_an_endpoint_whose_entry_has_no_start_time_gets_orders(orders, endpoint):
-    # Only its inventory reports the start time. It was mistaken for another incarnation
-    # and believed to be empty, and later registry entries were rejected as older.
     state = state_of(endpoint, "small")
     endpoint.started_ms = 7
     orders.refresh(state)
--- a/packages/mothworks_gateway/tests/test_unloads.py
+++ b/packages/mothworks_gateway/tests/test_unloads.py
@@ -56,8 +56,9 @@
     return counting_endpoint
 
 
+# Guards against loads that are refused three times because they follow an unload too
+# soon.
 def test_a_load_after_an_unload_is_rarely_refused(endpoint, monkeypatch):
-    # Each load was refused at 10, 45 and 100 ms before it was accepted.
     held_lease = modelled_endpoint.Lease()
     orders = modelled_endpoint.make_order_sender(
         endpoint, registry.Registry(), modelled_endpoint.Peers(), held_lease
@@ -89,8 +90,8 @@
     assert unloads.expected_s < UNLOAD_S / 4
 
 
+# Guards against an unload of four seconds that delays each later load as long.
 def test_an_unload_that_waited_for_requests_has_limited_effect():
-    # An unload of four seconds would delay each later load by four seconds.
     unloads = unload_time.UnloadTime()
     for _ in range(10):
         unloads.accepted_after(4.0)
