--- a/packages/mothworks/tests/test_transport.py
+++ b/packages/mothworks/tests/test_transport.py
@@ -371,7 +371,7 @@
 
 
 class Listener:
-    """A server that reads nothing until it is told, and tells how connections end."""
+    """A server that waits before it reads, and records how connections end."""
 
     def __init__(self, answer=b""):
         self.answer = answer
